Lay the workspace: types, config, view, peer feed, observe

Cause: nothing existed. The shared types and ports are settled first, so that forwarder, proxy, agent, tools and proofs can grow side by side.

Ruled out: a platform format other than INI (the settings need INI anyway, and one check then serves both); one schema file for all capnp interfaces (each part gets its own, so that they change apart).

Conclusion: the parts can be taken up.

--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control program of an entry VM.
--- /dev/null
+++ b/crates/config/src/document.rs
@@ -0,0 +1,366 @@
+//! INI text with the line of each section and key.
+
+use std::time::Duration;
+
+use bambooseam_types::{Finding, Findings, Place};
+use ini::{Ini, ParseOption};
+
+use crate::Value;
+
+/// Least similarity (0 to 1) for a known key to be offered as a hint.
+const HINT_LIKENESS: f64 = 0.6;
+
+/// A parsed INI document that remembers where each key stands.
+#[derive(Debug, Clone)]
+pub struct Document {
+    file: String,
+    sections: Vec<RawSection>,
+}
+
+/// One section under check: keys are taken from it, what is left over is unknown.
+#[derive(Debug)]
+pub struct Section<'a> {
+    file: &'a str,
+    raw: &'a RawSection,
+    known: Vec<&'static str>,
+}
+
+/// A section as it was written.
+#[derive(Debug, Clone)]
+struct RawSection {
+    name: String,
+    line: usize,
+    entries: Vec<Entry>,
+}
+
+/// A key as it was written.
+#[derive(Debug, Clone)]
+struct Entry {
+    key: String,
+    value: String,
+    line: usize,
+}
+
+impl Document {
+    /// Parses INI text; `file` names it in findings.
+    ///
+    /// # Errors
+    ///
+    /// A finding with the line where the text is not INI, and one for each key or section that
+    /// stands twice.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        let option = ParseOption {
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        let ini = Ini::load_from_str_opt(text, option).map_err(|error| {
+            let place = Place::new(file, error.line + 1, "");
+            let mut findings = Findings::new();
+            findings.push(Finding::new(
+                place,
+                error.msg,
+                "INI: [section] and key = value lines",
+            ));
+            findings
+        })?;
+        let sections = locate(&ini, text);
+        let mut findings = Findings::new();
+        report_repeats(file, &sections, &mut findings);
+        findings.into_result(Self {
+            file: file.into(),
+            sections,
+        })
+    }
+
+    /// The name under which findings report this document.
+    pub fn file(&self) -> &str {
+        &self.file
+    }
+
+    /// The section called `name`.
+    pub fn section(&self, name: &str) -> Option<Section<'_>> {
+        let raw = self.sections.iter().find(|raw| raw.name == name)?;
+        Some(Section::new(&self.file, raw))
+    }
+
+    /// The section called `name`, or a finding that it is missing.
+    pub fn required_section(&self, name: &str, findings: &mut Findings) -> Option<Section<'_>> {
+        let section = self.section(name);
+        if section.is_none() {
+            let place = Place::new(&self.file, 0, name);
+            findings.push(Finding::new(
+                place,
+                "no such section",
+                format!("a section [{name}]"),
+            ));
+        }
+        section
+    }
+
+    /// Sections written as `[kind NAME]`, each with its name, in the order they stand.
+    pub fn sections_of<'a>(
+        &'a self,
+        kind: &'a str,
+    ) -> impl Iterator<Item = (&'a str, Section<'a>)> + 'a {
+        self.sections.iter().filter_map(move |raw| {
+            let name = raw.name.strip_prefix(kind)?.strip_prefix(' ')?;
+            Some((name.trim(), Section::new(&self.file, raw)))
+        })
+    }
+
+    /// Reports each section whose name or kind is not among `known`.
+    pub fn report_unknown_sections(&self, known: &[&str], findings: &mut Findings) {
+        for raw in &self.sections {
+            let kind = raw.name.split(' ').next().unwrap_or_default();
+            if known.contains(&kind) {
+                continue;
+            }
+            let place = Place::new(&self.file, raw.line, raw.name.clone());
+            let finding = Finding::new(place, "an unknown section", known.join(", "));
+            findings.push(hint_nearest(finding, kind, known));
+        }
+    }
+}
+
+impl<'a> Section<'a> {
+    fn new(file: &'a str, raw: &'a RawSection) -> Self {
+        Self {
+            file,
+            raw,
+            known: Vec::new(),
+        }
+    }
+
+    /// A section that is not in the document and so has no key.
+    pub fn absent(file: &'a str) -> Self {
+        static ABSENT: RawSection = RawSection {
+            name: String::new(),
+            line: 0,
+            entries: Vec::new(),
+        };
+        Self::new(file, &ABSENT)
+    }
+
+    /// Where `key` stands, or the section's head when it is absent.
+    pub fn place(&self, key: &str) -> Place {
+        let line = self.entry(key).map_or(self.raw.line, |entry| entry.line);
+        Place::new(self.file, line, format!("{}.{key}", self.raw.name))
+    }
+
+    /// Parses the value of `key` if it is there; a bad one becomes a finding.
+    pub fn optional<T>(&mut self, key: &'static str, findings: &mut Findings) -> Option<T>
+    where
+        T: Value,
+    {
+        self.known.push(key);
+        let entry = self.entry(key)?;
+        match entry.value.parse::<T>() {
+            Ok(value) => Some(value),
+            Err(_) => {
+                let found = format!("{:?}", entry.value);
+                findings.push(Finding::new(self.place(key), found, T::ALLOWED));
+                None
+            }
+        }
+    }
+
+    /// Parses the value of `key`, with `default` for an absent one.
+    pub fn or<T>(&mut self, key: &'static str, default: T, findings: &mut Findings) -> T
+    where
+        T: Value,
+    {
+        self.optional(key, findings).unwrap_or(default)
+    }
+
+    /// Parses the value of `key`; an absent or bad one becomes a finding.
+    pub fn required<T>(&mut self, key: &'static str, findings: &mut Findings) -> Option<T>
+    where
+        T: Value,
+    {
+        if self.entry(key).is_none() {
+            self.known.push(key);
+            findings.push(Finding::new(self.place(key), "no such key", "a value"));
+            return None;
+        }
+        self.optional(key, findings)
+    }
+
+    /// Parses a list separated by commas; an absent one is empty.
+    pub fn list<T>(&mut self, key: &'static str, findings: &mut Findings) -> Vec<T>
+    where
+        T: Value,
+    {
+        self.known.push(key);
+        let Some(entry) = self.entry(key) else {
+            return Vec::new();
+        };
+        let mut values = Vec::new();
+        for part in entry.value.split(',') {
+            let part = part.trim();
+            if part.is_empty() {
+                continue;
+            }
+            match part.parse::<T>() {
+                Ok(value) => values.push(value),
+                Err(_) => {
+                    let found = format!("{part:?}");
+                    findings.push(Finding::new(self.place(key), found, T::ALLOWED));
+                }
+            }
+        }
+        values
+    }
+
+    /// Parses a duration such as `250ms` or `12h`, with `default` for an absent one.
+    pub fn duration(
+        &mut self,
+        key: &'static str,
+        default: Duration,
+        findings: &mut Findings,
+    ) -> Duration {
+        self.optional::<humantime::Duration>(key, findings)
+            .map_or(default, Into::into)
+    }
+
+    /// Parses a whole number within `allowed`, with `default` for an absent one.
+    pub fn within(
+        &mut self,
+        key: &'static str,
+        default: u64,
+        allowed: std::ops::RangeInclusive<u64>,
+        findings: &mut Findings,
+    ) -> u64 {
+        let value = self.or(key, default, findings);
+        if !allowed.contains(&value) {
+            let range = format!(
+                "a whole number from {} to {}",
+                allowed.start(),
+                allowed.end()
+            );
+            findings.push(Finding::new(self.place(key), value.to_string(), range));
+        }
+        value
+    }
+
+    /// Reports each key that was not asked for.
+    pub fn report_unknown_keys(self, findings: &mut Findings) {
+        for entry in &self.raw.entries {
+            if self.known.contains(&entry.key.as_str()) {
+                continue;
+            }
+            let place = self.place(&entry.key);
+            let finding = Finding::new(place, "an unknown key", self.known.join(", "));
+            findings.push(hint_nearest(finding, &entry.key, &self.known));
+        }
+    }
+
+    fn entry(&self, key: &str) -> Option<&'a Entry> {
+        self.raw.entries.iter().find(|entry| entry.key == key)
+    }
+}
+
+/// Joins the parsed sections with the lines on which they and their keys stand.
+///
+/// The library gives no lines, but keeps the order of the text within each section.
+fn locate(ini: &Ini, text: &str) -> Vec<RawSection> {
+    let mut sections = Vec::new();
+    for (name, properties) in ini.iter() {
+        let name = name.unwrap_or_default().trim();
+        let repeats = sections
+            .iter()
+            .filter(|raw: &&RawSection| raw.name == name)
+            .count();
+        let head = section_line(text, name, repeats);
+        let mut entries = Vec::new();
+        for (key, value) in properties.iter() {
+            let after = entries.iter().rfind(|entry: &&Entry| entry.key == key);
+            let from = after.map_or(head, |entry| entry.line);
+            let line = key_line(text, key, from);
+            entries.push(Entry {
+                key: key.into(),
+                value: value.into(),
+                line,
+            });
+        }
+        if name.is_empty() && entries.is_empty() {
+            continue;
+        }
+        sections.push(RawSection {
+            name: name.into(),
+            line: head,
+            entries,
+        });
+    }
+    sections
+}
+
+/// Line of the section head called `name`, after `repeats` earlier ones; 0 for the nameless one.
+fn section_line(text: &str, name: &str, repeats: usize) -> usize {
+    let is_head = |line: &str| {
+        let inner = line
+            .trim()
+            .strip_prefix('[')
+            .and_then(|rest| rest.strip_suffix(']'));
+        inner.is_some_and(|inner| inner.trim() == name)
+    };
+    let mut heads = text.lines().enumerate().filter(|(_, line)| is_head(line));
+    heads.nth(repeats).map_or(0, |(index, _)| index + 1)
+}
+
+/// First line after `from` that sets `key`.
+fn key_line(text: &str, key: &str, from: usize) -> usize {
+    for (index, line) in text.lines().enumerate().skip(from) {
+        let Some((left, _)) = line.split_once(['=', ':']) else {
+            continue;
+        };
+        if left.trim() == key {
+            return index + 1;
+        }
+    }
+    from
+}
+
+/// Reports sections and keys that stand twice.
+fn report_repeats(file: &str, sections: &[RawSection], findings: &mut Findings) {
+    for (index, raw) in sections.iter().enumerate() {
+        if sections[..index]
+            .iter()
+            .any(|earlier| earlier.name == raw.name)
+        {
+            let place = Place::new(file, raw.line, raw.name.clone());
+            findings.push(Finding::new(
+                place,
+                "the section twice",
+                "each section once",
+            ));
+        }
+        for (index, entry) in raw.entries.iter().enumerate() {
+            if raw.entries[..index]
+                .iter()
+                .all(|earlier| earlier.key != entry.key)
+            {
+                continue;
+            }
+            let place = Place::new(file, entry.line, format!("{}.{}", raw.name, entry.key));
+            findings.push(Finding::new(place, "the key twice", "each key once"));
+        }
+    }
+}
+
+/// Adds the known word that is most like `word` as a hint.
+fn hint_nearest(finding: Finding, word: &str, known: &[&str]) -> Finding {
+    let mut nearest = None;
+    let mut likeness = HINT_LIKENESS;
+    for candidate in known {
+        let value = strsim::normalized_damerau_levenshtein(word, candidate);
+        if value < likeness {
+            continue;
+        }
+        likeness = value;
+        nearest = Some(candidate);
+    }
+    match nearest {
+        Some(nearest) => finding.with_hint(format!("did you mean {nearest}?")),
+        None => finding,
+    }
+}
--- /dev/null
+++ b/crates/config/src/fleet.rs
@@ -0,0 +1,222 @@
+//! The platform's lists of VMs and targets; both lag behind the truth.
+
+use std::net::{IpAddr, SocketAddr};
+
+use bambooseam_types::{Finding, Findings, ServiceName, TargetId, VmId, Weight, ZoneId};
+use derive_more::{Display, FromStr};
+
+use crate::Document;
+
+/// Announced state of an entry VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromStr)]
+pub enum VmState {
+    /// Announced, takes no packets yet.
+    #[display("joining")]
+    Joining,
+    /// In service.
+    #[display("live")]
+    Live,
+    /// Announced to stop.
+    #[display("leaving")]
+    Leaving,
+}
+
+/// Announced state of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromStr)]
+pub enum TargetState {
+    /// In service.
+    #[display("live")]
+    Live,
+    /// Keeps its work, takes no new work.
+    #[display("leaving")]
+    Leaving,
+}
+
+/// An entry VM as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmEntry {
+    /// Identifier.
+    pub id: VmId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Announced state.
+    pub state: VmState,
+    /// Where the agent listens to peers.
+    pub agent: SocketAddr,
+    /// Where the forwarder receives encapsulated packets.
+    pub forwarder: SocketAddr,
+    /// Where the proxy listens to other proxies.
+    pub proxy: SocketAddr,
+}
+
+/// A target as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetEntry {
+    /// Identifier.
+    pub id: TargetId,
+    /// Service that it belongs to.
+    pub service: ServiceName,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Announced state.
+    pub state: TargetState,
+    /// Where it receives encapsulated packets.
+    pub flows: SocketAddr,
+    /// Where it receives requests.
+    pub requests: SocketAddr,
+    /// Share of new work.
+    pub weight: Weight,
+}
+
+/// All VMs, sorted by identifier.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct VmList(pub Vec<VmEntry>);
+
+/// All targets, sorted by identifier.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TargetList(pub Vec<TargetEntry>);
+
+/// Port of the agent when a VM names none.
+const AGENT_PORT: u16 = 7100;
+/// Port of Geneve.
+const GENEVE_PORT: u16 = 6081;
+/// Port of the proxy towards other proxies when a VM names none.
+const PROXY_PORT: u16 = 7200;
+/// Port of a target's requests when it names none.
+const REQUEST_PORT: u16 = 8080;
+
+impl TryFrom<&Document> for VmList {
+    type Error = Findings;
+
+    fn try_from(document: &Document) -> Result<Self, Findings> {
+        let mut findings = Findings::new();
+        document.report_unknown_sections(&["vm"], &mut findings);
+        let mut vms = Vec::new();
+        for (name, mut section) in document.sections_of("vm") {
+            let id = name.parse::<VmId>();
+            if let Err(error) = &id {
+                let found = format!("{name:?}");
+                findings.push(Finding::new(section.place("name"), found, error.allowed));
+            }
+            let zone = section.required("zone", &mut findings);
+            let state = section.or("state", VmState::Live, &mut findings);
+            let address: Option<IpAddr> = section.required("address", &mut findings);
+            let agent = section.or("agent-port", AGENT_PORT, &mut findings);
+            let forwarder = section.or("forwarder-port", GENEVE_PORT, &mut findings);
+            let proxy = section.or("proxy-port", PROXY_PORT, &mut findings);
+            section.report_unknown_keys(&mut findings);
+            let (Ok(id), Some(zone), Some(address)) = (id, zone, address) else {
+                continue;
+            };
+            vms.push(VmEntry {
+                id,
+                zone,
+                state,
+                agent: SocketAddr::new(address, agent),
+                forwarder: SocketAddr::new(address, forwarder),
+                proxy: SocketAddr::new(address, proxy),
+            });
+        }
+        vms.sort_by(|a, b| a.id.cmp(&b.id));
+        findings.into_result(Self(vms))
+    }
+}
+
+impl VmList {
+    /// The VM called `id`.
+    pub fn get(&self, id: &VmId) -> Option<&VmEntry> {
+        let index = self.0.binary_search_by(|vm| vm.id.cmp(id)).ok()?;
+        self.0.get(index)
+    }
+
+    /// The list as a published document.
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        for vm in &self.0 {
+            text.push_str(&format!(
+                "[vm {}]\nzone = {}\nstate = {}\naddress = {}\n",
+                vm.id,
+                vm.zone,
+                vm.state,
+                vm.agent.ip(),
+            ));
+            text.push_str(&format!(
+                "agent-port = {}\nforwarder-port = {}\nproxy-port = {}\n",
+                vm.agent.port(),
+                vm.forwarder.port(),
+                vm.proxy.port(),
+            ));
+        }
+        text
+    }
+}
+
+impl TryFrom<&Document> for TargetList {
+    type Error = Findings;
+
+    fn try_from(document: &Document) -> Result<Self, Findings> {
+        let mut findings = Findings::new();
+        document.report_unknown_sections(&["target"], &mut findings);
+        let mut targets = Vec::new();
+        for (name, mut section) in document.sections_of("target") {
+            let id = name.parse::<TargetId>();
+            if let Err(error) = &id {
+                let found = format!("{name:?}");
+                findings.push(Finding::new(section.place("name"), found, error.allowed));
+            }
+            let service = section.required("service", &mut findings);
+            let zone = section.required("zone", &mut findings);
+            let state = section.or("state", TargetState::Live, &mut findings);
+            let address: Option<IpAddr> = section.required("address", &mut findings);
+            let flows = section.or("flow-port", GENEVE_PORT, &mut findings);
+            let requests = section.or("request-port", REQUEST_PORT, &mut findings);
+            let weight = section.or("weight", Weight::USUAL, &mut findings);
+            section.report_unknown_keys(&mut findings);
+            let (Ok(id), Some(service), Some(zone), Some(address)) = (id, service, zone, address)
+            else {
+                continue;
+            };
+            targets.push(TargetEntry {
+                id,
+                service,
+                zone,
+                state,
+                flows: SocketAddr::new(address, flows),
+                requests: SocketAddr::new(address, requests),
+                weight,
+            });
+        }
+        targets.sort_by(|a, b| a.id.cmp(&b.id));
+        findings.into_result(Self(targets))
+    }
+}
+
+impl TargetList {
+    /// The target called `id`.
+    pub fn get(&self, id: &TargetId) -> Option<&TargetEntry> {
+        let index = self.0.binary_search_by(|target| target.id.cmp(id)).ok()?;
+        self.0.get(index)
+    }
+
+    /// The list as a published document.
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        for target in &self.0 {
+            text.push_str(&format!(
+                "[target {}]\nservice = {}\nzone = {}\nstate = {}\naddress = {}\n",
+                target.id,
+                target.service,
+                target.zone,
+                target.state,
+                target.flows.ip(),
+            ));
+            text.push_str(&format!(
+                "flow-port = {}\nrequest-port = {}\nweight = {}\n",
+                target.flows.port(),
+                target.requests.port(),
+                target.weight,
+            ));
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,22 @@
+//! Settings and published documents, read from INI and checked.
+//!
+//! Text becomes a [`Document`], a document becomes a checked type through `TryFrom`. A check
+//! collects all findings of a document before it reports them; nothing is taken in part. The
+//! agent and `bambooseam-ctl check` run the same checks.
+
+mod document;
+mod fleet;
+mod force;
+mod preset;
+mod settings;
+mod value;
+
+pub use document::{Document, Section};
+pub use fleet::{TargetEntry, TargetList, TargetState, VmEntry, VmList, VmState};
+pub use force::{InForce, digest_of};
+pub use preset::{ClassRule, Preset, Service, WorkClass};
+pub use settings::{
+    AgentSettings, ForwarderSettings, LogSettings, PlatformSettings, ProxySettings, Settings,
+    TraceSettings, VmSettings,
+};
+pub use value::Value;
--- /dev/null
+++ b/crates/config/src/value.rs
@@ -0,0 +1,52 @@
+//! Values that a key may hold, each with the words that say what is allowed.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use bambooseam_types::{
+    ByteCount, ByteRate, Digest, EventRate, FlowPort, PresetName, Revision, ServiceId, ServiceName,
+    VmId, Weight, ZoneId,
+};
+
+use crate::{TargetState, VmState, WorkClass};
+
+/// A value that findings can describe.
+pub trait Value: FromStr {
+    /// What is allowed, for findings.
+    const ALLOWED: &'static str;
+}
+
+/// Gives each type its description.
+macro_rules! values {
+    ($($type:ty: $allowed:literal,)*) => {
+        $(impl Value for $type {
+            const ALLOWED: &'static str = $allowed;
+        })*
+    };
+}
+
+values! {
+    ByteCount: "a size such as 64KiB",
+    ByteRate: "a rate such as 3KiB/s",
+    Digest: "64 hexadecimal digits",
+    EventRate: "a rate such as 20/s",
+    FlowPort: "a port from 1 to 65535",
+    IpAddr: "an IP address",
+    PathBuf: "a path",
+    PresetName: "a name of 1 to 63 letters, digits, '-', '_' or '.'",
+    Revision: "a whole number",
+    ServiceId: "a whole number from 1 to 16777215",
+    ServiceName: "a name of 1 to 63 letters, digits, '-', '_' or '.'",
+    SocketAddr: "IP:PORT",
+    String: "text",
+    TargetState: "live or leaving",
+    VmId: "a name of 1 to 63 letters, digits, '-', '_' or '.'",
+    VmState: "joining, live or leaving",
+    Weight: "a whole number from 0 to 10000",
+    WorkClass: "short or long",
+    ZoneId: "a name of 1 to 63 letters, digits, '-', '_' or '.'",
+    humantime::Duration: "a time such as 250ms or 12h",
+    u16: "a whole number from 0 to 65535",
+    u64: "a whole number",
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Command line for operators.
--- /dev/null
+++ b/crates/forwarder/src/lib.rs
@@ -0,0 +1,1 @@
+//! Packet program of an entry VM.
--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,25 @@
+//! Command line of the measurements.
+
+use std::process::ExitCode;
+
+use bambooseam_measure::{control, demo, flows, requests};
+use clap::Command;
+
+fn main() -> ExitCode {
+    let matches = Command::new("bambooseam-measure")
+        .about("Measures bambooseam and prints key=value lines")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .subcommand(control::command())
+        .subcommand(demo::command())
+        .subcommand(flows::command())
+        .subcommand(requests::command())
+        .get_matches();
+    match matches.subcommand() {
+        Some(("control", matches)) => control::run(matches),
+        Some(("demo", matches)) => demo::run(matches),
+        Some(("flows", matches)) => flows::run(matches),
+        Some(("requests", matches)) => requests::run(matches),
+        _ => ExitCode::FAILURE,
+    }
+}
--- /dev/null
+++ b/crates/observe/src/lib.rs
@@ -0,0 +1,11 @@
+//! Logs, metrics, traces and the admin endpoint, and the start and stop that programs share.
+
+mod admin;
+mod logs;
+mod program;
+mod stop;
+
+pub use admin::{Admin, AdminError};
+pub use logs::{LogError, init_logs};
+pub use program::{EXIT_BAD_INPUT, EXIT_FAILED, Program, Start};
+pub use stop::stop_signal;
--- /dev/null
+++ b/crates/peer/src/error.rs
@@ -0,0 +1,20 @@
+//! Errors of messages between processes.
+
+use std::io;
+
+use bambooseam_types::Findings;
+use derive_more::{Display, Error, From};
+
+/// Why a message could not be exchanged.
+#[derive(Debug, Display, Error, From)]
+pub enum PeerError {
+    /// The connection failed.
+    #[display("connection: {_0}")]
+    Io(io::Error),
+    /// The call failed or its message was malformed.
+    #[display("call: {_0}")]
+    Call(capnp::Error),
+    /// The message holds documents that fail their check.
+    #[display("documents: {_0}")]
+    Documents(Findings),
+}
--- /dev/null
+++ b/crates/peer/src/feed.rs
@@ -0,0 +1,184 @@
+//! How views travel from an agent to the programs beside it.
+//!
+//! [`subscribe`] keeps a program's current view in a `watch` channel. While the agent is away the
+//! channel holds the last view, and the program goes on with it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bambooseam_view::{View, ViewNumber, ViewSource};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::view_capnp::{view_feed, view_source};
+use crate::{PeerError, connect, local_thread, serve};
+
+/// Pause before a lost feed is connected again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest wait for one answer; after it the connection is taken for dead.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time after which an agent answers a watch without news, below the timeout of the watcher.
+const ANSWER_TIME: Duration = Duration::from_secs(10);
+
+/// A program's current view; `None` until the first one has arrived.
+pub type ViewReceiver = watch::Receiver<Option<Arc<View>>>;
+
+/// Told which view a program has in force.
+pub trait Acknowledge: 'static {
+    /// Notes that `program` acts on view `number`.
+    fn acknowledge(&self, program: &str, number: ViewNumber);
+}
+
+impl<F: Fn(&str, ViewNumber) + 'static> Acknowledge for F {
+    fn acknowledge(&self, program: &str, number: ViewNumber) {
+        self(program, number);
+    }
+}
+
+/// Keeps the view that the agent at `address` serves; runs on a thread of its own.
+///
+/// # Errors
+///
+/// An error when the thread can't be started.
+pub fn subscribe(address: SocketAddr, program: &'static str) -> std::io::Result<ViewReceiver> {
+    let (sender, receiver) = watch::channel(None);
+    local_thread("view-feed", move || async move {
+        while !sender.is_closed() {
+            if let Err(error) = follow(address, program, &sender).await {
+                log::warn!("event=view_feed_lost agent={address} cause={error:?}");
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    })?;
+    Ok(receiver)
+}
+
+/// Serves the newest source to the programs that connect; must run in a `LocalSet`.
+pub async fn serve_views<A: Acknowledge>(
+    listener: TcpListener,
+    sources: watch::Receiver<Arc<ViewSource>>,
+    acknowledge: A,
+) {
+    let acknowledge = Rc::new(acknowledge);
+    serve(listener, |_| {
+        let feed = Feed {
+            sources: sources.clone(),
+            acknowledge: Rc::clone(&acknowledge),
+        };
+        let client: view_feed::Client = capnp_rpc::new_client(feed);
+        client.client
+    })
+    .await;
+}
+
+/// The object that a program calls.
+struct Feed<A> {
+    sources: watch::Receiver<Arc<ViewSource>>,
+    acknowledge: Rc<A>,
+}
+
+impl<A: Acknowledge> view_feed::Server for Feed<A> {
+    async fn watch(
+        self: Rc<Self>,
+        params: view_feed::WatchParams,
+        mut results: view_feed::WatchResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let program = params.get_program()?.to_str()?;
+        let after = ViewNumber::from(params.get_after());
+        self.acknowledge.acknowledge(program, after);
+        let mut sources = self.sources.clone();
+        let newer = sources.wait_for(|source| source.number != after);
+        let Ok(found) = tokio::time::timeout(ANSWER_TIME, newer).await else {
+            return Ok(());
+        };
+        let source = found.map_err(|_| capnp::Error::disconnected("the agent stops".into()))?;
+        write_source(&source, results.get().init_source());
+        Ok(())
+    }
+}
+
+/// Follows one connection until it fails.
+async fn follow(
+    address: SocketAddr,
+    program: &str,
+    sender: &watch::Sender<Option<Arc<View>>>,
+) -> Result<(), PeerError> {
+    let client: view_feed::Client = connect(address).await?;
+    // An agent that started again counts views from the start, so the number held is not sent.
+    let mut after = ViewNumber::default();
+    loop {
+        let mut request = client.watch_request();
+        request.get().set_program(program);
+        request.get().set_after(after.get());
+        let answer = tokio::time::timeout(WATCH_TIMEOUT, request.send().promise);
+        let answer = answer.await.map_err(std::io::Error::from)??;
+        let results = answer.get()?;
+        if !results.has_source() {
+            continue;
+        }
+        let source = read_source(results.get_source()?)?;
+        after = source.number;
+        offer(&source, sender)?;
+    }
+}
+
+/// Puts a view in force unless its revision is below the one in force.
+fn offer(source: &ViewSource, sender: &watch::Sender<Option<Arc<View>>>) -> Result<(), PeerError> {
+    let view = View::build(source)?;
+    let held = sender.borrow().as_ref().map(|held| held.revision());
+    if held.is_some_and(|held| held > view.revision()) {
+        let revision = view.revision();
+        log::warn!("event=view_refused cause=lower_revision revision={revision}");
+        return Ok(());
+    }
+    log::info!(
+        "event=view_in_force number={} revision={}",
+        view.number,
+        view.revision()
+    );
+    sender.send_replace(Some(Arc::new(view)));
+    Ok(())
+}
+
+/// Writes a source into a message.
+fn write_source(source: &ViewSource, mut builder: view_source::Builder<'_>) {
+    builder.set_number(source.number.get());
+    builder.set_pointer(&source.pointer);
+    builder.set_preset(&source.preset);
+    builder.set_vms(&source.vms);
+    builder.set_targets(&source.targets);
+    let count = u32::try_from(source.suspects.len()).unwrap_or(u32::MAX);
+    let mut suspects = builder.init_suspects(count);
+    for (index, suspect) in (0..count).zip(&source.suspects) {
+        suspects.set(index, suspect.as_str());
+    }
+}
+
+/// Reads a source from a message.
+fn read_source(reader: view_source::Reader<'_>) -> Result<ViewSource, PeerError> {
+    let mut suspects = Vec::new();
+    for suspect in reader.get_suspects()? {
+        let suspect = suspect?.to_str().map_err(capnp::Error::from)?;
+        let id = suspect
+            .parse()
+            .map_err(|_| capnp::Error::failed("a bad VM id".into()))?;
+        suspects.push(id);
+    }
+    suspects.sort();
+    let text = |reader: capnp::Result<capnp::text::Reader<'_>>| -> Result<String, PeerError> {
+        Ok(reader?.to_str().map_err(capnp::Error::from)?.to_owned())
+    };
+    Ok(ViewSource {
+        number: ViewNumber::from(reader.get_number()),
+        pointer: text(reader.get_pointer())?,
+        preset: text(reader.get_preset())?,
+        vms: text(reader.get_vms())?,
+        targets: text(reader.get_targets())?,
+        suspects,
+    })
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Request program of an entry VM.
--- /dev/null
+++ b/crates/standin/src/deployment.rs
@@ -0,0 +1,241 @@
+//! The users' places: zones, VMs, targets and presets, on loopback addresses.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use bambooseam_config::{
+    InForce, TargetEntry, TargetList, TargetState, VmEntry, VmList, VmState, digest_of,
+};
+use bambooseam_types::{PresetName, Revision, Weight};
+use bambooseam_view::{ViewNumber, ViewSource};
+use derive_more::{Display, FromStr};
+
+/// Which of the users' places.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromStr)]
+pub enum DeploymentKind {
+    /// Cascade Ballast & Tyre Works: three zones.
+    #[display("cascade")]
+    Cascade,
+    /// Swanbourne Plate & Polish Division: four zones.
+    #[display("swanbourne")]
+    Swanbourne,
+}
+
+/// Zones, VMs, targets and presets that can be published.
+#[derive(Debug, Clone)]
+pub struct Deployment {
+    /// Entry VMs.
+    pub vms: VmList,
+    /// Targets.
+    pub targets: TargetList,
+    /// Preset documents, each with its name.
+    pub presets: Vec<(PresetName, String)>,
+    /// The pointer to the preset in force.
+    pub pointer: InForce,
+}
+
+/// Counts, names and addresses of a deployment.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Names of the zones.
+    pub zones: Vec<&'static str>,
+    /// Number of entry VMs, spread over the zones in turn.
+    pub vms: usize,
+    /// Name of the service with feeds and orders, and its number of targets.
+    pub orders: (&'static str, usize),
+    /// Name of the service with downloads, and its number of targets.
+    pub downloads: (&'static str, usize),
+    /// First two bytes of all addresses.
+    pub network: [u8; 2],
+}
+
+/// Network identifier of the service with feeds and orders.
+pub const ORDERS_VNI: u32 = 101;
+/// Network identifier of the service with downloads.
+pub const DOWNLOADS_VNI: u32 = 102;
+/// Port of feeds.
+pub const FEED_PORT: u16 = 7000;
+/// Port of the orders' requests.
+pub const ORDERS_PORT: u16 = 8081;
+/// Port of the downloads' requests.
+pub const DOWNLOADS_PORT: u16 = 8082;
+/// Port of Geneve.
+const GENEVE_PORT: u16 = 6081;
+/// Port of an agent.
+const AGENT_PORT: u16 = 7100;
+/// Port of a proxy towards other proxies.
+const PROXY_PORT: u16 = 7200;
+/// Port of a target's requests.
+const TARGET_PORT: u16 = 8080;
+
+impl Plan {
+    /// The plan of one of the users' places, in the network `127.1`.
+    pub fn of(kind: DeploymentKind) -> Self {
+        match kind {
+            DeploymentKind::Cascade => Self {
+                zones: vec!["skagit", "yakima", "palouse"],
+                vms: 5,
+                orders: ("fill-orders", 15),
+                downloads: ("fill-charts", 4),
+                network: [127, 1],
+            },
+            DeploymentKind::Swanbourne => Self {
+                zones: vec!["swanbourne", "claremont", "subiaco", "fremantle"],
+                vms: 5,
+                orders: ("bath-console", 15),
+                downloads: ("batch-photos", 4),
+                network: [127, 1],
+            },
+        }
+    }
+
+    /// Sets the number of VMs.
+    pub fn with_vms(mut self, vms: usize) -> Self {
+        self.vms = vms;
+        self
+    }
+
+    /// Sets the number of targets of both services.
+    pub fn with_targets(mut self, orders: usize, downloads: usize) -> Self {
+        self.orders.1 = orders;
+        self.downloads.1 = downloads;
+        self
+    }
+
+    /// Sets the first two bytes of all addresses.
+    pub fn with_network(mut self, network: [u8; 2]) -> Self {
+        self.network = network;
+        self
+    }
+
+    /// Builds the documents.
+    ///
+    /// VM `i` has the address `N.1.i`, target `i` of the orders `N.2.i`, of the downloads `N.3.i`
+    /// (beyond 250 the third byte rises by 8), and the services `N.0.1` and `N.0.2`, where `N` is
+    /// the network.
+    pub fn build(&self) -> Deployment {
+        let vms = (0..self.vms).map(|index| self.vm(index)).collect();
+        let mut targets = Vec::new();
+        for index in 0..self.orders.1 {
+            targets.push(self.target(self.orders.0, "bay", 2, index));
+        }
+        for index in 0..self.downloads.1 {
+            targets.push(self.target(self.downloads.0, "file", 3, index));
+        }
+        targets.sort_by(|a, b| a.id.cmp(&b.id));
+        let presets: Vec<(PresetName, String)> = vec![
+            (name("ordinary"), self.preset("ordinary", 2_000)),
+            (name("peak-season"), self.preset("peak-season", 1_000)),
+            (name("maintenance"), self.preset("maintenance", 4_000)),
+        ];
+        let pointer = InForce {
+            revision: Revision::from(1),
+            name: presets[0].0.clone(),
+            digest: digest_of(&presets[0].1),
+        };
+        Deployment {
+            vms: VmList(vms),
+            targets: TargetList(targets),
+            presets,
+            pointer,
+        }
+    }
+
+    fn vm(&self, index: usize) -> VmEntry {
+        let address = self.address(1, index);
+        VmEntry {
+            id: name(&format!("vm-{:03}", index + 1)),
+            zone: name(self.zones[index % self.zones.len()]),
+            state: VmState::Live,
+            agent: SocketAddr::new(address, AGENT_PORT),
+            forwarder: SocketAddr::new(address, GENEVE_PORT),
+            proxy: SocketAddr::new(address, PROXY_PORT),
+        }
+    }
+
+    fn target(&self, service: &str, kind: &str, group: u8, index: usize) -> TargetEntry {
+        let address = self.address(group, index);
+        TargetEntry {
+            id: name(&format!("{kind}-{:04}", index + 1)),
+            service: name(service),
+            zone: name(self.zones[index % self.zones.len()]),
+            state: TargetState::Live,
+            flows: SocketAddr::new(address, GENEVE_PORT),
+            requests: SocketAddr::new(address, TARGET_PORT),
+            weight: Weight::USUAL,
+        }
+    }
+
+    /// A preset of this place; presets differ in how long a request may wait.
+    fn preset(&self, preset: &str, queue_ms: u64) -> String {
+        let (orders, downloads) = (self.orders.0, self.downloads.0);
+        let (first, second) = (self.service_address(0), self.service_address(1));
+        format!(
+            "[preset]\nname = {preset}\n\n\
+             [service {orders}]\nvni = {ORDERS_VNI}\naddress = {first}\n\
+             flow-ports = {FEED_PORT}\nrequest-port = {ORDERS_PORT}\nslots = 2\n\
+             connections = 2000\nqueue-limit = {queue_ms}ms\n\n\
+             [service {downloads}]\nvni = {DOWNLOADS_VNI}\naddress = {second}\n\
+             request-port = {DOWNLOADS_PORT}\nslots = 2\nconnections = 2000\n\
+             queue-limit = {queue_ms}ms\n\n\
+             [class full-size]\nservice = {downloads}\npath-prefix = /full/\nclass = long\n"
+        )
+    }
+
+    /// Address of service `index`.
+    fn service_address(&self, index: u8) -> IpAddr {
+        let [a, b] = self.network;
+        IpAddr::V4(Ipv4Addr::new(a, b, 0, index + 1))
+    }
+
+    fn address(&self, group: u8, index: usize) -> IpAddr {
+        let [a, b] = self.network;
+        let third = group + 8 * u8::try_from(index / 250).expect("at most 7,500 of a kind");
+        let fourth = u8::try_from(index % 250 + 1).expect("at most 250");
+        IpAddr::V4(Ipv4Addr::new(a, b, third, fourth))
+    }
+}
+
+impl Deployment {
+    /// The documents of one of the users' places, with `ordinary` in force.
+    pub fn of(kind: DeploymentKind) -> Self {
+        Plan::of(kind).build()
+    }
+
+    /// Text of the preset called `name`.
+    pub fn preset_text(&self, name: &PresetName) -> Option<&str> {
+        let found = self.presets.iter().find(|(held, _)| held == name)?;
+        Some(&found.1)
+    }
+
+    /// Puts the preset called `name` in force under the next revision; false if there is none.
+    pub fn switch(&mut self, name: &PresetName) -> bool {
+        let Some(digest) = self.preset_text(name).map(digest_of) else {
+            return false;
+        };
+        let revision = self.pointer.revision.next();
+        self.pointer = InForce {
+            revision,
+            name: name.clone(),
+            digest,
+        };
+        true
+    }
+
+    /// What an agent that has read all documents would serve as view `number`.
+    pub fn source(&self, number: u64) -> ViewSource {
+        let preset = self.preset_text(&self.pointer.name).unwrap_or_default();
+        ViewSource {
+            number: ViewNumber::from(number),
+            pointer: self.pointer.to_text(),
+            preset: preset.to_owned(),
+            vms: self.vms.to_text(),
+            targets: self.targets.to_text(),
+            suspects: Vec::new(),
+        }
+    }
+}
+
+/// A name that this module wrote itself.
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("names of the stand-ins are valid")
+}
--- /dev/null
+++ b/crates/view/src/view.rs
@@ -0,0 +1,303 @@
+//! The checked view: one preset in force, the VMs and the targets.
+
+use std::net::SocketAddr;
+
+use bambooseam_config::{
+    Document, InForce, Preset, Service, TargetEntry, TargetList, TargetState, VmEntry, VmList,
+    VmState, digest_of,
+};
+use bambooseam_types::{Finding, Findings, Place, Revision, ServiceId, ServiceName, VmId};
+
+use crate::{FlowKey, Ranking, ViewNumber, ViewSource};
+
+/// What programs act on; immutable.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct View {
+    /// Number of the view on its agent.
+    pub number: ViewNumber,
+    /// The pointer in force.
+    pub pointer: InForce,
+    /// The preset in force.
+    pub preset: Preset,
+    /// VMs, sorted by identifier.
+    pub vms: Vec<Vm>,
+    /// Targets, sorted by service and identifier.
+    pub targets: Vec<Target>,
+    entrances: Vec<Entrance>,
+    forwarders: Ranking,
+    proxies: Ranking,
+}
+
+/// An entry VM and what is known of its health.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Vm {
+    /// As the platform lists it.
+    pub entry: VmEntry,
+    /// As the fleet sees it.
+    pub health: VmHealth,
+}
+
+/// Health of a VM as the fleet sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum VmHealth {
+    /// Announced, not yet in service.
+    Joining,
+    /// In service.
+    Live,
+    /// Announced to stop: serves what it has, gets nothing new.
+    Leaving,
+    /// Silent towards several peers.
+    Suspected,
+}
+
+/// A target of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// As the platform lists it.
+    pub entry: TargetEntry,
+    /// Its service in the preset.
+    pub service: ServiceIndex,
+    /// Hash of its identifier.
+    pub hash: u64,
+}
+
+/// Position of a service in the preset.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceIndex(pub usize);
+
+/// Address and port at which a service receives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Entrance {
+    /// Address and port that callers use.
+    pub address: SocketAddr,
+    /// The service.
+    pub service: ServiceIndex,
+    /// Where the traffic goes.
+    pub kind: EntranceKind,
+}
+
+/// Where the traffic of an entrance goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum EntranceKind {
+    /// Straight to targets at layer 4.
+    Flows,
+    /// To proxies.
+    Requests,
+}
+
+impl View {
+    /// Builds a view from documents.
+    ///
+    /// # Errors
+    ///
+    /// All findings of all documents; among them a preset whose digest or name is not the
+    /// pointer's.
+    pub fn build(source: &ViewSource) -> Result<Self, Findings> {
+        let mut findings = Findings::new();
+        let pointer: Option<InForce> = read("preset-in-force", &source.pointer, &mut findings);
+        let file = pointer
+            .as_ref()
+            .map_or("presets".into(), |p| format!("presets/{}", p.name));
+        let preset: Option<Preset> = read(&file, &source.preset, &mut findings);
+        let vms: Option<VmList> = read("vms", &source.vms, &mut findings);
+        let targets: Option<TargetList> = read("targets", &source.targets, &mut findings);
+        if let (Some(pointer), Some(preset)) = (&pointer, &preset) {
+            check_pointer(pointer, preset, &source.preset, &mut findings);
+        }
+        let (Some(pointer), Some(preset), Some(vms), Some(targets)) =
+            (pointer, preset, vms, targets)
+        else {
+            return Err(findings);
+        };
+        let view = Self::assemble(source, pointer, preset, vms, targets);
+        findings.into_result(view)
+    }
+
+    fn assemble(
+        source: &ViewSource,
+        pointer: InForce,
+        preset: Preset,
+        vms: VmList,
+        targets: TargetList,
+    ) -> Self {
+        let vms: Vec<Vm> = vms
+            .0
+            .into_iter()
+            .map(|entry| Vm::new(entry, source))
+            .collect();
+        let targets = join_targets(&preset, targets);
+        let entrances = list_entrances(&preset);
+        let serving = || {
+            vms.iter()
+                .enumerate()
+                .filter(|(_, vm)| vm.health == VmHealth::Live)
+        };
+        let forwarders = Ranking::new(serving().map(|(i, vm)| (i, vm.entry.id.as_str())));
+        let proxies = forwarders.clone();
+        Self {
+            number: source.number,
+            pointer,
+            preset,
+            vms,
+            targets,
+            entrances,
+            forwarders,
+            proxies,
+        }
+    }
+
+    /// Revision in force.
+    pub fn revision(&self) -> Revision {
+        self.pointer.revision
+    }
+
+    /// The VM called `id`.
+    pub fn vm(&self, id: &VmId) -> Option<&Vm> {
+        let index = self.vms.binary_search_by(|vm| vm.entry.id.cmp(id)).ok()?;
+        self.vms.get(index)
+    }
+
+    /// The service at `index`.
+    pub fn service(&self, index: ServiceIndex) -> &Service {
+        &self.preset.services[index.0]
+    }
+
+    /// Position of the service called `name`.
+    pub fn service_index(&self, name: &ServiceName) -> Option<ServiceIndex> {
+        let found = self
+            .preset
+            .services
+            .binary_search_by(|service| service.name.cmp(name));
+        found.ok().map(ServiceIndex)
+    }
+
+    /// Identifier on the wire of the service at `index`.
+    pub fn vni(&self, index: ServiceIndex) -> ServiceId {
+        self.service(index).vni
+    }
+
+    /// The entrance at an address and port, if a service has one there.
+    pub fn entrance(&self, address: SocketAddr) -> Option<Entrance> {
+        let found = self
+            .entrances
+            .binary_search_by(|held| held.address.cmp(&address));
+        found.ok().map(|index| self.entrances[index])
+    }
+
+    /// Targets of a service, sorted by identifier, leaving ones included.
+    pub fn targets_of(&self, service: ServiceIndex) -> &[Target] {
+        let start = self
+            .targets
+            .partition_point(|target| target.service < service);
+        let end = self
+            .targets
+            .partition_point(|target| target.service <= service);
+        &self.targets[start..end]
+    }
+
+    /// Live forwarders, ranked by key; positions are those in `vms`.
+    pub fn forwarders(&self) -> &Ranking {
+        &self.forwarders
+    }
+
+    /// Live proxies, ranked by key; positions are those in `vms`.
+    pub fn proxies(&self) -> &Ranking {
+        &self.proxies
+    }
+}
+
+impl Vm {
+    fn new(entry: VmEntry, source: &ViewSource) -> Self {
+        let is_suspect = source.suspects.binary_search(&entry.id).is_ok();
+        let health = match entry.state {
+            VmState::Joining => VmHealth::Joining,
+            VmState::Leaving => VmHealth::Leaving,
+            VmState::Live if is_suspect => VmHealth::Suspected,
+            VmState::Live => VmHealth::Live,
+        };
+        Self { entry, health }
+    }
+}
+
+impl Target {
+    /// Whether the target may get new work.
+    pub fn is_open(&self) -> bool {
+        self.entry.state == TargetState::Live && self.entry.weight.get() > 0
+    }
+}
+
+/// Parses and checks one document.
+fn read<T>(file: &str, text: &str, findings: &mut Findings) -> Option<T>
+where
+    T: for<'a> TryFrom<&'a Document, Error = Findings>,
+{
+    let checked = Document::parse(file, text).and_then(|document| T::try_from(&document));
+    match checked {
+        Ok(value) => Some(value),
+        Err(found) => {
+            findings.append(found);
+            None
+        }
+    }
+}
+
+/// Checks that the preset is the one that the pointer names.
+fn check_pointer(pointer: &InForce, preset: &Preset, text: &str, findings: &mut Findings) {
+    let place = |key: &str| Place::new("preset-in-force", 0, format!("in-force.{key}"));
+    if preset.name != pointer.name {
+        let found = format!("a document of preset {}", preset.name);
+        findings.push(Finding::new(
+            place("name"),
+            found,
+            format!("preset {}", pointer.name),
+        ));
+    }
+    let digest = digest_of(text);
+    if digest != pointer.digest {
+        let finding = Finding::new(
+            place("digest"),
+            digest.to_string(),
+            pointer.digest.to_string(),
+        );
+        findings.push(finding.with_hint("publish the preset before the pointer"));
+    }
+}
+
+/// Joins targets with their services; a target of a service that the preset lacks is left out.
+fn join_targets(preset: &Preset, list: TargetList) -> Vec<Target> {
+    let mut targets = Vec::new();
+    for entry in list.0 {
+        let found = preset
+            .services
+            .binary_search_by(|service| service.name.cmp(&entry.service));
+        let Ok(service) = found else { continue };
+        let hash = FlowKey::of_name(entry.id.as_str()).get();
+        targets.push(Target {
+            entry,
+            service: ServiceIndex(service),
+            hash,
+        });
+    }
+    targets.sort_by(|a, b| (a.service, &a.entry.id).cmp(&(b.service, &b.entry.id)));
+    targets
+}
+
+/// All addresses and ports at which services receive, sorted.
+fn list_entrances(preset: &Preset) -> Vec<Entrance> {
+    let mut entrances = Vec::new();
+    for (index, service) in preset.services.iter().enumerate() {
+        let entrance = |port: u16, kind| Entrance {
+            address: SocketAddr::new(service.address, port),
+            service: ServiceIndex(index),
+            kind,
+        };
+        for port in &service.flow_ports {
+            entrances.push(entrance(port.get(), EntranceKind::Flows));
+        }
+        if let Some(port) = service.request_port {
+            entrances.push(entrance(port.get(), EntranceKind::Requests));
+        }
+    }
+    entrances.sort_unstable();
+    entrances
+}
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Tests of the workspace, one file per feature under `tests/`.
