Forward packets by owner and shadow

Cause: the packet program was an empty crate. Ruled out: receivers that cache targets, since a cached entry outlives the flow that it was made for; a first packet that passes the shadow before the owner, since the shadow would not see the pick. So the first packet goes receiver, owner, shadow, target. Conclusion: thin first version; tests and measurements follow.

--- /dev/null
+++ b/crates/forwarder/src/counters.rs
@@ -0,0 +1,160 @@
+//! What a forwarder counts.
+
+use bambooseam_types::ByteCount;
+use derive_more::Display;
+
+use crate::Moment;
+use crate::geneve::PacketError;
+
+/// Shortest time between two log lines for the same cause.
+const LOG_PAUSE_MS: u64 = 1_000;
+
+/// Why a packet was dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+pub enum DropCause {
+    /// It can't be read.
+    #[display("{_0}")]
+    Malformed(PacketError),
+    /// No view has arrived yet.
+    #[display("no_view")]
+    NoView,
+    /// No service receives at the address and port.
+    #[display("no_entrance")]
+    NoEntrance,
+    /// It came from outside with a network identifier.
+    #[display("foreign_vni")]
+    ForeignVni,
+    /// Sender and receiver disagree about the service.
+    #[display("service_mismatch")]
+    ServiceMismatch,
+    /// It was passed on too often.
+    #[display("looping")]
+    Looping,
+    /// No target takes new flows.
+    #[display("no_target")]
+    NoTarget,
+    /// The table is full, so the new flow is refused.
+    #[display("table_full")]
+    TableFull,
+    /// A forwarder that can't be reached may know the flow.
+    #[display("held")]
+    Held,
+    /// The view is checked again after a pause.
+    #[display("recheck")]
+    Recheck,
+    /// It speaks for a forwarder but comes from none.
+    #[display("unknown_sender")]
+    UnknownSender,
+    /// SYN data could not be taken off.
+    #[display("syn_data")]
+    SynData,
+    /// The system did not take it.
+    #[display("send_failed")]
+    SendFailed,
+}
+
+/// Numbers of events since the start.
+#[derive(Debug, Clone, Default)]
+pub struct Counters {
+    /// Datagrams received.
+    pub received: u64,
+    /// Packets sent to targets.
+    pub delivered: u64,
+    /// Packets passed on to the owner.
+    pub relayed: u64,
+    /// Packets sent to ask another forwarder.
+    pub asked: u64,
+    /// Packets returned to the one who asked.
+    pub answered: u64,
+    /// Packets sent to a target by way of the shadow.
+    pub taught: u64,
+    /// New flows.
+    pub flows_new: u64,
+    /// Flows learned from another forwarder.
+    pub flows_learned: u64,
+    /// Flows placed by the default pick since no forwarder knew them.
+    pub flows_guessed: u64,
+    /// Flows forgotten after their idle time.
+    pub flows_expired: u64,
+    /// Flows that did not fit into the table.
+    pub flows_unremembered: u64,
+    /// Two forwarders remembered different targets.
+    pub conflicts: u64,
+    /// SYN packets whose data was taken off.
+    pub syn_stripped: u64,
+    /// Flows handed over.
+    pub handed_over: u64,
+    /// Bytes of messages that carry no caller's packet to a target.
+    pub control_bytes: u64,
+    /// Invariants found broken.
+    pub violations: u64,
+    /// Pauses of this process.
+    pub pauses: u64,
+    /// Views put in force.
+    pub views: u64,
+    /// Views refused.
+    pub views_refused: u64,
+    drops: Vec<DropCount>,
+}
+
+/// Number of packets dropped for one cause.
+#[derive(Debug, Clone, Copy)]
+struct DropCount {
+    cause: DropCause,
+    count: u64,
+    logged: Option<Moment>,
+}
+
+impl Counters {
+    /// Counts a dropped packet and logs it, at most once a second for each cause.
+    pub fn drop_packet(&mut self, cause: DropCause, now: Moment) {
+        let at = match self.drops.binary_search_by(|held| held.cause.cmp(&cause)) {
+            Ok(at) => at,
+            Err(at) => {
+                let fresh = DropCount {
+                    cause,
+                    count: 0,
+                    logged: None,
+                };
+                self.drops.insert(at, fresh);
+                at
+            }
+        };
+        let held = &mut self.drops[at];
+        held.count += 1;
+        let is_quiet = held
+            .logged
+            .is_some_and(|logged| now.as_millis() < logged.as_millis() + LOG_PAUSE_MS);
+        if is_quiet {
+            return;
+        }
+        held.logged = Some(now);
+        log::warn!("event=packet_dropped cause={cause} total={}", held.count);
+    }
+
+    /// Packets dropped for a cause.
+    pub fn dropped(&self, cause: DropCause) -> u64 {
+        let found = self.drops.binary_search_by(|held| held.cause.cmp(&cause));
+        found.map_or(0, |at| self.drops[at].count)
+    }
+
+    /// Packets dropped for each cause.
+    pub fn drops(&self) -> impl Iterator<Item = (DropCause, u64)> + '_ {
+        self.drops.iter().map(|held| (held.cause, held.count))
+    }
+
+    /// Packets dropped in all.
+    pub fn dropped_total(&self) -> u64 {
+        self.drops.iter().map(|held| held.count).sum()
+    }
+
+    /// Packets sent from one forwarder to another.
+    pub fn passed_on(&self) -> u64 {
+        self.relayed + self.asked + self.answered + self.taught
+    }
+
+    /// Bytes of messages that carry no caller's packet to a target.
+    pub fn control(&self) -> ByteCount {
+        ByteCount::new(self.control_bytes)
+    }
+}
--- /dev/null
+++ b/crates/forwarder/src/handover.rs
@@ -0,0 +1,335 @@
+//! Handover of flows that the default pick would not find.
+//!
+//! After a change of membership a forwarder that is neither owner nor shadow of a flow any more
+//! tells the owner of it, at a budgeted rate, unless the default pick gives the same target. A
+//! leaving forwarder does so for all its flows, and is done when each batch has been confirmed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bambooseam_types::{ByteRate, ServiceId};
+use bambooseam_view::{FlowKey, VmHealth};
+
+use crate::counters::DropCause;
+use crate::geneve::{HEAD_LIMIT, Head, PacketError, Payload};
+use crate::mark::{Mark, MarkKind, Recalled};
+use crate::pick::Pick;
+use crate::table::{Entry, EntryState, SHARDS, Tick};
+use crate::target::{Identity, Standing, TargetNumber};
+use crate::topology::Role;
+use crate::{Clock, Forwarder, Moment, Output};
+
+/// Bytes of one key.
+const KEY_BYTES: usize = 8;
+/// Most keys in one batch.
+const BATCH_LIMIT: usize = 120;
+/// Bytes of IP and UDP headers around a batch.
+const FRAME_BYTES: usize = 28;
+/// Time after which an unconfirmed batch is sent again.
+const RETRY_TIME: Duration = Duration::from_secs(1);
+/// Times that a batch is sent before its flows are looked at anew.
+const TRY_LIMIT: u8 = 5;
+/// Budget when none is set.
+const BUDGET: ByteRate = ByteRate::new(1_500);
+/// Time over which unused budget adds up.
+const BURST_TIME: Duration = Duration::from_secs(2);
+
+/// What is still to be handed over, and the budget for it.
+#[derive(Debug)]
+pub struct Handover {
+    budget: ByteRate,
+    /// Bytes that may be sent now, times 1000; negative after a batch above the balance.
+    credit: i64,
+    refilled: Moment,
+    /// Next shard to look at; `None` when all have been.
+    shard: Option<usize>,
+    waiting: Vec<Item>,
+    sent: Vec<Batch>,
+    sequence: u32,
+}
+
+/// A flow to be handed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Item {
+    to: SocketAddr,
+    target: TargetNumber,
+    key: FlowKey,
+}
+
+/// Flows that were sent and not confirmed yet.
+#[derive(Debug)]
+struct Batch {
+    sequence: u32,
+    items: Vec<Item>,
+    sent: Moment,
+    tries: u8,
+}
+
+impl Default for Handover {
+    fn default() -> Self {
+        Self::new(BUDGET)
+    }
+}
+
+impl Handover {
+    /// Creates a handover with nothing to do.
+    pub fn new(budget: ByteRate) -> Self {
+        Self {
+            budget,
+            credit: 0,
+            refilled: Moment::default(),
+            shard: None,
+            waiting: Vec::new(),
+            sent: Vec::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Looks at all flows anew.
+    pub fn begin(&mut self) {
+        self.shard = Some(0);
+        self.waiting.clear();
+        self.sent.clear();
+    }
+
+    /// Whether nothing is left.
+    pub fn is_done(&self) -> bool {
+        self.shard.is_none() && self.waiting.is_empty() && self.sent.is_empty()
+    }
+
+    /// Flows that wait, sent and unconfirmed ones included.
+    pub fn waiting(&self) -> usize {
+        let sent: usize = self.sent.iter().map(|batch| batch.items.len()).sum();
+        self.waiting.len() + sent
+    }
+
+    fn refill(&mut self, now: Moment) {
+        let millis = now.since(self.refilled).min(BURST_TIME).as_millis() as i64;
+        let limit = self.budget.get() as i64 * BURST_TIME.as_millis() as i64;
+        self.credit = (self.credit + self.budget.get() as i64 * millis).min(limit);
+        self.refilled = now;
+    }
+
+    /// Takes the next batch: flows of one target for one forwarder.
+    fn next_batch(&mut self) -> Option<Vec<Item>> {
+        let first = *self.waiting.last()?;
+        let mut items = Vec::new();
+        while let Some(item) = self.waiting.last() {
+            if item.to != first.to || item.target != first.target || items.len() == BATCH_LIMIT {
+                break;
+            }
+            items.push(*item);
+            self.waiting.pop();
+        }
+        Some(items)
+    }
+}
+
+impl<O: Output, C: Clock, P: Pick> Forwarder<O, C, P> {
+    /// Does what the budget allows.
+    pub(crate) fn step_handover(&mut self, now: Moment) {
+        self.handover.refill(now);
+        if self.handover.is_done() {
+            return;
+        }
+        self.retry_batches(now);
+        while self.handover.credit > 0 {
+            let Some(items) = self.handover.next_batch() else {
+                if self.handover.shard.is_none() {
+                    return;
+                }
+                self.scan_shards();
+                continue;
+            };
+            self.handover.sequence = self.handover.sequence.wrapping_add(1);
+            let batch = Batch {
+                sequence: self.handover.sequence,
+                items,
+                sent: now,
+                tries: 1,
+            };
+            self.send_batch(&batch);
+            self.handover.sent.push(batch);
+        }
+    }
+
+    /// Collects the flows to hand over, sorted so that batches are large.
+    fn scan_shards(&mut self) {
+        let mut items = Vec::new();
+        for shard in self.handover.shard.take().unwrap_or(SHARDS)..SHARDS {
+            let entries: Vec<(FlowKey, Entry)> = self.table.shard(shard).collect();
+            for (key, entry) in entries {
+                items.extend(self.handover_item(key, entry));
+            }
+        }
+        items.sort_unstable();
+        self.handover.waiting = items;
+    }
+
+    /// What to hand over of a flow, if anything.
+    fn handover_item(&mut self, key: FlowKey, entry: Entry) -> Option<Item> {
+        if entry.state() != EntryState::Open || !self.targets.get(entry.target()).is_usable() {
+            return None;
+        }
+        let topology = self.topology.as_mut()?;
+        let ranks = topology.ranks(key);
+        let is_listed = topology
+            .me()
+            .is_some_and(|me| me.health != VmHealth::Leaving);
+        let is_staying = is_listed && !self.is_stopping;
+        if is_staying && topology.role(&ranks) != Role::Relay {
+            return None;
+        }
+        let to = topology.first_other(&ranks)?.address;
+        if self.is_default(key, entry.target()) {
+            return None;
+        }
+        Some(Item {
+            to,
+            target: entry.target(),
+            key,
+        })
+    }
+
+    /// Whether the default pick gives the target, whatever views the asker has seen.
+    fn is_default(&self, key: FlowKey, target: TargetNumber) -> bool {
+        let Some(topology) = self.topology.as_ref() else {
+            return false;
+        };
+        let vni = self.targets.get(target).identity.vni;
+        let Some(current) = topology.group_of(vni, target) else {
+            return false;
+        };
+        let earlier = self.history.iter().flatten();
+        earlier
+            .filter(|group| group.vni == vni && group.kind == current.kind)
+            .chain([current])
+            .all(|group| group.default_pick(key) == Some(target))
+    }
+
+    /// Sends one batch and pays for it.
+    fn send_batch(&mut self, batch: &Batch) {
+        let Some(first) = batch.items.first() else {
+            return;
+        };
+        let identity = self.targets.get(first.target).identity;
+        let mut keys = Vec::with_capacity(batch.items.len() * KEY_BYTES);
+        for item in &batch.items {
+            keys.extend_from_slice(&item.key.get().to_be_bytes());
+        }
+        let mark = Mark {
+            kind: MarkKind::Handover {
+                sequence: batch.sequence,
+                recalled: Recalled {
+                    target: identity.address,
+                    age: 0,
+                },
+            },
+            hops: 1,
+            revision: self.revision().unwrap_or_default(),
+        };
+        self.send_keys(first.to, identity.vni.get(), &mark, &keys);
+    }
+
+    /// Sends keys to another forwarder and pays for them.
+    fn send_keys(&mut self, to: SocketAddr, vni: u32, mark: &Mark, keys: &[u8]) {
+        let bytes = (FRAME_BYTES + HEAD_LIMIT + keys.len()) as u64;
+        self.handover.credit -= 1_000 * bytes as i64;
+        self.counters.control_bytes += bytes;
+        let head = Head::new(vni, Some(mark), &Payload::Keys(keys));
+        self.output.send(to, &head, keys);
+    }
+
+    /// Sends batches again that were not confirmed in time.
+    fn retry_batches(&mut self, now: Moment) {
+        let mut sent = std::mem::take(&mut self.handover.sent);
+        let mut is_lost = false;
+        for batch in &mut sent {
+            if now.since(batch.sent) < RETRY_TIME || self.handover.credit <= 0 {
+                continue;
+            }
+            batch.tries += 1;
+            batch.sent = now;
+            is_lost |= batch.tries > TRY_LIMIT;
+            self.send_batch(batch);
+        }
+        self.handover.sent = sent;
+        if is_lost {
+            self.handover.begin();
+        }
+    }
+
+    /// Takes a batch, or the confirmation of one.
+    pub(crate) fn take_handover(
+        &mut self,
+        source: SocketAddr,
+        vni: u32,
+        mark: Mark,
+        keys: &[u8],
+    ) -> Result<(), DropCause> {
+        if !self.is_member(source) {
+            return Err(DropCause::UnknownSender);
+        }
+        match mark.kind {
+            MarkKind::Handover { sequence, recalled } => {
+                let vni = ServiceId::try_from(vni)
+                    .map_err(|_| DropCause::Malformed(PacketError::BadMark))?;
+                let identity = Identity {
+                    vni,
+                    address: recalled.target,
+                };
+                self.take_keys(identity, keys);
+                let done = Mark {
+                    kind: MarkKind::HandoverDone { sequence },
+                    hops: 1,
+                    revision: self.revision().unwrap_or_default(),
+                };
+                self.send_keys(source, 0, &done, &[]);
+                Ok(())
+            }
+            MarkKind::HandoverDone { sequence } => {
+                self.confirm(sequence);
+                Ok(())
+            }
+            _ => Err(DropCause::Malformed(PacketError::BadMark)),
+        }
+    }
+
+    /// Remembers flows that another forwarder hands over, unless they are known.
+    fn take_keys(&mut self, identity: Identity, keys: &[u8]) {
+        let now = self.note_time();
+        let standing = Standing::Foreign(now);
+        let number = self.targets.intern(identity, standing);
+        if !self.targets.get(number).is_usable() {
+            self.targets.set_standing(number, standing);
+        }
+        let (keys, _) = keys.as_chunks::<KEY_BYTES>();
+        for key in keys {
+            let key = FlowKey::from(u64::from_be_bytes(*key));
+            let held = self.table.get(key);
+            if held.is_some_and(|entry| entry.state() != EntryState::Guessed) {
+                continue;
+            }
+            let entry = Entry::new(number, EntryState::Open, Tick::from(now));
+            if self.remember(key, entry) {
+                self.counters.flows_learned += 1;
+            }
+        }
+    }
+
+    /// Notes that a batch arrived; its flows belong to others now.
+    fn confirm(&mut self, sequence: u32) {
+        let is_it = |batch: &Batch| batch.sequence == sequence;
+        let Some(at) = self.handover.sent.iter().position(is_it) else {
+            return;
+        };
+        let batch = self.handover.sent.swap_remove(at);
+        self.counters.handed_over += batch.items.len() as u64;
+    }
+
+    /// Hands over all flows that the default pick would not find, before a stop.
+    pub fn leave(&mut self) {
+        self.is_stopping = true;
+        self.handover.begin();
+    }
+}
--- /dev/null
+++ b/crates/forwarder/src/mark.rs
@@ -0,0 +1,197 @@
+//! The option that forwarders add to packets that they send to each other.
+//!
+//! It says what the sender wants (relay, ask, remember) and what it knows of the flow, so that
+//! state travels with the packets and costs no messages of its own.
+
+use std::net::{IpAddr, Ipv6Addr, SocketAddr};
+
+use bambooseam_types::Revision;
+
+use crate::geneve::PacketError;
+
+/// Bytes of a mark that names no target.
+const SHORT_BYTES: usize = 16;
+
+/// Bytes of a mark that names a target.
+pub(crate) const LONG_BYTES: usize = 36;
+
+/// What one forwarder tells another about a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Mark {
+    /// What the receiver is to do.
+    pub kind: MarkKind,
+    /// Forwarders that have passed the packet on so far.
+    pub hops: u8,
+    /// Revision of the sender's view.
+    pub revision: Revision,
+}
+
+/// What the receiver of a mark is to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MarkKind {
+    /// Treat the packet as if the fabric had delivered it.
+    Relay,
+    /// Return the packet with what is known of its flow.
+    Ask {
+        /// Position of the receiver in the sender's walk.
+        rank: u8,
+    },
+    /// Remember the target and deliver: the answer to an ask.
+    Known(Recalled),
+    /// Go on with the walk: the answer to an ask.
+    Unknown {
+        /// Position of the sender in the receiver's walk.
+        rank: u8,
+    },
+    /// Remember the target, then deliver.
+    Learn(Recalled),
+    /// Remember the target; the packet has been delivered.
+    Correct(Recalled),
+    /// Remember a batch of flows, none of them with a packet.
+    Handover {
+        /// Number of the batch.
+        sequence: u32,
+        /// Target of all flows in the batch.
+        recalled: Recalled,
+    },
+    /// A batch has been remembered.
+    HandoverDone {
+        /// Number of the batch.
+        sequence: u32,
+    },
+}
+
+/// What a forwarder remembers of a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Recalled {
+    /// Where the target receives encapsulated packets.
+    pub target: SocketAddr,
+    /// Tenths of a second since the flow was last seen, before this packet.
+    pub age: u32,
+}
+
+impl MarkKind {
+    /// Number of the kind on the wire.
+    fn code(&self) -> u8 {
+        match self {
+            Self::Relay => 1,
+            Self::Ask { .. } => 2,
+            Self::Known(_) => 3,
+            Self::Unknown { .. } => 4,
+            Self::Learn(_) => 5,
+            Self::Correct(_) => 6,
+            Self::Handover { .. } => 7,
+            Self::HandoverDone { .. } => 8,
+        }
+    }
+
+    /// Position in a walk, or 0.
+    fn rank(&self) -> u8 {
+        match self {
+            Self::Ask { rank } | Self::Unknown { rank } => *rank,
+            _ => 0,
+        }
+    }
+
+    /// What is remembered, if the mark says.
+    fn recalled(&self) -> Option<&Recalled> {
+        match self {
+            Self::Known(recalled) | Self::Learn(recalled) | Self::Correct(recalled) => {
+                Some(recalled)
+            }
+            Self::Handover { recalled, .. } => Some(recalled),
+            _ => None,
+        }
+    }
+
+    /// Number of a batch, or the age of a flow.
+    fn number(&self) -> u32 {
+        match self {
+            Self::Handover { sequence, .. } | Self::HandoverDone { sequence } => *sequence,
+            _ => self.recalled().map_or(0, |recalled| recalled.age),
+        }
+    }
+}
+
+impl Mark {
+    /// Writes the mark and returns its length, a multiple of 4.
+    pub(crate) fn write(&self, bytes: &mut [u8; LONG_BYTES]) -> usize {
+        bytes[0] = self.kind.code();
+        bytes[1] = self.hops;
+        bytes[2] = self.kind.rank();
+        bytes[3] = 0;
+        bytes[4..12].copy_from_slice(&self.revision.get().to_be_bytes());
+        bytes[12..16].copy_from_slice(&self.kind.number().to_be_bytes());
+        let Some(recalled) = self.kind.recalled() else {
+            return SHORT_BYTES;
+        };
+        let ip = match recalled.target.ip() {
+            IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+            IpAddr::V6(ip) => ip,
+        };
+        bytes[16..32].copy_from_slice(&ip.octets());
+        bytes[32..34].copy_from_slice(&recalled.target.port().to_be_bytes());
+        bytes[34..36].fill(0);
+        LONG_BYTES
+    }
+
+    /// Reads a mark from the data of its option.
+    ///
+    /// # Errors
+    ///
+    /// [`PacketError::BadMark`] when the kind is unknown or the length is not that of the kind.
+    pub(crate) fn read(bytes: &[u8]) -> Result<Self, PacketError> {
+        if bytes.len() < SHORT_BYTES {
+            return Err(PacketError::BadMark);
+        }
+        let revision = u64::from_be_bytes(array(&bytes[4..12]));
+        let number = u32::from_be_bytes(array(&bytes[12..16]));
+        let rank = bytes[2];
+        let kind = match bytes[0] {
+            1 => MarkKind::Relay,
+            2 => MarkKind::Ask { rank },
+            3 => MarkKind::Known(read_recalled(bytes, number)?),
+            4 => MarkKind::Unknown { rank },
+            5 => MarkKind::Learn(read_recalled(bytes, number)?),
+            6 => MarkKind::Correct(read_recalled(bytes, number)?),
+            7 => MarkKind::Handover {
+                sequence: number,
+                recalled: read_recalled(bytes, 0)?,
+            },
+            8 => MarkKind::HandoverDone { sequence: number },
+            _ => return Err(PacketError::BadMark),
+        };
+        let expected = match kind.recalled() {
+            Some(_) => LONG_BYTES,
+            None => SHORT_BYTES,
+        };
+        if bytes.len() != expected {
+            return Err(PacketError::BadMark);
+        }
+        Ok(Self {
+            kind,
+            hops: bytes[1],
+            revision: Revision::from(revision),
+        })
+    }
+}
+
+/// Reads the target of a long mark.
+fn read_recalled(bytes: &[u8], age: u32) -> Result<Recalled, PacketError> {
+    if bytes.len() != LONG_BYTES {
+        return Err(PacketError::BadMark);
+    }
+    let ip = Ipv6Addr::from(array::<16>(&bytes[16..32])).to_canonical();
+    let port = u16::from_be_bytes(array(&bytes[32..34]));
+    Ok(Recalled {
+        target: SocketAddr::new(ip, port),
+        age,
+    })
+}
+
+/// Copies bytes whose number the caller has checked.
+fn array<const N: usize>(bytes: &[u8]) -> [u8; N] {
+    let mut copy = [0; N];
+    copy.copy_from_slice(bytes);
+    copy
+}
--- /dev/null
+++ b/crates/forwarder/src/pick.rs
@@ -0,0 +1,122 @@
+//! How the owner picks the target of a new flow.
+
+use std::time::Duration;
+
+use bambooseam_view::{FlowKey, pick_weighted};
+
+use crate::Moment;
+use crate::target::{TargetNumber, TargetRegistry};
+use crate::topology::{Candidate, Group};
+
+/// Least part of its weight that a target has just after it joined.
+const RAMP_START: f64 = 0.1;
+
+/// Salt that makes the second of two choices independent of the first.
+const SECOND_CHOICE: u64 = 0x9E37_79B9_7F4A_7C15;
+
+/// A rule that picks the target of a new flow.
+pub trait Pick {
+    /// The target of a new flow; `None` when no candidate is open.
+    fn pick(&self, key: FlowKey, group: &Group, loads: &Loads<'_>) -> Option<TargetNumber>;
+}
+
+/// What this forwarder knows of the load of targets.
+#[derive(Debug)]
+pub struct Loads<'a> {
+    /// Flows of each target.
+    pub targets: &'a TargetRegistry,
+    /// The time now.
+    pub now: Moment,
+}
+
+/// Weighted rendezvous, whatever the load.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct HashPick;
+
+/// Weighted rendezvous among targets that are below their fair share.
+///
+/// Most flows get the target that the hash alone gives, so that few need to be handed over.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct BoundedPick;
+
+/// The less loaded of two weighted rendezvous picks.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TwoChoicesPick;
+
+impl Loads<'_> {
+    /// Flows of a candidate.
+    fn flows(&self, candidate: &Candidate) -> f64 {
+        f64::from(self.targets.get(candidate.number).flows)
+    }
+
+    /// Weight of a candidate, reduced while it is cold.
+    fn weight(&self, candidate: &Candidate, ramp: Duration) -> f64 {
+        let weight = f64::from(candidate.weight.get());
+        let Some(opened) = self.targets.get(candidate.number).opened else {
+            return weight;
+        };
+        let age = self.now.since(opened).as_secs_f64();
+        let part = age / ramp.as_secs_f64().max(f64::MIN_POSITIVE);
+        weight * part.clamp(RAMP_START, 1.0)
+    }
+}
+
+impl Pick for HashPick {
+    fn pick(&self, key: FlowKey, group: &Group, _loads: &Loads<'_>) -> Option<TargetNumber> {
+        pick_among(key, group, |_| true)
+    }
+}
+
+impl Pick for BoundedPick {
+    fn pick(&self, key: FlowKey, group: &Group, loads: &Loads<'_>) -> Option<TargetNumber> {
+        let mut flows = 1.0;
+        let mut weights = 0.0;
+        for candidate in &group.candidates {
+            if !candidate.is_open {
+                continue;
+            }
+            flows += loads.flows(candidate);
+            weights += loads.weight(candidate, group.ramp);
+        }
+        let is_below = |candidate: &Candidate| {
+            let share = flows * loads.weight(candidate, group.ramp) / weights;
+            loads.flows(candidate) < share
+        };
+        pick_among(key, group, is_below).or_else(|| pick_among(key, group, |_| true))
+    }
+}
+
+impl Pick for TwoChoicesPick {
+    fn pick(&self, key: FlowKey, group: &Group, loads: &Loads<'_>) -> Option<TargetNumber> {
+        let first = pick_among(key, group, |_| true)?;
+        let other = FlowKey::from(key.get() ^ SECOND_CHOICE);
+        let Some(second) = pick_among(other, group, |candidate| candidate.number != first) else {
+            return Some(first);
+        };
+        let load = |number| {
+            let candidate = group.candidates.iter().find(|c| c.number == number);
+            candidate.map_or(f64::INFINITY, |candidate| {
+                (loads.flows(candidate) + 1.0) / loads.weight(candidate, group.ramp)
+            })
+        };
+        match load(second) < load(first) {
+            true => Some(second),
+            false => Some(first),
+        }
+    }
+}
+
+/// Weighted rendezvous among the open candidates that `is_in` admits.
+fn pick_among(
+    key: FlowKey,
+    group: &Group,
+    is_in: impl Fn(&Candidate) -> bool,
+) -> Option<TargetNumber> {
+    let admitted = group
+        .candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, candidate)| candidate.is_open && is_in(candidate));
+    let picked = pick_weighted(key, admitted.map(|(at, c)| (at, c.hash, c.weight)))?;
+    Some(group.candidates[picked].number)
+}
--- /dev/null
+++ b/crates/forwarder/src/table.rs
@@ -0,0 +1,220 @@
+//! Flows that this forwarder remembers.
+//!
+//! One entry is a 64-bit key and 8 bytes. The table is split into shards, so that it grows and
+//! is swept in small steps. It is a hash table and no sorted vector: with a million flows each
+//! insertion into a vector would move megabytes.
+//!
+//! Two flows of one service with the same 64-bit key would share an entry, and so a target; a
+//! lookup checks the service, so they never share across services.
+
+use std::collections::HashMap;
+use std::collections::hash_map;
+use std::hash::{BuildHasherDefault, Hasher};
+use std::time::Duration;
+
+use bambooseam_view::FlowKey;
+
+use crate::Moment;
+use crate::target::TargetNumber;
+
+/// Number of shards.
+pub const SHARDS: usize = 256;
+
+/// Milliseconds in a tick, the unit in which entries hold time.
+const TICK_MS: u64 = 100;
+
+/// What is remembered of a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Entry {
+    seen: u32,
+    /// Target in the low 24 bits, state in the high 8.
+    packed: u32,
+}
+
+/// How sure an entry is and how long it stays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[repr(u8)]
+pub enum EntryState {
+    /// The flow is open.
+    Open = 0,
+    /// The caller has closed its side.
+    Closing = 1,
+    /// A guess: no forwarder knew the flow.
+    Guessed = 2,
+}
+
+/// Time in ticks since the start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Tick(u32);
+
+/// All flows that are remembered.
+#[derive(Debug)]
+pub struct FlowTable {
+    shards: Vec<Shard>,
+    len: usize,
+    limit: usize,
+}
+
+/// One part of the table.
+type Shard = HashMap<u64, Entry, BuildHasherDefault<KeyHasher>>;
+
+/// Takes the key, which is a hash already, as it is.
+#[derive(Debug, Default)]
+pub struct KeyHasher(u64);
+
+impl Hasher for KeyHasher {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = self.0.rotate_left(8) ^ u64::from(*byte);
+        }
+    }
+
+    fn write_u64(&mut self, key: u64) {
+        self.0 = key;
+    }
+}
+
+impl Tick {
+    /// Ticks between this and an earlier one.
+    pub fn since(self, earlier: Self) -> u32 {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// The tick `ticks` before this one.
+    pub fn before(self, ticks: u32) -> Self {
+        Self(self.0.saturating_sub(ticks))
+    }
+
+    /// Number of ticks in `time`.
+    pub fn count(time: Duration) -> u32 {
+        u32::try_from(time.as_millis() / u128::from(TICK_MS)).unwrap_or(u32::MAX)
+    }
+}
+
+impl From<Moment> for Tick {
+    fn from(moment: Moment) -> Self {
+        Self(u32::try_from(moment.as_millis() / TICK_MS).unwrap_or(u32::MAX))
+    }
+}
+
+impl Entry {
+    /// Creates an entry.
+    pub fn new(target: TargetNumber, state: EntryState, seen: Tick) -> Self {
+        Self {
+            seen: seen.0,
+            packed: target.get() | (state as u32) << 24,
+        }
+    }
+
+    /// Target of the flow.
+    pub fn target(&self) -> TargetNumber {
+        TargetNumber::from(self.packed)
+    }
+
+    /// How sure the entry is.
+    pub fn state(&self) -> EntryState {
+        match self.packed >> 24 {
+            0 => EntryState::Open,
+            1 => EntryState::Closing,
+            _ => EntryState::Guessed,
+        }
+    }
+
+    /// When a packet of the flow was last seen.
+    pub fn seen(&self) -> Tick {
+        Tick(self.seen)
+    }
+}
+
+impl FlowTable {
+    /// Creates a table of at most `limit` flows.
+    pub fn new(limit: usize) -> Self {
+        let shards = (0..SHARDS).map(|_| Shard::default()).collect();
+        Self {
+            shards,
+            len: 0,
+            limit,
+        }
+    }
+
+    /// Number of flows.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether no flow is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Whether no further flow fits.
+    pub fn is_full(&self) -> bool {
+        self.len >= self.limit
+    }
+
+    /// The entry of a flow.
+    pub fn get(&self, key: FlowKey) -> Option<Entry> {
+        self.shards[shard_of(key)].get(&key.get()).copied()
+    }
+
+    /// Replaces the entry of a flow that is remembered already.
+    pub fn update(&mut self, key: FlowKey, entry: Entry) {
+        if let Some(held) = self.shards[shard_of(key)].get_mut(&key.get()) {
+            *held = entry;
+        }
+    }
+
+    /// Remembers a flow and gives back the entry it had; false if the table is full.
+    pub fn insert(&mut self, key: FlowKey, entry: Entry) -> Result<Option<Entry>, TableFull> {
+        let is_full = self.is_full();
+        match self.shards[shard_of(key)].entry(key.get()) {
+            hash_map::Entry::Occupied(mut held) => Ok(Some(held.insert(entry))),
+            hash_map::Entry::Vacant(_) if is_full => Err(TableFull),
+            hash_map::Entry::Vacant(place) => {
+                place.insert(entry);
+                self.len += 1;
+                Ok(None)
+            }
+        }
+    }
+
+    /// Forgets a flow.
+    pub fn remove(&mut self, key: FlowKey) -> Option<Entry> {
+        let removed = self.shards[shard_of(key)].remove(&key.get());
+        self.len -= usize::from(removed.is_some());
+        removed
+    }
+
+    /// Keeps the entries of one shard for which `keep` holds.
+    pub fn retain(&mut self, shard: usize, mut keep: impl FnMut(FlowKey, Entry) -> bool) {
+        let shard = &mut self.shards[shard];
+        let before = shard.len();
+        shard.retain(|key, entry| keep(FlowKey::from(*key), *entry));
+        self.len -= before - shard.len();
+    }
+
+    /// Entries of one shard.
+    pub fn shard(&self, shard: usize) -> impl Iterator<Item = (FlowKey, Entry)> + '_ {
+        self.shards[shard]
+            .iter()
+            .map(|(key, entry)| (FlowKey::from(*key), *entry))
+    }
+
+    /// Entries of all shards.
+    pub fn iter(&self) -> impl Iterator<Item = (FlowKey, Entry)> + '_ {
+        (0..SHARDS).flat_map(|shard| self.shard(shard))
+    }
+}
+
+/// No further flow fits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TableFull;
+
+/// Shard of a key; the bits are neither those of the hash table nor those of the ranks.
+fn shard_of(key: FlowKey) -> usize {
+    (key.get() >> 36) as usize % SHARDS
+}
--- /dev/null
+++ b/crates/forwarder/src/topology.rs
@@ -0,0 +1,425 @@
+//! A view made ready for lookups: ranks of forwarders and candidates of each service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bambooseam_types::{ServiceId, VmId, Weight};
+use bambooseam_view::{
+    Entrance, EntranceKind, FlowKey, Ranking, ServiceIndex, View, Vm, VmHealth, pick_weighted,
+};
+
+use crate::Moment;
+use crate::table::Tick;
+use crate::target::{Identity, Standing, TargetNumber, TargetRegistry};
+
+/// Bits of a key that decide its ranks.
+const BUCKET_BITS: u32 = 16;
+/// Forwarders in rank order that are kept for each bucket.
+const WALK_LIMIT: usize = 6;
+/// Stands for no member.
+const NOBODY: u16 = u16::MAX;
+/// Stands for ranks that were not computed yet.
+const NOT_RANKED: u16 = u16::MAX - 1;
+/// Port on which a VM's kernel takes packets for its proxy.
+const GENEVE_PORT: u16 = 6081;
+
+/// A view made ready for lookups.
+#[derive(Debug)]
+pub struct Topology {
+    view: Arc<View>,
+    members: Vec<Member>,
+    me: Option<u16>,
+    all: Ranking,
+    live: Ranking,
+    buckets: Vec<Ranks>,
+    groups: Vec<Group>,
+}
+
+/// A forwarder that may own flows or know of them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// The VM.
+    pub id: VmId,
+    /// Where it receives packets.
+    pub address: SocketAddr,
+    /// Health as the fleet sees it.
+    pub health: VmHealth,
+    /// Since when it is suspected; meaningless for others.
+    pub since: Moment,
+}
+
+/// Forwarders in rank order for one bucket of keys, as positions in the list of members.
+#[derive(Debug, Clone, Copy)]
+pub struct Ranks {
+    live: [u16; 2],
+    all: [u16; WALK_LIMIT],
+}
+
+/// Part of this forwarder for a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Role {
+    /// First of the live forwarders in rank: picks the target.
+    Owner,
+    /// Second: remembers what the owner picked.
+    Shadow,
+    /// Any other: relays to the owner.
+    Relay,
+}
+
+/// Targets among which the flows of an entrance are spread.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Group {
+    /// Service on the wire.
+    pub vni: ServiceId,
+    /// Targets of the service, or proxies.
+    pub kind: EntranceKind,
+    /// Time over which a joined target reaches its full share.
+    pub ramp: Duration,
+    /// Silence after which flows may be forgotten.
+    pub idle: Duration,
+    /// Leaving ones included.
+    pub candidates: Vec<Candidate>,
+}
+
+/// One target of a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// Number in the registry.
+    pub number: TargetNumber,
+    /// Hash of its name.
+    pub hash: u64,
+    /// Share of new flows.
+    pub weight: Weight,
+    /// Whether it takes new flows.
+    pub is_open: bool,
+}
+
+/// Position of a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct GroupIndex(usize);
+
+impl Topology {
+    /// Makes a view ready for the forwarder of `vm`, and numbers its targets.
+    pub fn new(
+        view: Arc<View>,
+        vm: &VmId,
+        earlier: Option<&Self>,
+        targets: &mut TargetRegistry,
+        now: Moment,
+    ) -> Self {
+        let members = list_members(&view, vm, earlier, now);
+        let position = |member: &Member| member.id == *vm;
+        let me = members.iter().position(position).map(|at| at as u16);
+        let all = rank(&members, |_| true);
+        let live = rank(&members, |member| member.health == VmHealth::Live);
+        let mut groups = Vec::new();
+        for index in 0..view.preset.services.len() {
+            for kind in [EntranceKind::Flows, EntranceKind::Requests] {
+                groups.push(list_group(&view, ServiceIndex(index), kind, targets));
+            }
+        }
+        Self {
+            view,
+            members,
+            me,
+            all,
+            live,
+            buckets: vec![Ranks::EMPTY; 1 << BUCKET_BITS],
+            groups,
+        }
+    }
+
+    /// The view.
+    pub fn view(&self) -> &Arc<View> {
+        &self.view
+    }
+
+    /// Forwarders that may own flows or know of them.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// This forwarder among the members.
+    pub fn me(&self) -> Option<&Member> {
+        self.me.map(|me| &self.members[usize::from(me)])
+    }
+
+    /// All groups.
+    pub fn groups(&self) -> &[Group] {
+        &self.groups
+    }
+
+    /// The group at a position.
+    pub fn group(&self, index: GroupIndex) -> &Group {
+        &self.groups[index.0]
+    }
+
+    /// The group that a caller's packet to `address` belongs to.
+    pub fn find_group(&self, address: SocketAddr) -> Option<GroupIndex> {
+        let Entrance { service, kind, .. } = self.view.entrance(address)?;
+        Some(group_index(service, kind))
+    }
+
+    /// The group whose candidates include a target, of the service on the wire.
+    pub fn group_of(&self, vni: ServiceId, number: TargetNumber) -> Option<&Group> {
+        let of_service = self.groups.iter().filter(|group| group.vni == vni);
+        let mut holding = of_service.filter(|group| group.has(number));
+        holding.next()
+    }
+
+    /// Ranks of a key.
+    pub fn ranks(&mut self, key: FlowKey) -> Ranks {
+        let bucket = key.get() >> (u64::BITS - BUCKET_BITS);
+        let held = self.buckets[bucket as usize];
+        if held.live[0] != NOT_RANKED {
+            return held;
+        }
+        let key = FlowKey::from(bucket);
+        let ranks = Ranks {
+            live: self.live.top::<2>(key).map(to_rank),
+            all: self.all.top::<WALK_LIMIT>(key).map(to_rank),
+        };
+        self.buckets[bucket as usize] = ranks;
+        ranks
+    }
+
+    /// Part of this forwarder for a flow with these ranks.
+    pub fn role(&self, ranks: &Ranks) -> Role {
+        let me = self.me.unwrap_or(NOBODY);
+        if ranks.live[0] == NOBODY || ranks.live[0] == me {
+            return Role::Owner;
+        }
+        if ranks.live[1] == me {
+            return Role::Shadow;
+        }
+        Role::Relay
+    }
+
+    /// The first live forwarder in rank that is not this one.
+    pub fn first_other(&self, ranks: &Ranks) -> Option<&Member> {
+        let other = ranks.live.iter().find(|rank| Some(**rank) != self.me)?;
+        self.members.get(usize::from(*other))
+    }
+
+    /// The owner, unless that is this forwarder.
+    pub fn owner(&self, ranks: &Ranks) -> Option<&Member> {
+        if Some(ranks.live[0]) == self.me {
+            return None;
+        }
+        self.members.get(usize::from(ranks.live[0]))
+    }
+
+    /// The next member to ask at position `from` of a walk or later, with its position.
+    pub fn next_asked(&self, ranks: &Ranks, from: usize) -> Option<(usize, &Member)> {
+        for (position, rank) in ranks.all.iter().enumerate().skip(from) {
+            if Some(*rank) == self.me {
+                continue;
+            }
+            let member = self.members.get(usize::from(*rank))?;
+            if member.health == VmHealth::Suspected {
+                continue;
+            }
+            return Some((position, member));
+        }
+        None
+    }
+
+    /// Whether a suspected member that ranks above the second live one may know the flow.
+    pub fn has_lost_rank(&self, ranks: &Ranks, is_recent: impl Fn(&Member) -> bool) -> bool {
+        let mut live = 0;
+        for rank in ranks.all {
+            let Some(member) = self.members.get(usize::from(rank)) else {
+                return false;
+            };
+            match member.health {
+                VmHealth::Suspected if is_recent(member) => return true,
+                VmHealth::Live => live += 1,
+                _ => {}
+            }
+            if live == 2 {
+                return false;
+            }
+        }
+        false
+    }
+
+    /// Whether an address is that of a member's forwarder.
+    pub fn is_member(&self, address: SocketAddr) -> bool {
+        self.members.iter().any(|member| member.address == address)
+    }
+
+    /// Whether the members or their health differ.
+    pub fn is_same_membership(&self, other: &Self) -> bool {
+        let key = |member: &Member| (member.id.clone(), member.health, member.address);
+        self.members
+            .iter()
+            .map(key)
+            .eq(other.members.iter().map(key))
+    }
+
+    /// Takes the groups out, for the history of views.
+    pub fn into_groups(self) -> Vec<Group> {
+        self.groups
+    }
+}
+
+impl Ranks {
+    const EMPTY: Self = Self {
+        live: [NOT_RANKED; 2],
+        all: [NOBODY; WALK_LIMIT],
+    };
+}
+
+impl Group {
+    /// The weighted rendezvous pick among all candidates, leaving ones included.
+    pub fn default_pick(&self, key: FlowKey) -> Option<TargetNumber> {
+        let members = self
+            .candidates
+            .iter()
+            .enumerate()
+            .map(|(at, candidate)| (at, candidate.hash, candidate.weight));
+        pick_weighted(key, members).map(|at| self.candidates[at].number)
+    }
+
+    /// Whether a target is among the candidates.
+    pub fn has(&self, number: TargetNumber) -> bool {
+        let is_it = |candidate: &Candidate| candidate.number == number;
+        self.candidates.iter().any(is_it)
+    }
+
+    /// Silence, in ticks, after which flows may be forgotten.
+    pub fn idle_ticks(&self) -> u32 {
+        Tick::count(self.idle)
+    }
+}
+
+/// Position of a service's group.
+fn group_index(service: ServiceIndex, kind: EntranceKind) -> GroupIndex {
+    GroupIndex(2 * service.0 + usize::from(kind == EntranceKind::Requests))
+}
+
+/// Members in the order of the view; those that only join are left out.
+fn list_members(view: &View, vm: &VmId, earlier: Option<&Topology>, now: Moment) -> Vec<Member> {
+    let mut members = Vec::new();
+    for entry in &view.vms {
+        if entry.health == VmHealth::Joining {
+            continue;
+        }
+        let held = earlier.and_then(|earlier| {
+            let same = |member: &&Member| member.id == entry.entry.id;
+            earlier.members.iter().find(same)
+        });
+        let health = health_of(entry, vm);
+        let since = match held {
+            Some(held) if held.health == health => held.since,
+            _ => now,
+        };
+        members.push(Member {
+            id: entry.entry.id.clone(),
+            address: entry.entry.forwarder,
+            health,
+            since,
+        });
+    }
+    members
+}
+
+/// Health of a member; a forwarder doesn't suspect itself.
+fn health_of(entry: &Vm, vm: &VmId) -> VmHealth {
+    match entry.health {
+        VmHealth::Suspected if entry.entry.id == *vm => VmHealth::Live,
+        health => health,
+    }
+}
+
+/// Ranking of the members that `is_in` admits.
+fn rank(members: &[Member], is_in: impl Fn(&Member) -> bool) -> Ranking {
+    let admitted = members
+        .iter()
+        .enumerate()
+        .filter(|(_, member)| is_in(member));
+    Ranking::new(admitted.map(|(at, member)| (at, member.id.as_str())))
+}
+
+/// Position of a member as it is kept in ranks.
+fn to_rank(position: Option<usize>) -> u16 {
+    position.map_or(NOBODY, |at| at as u16)
+}
+
+/// Candidates of an entrance; sets what the view says of each.
+fn list_group(
+    view: &View,
+    index: ServiceIndex,
+    kind: EntranceKind,
+    targets: &mut TargetRegistry,
+) -> Group {
+    let service = view.service(index);
+    let mut group = Group {
+        vni: service.vni,
+        kind,
+        ramp: service.ramp_time,
+        idle: service.flow_idle,
+        candidates: Vec::new(),
+    };
+    match kind {
+        EntranceKind::Flows => {
+            for target in view.targets_of(index) {
+                let offer = Offer {
+                    address: target.entry.flows,
+                    hash: target.hash,
+                    weight: target.entry.weight,
+                    is_open: target.is_open(),
+                };
+                group.add(offer, targets);
+            }
+        }
+        EntranceKind::Requests if service.request_port.is_none() => {}
+        EntranceKind::Requests => {
+            for vm in &view.vms {
+                if vm.health == VmHealth::Joining {
+                    continue;
+                }
+                let offer = Offer {
+                    address: SocketAddr::new(vm.entry.forwarder.ip(), GENEVE_PORT),
+                    hash: FlowKey::of_name(vm.entry.id.as_str()).get(),
+                    weight: Weight::USUAL,
+                    is_open: vm.health == VmHealth::Live,
+                };
+                group.add(offer, targets);
+            }
+        }
+    }
+    group
+}
+
+/// A target as the view names it.
+struct Offer {
+    address: SocketAddr,
+    hash: u64,
+    weight: Weight,
+    is_open: bool,
+}
+
+impl Group {
+    /// Adds a candidate and sets what the view says of it.
+    fn add(&mut self, offer: Offer, targets: &mut TargetRegistry) {
+        let identity = Identity {
+            vni: self.vni,
+            address: offer.address,
+        };
+        let standing = match offer.is_open {
+            true => Standing::Open,
+            false => Standing::Leaving,
+        };
+        let number = targets.intern(identity, standing);
+        targets.set_standing(number, standing);
+        targets.set_idle(number, self.idle_ticks());
+        self.candidates.push(Candidate {
+            number,
+            hash: offer.hash,
+            weight: offer.weight,
+            is_open: offer.is_open,
+        });
+    }
+}
