Drive forwarders over an in-memory fabric

Cause: policies need one seeded workload with every change and failure. Ruled out: a cluster simulator; only the ports (output, clock, view) are fakes.

--- /dev/null
+++ b/crates/measure/src/flows/scenario.rs
@@ -0,0 +1,456 @@
+//! Changes and failures, each brought about over fakes.
+
+use std::time::Duration;
+
+use bambooseam_config::{TargetState, VmState};
+use bambooseam_forwarder::Tracking;
+use bambooseam_forwarder::pick::Pick;
+use bambooseam_standin::{DeploymentKind, Plan};
+use bambooseam_types::VmId;
+use derive_more::Display;
+use rand::Rng;
+
+use super::caller::Profile;
+use super::fleet::{Fleet, Setup};
+use super::tally::{max_over_mean, variation};
+
+/// Time after which a dead forwarder is suspected.
+const SUSPECT_TIME: Duration = Duration::from_secs(2);
+/// Lag of a slow view.
+const SLOW_VIEW: Duration = Duration::from_secs(10);
+
+/// A change or failure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+pub enum Scenario {
+    /// A forwarder joins.
+    #[display("forwarder_joins")]
+    ForwarderJoins,
+    /// A forwarder leaves.
+    #[display("forwarder_leaves")]
+    ForwarderLeaves,
+    /// All forwarders are replaced, one after another.
+    #[display("forwarders_replaced")]
+    ForwardersReplaced,
+    /// A target joins.
+    #[display("target_joins")]
+    TargetJoins,
+    /// A target leaves.
+    #[display("target_drains")]
+    TargetDrains,
+    /// The preset changes.
+    #[display("preset_switches")]
+    PresetSwitches,
+    /// A forwarder joins, one leaves, a target joins and one leaves at once.
+    #[display("changes_at_once")]
+    ChangesAtOnce,
+    /// The same, and some forwarders are 10 s behind.
+    #[display("uneven_views")]
+    UnevenViews,
+    /// Flows are silent for an hour; meanwhile forwarders and targets join and leave.
+    #[display("silent_hour")]
+    SilentHour,
+    /// A target leaves and its address goes to another service, some views 10 s behind.
+    #[display("address_reused")]
+    AddressReused,
+    /// One forwarder dies.
+    #[display("forwarder_killed")]
+    ForwarderKilled,
+    /// Two forwarders die together.
+    #[display("two_killed")]
+    TwoKilled,
+    /// A target dies.
+    #[display("target_dies")]
+    TargetDies,
+    /// A forwarder is frozen for 30 s and acts on its old view for 10 s more.
+    #[display("forwarder_frozen")]
+    ForwarderFrozen,
+    /// A zone is cut off for a minute.
+    #[display("partition")]
+    Partition,
+}
+
+/// Whether operators planned it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Origin {
+    /// A planned change: no flow may break.
+    Planned,
+    /// A failure.
+    Unplanned,
+}
+
+/// What one run showed.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Outcome {
+    /// Flows opened.
+    pub flows: u64,
+    /// Flows that broke; those whose target died are not among them.
+    pub broken: u64,
+    /// Packets that reached another service.
+    pub wrong_service: u64,
+    /// New flows at a leaving target 3 s or more after its announcement.
+    pub new_to_leaving: u64,
+    /// Largest load of a target, divided by the mean, at the end.
+    pub max_over_mean: f64,
+    /// Coefficient of variation of the loads at the end.
+    pub variation: f64,
+    /// Packets that reached targets.
+    pub delivered: u64,
+    /// Packets from one forwarder to another.
+    pub hops: u64,
+    /// Control bytes a second and forwarder.
+    pub control_rate: f64,
+    /// Invariants found broken.
+    pub violations: u64,
+}
+
+impl Scenario {
+    /// All planned changes.
+    pub const PLANNED: [Self; 10] = [
+        Self::ForwarderJoins,
+        Self::ForwarderLeaves,
+        Self::ForwardersReplaced,
+        Self::TargetJoins,
+        Self::TargetDrains,
+        Self::PresetSwitches,
+        Self::ChangesAtOnce,
+        Self::UnevenViews,
+        Self::SilentHour,
+        Self::AddressReused,
+    ];
+
+    /// All failures.
+    pub const UNPLANNED: [Self; 5] = [
+        Self::ForwarderKilled,
+        Self::TwoKilled,
+        Self::TargetDies,
+        Self::ForwarderFrozen,
+        Self::Partition,
+    ];
+
+    /// Whether operators planned it.
+    pub fn origin(self) -> Origin {
+        match Self::PLANNED.contains(&self) {
+            true => Origin::Planned,
+            false => Origin::Unplanned,
+        }
+    }
+
+    /// Runs it over `flows` flows, a tenth of them UDP.
+    pub fn run<P>(self, flows: usize, seed: u64, tracking: Tracking, pick: P) -> Outcome
+    where
+        P: Pick + Clone,
+    {
+        let mut fleet = start(seed, tracking, pick);
+        let plan = Plan::of(DeploymentKind::Cascade);
+        let feeds = match self {
+            Self::SilentHour => Profile::feeds(&plan).with_gap(Duration::from_secs(3_600)),
+            _ => Profile::feeds(&plan),
+        };
+        let opening = Duration::from_secs(20);
+        fleet.open_flows(flows - flows / 10, opening, feeds.clone());
+        fleet.open_flows(flows / 10, opening, feeds.over_udp());
+        fleet.run_for(Duration::from_secs(15));
+        // A quarter of the flows still opens while the change takes place.
+        self.bring_about(&mut fleet);
+        fleet.run_for(Duration::from_secs(60));
+        let rest = match self {
+            Self::SilentHour => Duration::from_secs(7_200),
+            _ => Duration::from_secs(90),
+        };
+        fleet.run_for(rest);
+        Outcome::of(&fleet, plan.orders.0, flows)
+    }
+
+    fn bring_about<P: Pick + Clone>(self, fleet: &mut Fleet<P>) {
+        match self {
+            Self::ForwarderJoins => join_vm(fleet, "vm-new", |_| Duration::ZERO),
+            Self::ForwarderLeaves => leave_vm(fleet, 1),
+            Self::ForwardersReplaced => replace_all(fleet),
+            Self::TargetJoins => {
+                add_target(fleet, "bay-new", 99);
+                fleet.publish();
+            }
+            Self::TargetDrains => {
+                fleet.announce_leaving(3);
+                fleet.publish();
+            }
+            Self::PresetSwitches => switch_presets(fleet),
+            Self::ChangesAtOnce => change_all(fleet, |_| Duration::ZERO),
+            Self::UnevenViews => change_all(fleet, lag_of),
+            Self::SilentHour => {
+                fleet.run_for(Duration::from_secs(60));
+                replace_all(fleet);
+                change_all(fleet, lag_of);
+            }
+            Self::AddressReused => reuse_address(fleet),
+            Self::ForwarderKilled => kill_vms(fleet, 1),
+            Self::TwoKilled => kill_vms(fleet, 2),
+            Self::TargetDies => kill_target(fleet),
+            Self::ForwarderFrozen => freeze_vm(fleet),
+            Self::Partition => cut_zone(fleet),
+        }
+    }
+}
+
+impl Outcome {
+    /// Reads the outcome off a fleet.
+    pub fn of<P: Pick + Clone>(fleet: &Fleet<P>, service: &str, flows: usize) -> Self {
+        let loads = fleet.loads(service);
+        let seconds = fleet.now().as_millis() as f64 / 1_000.0;
+        let control = fleet.sum(|counters| counters.control_bytes) as f64;
+        Self {
+            flows: flows as u64,
+            broken: fleet.tally.broken.len() as u64,
+            wrong_service: fleet.tally.wrong_service,
+            new_to_leaving: fleet.tally.new_to_leaving,
+            max_over_mean: max_over_mean(&loads),
+            variation: variation(&loads),
+            delivered: fleet.tally.delivered,
+            hops: fleet.sum(|counters| counters.passed_on()),
+            control_rate: control / seconds / fleet.node_count() as f64,
+            violations: fleet.sum(|counters| counters.violations),
+        }
+    }
+
+    /// Packets between forwarders for each packet that reached a target.
+    pub fn hops_per_packet(&self) -> f64 {
+        self.hops as f64 / self.delivered.max(1) as f64
+    }
+}
+
+/// A fleet of the first firm's size.
+pub fn start<P: Pick + Clone>(seed: u64, tracking: Tracking, pick: P) -> Fleet<P> {
+    let setup = Setup {
+        plan: Plan::of(DeploymentKind::Cascade),
+        tracking,
+        seed,
+        stray: 5,
+    };
+    Fleet::new(setup, pick)
+}
+
+/// Two in five forwarders are 10 s behind.
+pub fn lag_of(node: usize) -> Duration {
+    match node % 5 {
+        1 | 3 => SLOW_VIEW,
+        _ => Duration::from_millis(100),
+    }
+}
+
+/// Adds a VM, announced as joining first.
+pub fn join_vm<P: Pick + Clone>(fleet: &mut Fleet<P>, name: &str, lag: fn(usize) -> Duration) {
+    let id: VmId = name.parse().expect("a valid name");
+    let mut entry = fleet.deployment.vms.0[0].clone();
+    let last = fleet.node_count() as u8 + 100;
+    entry.forwarder.set_ip([127, 1, 1, last].into());
+    entry.id = id.clone();
+    entry.state = VmState::Joining;
+    let place = fleet.deployment.vms.0.partition_point(|vm| vm.id < id);
+    fleet.deployment.vms.0.insert(place, entry);
+    fleet.start_node(place);
+    fleet.spray(fleet.node_count() - 1, false);
+    fleet.publish();
+    fleet.run_for(Duration::from_secs(2));
+    fleet.spray(fleet.node_count() - 1, true);
+    fleet.set_vm_state(&id, VmState::Live);
+    fleet.publish_lagging(lag, &[]);
+}
+
+/// Lets a VM leave: announced, handed over, then ended and taken off the list.
+pub fn leave_vm<P: Pick + Clone>(fleet: &mut Fleet<P>, index: usize) {
+    let id = fleet.deployment.vms.0[index].id.clone();
+    fleet.set_vm_state(&id, VmState::Leaving);
+    fleet.publish_lagging(lag_of, &[]);
+    finish_leaving(fleet, &id);
+}
+
+/// Waits until a leaving VM has handed over, ends it and takes it off the list.
+fn finish_leaving<P: Pick + Clone>(fleet: &mut Fleet<P>, id: &VmId) {
+    let Some(node) = fleet.node_of(id) else {
+        return;
+    };
+    fleet.run_for(Duration::from_secs(12));
+    fleet.spray(node, false);
+    for _ in 0..300 {
+        if fleet.forwarder(node).is_handed_over() {
+            break;
+        }
+        fleet.run_for(Duration::from_secs(1));
+    }
+    fleet.run_for(Duration::from_secs(2));
+    fleet.kill(node);
+    fleet.deployment.vms.0.retain(|vm| vm.id != *id);
+    fleet.publish_lagging(lag_of, &[]);
+    fleet.run_for(Duration::from_secs(2));
+}
+
+/// Replaces every VM of the start by a new one.
+fn replace_all<P: Pick + Clone>(fleet: &mut Fleet<P>) {
+    let held: Vec<VmId> = fleet
+        .deployment
+        .vms
+        .0
+        .iter()
+        .map(|vm| vm.id.clone())
+        .collect();
+    for id in held {
+        let name = format!("next-{}", fleet.node_count());
+        join_vm(fleet, &name, lag_of);
+        fleet.run_for(Duration::from_secs(15));
+        fleet.set_vm_state(&id, VmState::Leaving);
+        fleet.publish_lagging(lag_of, &[]);
+        finish_leaving(fleet, &id);
+    }
+}
+
+/// Adds a target of the first service without publishing it.
+pub fn add_target<P: Pick + Clone>(fleet: &mut Fleet<P>, name: &str, last: u8) {
+    let is_of_orders =
+        |entry: &&bambooseam_config::TargetEntry| entry.id.as_str().starts_with("bay");
+    let found = fleet.deployment.targets.0.iter().find(is_of_orders);
+    let mut entry = found.expect("the plan has targets").clone();
+    entry.id = name.parse().expect("a valid name");
+    entry.state = TargetState::Live;
+    entry.flows.set_ip([127, 1, 2, last].into());
+    let list = &mut fleet.deployment.targets.0;
+    let place = list.partition_point(|target| target.id < entry.id);
+    list.insert(place, entry);
+    fleet.start_host(place);
+}
+
+/// Switches presets to and fro.
+fn switch_presets<P: Pick + Clone>(fleet: &mut Fleet<P>) {
+    for name in ["peak-season", "maintenance", "ordinary"] {
+        let name = name.parse().expect("a valid name");
+        fleet.deployment.switch(&name);
+        fleet.publish_lagging(lag_of, &[]);
+        fleet.run_for(Duration::from_secs(3));
+    }
+}
+
+/// A forwarder joins, one leaves, a target joins and one leaves.
+fn change_all<P: Pick + Clone>(fleet: &mut Fleet<P>, lag: fn(usize) -> Duration) {
+    let name = format!("extra-{}", fleet.node_count());
+    let last = 60 + fleet.node_count() as u8;
+    join_vm(fleet, &name, lag);
+    let leaving = fleet.deployment.vms.0[2].id.clone();
+    fleet.set_vm_state(&leaving, VmState::Leaving);
+    add_target(fleet, &format!("bay-{last}"), last);
+    fleet.announce_leaving(5);
+    fleet.publish_lagging(lag, &[]);
+    finish_leaving(fleet, &leaving);
+}
+
+/// A drained target's address goes to the other service.
+fn reuse_address<P: Pick + Clone>(fleet: &mut Fleet<P>) {
+    let held = fleet.deployment.targets.0[4].clone();
+    fleet.announce_leaving(4);
+    fleet.publish_lagging(lag_of, &[]);
+    fleet.run_for(Duration::from_secs(5));
+    // Its flows end with it; that they do is the operators' choice.
+    fleet.kill_host(held.flows);
+    let downloads = Plan::of(DeploymentKind::Cascade).downloads.0;
+    let entry = &mut fleet.deployment.targets.0[4];
+    entry.id = "file-moved".parse().expect("a valid name");
+    entry.service = downloads.parse().expect("a valid name");
+    entry.state = TargetState::Live;
+    fleet.start_host(4);
+    fleet.deployment.targets.0.sort_by(|a, b| a.id.cmp(&b.id));
+    fleet.publish_lagging(lag_of, &[]);
+    let plan = Plan::of(DeploymentKind::Cascade);
+    let mut profile = Profile::feeds(&plan);
+    profile.service = plan.downloads.0;
+    fleet.open_flows(200, Duration::from_secs(10), profile);
+}
+
+/// VMs die together and are suspected 2 s later, by some 10 s after that.
+fn kill_vms<P: Pick + Clone>(fleet: &mut Fleet<P>, count: usize) {
+    let mut suspects = Vec::new();
+    for index in 0..count {
+        let id = fleet.deployment.vms.0[index + 1].id.clone();
+        if let Some(node) = fleet.node_of(&id) {
+            fleet.kill(node);
+        }
+        suspects.push(id);
+    }
+    fleet.run_for(SUSPECT_TIME);
+    fleet.publish_lagging(lag_of, &suspects);
+    fleet.run_for(Duration::from_secs(1));
+    for node in 0..fleet.node_count() {
+        let is_dead = !fleet.running().contains(&node);
+        fleet.spray(node, !is_dead);
+    }
+    fleet.run_for(Duration::from_secs(30));
+    fleet
+        .deployment
+        .vms
+        .0
+        .retain(|vm| !suspects.contains(&vm.id));
+    fleet.publish_lagging(lag_of, &[]);
+}
+
+/// A target dies; the platform notices 5 s later.
+fn kill_target<P: Pick + Clone>(fleet: &mut Fleet<P>) {
+    let held = fleet.deployment.targets.0[6].clone();
+    fleet.kill_host(held.flows);
+    fleet.run_for(Duration::from_secs(5));
+    fleet.deployment.targets.0.remove(6);
+    fleet.publish_lagging(lag_of, &[]);
+}
+
+/// A forwarder is frozen; others suspect it, and it wakes with its old view.
+fn freeze_vm<P: Pick + Clone>(fleet: &mut Fleet<P>) {
+    let id = fleet.deployment.vms.0[2].id.clone();
+    let Some(node) = fleet.node_of(&id) else {
+        return;
+    };
+    fleet.freeze(node, Duration::from_secs(30));
+    fleet.run_for(SUSPECT_TIME);
+    let others: Vec<usize> = fleet
+        .running()
+        .into_iter()
+        .filter(|at| *at != node)
+        .collect();
+    fleet.publish_to(
+        &others,
+        Duration::from_millis(100),
+        std::slice::from_ref(&id),
+    );
+    fleet.spray(node, false);
+    add_target(fleet, "bay-later", 98);
+    fleet.announce_leaving(5);
+    fleet.publish_to(&others, Duration::from_millis(100), &[id]);
+    fleet.run_for(Duration::from_secs(28));
+    fleet.spray(node, true);
+    fleet.run_for(Duration::from_secs(10));
+    fleet.publish();
+}
+
+/// A zone is cut off; each side suspects the other; a minute later it heals.
+fn cut_zone<P: Pick + Clone>(fleet: &mut Fleet<P>) {
+    fleet.cut(&["yakima"]);
+    fleet.run_for(SUSPECT_TIME);
+    let is_cut = |fleet: &Fleet<P>, at: &usize| fleet.is_cut(*at);
+    let (inside, outside): (Vec<usize>, Vec<usize>) = fleet
+        .running()
+        .into_iter()
+        .partition(|at| is_cut(fleet, at));
+    let zone_of = |cut: bool| -> Vec<VmId> {
+        let vms = fleet.deployment.vms.0.iter();
+        let on_side = vms.filter(|vm| (vm.zone.as_str() == "yakima") == cut);
+        on_side.map(|vm| vm.id.clone()).collect()
+    };
+    let (suspected_inside, suspected_outside) = (zone_of(false), zone_of(true));
+    fleet.publish_to(&inside, Duration::from_millis(200), &suspected_inside);
+    fleet.publish_to(&outside, Duration::from_millis(200), &suspected_outside);
+    fleet.run_for(Duration::from_secs(60));
+    fleet.cut(&[]);
+    fleet.run_for(SUSPECT_TIME);
+    fleet.publish_lagging(lag_of, &[]);
+}
+
+/// A change or failure by chance, for long runs.
+pub fn any_scenario(rng: &mut impl Rng) -> Scenario {
+    let all = [&Scenario::PLANNED[..], &Scenario::UNPLANNED[..]].concat();
+    all[rng.random_range(0..all.len())]
+}
