Keep flows through planned changes

Cause: trial runs broke flows when forwarders were replaced, views were uneven, a forwarder was frozen, and feeds were silent for an hour; loads at shadows never fell since they saw no FIN. Ruled out: new flows from a view that may be old after a pause (the next in rank picks instead); a hold that ends after 10 s while a zone is cut off; overflow to the next in rendezvous order (more exceptions at the same balance). Change: joining forwarders are asked last, FIN goes by way of owner and shadow, UDP flows are always handed over, first packets that waited through a pause are dropped, the shadow overrules a pick that it knows to be leaving, overflow goes to the least loaded.

--- a/crates/forwarder/src/counters.rs
+++ b/crates/forwarder/src/counters.rs
@@ -42,6 +42,9 @@
     /// The view is checked again after a pause.
     #[display("recheck")]
     Recheck,
+    /// It may have waited for long while this process was paused.
+    #[display("stale")]
+    Stale,
     /// It speaks for a forwarder but comes from none.
     #[display("unknown_sender")]
     UnknownSender,
--- a/crates/forwarder/src/forwarder.rs
+++ b/crates/forwarder/src/forwarder.rs
@@ -26,7 +26,7 @@
 use crate::strip::strip_data;
 use crate::table::{Entry, EntryState, FlowTable, SHARDS, Tick};
 use crate::target::{Identity, Standing, TargetNumber, TargetRegistry};
-use crate::topology::{Group, GroupIndex, Ranks, Role, Topology};
+use crate::topology::{Group, GroupIndex, Member, Ranks, Role, Topology};
 use crate::{Clock, Moment};
 
 /// Times that a packet may be relayed before its holder acts as owner.
@@ -37,16 +37,22 @@
 const HISTORY_LIMIT: usize = 16;
 /// Time after a change of membership in which new flows are asked about before they are placed.
 const SETTLE_TIME: Duration = Duration::from_secs(30);
-/// Time for which packets are dropped while a lost forwarder may know their flow.
+/// Time for which packets are dropped while a dead forwarder may know their flow.
 const HOLD_TIME: Duration = Duration::from_secs(10);
+/// The same for TCP while a zone is cut off: callers of TCP send again for minutes.
+const CUT_HOLD_TIME: Duration = Duration::from_secs(120);
 /// Gap between two events after which this process takes itself for paused.
 const PAUSE_TIME: Duration = Duration::from_secs(2);
 /// Time that a view may take to arrive after a pause.
-const RECHECK_TIME: Duration = Duration::from_secs(1);
+const RECHECK_TIME: Duration = Duration::from_secs(15);
 /// Time for which a target that only other forwarders name is kept.
 const FOREIGN_TIME: Duration = Duration::from_secs(60);
 /// Ticks in which a SYN of a known flow is taken for a retransmission: a minute.
 const RETRANSMIT_TICKS: u32 = 600;
+/// Ticks after which a further packet shows that the target of a guessed flow has not reset it.
+const PROOF_TICKS: u32 = 20;
+/// Time after a pause in which first packets may have waited for long and are dropped.
+const STALE_TIME: Duration = Duration::from_millis(200);
 /// Ticks of silence after which a closing flow is forgotten: two minutes.
 const CLOSING_IDLE_TICKS: u32 = 1_200;
 /// Ticks of silence after which a guessed flow is forgotten: a minute.
@@ -87,6 +93,8 @@
     changed: Moment,
     /// No new flow is placed before this moment.
     recheck_until: Moment,
+    /// First packets that arrive before this moment may have waited for long.
+    stale_until: Moment,
     latest: Moment,
     sweep: usize,
     pub(crate) is_stopping: bool,
@@ -119,6 +127,7 @@
             counters: Counters::default(),
             changed: latest,
             recheck_until: latest,
+            stale_until: latest,
             latest,
             sweep: 0,
             is_stopping: false,
@@ -265,6 +274,9 @@
         if hops > HOP_LIMIT {
             return Err(DropCause::Looping);
         }
+        if packet.phase == Phase::First && self.latest < self.stale_until {
+            return Err(DropCause::Stale);
+        }
         let kind = datagram.mark.map_or(MarkKind::Relay, |mark| mark.kind);
         let names_target = matches!(
             kind,
@@ -295,7 +307,8 @@
         let role = topology.role(&route.ranks);
         let is_owner = role == Role::Owner || route.hops >= RELAY_LIMIT;
         if !is_owner {
-            let is_known = role == Role::Shadow && packet.phase != Phase::First;
+            // The owner must see how a flow begins and ends.
+            let is_known = role == Role::Shadow && packet.phase == Phase::Middle;
             if let Some(entry) = self.known(packet.key, route).filter(|_| is_known) {
                 self.touch(packet, entry);
                 return self.deliver(packet, route, entry.target());
@@ -318,9 +331,8 @@
     /// Sends a packet of a known flow on, by way of a shadow that may not know it yet.
     fn pass(&mut self, packet: &Packet<'_>, route: &Route, entry: Entry) -> Result<(), DropCause> {
         self.touch(packet, entry);
-        if entry.seen() <= Tick::from(self.changed)
-            && self.teach(packet, route, entry, Teaching::Path)
-        {
+        let is_due = packet.phase == Phase::Last || entry.seen() <= Tick::from(self.changed);
+        if is_due && self.teach(packet, route, entry, Teaching::Path) {
             return Ok(());
         }
         self.deliver(packet, route, entry.target())
@@ -336,6 +348,17 @@
         Ok(())
     }
 
+    /// Lets the next in rank act as owner while this forwarder's view may be old.
+    fn defer(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
+        let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
+        let other = topology.first_other(&route.ranks);
+        let to = other.ok_or(DropCause::Recheck)?.address;
+        self.counters.relayed += 1;
+        let hops = route.hops.max(RELAY_LIMIT);
+        self.send_marked(to, 0, MarkKind::Relay, hops, packet);
+        Ok(())
+    }
+
     /// Asks the next forwarder in rank, or concludes that none knows the flow.
     fn walk(&mut self, packet: &Packet<'_>, route: &Route, from: usize) -> Result<(), DropCause> {
         if let Some(entry) = self.known(packet.key, route) {
@@ -404,16 +427,41 @@
             && self.is_better(packet, entry, recalled)
         {
             self.counters.conflicts += 1;
-            let kind = MarkKind::Correct(self.recall(entry));
-            self.counters.control_bytes += packet.bytes.len() as u64;
-            self.send_marked(source, route.vni.get(), kind, route.hops, packet);
+            self.send_correct(source, packet, route, entry);
             self.touch(packet, entry);
             return self.deliver(packet, route, entry.target());
         }
         let entry = self.learn(source, packet, route, recalled);
+        let is_closed_here = self.targets.get(entry.target()).standing == Standing::Leaving;
+        if packet.phase == Phase::First && is_closed_here {
+            return self.overrule(source, packet, route);
+        }
         self.deliver(packet, route, entry.target())
     }
 
+    /// Picks anew as shadow, since the owner does not know yet that its pick is leaving.
+    fn overrule(
+        &mut self,
+        source: SocketAddr,
+        packet: &Packet<'_>,
+        route: &Route,
+    ) -> Result<(), DropCause> {
+        let number = self.pick_target(packet, route)?;
+        let seen = Tick::from(self.latest);
+        let entry = Entry::new(number, EntryState::Open, seen).with_tcp(packet.is_tcp());
+        self.remember(packet.key, entry);
+        self.counters.conflicts += 1;
+        self.send_correct(source, packet, route, entry);
+        self.deliver(packet, route, number)
+    }
+
+    /// Tells another forwarder what this one remembers, with a copy of the packet.
+    fn send_correct(&mut self, to: SocketAddr, packet: &Packet<'_>, route: &Route, entry: Entry) {
+        let kind = MarkKind::Correct(self.recall(entry));
+        self.counters.control_bytes += packet.bytes.len() as u64;
+        self.send_marked(to, route.vni.get(), kind, route.hops, packet);
+    }
+
     /// Learns without sending the packet on.
     fn take_correct(
         &mut self,
@@ -461,7 +509,7 @@
             Phase::Last => EntryState::Closing,
             _ => EntryState::Open,
         };
-        let entry = Entry::new(number, state, Tick::from(self.latest));
+        let entry = Entry::new(number, state, Tick::from(self.latest)).with_tcp(packet.is_tcp());
         if self.is_member(source) && self.remember(packet.key, entry) {
             self.counters.flows_learned += 1;
         }
@@ -475,8 +523,11 @@
         }
         let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
         let now = self.latest;
-        let is_recent = |since: Moment| now.since(since) < HOLD_TIME;
-        if topology.has_lost_rank(&route.ranks, |member| is_recent(member.since)) {
+        let is_recent = |member: &Member| now.since(member.since) < HOLD_TIME;
+        let is_cut = |member: &Member| now.since(member.since) < CUT_HOLD_TIME;
+        let is_held = topology.has_lost_rank(&route.ranks, is_recent)
+            || (packet.is_tcp() && topology.has_lost_zone(is_cut));
+        if is_held {
             return Err(DropCause::Held);
         }
         let is_lost = topology.has_lost_rank(&route.ranks, |_| true);
@@ -489,12 +540,18 @@
     /// Sends a packet of an unknown flow to the default pick.
     fn guess(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
         if self.latest < self.recheck_until {
-            return Err(DropCause::Recheck);
+            return self.defer(packet, route);
         }
         let number = self
             .default_pick(packet.key, route.group)
             .ok_or(DropCause::NoTarget)?;
-        let entry = Entry::new(number, EntryState::Guessed, Tick::from(self.latest));
+        let seen = Tick::from(self.latest);
+        // A target of UDP takes any packet, so the guess binds the flow.
+        let state = match packet.is_tcp() {
+            true => EntryState::Guessed,
+            false => EntryState::Open,
+        };
+        let entry = Entry::new(number, state, seen).with_tcp(packet.is_tcp());
         self.remember(packet.key, entry);
         self.counters.flows_guessed += 1;
         self.deliver(packet, route, number)
@@ -503,22 +560,14 @@
     /// Places a new flow.
     fn begin(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
         if self.latest < self.recheck_until {
-            return Err(DropCause::Recheck);
+            return self.defer(packet, route);
         }
         if self.table.is_full() && self.table.get(packet.key).is_none() {
             return Err(DropCause::TableFull);
         }
-        let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
-        let loads = Loads {
-            targets: &self.targets,
-            now: self.latest,
-        };
-        let number = self
-            .pick
-            .pick(packet.key, topology.group(route.group), &loads)
-            .ok_or(DropCause::NoTarget)?;
-        self.check(self.targets.get(number).is_open(), "new_flow_to_leaving");
-        let entry = Entry::new(number, EntryState::Open, Tick::from(self.latest));
+        let number = self.pick_target(packet, route)?;
+        let seen = Tick::from(self.latest);
+        let entry = Entry::new(number, EntryState::Open, seen).with_tcp(packet.is_tcp());
         self.remember(packet.key, entry);
         self.counters.flows_new += 1;
         if self.teach(packet, route, entry, Teaching::Path) {
@@ -527,17 +576,28 @@
         self.deliver(packet, route, number)
     }
 
-    /// Sends a packet by the pick of the hash alone.
-    fn place_stateless(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
+    /// An open target for a new flow.
+    fn pick_target(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+    ) -> Result<TargetNumber, DropCause> {
         let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
         let loads = Loads {
             targets: &self.targets,
             now: self.latest,
         };
-        let number = self
+        let picked = self
             .pick
             .pick(packet.key, topology.group(route.group), &loads)
             .ok_or(DropCause::NoTarget)?;
+        self.check(self.targets.get(picked).is_open(), "new_flow_to_leaving");
+        Ok(picked)
+    }
+
+    /// Sends a packet by the pick of the hash alone.
+    fn place_stateless(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
+        let number = self.pick_target(packet, route)?;
         self.deliver(packet, route, number)
     }
 
@@ -621,9 +681,7 @@
     /// Whether a SYN of a known flow is a copy of its first packet.
     fn is_retransmitted(&self, entry: Entry) -> bool {
         let silence = Tick::from(self.latest).since(entry.seen());
-        entry.state() == EntryState::Open
-            && silence < RETRANSMIT_TICKS
-            && self.targets.get(entry.target()).standing != Standing::Leaving
+        entry.state() == EntryState::Open && silence < RETRANSMIT_TICKS
     }
 
     /// Whether members have been the same for a while.
@@ -633,11 +691,15 @@
 
     /// Notes that a packet of a known flow has been seen.
     fn touch(&mut self, packet: &Packet<'_>, entry: Entry) {
+        let silence = Tick::from(self.latest).since(entry.seen());
+        let is_proved = entry.state() == EntryState::Guessed && silence >= PROOF_TICKS;
         let state = match packet.phase {
             Phase::Last => EntryState::Closing,
+            _ if is_proved => EntryState::Open,
             _ => entry.state(),
         };
-        let fresh = Entry::new(entry.target(), state, Tick::from(self.latest));
+        let fresh =
+            Entry::new(entry.target(), state, Tick::from(self.latest)).with_tcp(entry.is_tcp());
         if state == entry.state() {
             self.table.update(packet.key, fresh);
             return;
@@ -698,7 +760,7 @@
         current.default_pick(key)
     }
 
-    /// Whether an address is that of another forwarder.
+    /// Whether an address is that of a forwarder in the view.
     pub(crate) fn is_member(&self, address: SocketAddr) -> bool {
         let topology = self.topology.as_ref();
         topology.is_some_and(|topology| topology.is_member(address))
@@ -716,6 +778,7 @@
             self.counters.pauses += 1;
             self.changed = now;
             self.recheck_until = now.after(RECHECK_TIME);
+            self.stale_until = now.after(STALE_TIME);
             log::warn!(
                 "event=process_paused time_ms={}",
                 now.since(self.latest).as_millis()
--- a/crates/forwarder/src/handover.rs
+++ b/crates/forwarder/src/handover.rs
@@ -3,6 +3,8 @@
 //! After a change of membership a forwarder that is neither owner nor shadow of a flow any more
 //! tells the owner of it, at a budgeted rate, unless the default pick gives the same target. A
 //! leaving forwarder does so for all its flows, and is done when each batch has been confirmed.
+//! UDP flows are always told: their first packet looks like any other, so a flow that no
+//! forwarder knows is taken for a new one.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -52,6 +54,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Item {
     to: SocketAddr,
+    is_tcp: bool,
     target: TargetNumber,
     key: FlowKey,
 }
@@ -115,7 +118,9 @@
         let first = *self.waiting.last()?;
         let mut items = Vec::new();
         while let Some(item) = self.waiting.last() {
-            if item.to != first.to || item.target != first.target || items.len() == BATCH_LIMIT {
+            let is_same =
+                (item.to, item.is_tcp, item.target) == (first.to, first.is_tcp, first.target);
+            if !is_same || items.len() == BATCH_LIMIT {
                 break;
             }
             items.push(*item);
@@ -153,6 +158,12 @@
         }
     }
 
+    /// Number of flows whose target is not that of the default pick.
+    pub fn exceptions(&self) -> usize {
+        let is_exception = |(key, entry): &(FlowKey, Entry)| !self.is_default(*key, entry.target());
+        self.table.iter().filter(is_exception).count()
+    }
+
     /// Collects the flows to hand over, sorted so that batches are large.
     fn scan_shards(&mut self) {
         let mut items = Vec::new();
@@ -181,11 +192,12 @@
             return None;
         }
         let to = topology.first_other(&ranks)?.address;
-        if self.is_default(key, entry.target()) {
+        if entry.is_tcp() && self.is_default(key, entry.target()) {
             return None;
         }
         Some(Item {
             to,
+            is_tcp: entry.is_tcp(),
             target: entry.target(),
             key,
         })
@@ -220,6 +232,7 @@
         let mark = Mark {
             kind: MarkKind::Handover {
                 sequence: batch.sequence,
+                is_tcp: first.is_tcp,
                 recalled: Recalled {
                     target: identity.address,
                     age: 0,
@@ -271,14 +284,18 @@
             return Err(DropCause::UnknownSender);
         }
         match mark.kind {
-            MarkKind::Handover { sequence, recalled } => {
+            MarkKind::Handover {
+                sequence,
+                is_tcp,
+                recalled,
+            } => {
                 let vni = ServiceId::try_from(vni)
                     .map_err(|_| DropCause::Malformed(PacketError::BadMark))?;
                 let identity = Identity {
                     vni,
                     address: recalled.target,
                 };
-                self.take_keys(identity, keys);
+                self.take_keys(identity, is_tcp, keys);
                 let done = Mark {
                     kind: MarkKind::HandoverDone { sequence },
                     hops: 1,
@@ -296,7 +313,7 @@
     }
 
     /// Remembers flows that another forwarder hands over, unless they are known.
-    fn take_keys(&mut self, identity: Identity, keys: &[u8]) {
+    fn take_keys(&mut self, identity: Identity, is_tcp: bool, keys: &[u8]) {
         let now = self.note_time();
         let standing = Standing::Foreign(now);
         let number = self.targets.intern(identity, standing);
@@ -310,7 +327,7 @@
             if held.is_some_and(|entry| entry.state() != EntryState::Guessed) {
                 continue;
             }
-            let entry = Entry::new(number, EntryState::Open, Tick::from(now));
+            let entry = Entry::new(number, EntryState::Open, Tick::from(now)).with_tcp(is_tcp);
             if self.remember(key, entry) {
                 self.counters.flows_learned += 1;
             }
--- a/crates/forwarder/src/mark.rs
+++ b/crates/forwarder/src/mark.rs
@@ -51,6 +51,8 @@
     Handover {
         /// Number of the batch.
         sequence: u32,
+        /// Whether its flows are TCP.
+        is_tcp: bool,
         /// Target of all flows in the batch.
         recalled: Recalled,
     },
@@ -85,10 +87,11 @@
         }
     }
 
-    /// Position in a walk, or 0.
+    /// Position in a walk, or whether a batch is TCP, or 0.
     fn rank(&self) -> u8 {
         match self {
             Self::Ask { rank } | Self::Unknown { rank } => *rank,
+            Self::Handover { is_tcp, .. } => u8::from(*is_tcp),
             _ => 0,
         }
     }
@@ -156,6 +159,7 @@
             6 => MarkKind::Correct(read_recalled(bytes, number)?),
             7 => MarkKind::Handover {
                 sequence: number,
+                is_tcp: rank != 0,
                 recalled: read_recalled(bytes, 0)?,
             },
             8 => MarkKind::HandoverDone { sequence: number },
--- a/crates/forwarder/src/pick.rs
+++ b/crates/forwarder/src/pick.rs
@@ -11,6 +11,9 @@
 /// Least part of its weight that a target has just after it joined.
 const RAMP_START: f64 = 0.1;
 
+/// Part of its fair share by which a target may exceed it.
+const SLACK: f64 = 0.03;
+
 /// Salt that makes the second of two choices independent of the first.
 const SECOND_CHOICE: u64 = 0x9E37_79B9_7F4A_7C15;
 
@@ -33,11 +36,20 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct HashPick;
 
-/// Weighted rendezvous among targets that are below their fair share.
+/// Weighted rendezvous, unless that target is above its fair share: then the least loaded.
 ///
 /// Most flows get the target that the hash alone gives, so that few need to be handed over.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct BoundedPick;
+#[derive(Debug, Clone, Copy)]
+pub struct BoundedPick {
+    /// Part of its fair share by which a target may exceed it.
+    pub slack: f64,
+}
+
+impl Default for BoundedPick {
+    fn default() -> Self {
+        Self { slack: SLACK }
+    }
+}
 
 /// The less loaded of two weighted rendezvous picks.
 #[derive(Debug, Clone, Copy, Default)]
@@ -78,11 +90,24 @@
             flows += loads.flows(candidate);
             weights += loads.weight(candidate, group.ramp);
         }
-        let is_below = |candidate: &Candidate| {
-            let share = flows * loads.weight(candidate, group.ramp) / weights;
-            loads.flows(candidate) < share
-        };
-        pick_among(key, group, is_below).or_else(|| pick_among(key, group, |_| true))
+        let share = |candidate: &Candidate| flows * loads.weight(candidate, group.ramp) / weights;
+        let first = pick_among(key, group, |_| true)?;
+        let mut least = None;
+        let mut lowest = f64::INFINITY;
+        for candidate in &group.candidates {
+            if !candidate.is_open {
+                continue;
+            }
+            let load = loads.flows(candidate) / share(candidate);
+            if candidate.number == first && load < 1.0 + self.slack {
+                return Some(first);
+            }
+            if load < lowest {
+                lowest = load;
+                least = Some(candidate.number);
+            }
+        }
+        least
     }
 }
 
--- a/crates/forwarder/src/run.rs
+++ b/crates/forwarder/src/run.rs
@@ -63,8 +63,14 @@
     let limit = usize::try_from(settings.forwarder.flow_limit).unwrap_or(usize::MAX);
     let budget = ByteRate::new(settings.agent.budget.get() / HANDOVER_PART);
     let vm = settings.vm.id.clone();
-    let forwarder = Forwarder::new(vm, limit, socket.batch(), SystemClock::new(), BoundedPick)
-        .with_handover_budget(budget);
+    let forwarder = Forwarder::new(
+        vm,
+        limit,
+        socket.batch(),
+        SystemClock::new(),
+        BoundedPick::default(),
+    )
+    .with_handover_budget(budget);
     log::info!("event=started listen={}", socket.address()?);
     let (ready, is_ready) = watch::channel(false);
     let mut runner = Runner {
--- a/crates/forwarder/src/table.rs
+++ b/crates/forwarder/src/table.rs
@@ -20,6 +20,9 @@
 /// Number of shards.
 pub const SHARDS: usize = 256;
 
+/// Bit of an entry that is set for TCP.
+const TCP_BIT: u32 = 1 << 31;
+
 /// Milliseconds in a tick, the unit in which entries hold time.
 const TICK_MS: u64 = 100;
 
@@ -27,7 +30,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Entry {
     seen: u32,
-    /// Target in the low 24 bits, state in the high 8.
+    /// Target in the low 24 bits, then the state, then whether the flow is TCP.
     packed: u32,
 }
 
@@ -102,7 +105,7 @@
 }
 
 impl Entry {
-    /// Creates an entry.
+    /// Creates an entry of a UDP flow.
     pub fn new(target: TargetNumber, state: EntryState, seen: Tick) -> Self {
         Self {
             seen: seen.0,
@@ -110,6 +113,20 @@
         }
     }
 
+    /// Sets whether the flow is TCP.
+    pub fn with_tcp(mut self, is_tcp: bool) -> Self {
+        self.packed &= !TCP_BIT;
+        if is_tcp {
+            self.packed |= TCP_BIT;
+        }
+        self
+    }
+
+    /// Whether the flow is TCP.
+    pub fn is_tcp(&self) -> bool {
+        self.packed & TCP_BIT != 0
+    }
+
     /// Target of the flow.
     pub fn target(&self) -> TargetNumber {
         TargetNumber::from(self.packed)
@@ -117,7 +134,7 @@
 
     /// How sure the entry is.
     pub fn state(&self) -> EntryState {
-        match self.packed >> 24 {
+        match (self.packed & !TCP_BIT) >> 24 {
             0 => EntryState::Open,
             1 => EntryState::Closing,
             _ => EntryState::Guessed,
--- a/crates/forwarder/src/topology.rs
+++ b/crates/forwarder/src/topology.rs
@@ -45,8 +45,10 @@
     pub address: SocketAddr,
     /// Health as the fleet sees it.
     pub health: VmHealth,
-    /// Since when it is suspected; meaningless for others.
+    /// Since when it has this health.
     pub since: Moment,
+    /// Whether all VMs of its zone are suspected.
+    pub is_cut_off: bool,
 }
 
 /// Forwarders in rank order for one bucket of keys, as positions in the list of members.
@@ -211,16 +213,25 @@
     }
 
     /// The next member to ask at position `from` of a walk or later, with its position.
+    ///
+    /// Joining members come last: others may have seen them go live before this forwarder did.
     pub fn next_asked(&self, ranks: &Ranks, from: usize) -> Option<(usize, &Member)> {
-        for (position, rank) in ranks.all.iter().enumerate().skip(from) {
-            if Some(*rank) == self.me {
+        for position in from..2 * WALK_LIMIT {
+            let rank = ranks.all[position % WALK_LIMIT];
+            if Some(rank) == self.me {
                 continue;
             }
-            let member = self.members.get(usize::from(*rank))?;
-            if member.health == VmHealth::Suspected {
+            let Some(member) = self.members.get(usize::from(rank)) else {
                 continue;
+            };
+            let is_turn = match member.health {
+                VmHealth::Live | VmHealth::Leaving => position < WALK_LIMIT,
+                VmHealth::Joining => position >= WALK_LIMIT,
+                VmHealth::Suspected => false,
+            };
+            if is_turn {
+                return Some((position, member));
             }
-            return Some((position, member));
         }
         None
     }
@@ -244,6 +255,14 @@
         false
     }
 
+    /// Whether a whole zone is suspected: it may go on by itself and place flows of any rank.
+    pub fn has_lost_zone(&self, is_recent: impl Fn(&Member) -> bool) -> bool {
+        let is_lost = |member: &Member| {
+            member.health == VmHealth::Suspected && member.is_cut_off && is_recent(member)
+        };
+        self.members.iter().any(is_lost)
+    }
+
     /// Whether an address is that of a member's forwarder.
     pub fn is_member(&self, address: SocketAddr) -> bool {
         self.members.iter().any(|member| member.address == address)
@@ -251,11 +270,10 @@
 
     /// Whether the members or their health differ.
     pub fn is_same_membership(&self, other: &Self) -> bool {
+        let is_in = |member: &&Member| member.health != VmHealth::Joining;
         let key = |member: &Member| (member.id.clone(), member.health, member.address);
-        self.members
-            .iter()
-            .map(key)
-            .eq(other.members.iter().map(key))
+        let held = self.members.iter().filter(is_in).map(key);
+        held.eq(other.members.iter().filter(is_in).map(key))
     }
 
     /// Takes the groups out, for the history of views.
@@ -299,13 +317,10 @@
     GroupIndex(2 * service.0 + usize::from(kind == EntranceKind::Requests))
 }
 
-/// Members in the order of the view; those that only join are left out.
+/// Members in the order of the view.
 fn list_members(view: &View, vm: &VmId, earlier: Option<&Topology>, now: Moment) -> Vec<Member> {
     let mut members = Vec::new();
     for entry in &view.vms {
-        if entry.health == VmHealth::Joining {
-            continue;
-        }
         let held = earlier.and_then(|earlier| {
             let same = |member: &&Member| member.id == entry.entry.id;
             earlier.members.iter().find(same)
@@ -320,11 +335,22 @@
             address: entry.entry.forwarder,
             health,
             since,
+            is_cut_off: is_cut_off(view, entry),
         });
     }
     members
 }
 
+/// Whether all VMs of a suspected VM's zone are suspected, as in a partition.
+fn is_cut_off(view: &View, vm: &Vm) -> bool {
+    let of_zone = view
+        .vms
+        .iter()
+        .filter(|other| other.entry.zone == vm.entry.zone);
+    let mut suspected = of_zone.map(|other| other.health == VmHealth::Suspected);
+    suspected.all(|is_suspected| is_suspected)
+}
+
 /// Health of a member; a forwarder doesn't suspect itself.
 fn health_of(entry: &Vm, vm: &VmId) -> VmHealth {
     match entry.health {
--- a/crates/measure/src/flows.rs
+++ b/crates/measure/src/flows.rs
@@ -4,6 +4,7 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
+pub mod balance;
 pub mod caller;
 pub mod fleet;
 pub mod scenario;
@@ -47,7 +48,13 @@
         Tracking::OwnerShadow,
         HashPick,
     );
-    print_policy("owner_bounded", flows, seed, Tracking::Owner, BoundedPick);
+    print_policy(
+        "owner_bounded",
+        flows,
+        seed,
+        Tracking::Owner,
+        BoundedPick::default(),
+    );
     print_policy(
         "owner_shadow_two_choices",
         flows,
@@ -60,7 +67,7 @@
         flows,
         seed,
         Tracking::OwnerShadow,
-        BoundedPick,
+        BoundedPick::default(),
     );
     ExitCode::SUCCESS
 }
--- /dev/null
+++ b/crates/measure/src/flows/balance.rs
@@ -0,0 +1,79 @@
+//! Balance between targets of uneven weight while flows come and go.
+
+use std::time::Duration;
+
+use bambooseam_forwarder::Tracking;
+use bambooseam_forwarder::pick::Pick;
+use bambooseam_standin::{DeploymentKind, Plan};
+
+use super::caller::Profile;
+use super::fleet::{Fleet, Setup};
+use super::scenario::add_target;
+use super::tally::{max_over_mean, variation};
+
+/// Mean time that a flow stays open.
+const LIFE: Duration = Duration::from_secs(60);
+/// Time between two samples.
+const SAMPLE_TIME: Duration = Duration::from_secs(5);
+/// Samples in a steady state.
+const SAMPLES: usize = 12;
+/// Weights that targets have in turn.
+const WEIGHTS: [u32; 5] = [50, 100, 100, 150, 200];
+
+/// Balance under churn.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Balance {
+    /// Mean of the samples of largest load over mean load, by weight.
+    pub steady: f64,
+    /// Largest of those samples.
+    pub worst: f64,
+    /// Mean coefficient of variation.
+    pub variation: f64,
+    /// Largest load over mean load 60 s after a target joined.
+    pub after_join: f64,
+    /// The same 60 s after a forwarder started anew with an empty table.
+    pub after_restart: f64,
+    /// Part of the flows whose target is not that of the default pick.
+    pub exceptions: f64,
+}
+
+/// Measures `flows` concurrent flows over 15 targets and 5 forwarders.
+pub fn measure<P>(flows: usize, seed: u64, tracking: Tracking, pick: P) -> Balance
+where
+    P: Pick + Clone,
+{
+    let plan = Plan::of(DeploymentKind::Cascade);
+    let setup = Setup {
+        plan: plan.clone(),
+        tracking,
+        seed,
+        stray: 5,
+        weights: WEIGHTS.to_vec(),
+    };
+    let mut fleet = Fleet::new(setup, pick);
+    let profile = Profile::feeds(&plan).with_life(LIFE);
+    let minutes = 5;
+    fleet.open_flows(flows * minutes, LIFE * minutes as u32, profile);
+    fleet.run_for(Duration::from_secs(90));
+    let mut balance = Balance::default();
+    for _ in 0..SAMPLES {
+        fleet.run_for(SAMPLE_TIME);
+        let loads = fleet.loads(plan.orders.0);
+        let sample = max_over_mean(&loads);
+        balance.steady += sample / SAMPLES as f64;
+        balance.worst = balance.worst.max(sample);
+        balance.variation += variation(&loads) / SAMPLES as f64;
+    }
+    balance.exceptions = fleet.exceptions();
+    let last = fleet.next_host();
+    add_target(&mut fleet, last);
+    fleet.publish();
+    fleet.run_for(Duration::from_secs(60));
+    balance.after_join = max_over_mean(&fleet.loads(plan.orders.0));
+    fleet.kill(0);
+    fleet.start_node(0);
+    fleet.publish();
+    fleet.run_for(Duration::from_secs(60));
+    balance.after_restart = max_over_mean(&fleet.loads(plan.orders.0));
+    balance
+}
--- a/crates/measure/src/flows/caller.rs
+++ b/crates/measure/src/flows/caller.rs
@@ -20,6 +20,8 @@
 const CALLER_PORT: u16 = 40_000;
 /// Network of all callers.
 const CALLER_NETWORK: u32 = 10 << 24;
+/// Spreads the lives of flows that are opened one after another.
+const LIFE_SPREAD: u32 = 0x9E37_79B1;
 /// Bytes of data in a packet.
 const DATA: [u8; 32] = [7; 32];
 
@@ -36,7 +38,7 @@
     pub is_tcp: bool,
     /// Mean time between packets.
     pub gap: Duration,
-    /// Time that a flow stays open.
+    /// Mean time that a flow stays open.
     pub life: Duration,
     /// Whether the SYN carries data.
     pub is_fast_open: bool,
@@ -102,6 +104,11 @@
         }
     }
 
+    /// Part of the mean life that this flow lives: 0.5 to 1.5, evenly spread.
+    fn life_part(self) -> f64 {
+        0.5 + f64::from(self.0.wrapping_mul(LIFE_SPREAD) >> 16) / f64::from(1 << 16)
+    }
+
     fn caller(self) -> Ipv4Addr {
         Ipv4Addr::from(CALLER_NETWORK + self.0)
     }
@@ -160,7 +167,7 @@
             id,
             service,
             gap: profile.gap,
-            ends: opens.after(profile.life),
+            ends: opens.after(profile.life.mul_f64(id.life_part())),
             is_fast_open: profile.is_fast_open,
             waits: false,
             waits_since: opens,
--- a/crates/measure/src/flows/fleet.rs
+++ b/crates/measure/src/flows/fleet.rs
@@ -16,7 +16,7 @@
 use bambooseam_forwarder::{Clock, Forwarder, Moment, Output, Tracking, packet};
 use bambooseam_standin::deployment::{DOWNLOADS_PORT, FEED_PORT};
 use bambooseam_standin::{Deployment, Plan};
-use bambooseam_types::VmId;
+use bambooseam_types::{VmId, Weight};
 use bambooseam_view::View;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -44,6 +44,8 @@
     pub seed: u64,
     /// Packets in a thousand that are duplicated, and as many that are late.
     pub stray: u32,
+    /// Weights that targets have in turn; all usual when empty.
+    pub weights: Vec<u32>,
 }
 
 /// Forwarders, targets and callers.
@@ -164,6 +166,7 @@
     pub fn new(setup: Setup, pick: P) -> Self {
         let mut deployment = setup.plan.build();
         open_second_entrance(&mut deployment);
+        set_weights(&mut deployment, &setup.weights);
         let mut fleet = Self {
             deployment,
             tally: Tally::default(),
@@ -250,6 +253,11 @@
         self.nodes.len()
     }
 
+    /// Last part of an address that no target has had.
+    pub fn next_host(&self) -> u8 {
+        u8::try_from(self.hosts.len() + 1).expect("at most 254 targets")
+    }
+
     /// Position of the forwarder that runs on a VM.
     pub fn node_of(&self, vm: &VmId) -> Option<usize> {
         let runs = |node: &Node<P>| node.id == *vm && !node.is_dead;
@@ -347,6 +355,14 @@
         }
     }
 
+    /// Part of the remembered flows whose target is not that of the default pick.
+    pub fn exceptions(&self) -> f64 {
+        let running = || self.nodes.iter().filter(|node| !node.is_dead);
+        let flows: usize = running().map(|node| node.forwarder.table().len()).sum();
+        let exceptions: usize = running().map(|node| node.forwarder.exceptions()).sum();
+        exceptions as f64 / flows.max(1) as f64
+    }
+
     /// Sets what the platform says of a VM.
     pub fn set_vm_state(&mut self, vm: &VmId, state: VmState) {
         for entry in &mut self.deployment.vms.0 {
@@ -616,3 +632,11 @@
         }
     }
 }
+
+/// Gives targets weights in turn.
+fn set_weights(deployment: &mut Deployment, weights: &[u32]) {
+    let targets = deployment.targets.0.iter_mut();
+    for (target, weight) in targets.zip(weights.iter().cycle()) {
+        target.weight = Weight::try_from(*weight).expect("a valid weight");
+    }
+}
--- a/crates/measure/src/flows/scenario.rs
+++ b/crates/measure/src/flows/scenario.rs
@@ -137,6 +137,20 @@
 
     /// Runs it over `flows` flows, a tenth of them UDP.
     pub fn run<P>(self, flows: usize, seed: u64, tracking: Tracking, pick: P) -> Outcome
+    where
+        P: Pick + Clone,
+    {
+        self.run_fleet(flows, seed, tracking, pick).1
+    }
+
+    /// Runs it and gives the fleet back with the outcome.
+    pub fn run_fleet<P>(
+        self,
+        flows: usize,
+        seed: u64,
+        tracking: Tracking,
+        pick: P,
+    ) -> (Fleet<P>, Outcome)
     where
         P: Pick + Clone,
     {
@@ -158,20 +172,26 @@
             _ => Duration::from_secs(90),
         };
         fleet.run_for(rest);
-        Outcome::of(&fleet, plan.orders.0, flows)
+        let outcome = Outcome::of(&fleet, plan.orders.0, flows);
+        (fleet, outcome)
     }
 
-    fn bring_about<P: Pick + Clone>(self, fleet: &mut Fleet<P>) {
+    /// Brings it about and waits until its last message is under way.
+    pub fn bring_about<P: Pick + Clone>(self, fleet: &mut Fleet<P>) {
         match self {
-            Self::ForwarderJoins => join_vm(fleet, "vm-new", |_| Duration::ZERO),
-            Self::ForwarderLeaves => leave_vm(fleet, 1),
+            Self::ForwarderJoins => {
+                join_vm(fleet, |_| Duration::ZERO);
+            }
+            Self::ForwarderLeaves => leave_vm(fleet),
             Self::ForwardersReplaced => replace_all(fleet),
             Self::TargetJoins => {
-                add_target(fleet, "bay-new", 99);
+                let last = fleet.next_host();
+                add_target(fleet, last);
                 fleet.publish();
             }
             Self::TargetDrains => {
-                fleet.announce_leaving(3);
+                let leaving = any_target(fleet);
+                fleet.announce_leaving(leaving);
                 fleet.publish();
             }
             Self::PresetSwitches => switch_presets(fleet),
@@ -225,6 +245,7 @@
         tracking,
         seed,
         stray: 5,
+        weights: Vec::new(),
     };
     Fleet::new(setup, pick)
 }
@@ -237,12 +258,39 @@
     }
 }
 
+/// A live VM by chance.
+fn any_vm<P: Pick + Clone>(fleet: &mut Fleet<P>) -> VmId {
+    let vms = fleet.deployment.vms.0.iter();
+    let live: Vec<VmId> = vms
+        .filter(|vm| vm.state == VmState::Live)
+        .map(|vm| vm.id.clone())
+        .collect();
+    let at = fleet.rng().random_range(0..live.len());
+    live[at].clone()
+}
+
+/// Position of a live target of the first service by chance.
+fn any_target<P: Pick + Clone>(fleet: &mut Fleet<P>) -> usize {
+    let service = Plan::of(DeploymentKind::Cascade).orders.0;
+    let targets = fleet.deployment.targets.0.iter().enumerate();
+    let live: Vec<usize> = targets
+        .filter(|(_, target)| target.state == TargetState::Live)
+        .filter(|(_, target)| target.service.as_str() == service)
+        .map(|(at, _)| at)
+        .collect();
+    let at = fleet.rng().random_range(0..live.len());
+    live[at]
+}
+
 /// Adds a VM, announced as joining first.
-pub fn join_vm<P: Pick + Clone>(fleet: &mut Fleet<P>, name: &str, lag: fn(usize) -> Duration) {
+pub fn join_vm<P: Pick + Clone>(fleet: &mut Fleet<P>, lag: fn(usize) -> Duration) {
+    let name = format!("next-{:03}", fleet.node_count());
     let id: VmId = name.parse().expect("a valid name");
     let mut entry = fleet.deployment.vms.0[0].clone();
-    let last = fleet.node_count() as u8 + 100;
-    entry.forwarder.set_ip([127, 1, 1, last].into());
+    let last = fleet.node_count() as u8 + 1;
+    for address in [&mut entry.agent, &mut entry.forwarder, &mut entry.proxy] {
+        address.set_ip([127, 1, 1, last].into());
+    }
     entry.id = id.clone();
     entry.state = VmState::Joining;
     let place = fleet.deployment.vms.0.partition_point(|vm| vm.id < id);
@@ -257,8 +305,8 @@
 }
 
 /// Lets a VM leave: announced, handed over, then ended and taken off the list.
-pub fn leave_vm<P: Pick + Clone>(fleet: &mut Fleet<P>, index: usize) {
-    let id = fleet.deployment.vms.0[index].id.clone();
+pub fn leave_vm<P: Pick + Clone>(fleet: &mut Fleet<P>) {
+    let id = any_vm(fleet);
     fleet.set_vm_state(&id, VmState::Leaving);
     fleet.publish_lagging(lag_of, &[]);
     finish_leaving(fleet, &id);
@@ -294,8 +342,7 @@
         .map(|vm| vm.id.clone())
         .collect();
     for id in held {
-        let name = format!("next-{}", fleet.node_count());
-        join_vm(fleet, &name, lag_of);
+        join_vm(fleet, lag_of);
         fleet.run_for(Duration::from_secs(15));
         fleet.set_vm_state(&id, VmState::Leaving);
         fleet.publish_lagging(lag_of, &[]);
@@ -304,14 +351,16 @@
 }
 
 /// Adds a target of the first service without publishing it.
-pub fn add_target<P: Pick + Clone>(fleet: &mut Fleet<P>, name: &str, last: u8) {
+pub fn add_target<P: Pick + Clone>(fleet: &mut Fleet<P>, last: u8) {
     let is_of_orders =
         |entry: &&bambooseam_config::TargetEntry| entry.id.as_str().starts_with("bay");
     let found = fleet.deployment.targets.0.iter().find(is_of_orders);
     let mut entry = found.expect("the plan has targets").clone();
-    entry.id = name.parse().expect("a valid name");
+    entry.id = format!("bay-new-{last}").parse().expect("a valid name");
     entry.state = TargetState::Live;
-    entry.flows.set_ip([127, 1, 2, last].into());
+    for address in [&mut entry.flows, &mut entry.requests] {
+        address.set_ip([127, 1, 2, last].into());
+    }
     let list = &mut fleet.deployment.targets.0;
     let place = list.partition_point(|target| target.id < entry.id);
     list.insert(place, entry);
@@ -330,31 +379,33 @@
 
 /// A forwarder joins, one leaves, a target joins and one leaves.
 fn change_all<P: Pick + Clone>(fleet: &mut Fleet<P>, lag: fn(usize) -> Duration) {
-    let name = format!("extra-{}", fleet.node_count());
-    let last = 60 + fleet.node_count() as u8;
-    join_vm(fleet, &name, lag);
-    let leaving = fleet.deployment.vms.0[2].id.clone();
+    join_vm(fleet, lag);
+    let leaving = any_vm(fleet);
     fleet.set_vm_state(&leaving, VmState::Leaving);
-    add_target(fleet, &format!("bay-{last}"), last);
-    fleet.announce_leaving(5);
+    let drained = any_target(fleet);
+    fleet.announce_leaving(drained);
+    let last = fleet.next_host();
+    add_target(fleet, last);
     fleet.publish_lagging(lag, &[]);
     finish_leaving(fleet, &leaving);
 }
 
 /// A drained target's address goes to the other service.
 fn reuse_address<P: Pick + Clone>(fleet: &mut Fleet<P>) {
-    let held = fleet.deployment.targets.0[4].clone();
-    fleet.announce_leaving(4);
+    let at = any_target(fleet);
+    let held = fleet.deployment.targets.0[at].clone();
+    fleet.announce_leaving(at);
     fleet.publish_lagging(lag_of, &[]);
     fleet.run_for(Duration::from_secs(5));
     // Its flows end with it; that they do is the operators' choice.
     fleet.kill_host(held.flows);
     let downloads = Plan::of(DeploymentKind::Cascade).downloads.0;
-    let entry = &mut fleet.deployment.targets.0[4];
-    entry.id = "file-moved".parse().expect("a valid name");
+    let name = format!("file-moved-{}", fleet.next_host());
+    let entry = &mut fleet.deployment.targets.0[at];
+    entry.id = name.parse().expect("a valid name");
     entry.service = downloads.parse().expect("a valid name");
     entry.state = TargetState::Live;
-    fleet.start_host(4);
+    fleet.start_host(at);
     fleet.deployment.targets.0.sort_by(|a, b| a.id.cmp(&b.id));
     fleet.publish_lagging(lag_of, &[]);
     let plan = Plan::of(DeploymentKind::Cascade);
@@ -366,8 +417,11 @@
 /// VMs die together and are suspected 2 s later, by some 10 s after that.
 fn kill_vms<P: Pick + Clone>(fleet: &mut Fleet<P>, count: usize) {
     let mut suspects = Vec::new();
-    for index in 0..count {
-        let id = fleet.deployment.vms.0[index + 1].id.clone();
+    while suspects.len() < count {
+        let id = any_vm(fleet);
+        if suspects.contains(&id) {
+            continue;
+        }
         if let Some(node) = fleet.node_of(&id) {
             fleet.kill(node);
         }
@@ -391,16 +445,17 @@
 
 /// A target dies; the platform notices 5 s later.
 fn kill_target<P: Pick + Clone>(fleet: &mut Fleet<P>) {
-    let held = fleet.deployment.targets.0[6].clone();
+    let at = any_target(fleet);
+    let held = fleet.deployment.targets.0[at].clone();
     fleet.kill_host(held.flows);
     fleet.run_for(Duration::from_secs(5));
-    fleet.deployment.targets.0.remove(6);
+    fleet.deployment.targets.0.remove(at);
     fleet.publish_lagging(lag_of, &[]);
 }
 
 /// A forwarder is frozen; others suspect it, and it wakes with its old view.
 fn freeze_vm<P: Pick + Clone>(fleet: &mut Fleet<P>) {
-    let id = fleet.deployment.vms.0[2].id.clone();
+    let id = any_vm(fleet);
     let Some(node) = fleet.node_of(&id) else {
         return;
     };
@@ -417,8 +472,10 @@
         std::slice::from_ref(&id),
     );
     fleet.spray(node, false);
-    add_target(fleet, "bay-later", 98);
-    fleet.announce_leaving(5);
+    let drained = any_target(fleet);
+    fleet.announce_leaving(drained);
+    let last = fleet.next_host();
+    add_target(fleet, last);
     fleet.publish_to(&others, Duration::from_millis(100), &[id]);
     fleet.run_for(Duration::from_secs(28));
     fleet.spray(node, true);
