--- a/crates/forwarder/src/forwarder.rs
+++ b/crates/forwarder/src/forwarder.rs
@@ -53,6 +53,8 @@
 const PROOF_TICKS: u32 = 20;
 /// Time after a pause in which first packets may have waited for long and are dropped.
 const STALE_TIME: Duration = Duration::from_millis(200);
+/// Ticks before which a further SYN is a copy that the fabric made.
+const RESEND_TICKS: u32 = 2;
 /// Ticks of silence after which a closing flow is forgotten: two minutes.
 const CLOSING_IDLE_TICKS: u32 = 1_200;
 /// Ticks of silence after which a guessed flow is forgotten: a minute.
@@ -317,11 +319,7 @@
         }
         match self.known(packet.key, route) {
             Some(entry) if packet.phase != Phase::First => self.pass(packet, route, entry),
-            Some(entry) if self.is_retransmitted(entry) => {
-                self.touch(packet, entry);
-                self.teach(packet, route, entry, Teaching::Copy);
-                self.deliver(packet, route, entry.target())
-            }
+            Some(entry) if self.is_retransmitted(entry) => self.repeat(packet, route, entry),
             Some(_) => self.begin(packet, route),
             None if packet.phase == Phase::First && self.is_settled() => self.begin(packet, route),
             None => self.walk(packet, route, 0),
@@ -338,6 +336,28 @@
         self.deliver(packet, route, entry.target())
     }
 
+    /// Sends a further copy of a first packet on.
+    ///
+    /// A copy that the fabric made takes the way of the first, as the shadow may yet overrule the
+    /// pick. A caller sends again only after a while: then the shadow may be dead, and the packet
+    /// goes straight to the target.
+    fn repeat(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+        entry: Entry,
+    ) -> Result<(), DropCause> {
+        let is_copy = Tick::from(self.latest).since(entry.seen()) < RESEND_TICKS;
+        self.touch(packet, entry);
+        if is_copy && self.teach(packet, route, entry, Teaching::Path) {
+            return Ok(());
+        }
+        if !is_copy {
+            self.teach(packet, route, entry, Teaching::Copy);
+        }
+        self.deliver(packet, route, entry.target())
+    }
+
     /// Relays a packet to the owner.
     fn relay(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
         let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
--- a/crates/measure/src/flows.rs
+++ b/crates/measure/src/flows.rs
@@ -2,17 +2,30 @@
 
 use std::process::ExitCode;
 
+use bambooseam_forwarder::Tracking;
+use bambooseam_forwarder::pick::{BoundedPick, HashPick, Pick, TwoChoicesPick};
 use clap::{Arg, ArgMatches, Command, value_parser};
 
 pub mod balance;
 pub mod caller;
+pub mod cost;
 pub mod fleet;
+pub mod loopback;
 pub mod scenario;
+pub mod speed;
 pub mod tally;
 
-use bambooseam_forwarder::Tracking;
-use bambooseam_forwarder::pick::{BoundedPick, HashPick, Pick, TwoChoicesPick};
-use scenario::{Outcome, Scenario};
+use balance::Balance;
+use scenario::{Origin, Outcome, Scenario};
+
+/// Flows in each run of the table of policies.
+const TABLE_FLOWS: usize = 3_000;
+/// Flows in each planned change under the picked policy: 100,000 in all.
+const PLANNED_FLOWS: usize = 10_000;
+/// Name of the picked policy.
+const PICKED: &str = "owner_shadow_bounded";
+/// Parts that can be run alone.
+const PARTS: [&str; 5] = ["policies", "picked", "balance", "cost", "speed"];
 
 /// Command line of this measurement.
 pub fn command() -> Command {
@@ -22,64 +35,66 @@
         .default_value("1")
         .value_parser(value_parser!(u64))
         .help("Seed of all chance");
-    let flows = Arg::new("flows")
-        .long("flows")
-        .value_name("N")
-        .default_value("3000")
-        .value_parser(value_parser!(u64).range(100..=1_000_000))
-        .help("Flows in each run of the table");
+    let only = Arg::new("only")
+        .long("only")
+        .value_name("PART")
+        .value_parser(PARTS)
+        .help("Run one part");
     Command::new("flows")
         .about("Measures policies that keep and place flows")
         .arg(seed)
-        .arg(flows)
+        .arg(only)
 }
 
 /// Runs the measurement.
 pub fn run(matches: &ArgMatches) -> ExitCode {
     let seed = matches.get_one::<u64>("seed").copied().unwrap_or(1);
-    let flows = matches.get_one::<u64>("flows").copied().unwrap_or(3_000) as usize;
-    println!("measurement=flows seed={seed} flows={flows}");
-    print_policy("stateless_hash", flows, seed, Tracking::Stateless, HashPick);
-    print_policy("owner_hash", flows, seed, Tracking::Owner, HashPick);
-    print_policy(
-        "owner_shadow_hash",
-        flows,
-        seed,
-        Tracking::OwnerShadow,
-        HashPick,
-    );
+    let only = matches.get_one::<String>("only").map(String::as_str);
+    let is_wanted = |part: &str| only.is_none_or(|only| only == part);
+    println!("measurement=flows seed={seed}");
+    if is_wanted("policies") {
+        print_policies(seed);
+    }
+    if is_wanted("balance") {
+        print_balances(seed);
+    }
+    if is_wanted("cost") {
+        print_costs(seed);
+    }
+    if is_wanted("speed") {
+        print_speeds();
+    }
+    if is_wanted("picked") {
+        return print_picked(seed);
+    }
+    ExitCode::SUCCESS
+}
+
+/// Prints what each policy does in each change and failure.
+fn print_policies(seed: u64) {
+    print_policy("stateless_hash", seed, Tracking::Stateless, HashPick);
+    print_policy("owner_hash", seed, Tracking::Owner, HashPick);
     print_policy(
         "owner_bounded",
-        flows,
         seed,
         Tracking::Owner,
         BoundedPick::default(),
     );
+    print_policy("owner_shadow_hash", seed, Tracking::OwnerShadow, HashPick);
     print_policy(
         "owner_shadow_two_choices",
-        flows,
         seed,
         Tracking::OwnerShadow,
         TwoChoicesPick,
     );
-    print_policy(
-        "owner_shadow_bounded",
-        flows,
-        seed,
-        Tracking::OwnerShadow,
-        BoundedPick::default(),
-    );
-    ExitCode::SUCCESS
+    print_policy(PICKED, seed, Tracking::OwnerShadow, BoundedPick::default());
 }
 
 /// Prints one line for each change and failure under a policy.
-fn print_policy<P: Pick + Clone>(name: &str, flows: usize, seed: u64, tracking: Tracking, pick: P) {
-    let all = [&Scenario::PLANNED[..], &Scenario::UNPLANNED[..]].concat();
-    for scenario in all {
-        let start = std::time::Instant::now();
-        let outcome = scenario.run(flows, seed, tracking, pick.clone());
+fn print_policy<P: Pick + Clone>(name: &str, seed: u64, tracking: Tracking, pick: P) {
+    for scenario in Scenario::all() {
+        let outcome = scenario.run(TABLE_FLOWS, seed, tracking, pick.clone());
         print_outcome(name, scenario, &outcome);
-        eprintln!("{:?}", start.elapsed());
     }
 }
 
@@ -100,3 +115,112 @@
         outcome.violations,
     );
 }
+
+/// Prints the balance of each pick.
+fn print_balances(seed: u64) {
+    let tracking = Tracking::OwnerShadow;
+    print_balance(
+        "hash",
+        &balance::measure(TABLE_FLOWS, seed, tracking, HashPick),
+    );
+    let two_choices = balance::measure(TABLE_FLOWS, seed, tracking, TwoChoicesPick);
+    print_balance("two_choices", &two_choices);
+    for slack in [0.0, 0.01, 0.02, 0.03, 0.05, 0.08] {
+        let bounded = balance::measure(TABLE_FLOWS, seed, tracking, BoundedPick { slack });
+        print_balance(&format!("bounded_{slack}"), &bounded);
+    }
+}
+
+/// Prints the balance of one pick.
+fn print_balance(pick: &str, balance: &Balance) {
+    println!(
+        "pick={pick} max_over_mean={:.3} worst_sample={:.3} variation={:.3} after_join={:.3} \
+         after_restart={:.3} exceptions={:.3}",
+        balance.steady,
+        balance.worst,
+        balance.variation,
+        balance.after_join,
+        balance.after_restart,
+        balance.exceptions,
+    );
+}
+
+/// Prints what control costs.
+fn print_costs(seed: u64) {
+    for flows in [1_000, 4_000, 16_000] {
+        let cost = cost::measure(flows, seed);
+        println!(
+            "cost flows={flows} rest_bytes_per_s={:.2} bytes_per_new_flow={:.3} \
+             bytes_per_join={:.0} bytes_per_leave={:.0} leave_time_s={:.0} \
+             bytes_per_s_highest={:.0}",
+            cost.rest, cost.flow, cost.join, cost.leave, cost.leave_time, cost.highest,
+        );
+    }
+}
+
+/// Prints times and sizes of one forwarder.
+fn print_speeds() {
+    for (forwarders, targets) in [(5, 15), (50, 500), (850, 4_600), (850, 15), (5, 4_600)] {
+        let speed = speed::measure_fleet(forwarders, targets);
+        println!(
+            "speed forwarders={forwarders} targets={targets} rank_cold_ns={:.0} \
+             rank_warm_ns={:.1} known_ns={:.0} relayed_ns={:.0} first_ns={:.0} view_ms={:.1}",
+            speed.rank_cold, speed.rank_warm, speed.known, speed.relayed, speed.first, speed.view,
+        );
+    }
+    for flows in [1_000, 10_000, 100_000, 1_000_000] {
+        let speed = speed::measure_table(flows);
+        println!(
+            "table flows={flows} lookup_ns={:.1} insert_ns={:.1} bytes_per_flow={:.1}",
+            speed.lookup, speed.insert, speed.bytes,
+        );
+    }
+    match loopback::measure() {
+        Ok(result) => println!(
+            "bare_packets_per_core_s={:.0} forwarder_packets_per_core_s={:.0} delivered={} \
+             ratio_to_bare_relay={:.3}",
+            result.bare,
+            result.forwarder,
+            result.delivered,
+            result.ratio(),
+        ),
+        Err(error) => println!("ratio_to_bare_relay=failed cause={:?}", error.to_string()),
+    }
+}
+
+/// Prints the figures of the picked policy; fails when a planned change breaks a flow.
+fn print_picked(seed: u64) -> ExitCode {
+    let mut total = Outcome::default();
+    let mut broken = [0, 0];
+    let mut highest = 0.0_f64;
+    for scenario in Scenario::all() {
+        let flows = match scenario.origin() {
+            Origin::Planned => PLANNED_FLOWS,
+            Origin::Unplanned => TABLE_FLOWS,
+        };
+        let pick = BoundedPick::default();
+        let outcome = scenario.run(flows, seed, Tracking::OwnerShadow, pick);
+        print_outcome("picked", scenario, &outcome);
+        broken[usize::from(scenario.origin() == Origin::Unplanned)] += outcome.broken;
+        highest = highest.max(outcome.control_rate);
+        total.add(&outcome);
+    }
+    let balance = balance::measure(
+        TABLE_FLOWS,
+        seed,
+        Tracking::OwnerShadow,
+        BoundedPick::default(),
+    );
+    println!("planned_flows={}", Scenario::PLANNED.len() * PLANNED_FLOWS);
+    println!("planned_broken_flows={}", broken[0]);
+    println!("unplanned_broken_flows={}", broken[1]);
+    println!("wrong_service_packets={}", total.wrong_service);
+    println!("violations={}", total.violations);
+    println!("max_over_mean={:.3}", balance.steady);
+    println!("hops_per_packet={:.3}", total.hops_per_packet());
+    println!("control_bytes_per_s={highest:.1}");
+    match broken[0] + total.wrong_service + total.violations {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    }
+}
--- a/crates/measure/src/flows/fleet.rs
+++ b/crates/measure/src/flows/fleet.rs
@@ -76,7 +76,14 @@
 
 /// Datagrams that a forwarder has sent.
 #[derive(Debug, Clone, Default)]
-pub struct Wire(Rc<RefCell<Vec<(SocketAddr, Vec<u8>)>>>);
+pub struct Wire(Rc<RefCell<Vec<Sent>>>);
+
+/// A datagram on its way.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Sent {
+    to: SocketAddr,
+    bytes: Vec<u8>,
+}
 
 /// A forwarder and its state.
 struct Node<P> {
@@ -157,7 +164,7 @@
 impl Output for Wire {
     fn send(&mut self, to: SocketAddr, head: &Head, payload: &[u8]) {
         let bytes = geneve::encode(head, payload);
-        self.0.borrow_mut().push((to, bytes));
+        self.0.borrow_mut().push(Sent { to, bytes });
     }
 }
 
@@ -614,7 +621,7 @@
     /// Takes what a forwarder has sent.
     fn collect(&mut self, node: usize) {
         let wire = self.nodes[node].wire.clone();
-        for (to, bytes) in wire.0.borrow_mut().drain(..) {
+        for Sent { to, bytes } in wire.0.borrow_mut().drain(..) {
             let from = Some(node);
             self.schedule(HOP, EventKind::Datagram { from, to, bytes });
         }
--- a/crates/measure/src/flows/scenario.rs
+++ b/crates/measure/src/flows/scenario.rs
@@ -127,6 +127,11 @@
         Self::Partition,
     ];
 
+    /// All changes and failures.
+    pub fn all() -> Vec<Self> {
+        [&Self::PLANNED[..], &Self::UNPLANNED[..]].concat()
+    }
+
     /// Whether operators planned it.
     pub fn origin(self) -> Origin {
         match Self::PLANNED.contains(&self) {
@@ -232,6 +237,17 @@
         }
     }
 
+    /// Adds the counts of another run.
+    pub fn add(&mut self, other: &Self) {
+        self.flows += other.flows;
+        self.broken += other.broken;
+        self.wrong_service += other.wrong_service;
+        self.new_to_leaving += other.new_to_leaving;
+        self.delivered += other.delivered;
+        self.hops += other.hops;
+        self.violations += other.violations;
+    }
+
     /// Packets between forwarders for each packet that reached a target.
     pub fn hops_per_packet(&self) -> f64 {
         self.hops as f64 / self.delivered.max(1) as f64
@@ -508,6 +524,6 @@
 
 /// A change or failure by chance, for long runs.
 pub fn any_scenario(rng: &mut impl Rng) -> Scenario {
-    let all = [&Scenario::PLANNED[..], &Scenario::UNPLANNED[..]].concat();
+    let all = Scenario::all();
     all[rng.random_range(0..all.len())]
 }
