--- a/crates/forwarder/src/clock.rs
+++ b/crates/forwarder/src/clock.rs
@@ -1,5 +1,7 @@
 //! Time as the forwarder sees it.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
@@ -15,10 +17,11 @@
     fn now(&self) -> Moment;
 }
 
-/// The system's clock.
-#[derive(Debug, Clone, Copy)]
+/// The system's clock, read once for each batch of packets.
+#[derive(Debug, Clone)]
 pub struct SystemClock {
     start: Instant,
+    now: Rc<Cell<Moment>>,
 }
 
 impl Moment {
@@ -48,8 +51,15 @@
     pub fn new() -> Self {
         Self {
             start: Instant::now(),
+            now: Rc::default(),
         }
     }
+
+    /// Reads the system's time; all copies of this clock then show it.
+    pub fn refresh(&self) {
+        let millis = self.start.elapsed().as_millis() as u64;
+        self.now.set(Moment(millis));
+    }
 }
 
 impl Default for SystemClock {
@@ -60,6 +70,6 @@
 
 impl Clock for SystemClock {
     fn now(&self) -> Moment {
-        Moment(self.start.elapsed().as_millis() as u64)
+        self.now.get()
     }
 }
--- a/crates/forwarder/src/forwarder.rs
+++ b/crates/forwarder/src/forwarder.rs
@@ -307,6 +307,12 @@
     fn arrive(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
         let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
         let role = topology.role(&route.ranks);
+        if packet.phase == Phase::Middle
+            && role != Role::Relay
+            && let Some(number) = self.settled_target(packet, route)
+        {
+            return self.deliver(packet, route, number);
+        }
         let is_owner = role == Role::Owner || route.hops >= RELAY_LIMIT;
         if !is_owner {
             // The owner must see how a flow begins and ends.
@@ -326,6 +332,22 @@
         }
     }
 
+    /// Target of an open flow that the shadow knows too; notes that the flow was seen.
+    fn settled_target(&mut self, packet: &Packet<'_>, route: &Route) -> Option<TargetNumber> {
+        let changed = Tick::from(self.changed);
+        let entry = self.table.get_mut(packet.key)?;
+        let record = self.targets.get(entry.target());
+        let is_settled = entry.state() == EntryState::Open
+            && entry.seen() > changed
+            && record.is_usable()
+            && record.identity.vni == route.vni;
+        if !is_settled {
+            return None;
+        }
+        entry.set_seen(Tick::from(self.latest));
+        Some(entry.target())
+    }
+
     /// Sends a packet of a known flow on, by way of a shadow that may not know it yet.
     fn pass(&mut self, packet: &Packet<'_>, route: &Route, entry: Entry) -> Result<(), DropCause> {
         self.touch(packet, entry);
@@ -720,8 +742,10 @@
         };
         let fresh =
             Entry::new(entry.target(), state, Tick::from(self.latest)).with_tcp(entry.is_tcp());
-        if state == entry.state() {
-            self.table.update(packet.key, fresh);
+        if state == entry.state()
+            && let Some(held) = self.table.get_mut(packet.key)
+        {
+            *held = fresh;
             return;
         }
         self.remember(packet.key, fresh);
--- a/crates/forwarder/src/geneve.rs
+++ b/crates/forwarder/src/geneve.rs
@@ -90,6 +90,7 @@
 /// # Errors
 ///
 /// A [`PacketError`] for anything that is not Geneve as this system speaks it.
+#[inline]
 pub fn decode(bytes: &[u8]) -> Result<Datagram<'_>, PacketError> {
     let Some((header, rest)) = bytes.split_first_chunk::<HEADER_BYTES>() else {
         return Err(PacketError::Truncated);
@@ -104,7 +105,10 @@
     if inner.len() > PACKET_LIMIT {
         return Err(PacketError::Oversized);
     }
-    let mark = read_options(options)?;
+    let mark = match options.is_empty() {
+        true => None,
+        false => read_options(options)?,
+    };
     let payload = match u16::from_be_bytes([header[2], header[3]]) {
         IPV4 | IPV6 => Payload::Packet(inner),
         KEYS if inner.len() % 8 == 0 => Payload::Keys(inner),
--- a/crates/forwarder/src/packet.rs
+++ b/crates/forwarder/src/packet.rs
@@ -39,6 +39,7 @@
 /// # Errors
 ///
 /// A [`PacketError`] for what is not a whole TCP or UDP packet.
+#[inline]
 pub fn decode(bytes: &[u8]) -> Result<Packet<'_>, PacketError> {
     let ip = IpSlice::from_slice(bytes).map_err(|_| PacketError::BadIp)?;
     if ip.is_fragmenting_payload() {
--- a/crates/forwarder/src/run.rs
+++ b/crates/forwarder/src/run.rs
@@ -42,6 +42,7 @@
 /// The program while it runs.
 struct Runner {
     forwarder: Running,
+    clock: SystemClock,
     socket: Socket,
     views: ViewReceiver,
     status: Arc<Mutex<Value>>,
@@ -63,18 +64,15 @@
     let limit = usize::try_from(settings.forwarder.flow_limit).unwrap_or(usize::MAX);
     let budget = ByteRate::new(settings.agent.budget.get() / HANDOVER_PART);
     let vm = settings.vm.id.clone();
-    let forwarder = Forwarder::new(
-        vm,
-        limit,
-        socket.batch(),
-        SystemClock::new(),
-        BoundedPick::default(),
-    )
-    .with_handover_budget(budget);
+    let clock = SystemClock::new();
+    let pick = BoundedPick::default();
+    let forwarder =
+        Forwarder::new(vm, limit, socket.batch(), clock.clone(), pick).with_handover_budget(budget);
     log::info!("event=started listen={}", socket.address()?);
     let (ready, is_ready) = watch::channel(false);
     let mut runner = Runner {
         forwarder,
+        clock,
         socket,
         views,
         status: Arc::new(Mutex::new(Value::Null)),
@@ -131,6 +129,7 @@
             self.take_view();
         }
         for _ in 0..RECEIVE_LIMIT {
+            self.clock.refresh();
             let forwarder = &mut self.forwarder;
             let result = self
                 .socket
@@ -147,6 +146,7 @@
         let Some(view) = self.views.borrow_and_update().clone() else {
             return;
         };
+        self.clock.refresh();
         let revision = view.revision();
         if !self.forwarder.set_view(view) {
             return;
@@ -160,6 +160,7 @@
 
     /// Does the regular work.
     fn work(&mut self) {
+        self.clock.refresh();
         self.forwarder.tick();
         self.socket.flush(self.forwarder.output());
         self.publish();
--- a/crates/forwarder/src/table.rs
+++ b/crates/forwarder/src/table.rs
@@ -12,6 +12,7 @@
 use std::hash::{BuildHasherDefault, Hasher};
 use std::time::Duration;
 
+use bambooseam_types::ByteCount;
 use bambooseam_view::FlowKey;
 
 use crate::Moment;
@@ -23,6 +24,9 @@
 /// Bit of an entry that is set for TCP.
 const TCP_BIT: u32 = 1 << 31;
 
+/// Bytes of one place: key, entry and a byte of the hash table's own.
+const PLACE_BYTES: usize = size_of::<(u64, Entry)>() + 1;
+
 /// Milliseconds in a tick, the unit in which entries hold time.
 const TICK_MS: u64 = 100;
 
@@ -141,6 +145,11 @@
         }
     }
 
+    /// Sets when a packet of the flow was last seen.
+    pub fn set_seen(&mut self, seen: Tick) {
+        self.seen = seen.0;
+    }
+
     /// When a packet of the flow was last seen.
     pub fn seen(&self) -> Tick {
         Tick(self.seen)
@@ -168,24 +177,34 @@
         self.len == 0
     }
 
+    /// Memory that the shards hold, free places included.
+    pub fn memory(&self) -> ByteCount {
+        let places: usize = self.shards.iter().map(|s| places_of(s.capacity())).sum();
+        ByteCount::new((places * PLACE_BYTES) as u64)
+    }
+
     /// Whether no further flow fits.
     pub fn is_full(&self) -> bool {
         self.len >= self.limit
     }
 
     /// The entry of a flow.
+    #[inline]
     pub fn get(&self, key: FlowKey) -> Option<Entry> {
         self.shards[shard_of(key)].get(&key.get()).copied()
     }
 
-    /// Replaces the entry of a flow that is remembered already.
-    pub fn update(&mut self, key: FlowKey, entry: Entry) {
-        if let Some(held) = self.shards[shard_of(key)].get_mut(&key.get()) {
-            *held = entry;
-        }
+    /// The entry of a flow, for changes.
+    #[inline]
+    pub fn get_mut(&mut self, key: FlowKey) -> Option<&mut Entry> {
+        self.shards[shard_of(key)].get_mut(&key.get())
     }
 
-    /// Remembers a flow and gives back the entry it had; false if the table is full.
+    /// Remembers a flow and gives back the entry it had.
+    ///
+    /// # Errors
+    ///
+    /// [`TableFull`] when a further flow does not fit.
     pub fn insert(&mut self, key: FlowKey, entry: Entry) -> Result<Option<Entry>, TableFull> {
         let is_full = self.is_full();
         match self.shards[shard_of(key)].entry(key.get()) {
@@ -231,6 +250,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TableFull;
 
+/// Places that a hash table of this capacity has: a power of two, at most seven eighths full.
+fn places_of(capacity: usize) -> usize {
+    match capacity {
+        0 => 0,
+        _ => (capacity * 8 / 7).next_power_of_two(),
+    }
+}
+
 /// Shard of a key; the bits are neither those of the hash table nor those of the ranks.
 fn shard_of(key: FlowKey) -> usize {
     (key.get() >> 36) as usize % SHARDS
--- a/crates/forwarder/src/topology.rs
+++ b/crates/forwarder/src/topology.rs
@@ -34,6 +34,8 @@
     live: Ranking,
     buckets: Vec<Ranks>,
     groups: Vec<Group>,
+    /// The entrance that was looked up last.
+    latest: Option<(SocketAddr, GroupIndex)>,
 }
 
 /// A forwarder that may own flows or know of them.
@@ -129,6 +131,7 @@
             live,
             buckets: vec![Ranks::EMPTY; 1 << BUCKET_BITS],
             groups,
+            latest: None,
         }
     }
 
@@ -158,9 +161,16 @@
     }
 
     /// The group that a caller's packet to `address` belongs to.
-    pub fn find_group(&self, address: SocketAddr) -> Option<GroupIndex> {
+    pub fn find_group(&mut self, address: SocketAddr) -> Option<GroupIndex> {
+        if let Some((latest, group)) = self.latest
+            && latest == address
+        {
+            return Some(group);
+        }
         let Entrance { service, kind, .. } = self.view.entrance(address)?;
-        Some(group_index(service, kind))
+        let group = group_index(service, kind);
+        self.latest = Some((address, group));
+        Some(group)
     }
 
     /// The group whose candidates include a target, of the service on the wire.
