--- /dev/null
+++ b/tests/tests/flows_wire.rs
@@ -0,0 +1,129 @@
+//! Geneve, marks and inner packets.
+
+use std::net::SocketAddr;
+
+use bambooseam_forwarder::geneve::{self, Head, PacketError, Payload};
+use bambooseam_forwarder::packet::{self, Phase};
+use bambooseam_forwarder::{Mark, MarkKind, Recalled};
+use bambooseam_types::Revision;
+use bolero::check;
+use etherparse::PacketBuilder;
+
+/// An IPv4 TCP packet.
+fn tcp_packet() -> Vec<u8> {
+    let mut bytes = Vec::new();
+    PacketBuilder::ipv4([10, 0, 0, 1], [127, 1, 0, 1], 64)
+        .tcp(40_000, 7_000, 1, 1_000)
+        .syn()
+        .write(&mut bytes, &[])
+        .expect("a vector takes all");
+    bytes
+}
+
+/// A datagram with all parts.
+fn marked_datagram() -> Vec<u8> {
+    let packet = tcp_packet();
+    let mark = mark_of(MarkKind::Learn(recalled("[fd00::1]:6081")));
+    let head = Head::new(101, Some(&mark), &Payload::Packet(&packet));
+    geneve::encode(&head, &packet)
+}
+
+fn recalled(target: &str) -> Recalled {
+    Recalled {
+        target: target.parse().expect("an address"),
+        age: 77,
+    }
+}
+
+fn mark_of(kind: MarkKind) -> Mark {
+    Mark {
+        kind,
+        hops: 3,
+        revision: Revision::from(9),
+    }
+}
+
+#[test]
+fn marks_survive_encoding() {
+    let target: SocketAddr = "127.1.2.3:6081".parse().expect("an address");
+    let known = Recalled { target, age: 5 };
+    let handover = MarkKind::Handover {
+        sequence: 8,
+        is_tcp: true,
+        recalled: Recalled { target, age: 0 },
+    };
+    let kinds = [
+        MarkKind::Relay,
+        MarkKind::Ask { rank: 4 },
+        MarkKind::Known(known),
+        MarkKind::Unknown { rank: 2 },
+        MarkKind::Learn(recalled("[fd00::1]:6081")),
+        MarkKind::Correct(known),
+        MarkKind::HandoverDone { sequence: 8 },
+    ];
+    let packet = tcp_packet();
+    for kind in kinds {
+        let mark = mark_of(kind);
+        let payload = Payload::Packet(&packet);
+        let bytes = geneve::encode(&Head::new(0x12_3456, Some(&mark), &payload), &packet);
+        let read = geneve::decode(&bytes).expect("what was written can be read");
+        assert_eq!(
+            (read.vni, read.mark, read.payload),
+            (0x12_3456, Some(mark), payload)
+        );
+    }
+    let keys = [1; 16];
+    let mark = mark_of(handover);
+    let bytes = geneve::encode(&Head::new(7, Some(&mark), &Payload::Keys(&keys)), &keys);
+    let read = geneve::decode(&bytes).expect("what was written can be read");
+    assert_eq!(
+        (read.mark, read.payload),
+        (Some(mark), Payload::Keys(&keys))
+    );
+}
+
+#[test]
+fn malformed_datagrams_are_named() {
+    let good = marked_datagram();
+    for len in 0..8 + 40 {
+        assert!(geneve::decode(&good[..len]).is_err(), "length {len}");
+    }
+    let altered = |at: usize, value: u8| {
+        let mut bytes = good.clone();
+        bytes[at] = value;
+        geneve::decode(&bytes).expect_err("an altered datagram")
+    };
+    assert_eq!(altered(0, 0x40 | good[0]), PacketError::UnknownVersion);
+    assert_eq!(altered(2, 0x99), PacketError::UnknownProtocol);
+    assert_eq!(altered(8, 0x01), PacketError::UnknownOption);
+    assert_eq!(altered(11, 2), PacketError::BadMark);
+    assert_eq!(altered(12, 99), PacketError::BadMark);
+    let mut oversized = good.clone();
+    oversized.resize(geneve::PACKET_LIMIT + 100, 0);
+    assert_eq!(geneve::decode(&oversized), Err(PacketError::Oversized));
+}
+
+#[test]
+fn inner_packets_that_are_not_whole_are_refused() {
+    let good = tcp_packet();
+    for len in 0..good.len() {
+        assert!(packet::decode(&good[..len]).is_err(), "length {len}");
+    }
+    let mut fragment = good.clone();
+    fragment[6] = 0x20;
+    assert_eq!(packet::decode(&fragment), Err(PacketError::Fragment));
+    let mut other = good.clone();
+    other[9] = 1;
+    assert_eq!(packet::decode(&other), Err(PacketError::BadTransport));
+    assert_eq!(packet::decode(&good).map(|p| p.phase), Ok(Phase::First));
+}
+
+#[test]
+fn decoders_take_any_bytes() {
+    check!().with_iterations(20_000).for_each(|bytes: &[u8]| {
+        if let Ok(datagram) = geneve::decode(bytes) {
+            let _ = packet::decode(datagram.payload.as_bytes());
+        }
+        let _ = packet::decode(bytes);
+    });
+}
