Give up targets that do not take a flow

Cause: chance series left a flow stalled: its first packets went to a target that had gone, and each copy kept the entry fresh; marks of forwarders that a late view does not name were not remembered. Ruled out: a re-pick by time alone, since two owners may pick within the same second. Change: entries know whether a flow has opened; the third first packet picks anew; entries of flows that never opened are forgotten after a minute, which also bounds what a SYN flood holds; the fakes deliver views in order and the caller ends its handshake.

--- a/crates/forwarder/src/counters.rs
+++ b/crates/forwarder/src/counters.rs
@@ -81,6 +81,8 @@
     pub flows_expired: u64,
     /// Flows that did not fit into the table.
     pub flows_unremembered: u64,
+    /// Marks from forwarders that the view does not name.
+    pub unknown_senders: u64,
     /// Two forwarders remembered different targets.
     pub conflicts: u64,
     /// SYN packets whose data was taken off.
--- a/crates/forwarder/src/forwarder.rs
+++ b/crates/forwarder/src/forwarder.rs
@@ -57,6 +57,8 @@
 const RESEND_TICKS: u32 = 2;
 /// Ticks of silence after which a closing flow is forgotten: two minutes.
 const CLOSING_IDLE_TICKS: u32 = 1_200;
+/// Ticks of silence after which a flow that never opened is forgotten: a minute.
+const OPENING_IDLE_TICKS: u32 = 600;
 /// Ticks of silence after which a guessed flow is forgotten: a minute.
 const GUESSED_IDLE_TICKS: u32 = 600;
 
@@ -282,7 +284,7 @@
         let kind = datagram.mark.map_or(MarkKind::Relay, |mark| mark.kind);
         let names_target = matches!(
             kind,
-            MarkKind::Known(_) | MarkKind::Learn(_) | MarkKind::Correct(_)
+            MarkKind::Known(_) | MarkKind::Learn { .. } | MarkKind::Correct(_)
         );
         if names_target && datagram.vni != vni.get() {
             return Err(DropCause::ServiceMismatch);
@@ -295,7 +297,9 @@
             }
             MarkKind::Known(recalled) => self.take_known(source, &packet, &route, recalled),
             MarkKind::Unknown { rank } => self.walk(&packet, &route, usize::from(rank) + 1),
-            MarkKind::Learn(recalled) => self.take_learn(source, &packet, &route, recalled),
+            MarkKind::Learn { recalled, is_final } => {
+                self.take_learn(source, &packet, &route, recalled, is_final)
+            }
             MarkKind::Correct(recalled) => self.take_correct(source, &packet, &route, recalled),
             MarkKind::Handover { .. } | MarkKind::HandoverDone { .. } => {
                 Err(DropCause::Malformed(geneve::PacketError::BadMark))
@@ -317,7 +321,8 @@
         if !is_owner {
             // The owner must see how a flow begins and ends.
             let is_known = role == Role::Shadow && packet.phase == Phase::Middle;
-            if let Some(entry) = self.known(packet.key, route).filter(|_| is_known) {
+            let is_open = |entry: &Entry| is_known && !entry.state().is_opening();
+            if let Some(entry) = self.known(packet.key, route).filter(is_open) {
                 self.touch(packet, entry);
                 return self.deliver(packet, route, entry.target());
             }
@@ -351,7 +356,9 @@
     /// Sends a packet of a known flow on, by way of a shadow that may not know it yet.
     fn pass(&mut self, packet: &Packet<'_>, route: &Route, entry: Entry) -> Result<(), DropCause> {
         self.touch(packet, entry);
-        let is_due = packet.phase == Phase::Last || entry.seen() <= Tick::from(self.changed);
+        let is_due = packet.phase == Phase::Last
+            || entry.state().is_opening()
+            || entry.seen() <= Tick::from(self.changed);
         if is_due && self.teach(packet, route, entry, Teaching::Path) {
             return Ok(());
         }
@@ -362,7 +369,8 @@
     ///
     /// A copy that the fabric made takes the way of the first, as the shadow may yet overrule the
     /// pick. A caller sends again only after a while: then the shadow may be dead, and the packet
-    /// goes straight to the target.
+    /// goes straight to the target. When the caller sends a third time, the target may be dead,
+    /// and another one is picked.
     fn repeat(
         &mut self,
         packet: &Packet<'_>,
@@ -370,6 +378,9 @@
         entry: Entry,
     ) -> Result<(), DropCause> {
         let is_copy = Tick::from(self.latest).since(entry.seen()) < RESEND_TICKS;
+        if !is_copy && entry.state() == EntryState::Reopening {
+            return self.place(packet, route, Some(entry.target()));
+        }
         self.touch(packet, entry);
         if is_copy && self.teach(packet, route, entry, Teaching::Path) {
             return Ok(());
@@ -443,6 +454,9 @@
         if let Some(entry) = self.known(packet.key, route) {
             return self.pass(packet, route, entry);
         }
+        if packet.phase == Phase::First && self.is_gone(route, recalled) {
+            return self.begin(packet, route);
+        }
         let entry = self.learn(source, packet, route, recalled);
         let is_from_shadow = self
             .topology
@@ -462,8 +476,9 @@
         packet: &Packet<'_>,
         route: &Route,
         recalled: Recalled,
+        is_final: bool,
     ) -> Result<(), DropCause> {
-        let held = self.known(packet.key, route);
+        let held = self.known(packet.key, route).filter(|_| !is_final);
         let other = held.filter(|entry| self.address_of(*entry) != recalled.target);
         if let Some(entry) = other
             && self.is_better(packet, entry, recalled)
@@ -473,14 +488,33 @@
             self.touch(packet, entry);
             return self.deliver(packet, route, entry.target());
         }
-        let entry = self.learn(source, packet, route, recalled);
-        let is_closed_here = self.targets.get(entry.target()).standing == Standing::Leaving;
-        if packet.phase == Phase::First && is_closed_here {
+        if packet.phase == Phase::First && self.is_closed(route, recalled) {
             return self.overrule(source, packet, route);
         }
+        let entry = self.learn(source, packet, route, recalled);
         self.deliver(packet, route, entry.target())
     }
 
+    /// Whether the view says that a target takes no new flows.
+    fn is_closed(&self, route: &Route, recalled: Recalled) -> bool {
+        let standing = self.standing_of(route, recalled);
+        matches!(standing, Some(Standing::Leaving | Standing::Gone))
+    }
+
+    /// Whether the view has lost a target that it had before.
+    fn is_gone(&self, route: &Route, recalled: Recalled) -> bool {
+        self.standing_of(route, recalled) == Some(Standing::Gone)
+    }
+
+    /// What the view says of a target that another forwarder names.
+    fn standing_of(&self, route: &Route, recalled: Recalled) -> Option<Standing> {
+        let number = self.targets.find(Identity {
+            vni: route.vni,
+            address: recalled.target,
+        })?;
+        Some(self.targets.get(number).standing)
+    }
+
     /// Picks anew as shadow, since the owner does not know yet that its pick is leaving.
     fn overrule(
         &mut self,
@@ -488,9 +522,8 @@
         packet: &Packet<'_>,
         route: &Route,
     ) -> Result<(), DropCause> {
-        let number = self.pick_target(packet, route)?;
-        let seen = Tick::from(self.latest);
-        let entry = Entry::new(number, EntryState::Open, seen).with_tcp(packet.is_tcp());
+        let number = self.pick_target(packet, route, None)?;
+        let entry = self.new_entry(packet, number);
         self.remember(packet.key, entry);
         self.counters.conflicts += 1;
         self.send_correct(source, packet, route, entry);
@@ -512,9 +545,6 @@
         route: &Route,
         recalled: Recalled,
     ) -> Result<(), DropCause> {
-        if !self.is_member(source) {
-            return Err(DropCause::UnknownSender);
-        }
         self.learn(source, packet, route, recalled);
         Ok(())
     }
@@ -548,11 +578,14 @@
             self.targets.set_standing(number, standing);
         }
         let state = match packet.phase {
+            Phase::First => EntryState::Opening,
+            Phase::Middle => EntryState::Open,
             Phase::Last => EntryState::Closing,
-            _ => EntryState::Open,
         };
         let entry = Entry::new(number, state, Tick::from(self.latest)).with_tcp(packet.is_tcp());
-        if self.is_member(source) && self.remember(packet.key, entry) {
+        // A forwarder that joined may be in the views of others before it is in this one.
+        self.counters.unknown_senders += u64::from(!self.is_member(source));
+        if self.remember(packet.key, entry) {
             self.counters.flows_learned += 1;
         }
         entry
@@ -601,45 +634,70 @@
 
     /// Places a new flow.
     fn begin(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
+        self.place(packet, route, None)
+    }
+
+    /// Places a new flow, or one that the target `given_up` did not take.
+    fn place(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+        given_up: Option<TargetNumber>,
+    ) -> Result<(), DropCause> {
         if self.latest < self.recheck_until {
             return self.defer(packet, route);
         }
         if self.table.is_full() && self.table.get(packet.key).is_none() {
             return Err(DropCause::TableFull);
         }
-        let number = self.pick_target(packet, route)?;
-        let seen = Tick::from(self.latest);
-        let entry = Entry::new(number, EntryState::Open, seen).with_tcp(packet.is_tcp());
+        let number = self.pick_target(packet, route, given_up)?;
+        let entry = self.new_entry(packet, number);
         self.remember(packet.key, entry);
         self.counters.flows_new += 1;
-        if self.teach(packet, route, entry, Teaching::Path) {
+        let teaching = match given_up {
+            Some(_) => Teaching::Final,
+            None => Teaching::Path,
+        };
+        if self.teach(packet, route, entry, teaching) {
             return Ok(());
         }
         self.deliver(packet, route, number)
     }
 
+    /// The entry of a flow that this forwarder has placed.
+    fn new_entry(&self, packet: &Packet<'_>, number: TargetNumber) -> Entry {
+        let state = match packet.phase {
+            Phase::First => EntryState::Opening,
+            _ => EntryState::Open,
+        };
+        Entry::new(number, state, Tick::from(self.latest)).with_tcp(packet.is_tcp())
+    }
+
     /// An open target for a new flow.
     fn pick_target(
         &mut self,
         packet: &Packet<'_>,
         route: &Route,
+        given_up: Option<TargetNumber>,
     ) -> Result<TargetNumber, DropCause> {
         let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
         let loads = Loads {
             targets: &self.targets,
             now: self.latest,
         };
-        let picked = self
-            .pick
-            .pick(packet.key, topology.group(route.group), &loads)
-            .ok_or(DropCause::NoTarget)?;
+        let group = topology.group(route.group);
+        let picked = match given_up {
+            Some(given_up) => self.pick.pick(packet.key, &group.without(given_up), &loads),
+            None => self.pick.pick(packet.key, group, &loads),
+        };
+        let picked = picked.or(given_up).ok_or(DropCause::NoTarget)?;
         self.check(self.targets.get(picked).is_open(), "new_flow_to_leaving");
         Ok(picked)
     }
 
     /// Sends a packet by the pick of the hash alone.
     fn place_stateless(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
-        let number = self.pick_target(packet, route)?;
+        let number = self.pick_target(packet, route, None)?;
         self.deliver(packet, route, number)
     }
 
@@ -683,11 +741,14 @@
         let to = shadow.address;
         let recalled = self.recall(entry);
         let kind = match teaching {
-            Teaching::Path => MarkKind::Learn(recalled),
+            Teaching::Path | Teaching::Final => MarkKind::Learn {
+                recalled,
+                is_final: teaching == Teaching::Final,
+            },
             Teaching::Copy => MarkKind::Correct(recalled),
         };
         match teaching {
-            Teaching::Path => self.counters.taught += 1,
+            Teaching::Path | Teaching::Final => self.counters.taught += 1,
             Teaching::Copy => self.counters.control_bytes += packet.bytes.len() as u64,
         }
         self.send_marked(to, route.vni.get(), kind, route.hops, packet);
@@ -723,7 +784,7 @@
     /// Whether a SYN of a known flow is a copy of its first packet.
     fn is_retransmitted(&self, entry: Entry) -> bool {
         let silence = Tick::from(self.latest).since(entry.seen());
-        entry.state() == EntryState::Open && silence < RETRANSMIT_TICKS
+        entry.state().is_alive() && silence < RETRANSMIT_TICKS
     }
 
     /// Whether members have been the same for a while.
@@ -735,10 +796,12 @@
     fn touch(&mut self, packet: &Packet<'_>, entry: Entry) {
         let silence = Tick::from(self.latest).since(entry.seen());
         let is_proved = entry.state() == EntryState::Guessed && silence >= PROOF_TICKS;
-        let state = match packet.phase {
-            Phase::Last => EntryState::Closing,
+        let state = match (packet.phase, entry.state()) {
+            (Phase::Last, _) => EntryState::Closing,
+            (Phase::Middle, EntryState::Opening | EntryState::Reopening) => EntryState::Open,
+            (Phase::First, EntryState::Opening) if silence >= RESEND_TICKS => EntryState::Reopening,
             _ if is_proved => EntryState::Open,
-            _ => entry.state(),
+            (_, state) => state,
         };
         let fresh =
             Entry::new(entry.target(), state, Tick::from(self.latest)).with_tcp(entry.is_tcp());
@@ -844,6 +907,7 @@
                 EntryState::Open => targets.get(entry.target()).idle,
                 EntryState::Closing => CLOSING_IDLE_TICKS,
                 EntryState::Guessed => GUESSED_IDLE_TICKS,
+                EntryState::Opening | EntryState::Reopening => OPENING_IDLE_TICKS,
             };
             // A flow that others own has been handed over, and its end would not be seen here.
             let is_others = topology.as_mut().is_some_and(|topology| {
@@ -879,6 +943,8 @@
 enum Teaching {
     /// The packet goes by way of the shadow to the target.
     Path,
+    /// The same, and the shadow must not stay with the target that it knows.
+    Final,
     /// The shadow gets a copy that it does not send on.
     Copy,
 }
--- a/crates/forwarder/src/handover.rs
+++ b/crates/forwarder/src/handover.rs
@@ -179,7 +179,7 @@
 
     /// What to hand over of a flow, if anything.
     fn handover_item(&mut self, key: FlowKey, entry: Entry) -> Option<Item> {
-        if entry.state() != EntryState::Open || !self.targets.get(entry.target()).is_usable() {
+        if !entry.state().is_alive() || !self.targets.get(entry.target()).is_usable() {
             return None;
         }
         let topology = self.topology.as_mut()?;
--- a/crates/forwarder/src/mark.rs
+++ b/crates/forwarder/src/mark.rs
@@ -44,7 +44,12 @@
         rank: u8,
     },
     /// Remember the target, then deliver.
-    Learn(Recalled),
+    Learn {
+        /// What the sender remembers.
+        recalled: Recalled,
+        /// Whether the sender has given up the target that it picked first.
+        is_final: bool,
+    },
     /// Remember the target; the packet has been delivered.
     Correct(Recalled),
     /// Remember a batch of flows, none of them with a packet.
@@ -80,18 +85,19 @@
             Self::Ask { .. } => 2,
             Self::Known(_) => 3,
             Self::Unknown { .. } => 4,
-            Self::Learn(_) => 5,
+            Self::Learn { .. } => 5,
             Self::Correct(_) => 6,
             Self::Handover { .. } => 7,
             Self::HandoverDone { .. } => 8,
         }
     }
 
-    /// Position in a walk, or whether a batch is TCP, or 0.
+    /// The third byte: a position in a walk, or a flag of the kind.
     fn rank(&self) -> u8 {
         match self {
             Self::Ask { rank } | Self::Unknown { rank } => *rank,
             Self::Handover { is_tcp, .. } => u8::from(*is_tcp),
+            Self::Learn { is_final, .. } => u8::from(*is_final),
             _ => 0,
         }
     }
@@ -99,10 +105,8 @@
     /// What is remembered, if the mark says.
     fn recalled(&self) -> Option<&Recalled> {
         match self {
-            Self::Known(recalled) | Self::Learn(recalled) | Self::Correct(recalled) => {
-                Some(recalled)
-            }
-            Self::Handover { recalled, .. } => Some(recalled),
+            Self::Known(recalled) | Self::Correct(recalled) => Some(recalled),
+            Self::Learn { recalled, .. } | Self::Handover { recalled, .. } => Some(recalled),
             _ => None,
         }
     }
@@ -155,7 +159,10 @@
             2 => MarkKind::Ask { rank },
             3 => MarkKind::Known(read_recalled(bytes, number)?),
             4 => MarkKind::Unknown { rank },
-            5 => MarkKind::Learn(read_recalled(bytes, number)?),
+            5 => MarkKind::Learn {
+                recalled: read_recalled(bytes, number)?,
+                is_final: rank != 0,
+            },
             6 => MarkKind::Correct(read_recalled(bytes, number)?),
             7 => MarkKind::Handover {
                 sequence: number,
--- a/crates/forwarder/src/run.rs
+++ b/crates/forwarder/src/run.rs
@@ -223,6 +223,7 @@
             "flows_guessed": counters.flows_guessed,
             "flows_expired": counters.flows_expired,
             "flows_unremembered": counters.flows_unremembered,
+            "unknown_senders": counters.unknown_senders,
             "conflicts": counters.conflicts,
             "syn_stripped": counters.syn_stripped,
             "handed_over": counters.handed_over,
--- a/crates/forwarder/src/table.rs
+++ b/crates/forwarder/src/table.rs
@@ -48,6 +48,10 @@
     Closing = 1,
     /// A guess: no forwarder knew the flow.
     Guessed = 2,
+    /// Only the first packet of the flow has been seen.
+    Opening = 3,
+    /// The caller has sent its first packet again.
+    Reopening = 4,
 }
 
 /// Time in ticks since the start.
@@ -85,6 +89,18 @@
     }
 }
 
+impl EntryState {
+    /// Whether only first packets have been seen.
+    pub fn is_opening(self) -> bool {
+        matches!(self, Self::Opening | Self::Reopening)
+    }
+
+    /// Whether the flow goes on as far as is known.
+    pub fn is_alive(self) -> bool {
+        self == Self::Open || self.is_opening()
+    }
+}
+
 impl Tick {
     /// Ticks between this and an earlier one.
     pub fn since(self, earlier: Self) -> u32 {
@@ -141,7 +157,9 @@
         match (self.packed & !TCP_BIT) >> 24 {
             0 => EntryState::Open,
             1 => EntryState::Closing,
-            _ => EntryState::Guessed,
+            2 => EntryState::Guessed,
+            3 => EntryState::Opening,
+            _ => EntryState::Reopening,
         }
     }
 
--- a/crates/forwarder/src/topology.rs
+++ b/crates/forwarder/src/topology.rs
@@ -310,6 +310,15 @@
         pick_weighted(key, members).map(|at| self.candidates[at].number)
     }
 
+    /// The group without one candidate.
+    pub fn without(&self, number: TargetNumber) -> Self {
+        let mut group = self.clone();
+        group
+            .candidates
+            .retain(|candidate| candidate.number != number);
+        group
+    }
+
     /// Whether a target is among the candidates.
     pub fn has(&self, number: TargetNumber) -> bool {
         let is_it = |candidate: &Candidate| candidate.number == number;
--- a/crates/measure/src/flows/caller.rs
+++ b/crates/measure/src/flows/caller.rs
@@ -180,6 +180,8 @@
     pub fn bind(&mut self, target: SocketAddr) {
         self.bound = Some(target);
         self.progress();
+        // The handshake ends with a packet of the caller.
+        self.is_rested = true;
     }
 
     /// Notes an answer.
--- a/crates/measure/src/flows/fleet.rs
+++ b/crates/measure/src/flows/fleet.rs
@@ -463,7 +463,14 @@
                 if let Some(wait) = self.frozen_for(node) {
                     return self.schedule(wait, EventKind::View { node, view });
                 }
-                self.nodes[node].forwarder.set_view(view);
+                let forwarder = &mut self.nodes[node].forwarder;
+                // An agent never goes back to an earlier view.
+                if forwarder
+                    .view()
+                    .is_none_or(|held| held.number < view.number)
+                {
+                    forwarder.set_view(view);
+                }
             }
             EventKind::Tick { node } => {
                 if self.nodes[node].is_dead {
--- a/crates/measure/src/flows/scenario.rs
+++ b/crates/measure/src/flows/scenario.rs
@@ -313,7 +313,7 @@
     fleet.deployment.vms.0.insert(place, entry);
     fleet.start_node(place);
     fleet.spray(fleet.node_count() - 1, false);
-    fleet.publish();
+    fleet.publish_lagging(lag, &[]);
     fleet.run_for(Duration::from_secs(2));
     fleet.spray(fleet.node_count() - 1, true);
     fleet.set_vm_state(&id, VmState::Live);
--- a/tests/tests/flows_wire.rs
+++ b/tests/tests/flows_wire.rs
@@ -23,7 +23,7 @@
 /// A datagram with all parts.
 fn marked_datagram() -> Vec<u8> {
     let packet = tcp_packet();
-    let mark = mark_of(MarkKind::Learn(recalled("[fd00::1]:6081")));
+    let mark = mark_of(learn());
     let head = Head::new(101, Some(&mark), &Payload::Packet(&packet));
     geneve::encode(&head, &packet)
 }
@@ -35,6 +35,13 @@
     }
 }
 
+fn learn() -> MarkKind {
+    MarkKind::Learn {
+        recalled: recalled("[fd00::1]:6081"),
+        is_final: true,
+    }
+}
+
 fn mark_of(kind: MarkKind) -> Mark {
     Mark {
         kind,
@@ -57,7 +64,7 @@
         MarkKind::Ask { rank: 4 },
         MarkKind::Known(known),
         MarkKind::Unknown { rank: 2 },
-        MarkKind::Learn(recalled("[fd00::1]:6081")),
+        learn(),
         MarkKind::Correct(known),
         MarkKind::HandoverDone { sequence: 8 },
     ];
