Let go of lost targets for good

Cause:: forwarders kept teaching one another a target that every view had dropped, so a UDP flow stalled. Ruled out: ignoring marks for targets that no view has named, as a late view must learn them.

--- a/crates/forwarder/src/forwarder.rs
+++ b/crates/forwarder/src/forwarder.rs
@@ -243,6 +243,7 @@
     /// Does the regular work; to be called ten times a second.
     pub fn tick(&mut self) {
         let now = self.note_time();
+        self.targets.expire_foreign(now, FOREIGN_TIME);
         self.sweep(now);
         self.step_handover(now);
     }
@@ -572,11 +573,9 @@
             vni: route.vni,
             address: recalled.target,
         };
-        let standing = Standing::Foreign(self.latest);
-        let number = self.targets.intern(identity, standing);
-        if !self.targets.get(number).is_usable() {
-            self.targets.set_standing(number, standing);
-        }
+        let number = self
+            .targets
+            .intern(identity, Standing::Foreign(self.latest));
         let state = match packet.phase {
             Phase::First => EntryState::Opening,
             Phase::Middle => EntryState::Open,
@@ -585,7 +584,8 @@
         let entry = Entry::new(number, state, Tick::from(self.latest)).with_tcp(packet.is_tcp());
         // A forwarder that joined may be in the views of others before it is in this one.
         self.counters.unknown_senders += u64::from(!self.is_member(source));
-        if self.remember(packet.key, entry) {
+        // Forwarders that kept a lost target for one another would keep it for ever.
+        if self.targets.get(number).is_usable() && self.remember(packet.key, entry) {
             self.counters.flows_learned += 1;
         }
         entry
--- a/crates/forwarder/src/handover.rs
+++ b/crates/forwarder/src/handover.rs
@@ -315,10 +315,9 @@
     /// Remembers flows that another forwarder hands over, unless they are known.
     fn take_keys(&mut self, identity: Identity, is_tcp: bool, keys: &[u8]) {
         let now = self.note_time();
-        let standing = Standing::Foreign(now);
-        let number = self.targets.intern(identity, standing);
+        let number = self.targets.intern(identity, Standing::Foreign(now));
         if !self.targets.get(number).is_usable() {
-            self.targets.set_standing(number, standing);
+            return;
         }
         let (keys, _) = keys.as_chunks::<KEY_BYTES>();
         for key in keys {
--- a/crates/forwarder/src/target.rs
+++ b/crates/forwarder/src/target.rs
@@ -39,7 +39,7 @@
     Leaving,
     /// Not in the view, but named by another forwarder since.
     Foreign(Moment),
-    /// Was in an earlier view.
+    /// Was in an earlier view, or was named by others but by no view in time.
     Gone,
 }
 
@@ -144,6 +144,19 @@
         }
     }
 
+    /// Lets go of targets that no view has named in time.
+    pub fn expire_foreign(&mut self, now: Moment, foreign_time: Duration) {
+        for record in &mut self.records {
+            let is_over = matches!(
+                record.standing,
+                Standing::Foreign(since) if now.since(since) >= foreign_time
+            );
+            if is_over {
+                record.standing = Standing::Gone;
+            }
+        }
+    }
+
     /// Sets what the view in force says of a target.
     pub fn set_standing(&mut self, number: TargetNumber, standing: Standing) {
         self.records[number.index()].standing = standing;
