Let the shadow decide between two picks of the same moment

Cause:: two copies of a UDP flow's first packet reached two owners under uneven views within 12 ms, and the second pick replaced the first. Ruled out: asking all ranks twice.

--- a/crates/forwarder/src/forwarder.rs
+++ b/crates/forwarder/src/forwarder.rs
@@ -558,7 +558,8 @@
         if packet.phase == Phase::First {
             return self.is_retransmitted(entry);
         }
-        Tick::from(self.latest).since(entry.seen()) < recalled.age
+        // Of two picks at the same time the shadow's stands, as both owners ask it.
+        Tick::from(self.latest).since(entry.seen()) <= recalled.age
     }
 
     /// Remembers what another forwarder said; the entry is good for this packet in any case.
--- a/tests/tests/flows.rs
+++ b/tests/tests/flows.rs
@@ -17,6 +17,8 @@
 
 /// Seed of all runs but the long one.
 const SEED: u64 = 20_261_203;
+/// Seeds of chance series that have found a fault.
+const FOUND_SEEDS: [u64; 3] = [20_261_205, 20_261_214, 20_261_229];
 /// Flows of a run.
 const FLOWS: usize = 1_000;
 /// Most that a target may have above the mean, by weight.
@@ -218,15 +220,16 @@
     fleet
 }
 
-/// Number of runs: 2, or as many as the environment asks for.
-fn run_count() -> u64 {
+/// Seeds that have found a fault, then 2 more, or as many as the environment asks for.
+fn seeds() -> Vec<u64> {
     let asked = std::env::var("BAMBOOSEAM_FLOW_RUNS").ok();
-    asked.and_then(|text| text.parse().ok()).unwrap_or(2)
+    let count = asked.and_then(|text| text.parse().ok()).unwrap_or(2);
+    FOUND_SEEDS.into_iter().chain(SEED..SEED + count).collect()
 }
 
 #[test]
 fn planned_changes_by_chance_break_nothing() {
-    for seed in SEED..SEED + run_count() {
+    for seed in seeds() {
         let fleet = run_series(seed, 8, |scenario| Scenario::PLANNED.contains(&scenario));
         assert_eq!(fleet.tally.broken, [], "seed {seed}");
     }
@@ -234,7 +237,7 @@
 
 #[test]
 fn changes_and_failures_by_chance_keep_the_invariants() {
-    for seed in SEED..SEED + run_count() {
+    for seed in seeds() {
         let fleet = run_series(seed, 8, |_| true);
         let broken = fleet.tally.broken.len();
         println!("seed={seed} flows={} broken={broken}", fleet.flows().len());
