Split the forwarder by who acts

Ruled out: nothing. Change: owner, peers and memory are modules of their own; no change of behaviour.

--- /dev/null
+++ b/crates/forwarder/src/forwarder/memory.rs
@@ -0,0 +1,160 @@
+//! What is remembered of flows, and for how long.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bambooseam_view::FlowKey;
+
+use super::{Forwarder, Output, Route};
+use crate::mark::Recalled;
+use crate::packet::{Packet, Phase};
+use crate::pick::Pick;
+use crate::table::{Entry, EntryState, SHARDS, Tick};
+use crate::target::TargetNumber;
+use crate::topology::Role;
+use crate::{Clock, Moment};
+
+/// Time after a change of membership in which new flows are asked about before they are placed.
+const SETTLE_TIME: Duration = Duration::from_secs(30);
+/// Ticks in which a SYN of a known flow is taken for a retransmission: a minute.
+const RETRANSMIT_TICKS: u32 = 600;
+/// Ticks after which a further packet shows that the target of a guessed flow has not reset it.
+const PROOF_TICKS: u32 = 20;
+/// Ticks of silence after which a closing flow is forgotten: two minutes.
+const CLOSING_IDLE_TICKS: u32 = 1_200;
+/// Ticks of silence after which a flow that never opened is forgotten: a minute.
+const OPENING_IDLE_TICKS: u32 = 600;
+/// Ticks of silence after which a guessed flow is forgotten: a minute.
+const GUESSED_IDLE_TICKS: u32 = 600;
+/// Ticks before which a further SYN is a copy that the fabric made.
+pub(super) const RESEND_TICKS: u32 = 2;
+
+impl<O: Output, C: Clock, P: Pick> Forwarder<O, C, P> {
+    /// Target of an open flow that the shadow knows too; notes that the flow was seen.
+    pub(super) fn settled_target(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+    ) -> Option<TargetNumber> {
+        let changed = Tick::from(self.changed);
+        let entry = self.table.get_mut(packet.key)?;
+        let record = self.targets.get(entry.target());
+        let is_settled = entry.state() == EntryState::Open
+            && entry.seen() > changed
+            && record.is_usable()
+            && record.identity.vni == route.vni;
+        if !is_settled {
+            return None;
+        }
+        entry.set_seen(Tick::from(self.latest));
+        Some(entry.target())
+    }
+
+    /// The entry of a flow, if its target is of the packet's service and still in use.
+    pub(super) fn known(&self, key: FlowKey, route: &Route) -> Option<Entry> {
+        let entry = self.table.get(key)?;
+        let record = self.targets.get(entry.target());
+        let is_good = record.is_usable() && record.identity.vni == route.vni;
+        is_good.then_some(entry)
+    }
+
+    /// Whether a SYN of a known flow is a copy of its first packet.
+    pub(super) fn is_retransmitted(&self, entry: Entry) -> bool {
+        let silence = Tick::from(self.latest).since(entry.seen());
+        entry.state().is_alive() && silence < RETRANSMIT_TICKS
+    }
+
+    /// Whether members have been the same for a while.
+    pub(super) fn is_settled(&self) -> bool {
+        self.latest.since(self.changed) >= SETTLE_TIME
+    }
+
+    /// Notes that a packet of a known flow has been seen.
+    pub(super) fn touch(&mut self, packet: &Packet<'_>, entry: Entry) {
+        let silence = Tick::from(self.latest).since(entry.seen());
+        let is_proved = entry.state() == EntryState::Guessed && silence >= PROOF_TICKS;
+        let state = match (packet.phase, entry.state()) {
+            (Phase::Last, _) => EntryState::Closing,
+            (Phase::Middle, EntryState::Opening | EntryState::Reopening) => EntryState::Open,
+            (Phase::First, EntryState::Opening) if silence >= RESEND_TICKS => EntryState::Reopening,
+            _ if is_proved => EntryState::Open,
+            (_, state) => state,
+        };
+        let fresh =
+            Entry::new(entry.target(), state, Tick::from(self.latest)).with_tcp(entry.is_tcp());
+        if state == entry.state()
+            && let Some(held) = self.table.get_mut(packet.key)
+        {
+            *held = fresh;
+            return;
+        }
+        self.remember(packet.key, fresh);
+    }
+
+    /// Remembers a flow; false when the table is full.
+    pub(crate) fn remember(&mut self, key: FlowKey, entry: Entry) -> bool {
+        let Ok(held) = self.table.insert(key, entry) else {
+            self.counters.flows_unremembered += 1;
+            return false;
+        };
+        if let Some(held) = held {
+            self.uncount(held);
+        }
+        if entry.state() != EntryState::Closing {
+            self.targets.add_flow(entry.target());
+        }
+        true
+    }
+
+    /// Takes an entry that was removed out of its target's count.
+    pub(crate) fn uncount(&mut self, entry: Entry) {
+        if entry.state() != EntryState::Closing {
+            self.targets.remove_flow(entry.target());
+        }
+    }
+
+    /// What to tell another forwarder of an entry.
+    pub(super) fn recall(&self, entry: Entry) -> Recalled {
+        Recalled {
+            target: self.address_of(entry),
+            age: Tick::from(self.latest).since(entry.seen()),
+        }
+    }
+
+    /// Address of an entry's target.
+    pub(super) fn address_of(&self, entry: Entry) -> SocketAddr {
+        self.targets.get(entry.target()).identity.address
+    }
+
+    /// Forgets flows of one shard that have been silent for too long.
+    pub(super) fn sweep(&mut self, now: Moment) {
+        let is_settled = self.is_settled() && self.handover.is_done();
+        let now = Tick::from(now);
+        let targets = &self.targets;
+        let mut topology = self.topology.as_mut().filter(|_| is_settled);
+        let mut expired = Vec::new();
+        self.table.retain(self.sweep, |key, entry| {
+            let idle = match entry.state() {
+                EntryState::Open => targets.get(entry.target()).idle,
+                EntryState::Closing => CLOSING_IDLE_TICKS,
+                EntryState::Guessed => GUESSED_IDLE_TICKS,
+                EntryState::Opening | EntryState::Reopening => OPENING_IDLE_TICKS,
+            };
+            // A flow that others own has been handed over, and its end would not be seen here.
+            let is_others = topology.as_mut().is_some_and(|topology| {
+                let ranks = topology.ranks(key);
+                topology.me().is_some() && topology.role(&ranks) == Role::Relay
+            });
+            let is_kept = !is_others && now.since(entry.seen()) <= idle;
+            if !is_kept {
+                expired.push(entry);
+            }
+            is_kept
+        });
+        self.counters.flows_expired += expired.len() as u64;
+        for entry in expired {
+            self.uncount(entry);
+        }
+        self.sweep = (self.sweep + 1) % SHARDS;
+    }
+}
--- /dev/null
+++ b/crates/forwarder/src/forwarder/owner.rs
@@ -0,0 +1,274 @@
+//! What the owner of a flow does: places it, sends its packets on, or finds out who knows it.
+
+use std::time::Duration;
+
+use bambooseam_view::FlowKey;
+
+use super::memory::RESEND_TICKS;
+use super::peers::Teaching;
+use super::{Forwarder, Output, RELAY_LIMIT, Route};
+use crate::Clock;
+use crate::counters::DropCause;
+use crate::geneve::{Head, Payload};
+use crate::mark::MarkKind;
+use crate::packet::{Packet, Phase};
+use crate::pick::{Loads, Pick};
+use crate::strip::strip_data;
+use crate::table::{Entry, EntryState, Tick};
+use crate::target::TargetNumber;
+use crate::topology::{Group, GroupIndex, Member, Role};
+
+/// Time for which packets are dropped while a dead forwarder may know their flow.
+const HOLD_TIME: Duration = Duration::from_secs(10);
+/// The same for TCP while a zone is cut off: callers of TCP send again for minutes.
+const CUT_HOLD_TIME: Duration = Duration::from_secs(120);
+
+impl<O: Output, C: Clock, P: Pick> Forwarder<O, C, P> {
+    /// Places a packet from the fabric, or one relayed to this forwarder.
+    pub(super) fn arrive(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
+        let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
+        let role = topology.role(&route.ranks);
+        if packet.phase == Phase::Middle
+            && role != Role::Relay
+            && let Some(number) = self.settled_target(packet, route)
+        {
+            return self.deliver(packet, route, number);
+        }
+        let is_owner = role == Role::Owner || route.hops >= RELAY_LIMIT;
+        if !is_owner {
+            // The owner must see how a flow begins and ends.
+            let is_known = role == Role::Shadow && packet.phase == Phase::Middle;
+            let is_open = |entry: &Entry| is_known && !entry.state().is_opening();
+            if let Some(entry) = self.known(packet.key, route).filter(is_open) {
+                self.touch(packet, entry);
+                return self.deliver(packet, route, entry.target());
+            }
+            return self.relay(packet, route);
+        }
+        match self.known(packet.key, route) {
+            Some(entry) if packet.phase != Phase::First => self.pass(packet, route, entry),
+            Some(entry) if self.is_retransmitted(entry) => self.repeat(packet, route, entry),
+            Some(_) => self.begin(packet, route),
+            None if packet.phase == Phase::First && self.is_settled() => self.begin(packet, route),
+            None => self.walk(packet, route, 0),
+        }
+    }
+
+    /// Sends a packet of a known flow on, by way of a shadow that may not know it yet.
+    pub(super) fn pass(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+        entry: Entry,
+    ) -> Result<(), DropCause> {
+        self.touch(packet, entry);
+        let is_due = packet.phase == Phase::Last
+            || entry.state().is_opening()
+            || entry.seen() <= Tick::from(self.changed);
+        if is_due && self.teach(packet, route, entry, Teaching::Path) {
+            return Ok(());
+        }
+        self.deliver(packet, route, entry.target())
+    }
+
+    /// Sends a further copy of a first packet on.
+    ///
+    /// A copy that the fabric made takes the way of the first, as the shadow may yet overrule the
+    /// pick. A caller sends again only after a while: then the shadow may be dead, and the packet
+    /// goes straight to the target. When the caller sends a third time, the target may be dead,
+    /// and another one is picked.
+    pub(super) fn repeat(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+        entry: Entry,
+    ) -> Result<(), DropCause> {
+        let is_copy = Tick::from(self.latest).since(entry.seen()) < RESEND_TICKS;
+        if !is_copy && entry.state() == EntryState::Reopening {
+            return self.place(packet, route, Some(entry.target()));
+        }
+        self.touch(packet, entry);
+        if is_copy && self.teach(packet, route, entry, Teaching::Path) {
+            return Ok(());
+        }
+        if !is_copy {
+            self.teach(packet, route, entry, Teaching::Copy);
+        }
+        self.deliver(packet, route, entry.target())
+    }
+
+    /// Relays a packet to the owner.
+    pub(super) fn relay(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
+        let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
+        let owner = topology.owner(&route.ranks).ok_or(DropCause::NoView)?;
+        let to = owner.address;
+        self.counters.relayed += 1;
+        self.send_marked(to, 0, MarkKind::Relay, route.hops, packet);
+        Ok(())
+    }
+
+    /// Lets the next in rank act as owner while this forwarder's view may be old.
+    pub(super) fn defer(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
+        let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
+        let other = topology.first_other(&route.ranks);
+        let to = other.ok_or(DropCause::Recheck)?.address;
+        self.counters.relayed += 1;
+        let hops = route.hops.max(RELAY_LIMIT);
+        self.send_marked(to, 0, MarkKind::Relay, hops, packet);
+        Ok(())
+    }
+
+    /// Decides on a flow that no forwarder knows.
+    pub(super) fn conclude(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
+        if packet.phase == Phase::First {
+            return self.begin(packet, route);
+        }
+        let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
+        let now = self.latest;
+        let is_recent = |member: &Member| now.since(member.since) < HOLD_TIME;
+        let is_cut = |member: &Member| now.since(member.since) < CUT_HOLD_TIME;
+        let is_held = topology.has_lost_rank(&route.ranks, is_recent)
+            || (packet.is_tcp() && topology.has_lost_zone(is_cut));
+        if is_held {
+            return Err(DropCause::Held);
+        }
+        let is_lost = topology.has_lost_rank(&route.ranks, |_| true);
+        if !packet.is_tcp() && !is_lost {
+            return self.begin(packet, route);
+        }
+        self.guess(packet, route)
+    }
+
+    /// Sends a packet of an unknown flow to the default pick.
+    pub(super) fn guess(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
+        if self.latest < self.recheck_until {
+            return self.defer(packet, route);
+        }
+        let number = self
+            .default_pick(packet.key, route.group)
+            .ok_or(DropCause::NoTarget)?;
+        let seen = Tick::from(self.latest);
+        // A target of UDP takes any packet, so the guess binds the flow.
+        let state = match packet.is_tcp() {
+            true => EntryState::Guessed,
+            false => EntryState::Open,
+        };
+        let entry = Entry::new(number, state, seen).with_tcp(packet.is_tcp());
+        self.remember(packet.key, entry);
+        self.counters.flows_guessed += 1;
+        self.deliver(packet, route, number)
+    }
+
+    /// Places a new flow.
+    pub(super) fn begin(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
+        self.place(packet, route, None)
+    }
+
+    /// Places a new flow, or one that the target `given_up` did not take.
+    pub(super) fn place(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+        given_up: Option<TargetNumber>,
+    ) -> Result<(), DropCause> {
+        if self.latest < self.recheck_until {
+            return self.defer(packet, route);
+        }
+        if self.table.is_full() && self.table.get(packet.key).is_none() {
+            return Err(DropCause::TableFull);
+        }
+        let number = self.pick_target(packet, route, given_up)?;
+        let entry = self.new_entry(packet, number);
+        self.remember(packet.key, entry);
+        self.counters.flows_new += 1;
+        let teaching = match given_up {
+            Some(_) => Teaching::Final,
+            None => Teaching::Path,
+        };
+        if self.teach(packet, route, entry, teaching) {
+            return Ok(());
+        }
+        self.deliver(packet, route, number)
+    }
+
+    /// The entry of a flow that this forwarder has placed.
+    pub(super) fn new_entry(&self, packet: &Packet<'_>, number: TargetNumber) -> Entry {
+        let state = match packet.phase {
+            Phase::First => EntryState::Opening,
+            _ => EntryState::Open,
+        };
+        Entry::new(number, state, Tick::from(self.latest)).with_tcp(packet.is_tcp())
+    }
+
+    /// An open target for a new flow.
+    pub(super) fn pick_target(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+        given_up: Option<TargetNumber>,
+    ) -> Result<TargetNumber, DropCause> {
+        let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
+        let loads = Loads {
+            targets: &self.targets,
+            now: self.latest,
+        };
+        let group = topology.group(route.group);
+        let picked = match given_up {
+            Some(given_up) => self.pick.pick(packet.key, &group.without(given_up), &loads),
+            None => self.pick.pick(packet.key, group, &loads),
+        };
+        let picked = picked.or(given_up).ok_or(DropCause::NoTarget)?;
+        self.check(self.targets.get(picked).is_open(), "new_flow_to_leaving");
+        Ok(picked)
+    }
+
+    /// Sends a packet by the pick of the hash alone.
+    pub(super) fn place_stateless(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+    ) -> Result<(), DropCause> {
+        let number = self.pick_target(packet, route, None)?;
+        self.deliver(packet, route, number)
+    }
+
+    /// Sends a packet to its target.
+    pub(super) fn deliver(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+        number: TargetNumber,
+    ) -> Result<(), DropCause> {
+        let identity = self.targets.get(number).identity;
+        self.check(identity.vni == route.vni, "wrong_service");
+        self.counters.delivered += 1;
+        if packet.phase == Phase::First && packet.has_data {
+            let stripped = strip_data(packet.bytes).ok_or(DropCause::SynData)?;
+            self.counters.syn_stripped += 1;
+            let head = Head::new(identity.vni.get(), None, &Payload::Packet(&stripped));
+            self.output.send(identity.address, &head, &stripped);
+            return Ok(());
+        }
+        let head = Head::new(identity.vni.get(), None, &Payload::Packet(packet.bytes));
+        self.output.send(identity.address, &head, packet.bytes);
+        Ok(())
+    }
+
+    /// The pick of the hash under the oldest view whose target is still in use.
+    pub(super) fn default_pick(&self, key: FlowKey, index: GroupIndex) -> Option<TargetNumber> {
+        let current = self.topology.as_ref()?.group(index);
+        let is_same = |group: &&Group| group.vni == current.vni && group.kind == current.kind;
+        for groups in &self.history {
+            let Some(group) = groups.iter().find(is_same) else {
+                continue;
+            };
+            let Some(number) = group.default_pick(key) else {
+                continue;
+            };
+            if current.has(number) {
+                return Some(number);
+            }
+        }
+        current.default_pick(key)
+    }
+}
--- /dev/null
+++ b/crates/forwarder/src/forwarder/peers.rs
@@ -0,0 +1,272 @@
+//! What forwarders tell one another of a flow, with its packets.
+
+use std::net::SocketAddr;
+
+use super::{Forwarder, Output, Route, Tracking};
+use crate::Clock;
+use crate::counters::DropCause;
+use crate::geneve::{Head, Payload};
+use crate::mark::{Mark, MarkKind, Recalled};
+use crate::packet::{Packet, Phase};
+use crate::pick::Pick;
+use crate::table::{Entry, EntryState, Tick};
+use crate::target::{Identity, Standing};
+
+/// How the shadow is told of a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) enum Teaching {
+    /// The packet goes by way of the shadow to the target.
+    Path,
+    /// The same, and the shadow must not stay with the target that it knows.
+    Final,
+    /// The shadow gets a copy that it does not send on.
+    Copy,
+}
+
+impl<O: Output, C: Clock, P: Pick> Forwarder<O, C, P> {
+    /// Asks the next forwarder in rank, or concludes that none knows the flow.
+    pub(super) fn walk(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+        from: usize,
+    ) -> Result<(), DropCause> {
+        if let Some(entry) = self.known(packet.key, route) {
+            // Another packet of the flow was faster.
+            return self.pass(packet, route, entry);
+        }
+        let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
+        let Some((rank, member)) = topology.next_asked(&route.ranks, from) else {
+            return self.conclude(packet, route);
+        };
+        let kind = MarkKind::Ask { rank: rank as u8 };
+        let to = member.address;
+        self.counters.asked += 1;
+        self.send_marked(to, 0, kind, route.hops, packet);
+        Ok(())
+    }
+
+    /// Returns a packet to the forwarder that asked, with what is known.
+    pub(super) fn answer(
+        &mut self,
+        source: SocketAddr,
+        packet: &Packet<'_>,
+        route: &Route,
+        rank: u8,
+    ) {
+        let is_wanted = |entry: &Entry| {
+            let is_sure = entry.state() != EntryState::Guessed;
+            is_sure && (packet.phase != Phase::First || self.is_retransmitted(*entry))
+        };
+        let (vni, kind) = match self.known(packet.key, route).filter(is_wanted) {
+            Some(entry) => (route.vni.get(), MarkKind::Known(self.recall(entry))),
+            None => (0, MarkKind::Unknown { rank }),
+        };
+        self.counters.answered += 1;
+        self.send_marked(source, vni, kind, route.hops, packet);
+    }
+
+    /// Learns from an answer and sends the packet on.
+    pub(super) fn take_known(
+        &mut self,
+        source: SocketAddr,
+        packet: &Packet<'_>,
+        route: &Route,
+        recalled: Recalled,
+    ) -> Result<(), DropCause> {
+        if let Some(entry) = self.known(packet.key, route) {
+            return self.pass(packet, route, entry);
+        }
+        if packet.phase == Phase::First && self.is_gone(route, recalled) {
+            return self.begin(packet, route);
+        }
+        let entry = self.learn(source, packet, route, recalled);
+        let is_from_shadow = self
+            .topology
+            .as_ref()
+            .and_then(|topology| topology.first_other(&route.ranks))
+            .is_some_and(|shadow| shadow.address == source);
+        if !is_from_shadow && self.teach(packet, route, entry, Teaching::Path) {
+            return Ok(());
+        }
+        self.deliver(packet, route, entry.target())
+    }
+
+    /// Learns as shadow and sends the packet to the target.
+    pub(super) fn take_learn(
+        &mut self,
+        source: SocketAddr,
+        packet: &Packet<'_>,
+        route: &Route,
+        recalled: Recalled,
+        is_final: bool,
+    ) -> Result<(), DropCause> {
+        let held = self.known(packet.key, route).filter(|_| !is_final);
+        let other = held.filter(|entry| self.address_of(*entry) != recalled.target);
+        if let Some(entry) = other
+            && self.is_better(packet, entry, recalled)
+        {
+            self.counters.conflicts += 1;
+            self.send_correct(source, packet, route, entry);
+            self.touch(packet, entry);
+            return self.deliver(packet, route, entry.target());
+        }
+        if packet.phase == Phase::First && self.is_closed(route, recalled) {
+            return self.overrule(source, packet, route);
+        }
+        let entry = self.learn(source, packet, route, recalled);
+        self.deliver(packet, route, entry.target())
+    }
+
+    /// Whether the view says that a target takes no new flows.
+    pub(super) fn is_closed(&self, route: &Route, recalled: Recalled) -> bool {
+        let standing = self.standing_of(route, recalled);
+        matches!(standing, Some(Standing::Leaving | Standing::Gone))
+    }
+
+    /// Whether the view has lost a target that it had before.
+    pub(super) fn is_gone(&self, route: &Route, recalled: Recalled) -> bool {
+        self.standing_of(route, recalled) == Some(Standing::Gone)
+    }
+
+    /// What the view says of a target that another forwarder names.
+    pub(super) fn standing_of(&self, route: &Route, recalled: Recalled) -> Option<Standing> {
+        let number = self.targets.find(Identity {
+            vni: route.vni,
+            address: recalled.target,
+        })?;
+        Some(self.targets.get(number).standing)
+    }
+
+    /// Picks anew as shadow, since the owner does not know yet that its pick is leaving.
+    pub(super) fn overrule(
+        &mut self,
+        source: SocketAddr,
+        packet: &Packet<'_>,
+        route: &Route,
+    ) -> Result<(), DropCause> {
+        let number = self.pick_target(packet, route, None)?;
+        let entry = self.new_entry(packet, number);
+        self.remember(packet.key, entry);
+        self.counters.conflicts += 1;
+        self.send_correct(source, packet, route, entry);
+        self.deliver(packet, route, number)
+    }
+
+    /// Tells another forwarder what this one remembers, with a copy of the packet.
+    pub(super) fn send_correct(
+        &mut self,
+        to: SocketAddr,
+        packet: &Packet<'_>,
+        route: &Route,
+        entry: Entry,
+    ) {
+        let kind = MarkKind::Correct(self.recall(entry));
+        self.counters.control_bytes += packet.bytes.len() as u64;
+        self.send_marked(to, route.vni.get(), kind, route.hops, packet);
+    }
+
+    /// Learns without sending the packet on.
+    pub(super) fn take_correct(
+        &mut self,
+        source: SocketAddr,
+        packet: &Packet<'_>,
+        route: &Route,
+        recalled: Recalled,
+    ) -> Result<(), DropCause> {
+        self.learn(source, packet, route, recalled);
+        Ok(())
+    }
+
+    /// Whether an own entry is to be believed rather than the sender's.
+    pub(super) fn is_better(&self, packet: &Packet<'_>, entry: Entry, recalled: Recalled) -> bool {
+        if entry.state() == EntryState::Guessed {
+            return false;
+        }
+        if packet.phase == Phase::First {
+            return self.is_retransmitted(entry);
+        }
+        // Of two picks at the same time the shadow's stands, as both owners ask it.
+        Tick::from(self.latest).since(entry.seen()) <= recalled.age
+    }
+
+    /// Remembers what another forwarder said; the entry is good for this packet in any case.
+    pub(super) fn learn(
+        &mut self,
+        source: SocketAddr,
+        packet: &Packet<'_>,
+        route: &Route,
+        recalled: Recalled,
+    ) -> Entry {
+        let identity = Identity {
+            vni: route.vni,
+            address: recalled.target,
+        };
+        let number = self
+            .targets
+            .intern(identity, Standing::Foreign(self.latest));
+        let state = match packet.phase {
+            Phase::First => EntryState::Opening,
+            Phase::Middle => EntryState::Open,
+            Phase::Last => EntryState::Closing,
+        };
+        let entry = Entry::new(number, state, Tick::from(self.latest)).with_tcp(packet.is_tcp());
+        // A forwarder that joined may be in the views of others before it is in this one.
+        self.counters.unknown_senders += u64::from(!self.is_member(source));
+        // Forwarders that kept a lost target for one another would keep it for ever.
+        if self.targets.get(number).is_usable() && self.remember(packet.key, entry) {
+            self.counters.flows_learned += 1;
+        }
+        entry
+    }
+
+    /// Tells the shadow of a flow; false if there is none.
+    pub(super) fn teach(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+        entry: Entry,
+        teaching: Teaching,
+    ) -> bool {
+        if self.tracking != Tracking::OwnerShadow || entry.state() == EntryState::Guessed {
+            return false;
+        }
+        let topology = self.topology.as_ref();
+        let Some(shadow) = topology.and_then(|topology| topology.first_other(&route.ranks)) else {
+            return false;
+        };
+        let to = shadow.address;
+        let recalled = self.recall(entry);
+        let kind = match teaching {
+            Teaching::Path | Teaching::Final => MarkKind::Learn {
+                recalled,
+                is_final: teaching == Teaching::Final,
+            },
+            Teaching::Copy => MarkKind::Correct(recalled),
+        };
+        match teaching {
+            Teaching::Path | Teaching::Final => self.counters.taught += 1,
+            Teaching::Copy => self.counters.control_bytes += packet.bytes.len() as u64,
+        }
+        self.send_marked(to, route.vni.get(), kind, route.hops, packet);
+        true
+    }
+
+    /// Sends a packet to another forwarder.
+    pub(super) fn send_marked(
+        &mut self,
+        to: SocketAddr,
+        vni: u32,
+        kind: MarkKind,
+        hops: u8,
+        packet: &Packet<'_>,
+    ) {
+        let mark = Mark {
+            kind,
+            hops: hops.saturating_add(1),
+            revision: self.revision().unwrap_or_default(),
+        };
+        let head = Head::new(vni, Some(&mark), &Payload::Packet(packet.bytes));
+        self.output.send(to, &head, packet.bytes);
+    }
+}
