Hand over all flows, not only exceptions

Cause:: a silent feed of the default pick was forgotten by every forwarder, a target joined, and a forwarder without the earlier view guessed another target. Ruled out: guesses from the longest history among the ranks (a full replacement loses it); longer life for guesses (a flood of strays would fill the table). Change: handovers carry every flow of which the forwarder is neither owner nor shadow. Conclusion: a leave takes longer; the cost is measured next.

--- a/crates/forwarder/src/handover.rs
+++ b/crates/forwarder/src/handover.rs
@@ -1,10 +1,11 @@
-//! Handover of flows that the default pick would not find.
+//! Handover of flows to the forwarders that own them now.
 //!
 //! After a change of membership a forwarder that is neither owner nor shadow of a flow any more
-//! tells the owner of it, at a budgeted rate, unless the default pick gives the same target. A
-//! leaving forwarder does so for all its flows, and is done when each batch has been confirmed.
-//! UDP flows are always told: their first packet looks like any other, so a flow that no
-//! forwarder knows is taken for a new one.
+//! tells the first in rank of it, at a budgeted rate, and then forgets it. A leaving forwarder
+//! does so for all its flows, and is done when each batch has been confirmed.
+//!
+//! Flows of the default pick are told as well. A silent one would be forgotten by all otherwise,
+//! and the default pick is another as soon as a target joins.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,6 +28,8 @@
 const BATCH_LIMIT: usize = 120;
 /// Bytes of IP and UDP headers around a batch.
 const FRAME_BYTES: usize = 28;
+/// Shards that are looked at in one step, so that packets wait only a little.
+const SCAN_SHARDS: usize = 64;
 /// Time after which an unconfirmed batch is sent again.
 const RETRY_TIME: Duration = Duration::from_secs(1);
 /// Times that a batch is sent before its flows are looked at anew.
@@ -164,10 +167,15 @@
         self.table.iter().filter(is_exception).count()
     }
 
-    /// Collects the flows to hand over, sorted so that batches are large.
+    /// Collects flows to hand over from some shards, sorted so that batches are large.
     fn scan_shards(&mut self) {
         let mut items = Vec::new();
-        for shard in self.handover.shard.take().unwrap_or(SHARDS)..SHARDS {
+        let start = self.handover.shard.take().unwrap_or(SHARDS);
+        let end = (start + SCAN_SHARDS).min(SHARDS);
+        if end < SHARDS {
+            self.handover.shard = Some(end);
+        }
+        for shard in start..end {
             let entries: Vec<(FlowKey, Entry)> = self.table.shard(shard).collect();
             for (key, entry) in entries {
                 items.extend(self.handover_item(key, entry));
@@ -192,9 +200,6 @@
             return None;
         }
         let to = topology.first_other(&ranks)?.address;
-        if entry.is_tcp() && self.is_default(key, entry.target()) {
-            return None;
-        }
         Some(Item {
             to,
             is_tcp: entry.is_tcp(),
