--- a/crates/forwarder/src/pick.rs
+++ b/crates/forwarder/src/pick.rs
@@ -12,7 +12,7 @@
 const RAMP_START: f64 = 0.1;
 
 /// Part of its fair share by which a target may exceed it.
-const SLACK: f64 = 0.03;
+const SLACK: f64 = 0.01;
 
 /// Salt that makes the second of two choices independent of the first.
 const SECOND_CHOICE: u64 = 0x9E37_79B9_7F4A_7C15;
--- a/crates/forwarder/src/topology.rs
+++ b/crates/forwarder/src/topology.rs
@@ -21,6 +21,8 @@
 const NOBODY: u16 = u16::MAX;
 /// Stands for ranks that were not computed yet.
 const NOT_RANKED: u16 = u16::MAX - 1;
+/// Most proxies that the connections of one service are spread over.
+const PROXY_LIMIT: usize = 32;
 /// Port on which a VM's kernel takes packets for its proxy.
 const GENEVE_PORT: u16 = 6081;
 
@@ -424,24 +426,38 @@
             }
         }
         EntranceKind::Requests if service.request_port.is_none() => {}
-        EntranceKind::Requests => {
-            for vm in &view.vms {
-                if vm.health == VmHealth::Joining {
-                    continue;
-                }
-                let offer = Offer {
-                    address: SocketAddr::new(vm.entry.forwarder.ip(), GENEVE_PORT),
-                    hash: FlowKey::of_name(vm.entry.id.as_str()).get(),
-                    weight: Weight::USUAL,
-                    is_open: vm.health == VmHealth::Live,
-                };
-                group.add(offer, targets);
-            }
-        }
+        EntranceKind::Requests => list_proxies(view, &mut group, targets),
     }
     group
 }
 
+/// Adds the proxies of a service: the first live ones in a ranking by the service.
+///
+/// Others keep the connections that they have.
+fn list_proxies(view: &View, group: &mut Group, targets: &mut TargetRegistry) {
+    let key = FlowKey::from(u64::from(group.vni.get()));
+    let mut walk = view.proxies().walk(key);
+    walk.truncate(PROXY_LIMIT);
+    walk.sort_unstable();
+    for (index, vm) in view.vms.iter().enumerate() {
+        let address = SocketAddr::new(vm.entry.forwarder.ip(), GENEVE_PORT);
+        if vm.health == VmHealth::Joining {
+            continue;
+        }
+        if walk.binary_search(&index).is_err() {
+            group.keep(address, targets);
+            continue;
+        }
+        let offer = Offer {
+            address,
+            hash: FlowKey::of_name(vm.entry.id.as_str()).get(),
+            weight: Weight::USUAL,
+            is_open: true,
+        };
+        group.add(offer, targets);
+    }
+}
+
 /// A target as the view names it.
 struct Offer {
     address: SocketAddr,
@@ -451,6 +467,18 @@
 }
 
 impl Group {
+    /// Lets a target that is known already keep its flows.
+    fn keep(&self, address: SocketAddr, targets: &mut TargetRegistry) {
+        let identity = Identity {
+            vni: self.vni,
+            address,
+        };
+        if let Some(number) = targets.find(identity) {
+            targets.set_standing(number, Standing::Leaving);
+            targets.set_idle(number, self.idle_ticks());
+        }
+    }
+
     /// Adds a candidate and sets what the view says of it.
     fn add(&mut self, offer: Offer, targets: &mut TargetRegistry) {
         let identity = Identity {
--- a/tests/tests/flows_limits.rs
+++ b/tests/tests/flows_limits.rs
@@ -20,7 +20,10 @@
 
 /// Keeps what is sent.
 #[derive(Clone, Default)]
-struct Sent(Rc<RefCell<Vec<(SocketAddr, Vec<u8>)>>>);
+struct Sent(Rc<RefCell<Vec<Datagram>>>);
+
+/// Where a datagram goes, and its bytes.
+type Datagram = (SocketAddr, Vec<u8>);
 
 /// A clock that shows what it was set to.
 #[derive(Clone, Default)]
@@ -72,7 +75,7 @@
     }
 
     /// Takes a datagram of the fabric and gives what is sent.
-    fn take(&mut self, bytes: &[u8]) -> Vec<(SocketAddr, Vec<u8>)> {
+    fn take(&mut self, bytes: &[u8]) -> Vec<Datagram> {
         self.forwarder.receive(SocketAddr::from(FABRIC), bytes);
         self.sent.0.borrow_mut().drain(..).collect()
     }
@@ -271,3 +274,11 @@
         assert_eq!(geneve::decode(bytes).map(|datagram| datagram.vni), Ok(101));
     }
 }
+
+#[test]
+fn connections_of_a_service_are_spread_over_a_bounded_number_of_proxies() {
+    let deployment = deployment_of(100);
+    let bench = Bench::new(&deployment, 0, 1_000);
+    // 15 targets and 4 of the other service, and at most 32 proxies for each of the two.
+    assert!(bench.forwarder.targets().records().len() <= 19 + 2 * 32);
+}
