Add the platform stand-in

Cause: agents need a platform to read and watch. Ruled out: an existing key-value server; third-party servers are not wanted.

--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -221,6 +221,19 @@
         true
     }
 
+    /// All documents by key, without the prefix, in the order in which they are published.
+    pub fn documents(&self) -> Vec<(String, String)> {
+        let mut documents = vec![
+            ("vms".to_owned(), self.vms.to_text()),
+            ("targets".to_owned(), self.targets.to_text()),
+        ];
+        for (name, text) in &self.presets {
+            documents.push((format!("presets/{name}"), text.clone()));
+        }
+        documents.push(("preset-in-force".to_owned(), self.pointer.to_text()));
+        documents
+    }
+
     /// What an agent that has read all documents would serve as view `number`.
     pub fn source(&self, number: u64) -> ViewSource {
         let preset = self.preset_text(&self.pointer.name).unwrap_or_default();
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,279 @@
+//! The platform's configuration service: HTTP, reads and waiting watches by index.
+//!
+//! `GET` and `PUT` under `/v1/kv/` work as common key-value services do it. Faults are set through
+//! [`Platform::set_mode`] and [`Platform::set_lag`], or by `POST /standin/mode` with the same
+//! words as [`Mode`]; `GET /standin/stats` counts the calls.
+
+mod store;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::Deployment;
+use crate::http::{ServeError, plain, serve};
+
+pub use store::{Mode, ParseModeError, Stats, Value};
+use store::{Store, Watch};
+
+/// Reads per second that the platform answers.
+pub const READ_LIMIT: u32 = 2_000;
+/// Largest value in bytes.
+const VALUE_LIMIT: usize = 1 << 20;
+/// Header with the index of a value.
+const INDEX_HEADER: &str = "X-Consul-Index";
+/// Path before a key.
+const KEY_PATH: &str = "/v1/kv/";
+/// Wait of a watch that names none.
+const WAIT_TIME: Duration = Duration::from_secs(300);
+
+/// A running platform; it stops when dropped.
+#[derive(Debug)]
+pub struct Platform {
+    address: SocketAddr,
+    store: Arc<Store>,
+    stop: CancellationToken,
+}
+
+/// What a `GET` asks for.
+#[derive(Debug, Default)]
+struct Query {
+    index: Option<u64>,
+    wait: Option<Duration>,
+    cas: Option<u64>,
+}
+
+/// Why a connection is closed without an answer.
+#[derive(Debug, Clone, Copy, Display)]
+#[display("the platform is down")]
+struct DownError;
+
+impl std::error::Error for DownError {}
+
+impl Platform {
+    /// Starts with no key, limited to [`READ_LIMIT`] reads a second.
+    ///
+    /// # Errors
+    ///
+    /// An error when the address can't be bound.
+    pub async fn start(address: SocketAddr) -> io::Result<Self> {
+        Self::start_limited(address, READ_LIMIT).await
+    }
+
+    /// Starts with no key and a limit of `reads` a second over all callers.
+    ///
+    /// # Errors
+    ///
+    /// An error when the address can't be bound.
+    pub async fn start_limited(address: SocketAddr, reads: u32) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let store = Arc::new(Store::new(reads));
+        let stop = CancellationToken::new();
+        let held = Arc::clone(&store);
+        let work = serve(listener, stop.clone(), move |request| {
+            answer(Arc::clone(&held), request)
+        });
+        tokio::spawn(work);
+        Ok(Self {
+            address,
+            store,
+            stop,
+        })
+    }
+
+    /// The address that is bound.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Publishes all documents of a deployment, the pointer last, under `prefix` (without `/`).
+    pub fn publish(&self, prefix: &str, deployment: &Deployment) {
+        for (key, value) in deployment.documents() {
+            self.put(&format!("{prefix}/{key}"), value);
+        }
+    }
+
+    /// Sets a key and gives its new index; an unchanged value is written again.
+    pub fn put(&self, key: &str, value: impl Into<String>) -> u64 {
+        self.store.put(key, value.into())
+    }
+
+    /// Sets a key if its index is `index` (0: no such key); false when it is not.
+    pub fn cas(&self, key: &str, value: impl Into<String>, index: u64) -> bool {
+        self.store.cas(key, value.into(), index)
+    }
+
+    /// The newest value of a key, whatever the mode.
+    pub fn get(&self, key: &str) -> Option<Value> {
+        self.store.newest(key)
+    }
+
+    /// Sets how calls are answered from now on; watches that wait notice it.
+    pub fn set_mode(&self, mode: Mode) {
+        self.store.set_mode(mode);
+    }
+
+    /// Lets readers see changes of a key only after `lag`; zero ends the lag.
+    pub fn set_lag(&self, key: &str, lag: Duration) {
+        self.store.set_lag(key, lag);
+    }
+
+    /// Calls so far.
+    pub fn stats(&self) -> Stats {
+        self.store.stats()
+    }
+
+    /// Waits until the platform has been stopped.
+    pub async fn stopped(&self) {
+        self.stop.cancelled().await;
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+impl Query {
+    /// Reads the parameters that the platform knows; others are passed over.
+    fn parse(text: &str) -> Option<Self> {
+        let mut query = Self::default();
+        for pair in text.split('&') {
+            let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+            match name {
+                "index" => query.index = Some(value.parse().ok()?),
+                "cas" => query.cas = Some(value.parse().ok()?),
+                "wait" => query.wait = Some(humantime::parse_duration(value).ok()?),
+                _ => continue,
+            }
+        }
+        Some(query)
+    }
+}
+
+/// Answers one call.
+async fn answer(
+    store: Arc<Store>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, ServeError> {
+    let path = request.uri().path().to_owned();
+    let Some(query) = Query::parse(request.uri().query().unwrap_or_default()) else {
+        return Ok(plain(StatusCode::BAD_REQUEST, "a bad parameter\n"));
+    };
+    if let Some(key) = path.strip_prefix(KEY_PATH) {
+        return match *request.method() {
+            Method::GET => read(&store, key, &query).await,
+            Method::PUT => write(&store, key, &query, request).await,
+            _ => Ok(plain(StatusCode::METHOD_NOT_ALLOWED, "GET or PUT\n")),
+        };
+    }
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/standin/stats") => Ok(plain(StatusCode::OK, store.stats().to_string())),
+        (&Method::POST, "/standin/mode") => {
+            let text = body_text(request).await?;
+            Ok(change_mode(&store, text.trim()))
+        }
+        _ => Ok(plain(StatusCode::NOT_FOUND, "unknown path\n")),
+    }
+}
+
+/// Answers a read, which may wait.
+async fn read(
+    store: &Store,
+    key: &str,
+    query: &Query,
+) -> Result<Response<Full<Bytes>>, ServeError> {
+    let is_admitted = store.admit_read(query.index.is_some());
+    let mode = store.mode();
+    if mode == Mode::Down {
+        return Err(Box::new(DownError));
+    }
+    if !is_admitted {
+        let mut refusal = plain(StatusCode::TOO_MANY_REQUESTS, "read limit\n");
+        refusal
+            .headers_mut()
+            .insert(hyper::header::RETRY_AFTER, 1.into());
+        return Ok(refusal);
+    }
+    if let Mode::Slow(delay) = mode {
+        tokio::time::sleep(delay).await;
+    }
+    let found = match query.index {
+        None => store.visible(key),
+        Some(index) => {
+            let until = Instant::now() + query.wait.unwrap_or(WAIT_TIME);
+            match store.watch(key, index, until).await {
+                Watch::Answer(found) => found,
+                Watch::Down => return Err(Box::new(DownError)),
+            }
+        }
+    };
+    let Some(value) = found else {
+        return Ok(plain(StatusCode::NOT_FOUND, ""));
+    };
+    let mut response = plain(StatusCode::OK, value.text);
+    response
+        .headers_mut()
+        .insert(INDEX_HEADER, value.index.into());
+    Ok(response)
+}
+
+/// Answers a write.
+async fn write(
+    store: &Store,
+    key: &str,
+    query: &Query,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, ServeError> {
+    if store.mode() == Mode::Down {
+        return Err(Box::new(DownError));
+    }
+    let text = body_text(request).await?;
+    let is_taken = match query.cas {
+        Some(index) => store.cas(key, text, index),
+        None => store.put(key, text) > 0,
+    };
+    Ok(plain(StatusCode::OK, is_taken.to_string()))
+}
+
+/// Answers a change of mode: the words of a mode, or `lag KEY TIME`.
+fn change_mode(store: &Store, text: &str) -> Response<Full<Bytes>> {
+    if let Some(lag) = text.strip_prefix("lag ") {
+        let parsed = lag.split_once(' ').and_then(|(key, time)| {
+            let time = humantime::parse_duration(time).ok()?;
+            Some((key, time))
+        });
+        let Some((key, time)) = parsed else {
+            return plain(StatusCode::BAD_REQUEST, "lag KEY TIME\n");
+        };
+        store.set_lag(key, time);
+        return plain(StatusCode::OK, "");
+    }
+    match text.parse() {
+        Ok(mode) => {
+            store.set_mode(mode);
+            plain(StatusCode::OK, "")
+        }
+        Err(error) => plain(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    }
+}
+
+/// Reads a body as text, within the size limit of a value.
+async fn body_text(request: Request<Incoming>) -> Result<String, ServeError> {
+    let body = Limited::new(request.into_body(), VALUE_LIMIT)
+        .collect()
+        .await?;
+    Ok(String::from_utf8(body.to_bytes().to_vec())?)
+}
--- /dev/null
+++ b/crates/standin/src/platform/store.rs
@@ -0,0 +1,317 @@
+//! Keys with their history, the read limit and the modes of the platform.
+
+use std::str::FromStr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Values of a key that are kept for readers that see it late.
+const HISTORY_LIMIT: usize = 256;
+
+/// How calls are answered.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
+pub enum Mode {
+    /// At once and with the newest value.
+    #[default]
+    #[display("ok")]
+    Ok,
+    /// Connections are closed without an answer.
+    #[display("down")]
+    Down,
+    /// Each answer comes after this time.
+    #[display("slow {}", humantime::format_duration(*_0))]
+    Slow(Duration),
+    /// Reads see what was there when the mode began.
+    #[display("stale")]
+    Stale,
+    /// Each read is refused as beyond the limit.
+    #[display("refusing")]
+    Refusing,
+}
+
+/// Text that is not a mode.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("{found:?} is not ok, down, slow TIME, stale or refusing")]
+pub struct ParseModeError {
+    /// What was given.
+    pub found: String,
+}
+
+/// Value of a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Value {
+    /// The text.
+    pub text: String,
+    /// Number of the change that set it.
+    pub index: u64,
+    /// When it was set.
+    pub since: Instant,
+}
+
+/// Calls that the platform got.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
+#[display("reads={reads} watches={watches} refused={refused} writes={writes}")]
+pub struct Stats {
+    /// Reads, each watch as one, refused ones included.
+    pub reads: u64,
+    /// Watches among the reads.
+    pub watches: u64,
+    /// Reads refused by rate.
+    pub refused: u64,
+    /// Writes taken.
+    pub writes: u64,
+}
+
+/// How a watch ended.
+#[derive(Debug)]
+pub(super) enum Watch {
+    /// With the value that is visible now.
+    Answer(Option<Value>),
+    /// Without an answer.
+    Down,
+}
+
+/// State of the platform.
+#[derive(Debug)]
+pub(super) struct Store {
+    inner: Mutex<Inner>,
+    changes: watch::Sender<u64>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    keys: Vec<Key>,
+    index: u64,
+    mode: Mode,
+    frozen: Option<Instant>,
+    stats: Stats,
+    limit: ReadLimit,
+}
+
+/// A key, its history and how late readers see it.
+#[derive(Debug)]
+struct Key {
+    name: String,
+    history: Vec<Value>,
+    lag: Duration,
+}
+
+/// Token bucket that holds the reads of one second.
+#[derive(Debug)]
+struct ReadLimit {
+    rate: f64,
+    tokens: f64,
+    refilled: Instant,
+}
+
+impl FromStr for Mode {
+    type Err = ParseModeError;
+
+    fn from_str(text: &str) -> Result<Self, ParseModeError> {
+        let error = || ParseModeError { found: text.into() };
+        if let Some(time) = text.strip_prefix("slow ") {
+            let time = humantime::parse_duration(time).map_err(|_| error())?;
+            return Ok(Self::Slow(time));
+        }
+        match text {
+            "ok" => Ok(Self::Ok),
+            "down" => Ok(Self::Down),
+            "stale" => Ok(Self::Stale),
+            "refusing" => Ok(Self::Refusing),
+            _ => Err(error()),
+        }
+    }
+}
+
+impl Store {
+    /// Creates an empty store with a limit of reads per second.
+    pub(super) fn new(reads: u32) -> Self {
+        let inner = Inner {
+            keys: Vec::new(),
+            index: 0,
+            mode: Mode::Ok,
+            frozen: None,
+            stats: Stats::default(),
+            limit: ReadLimit {
+                rate: f64::from(reads),
+                tokens: f64::from(reads),
+                refilled: Instant::now(),
+            },
+        };
+        Self {
+            inner: Mutex::new(inner),
+            changes: watch::Sender::new(0),
+        }
+    }
+
+    pub(super) fn mode(&self) -> Mode {
+        self.lock().mode
+    }
+
+    pub(super) fn stats(&self) -> Stats {
+        self.lock().stats
+    }
+
+    pub(super) fn set_mode(&self, mode: Mode) {
+        let mut inner = self.lock();
+        inner.mode = mode;
+        inner.frozen = (mode == Mode::Stale).then(Instant::now);
+        drop(inner);
+        self.announce();
+    }
+
+    pub(super) fn set_lag(&self, name: &str, lag: Duration) {
+        self.lock().key_mut(name).lag = lag;
+        self.announce();
+    }
+
+    pub(super) fn put(&self, name: &str, text: String) -> u64 {
+        let index = self.lock().set(name, text);
+        self.announce();
+        index
+    }
+
+    pub(super) fn cas(&self, name: &str, text: String, index: u64) -> bool {
+        let mut inner = self.lock();
+        let held = inner.newest(name).map_or(0, |value| value.index);
+        if held != index {
+            return false;
+        }
+        inner.set(name, text);
+        drop(inner);
+        self.announce();
+        true
+    }
+
+    pub(super) fn newest(&self, name: &str) -> Option<Value> {
+        self.lock().newest(name).cloned()
+    }
+
+    /// Counts a read and says whether it is within the limit.
+    pub(super) fn admit_read(&self, is_watch: bool) -> bool {
+        let mut inner = self.lock();
+        inner.stats.reads += 1;
+        inner.stats.watches += u64::from(is_watch);
+        let is_admitted = inner.mode != Mode::Refusing && inner.limit.take(Instant::now());
+        inner.stats.refused += u64::from(!is_admitted);
+        is_admitted
+    }
+
+    /// The value that readers see now.
+    pub(super) fn visible(&self, name: &str) -> Option<Value> {
+        let inner = self.lock();
+        let key = inner.key(name)?;
+        key.at(inner.frozen, Instant::now()).cloned()
+    }
+
+    /// Waits until readers see an index above `index` or the time is over.
+    pub(super) async fn watch(&self, name: &str, index: u64, until: Instant) -> Watch {
+        let mut changes = self.changes.subscribe();
+        loop {
+            changes.borrow_and_update();
+            if self.mode() == Mode::Down {
+                return Watch::Down;
+            }
+            let found = self.visible(name);
+            let is_newer = found.as_ref().is_some_and(|value| value.index > index);
+            if is_newer || Instant::now() >= until {
+                return Watch::Answer(found);
+            }
+            let next = self.next_visible(name).unwrap_or(until).min(until);
+            tokio::select! {
+                _ = changes.changed() => {}
+                () = tokio::time::sleep_until(next) => {}
+            }
+        }
+    }
+
+    /// When readers see the next value of a lagging key.
+    fn next_visible(&self, name: &str) -> Option<Instant> {
+        let inner = self.lock();
+        if inner.frozen.is_some() {
+            return None;
+        }
+        let key = inner.key(name)?;
+        let now = Instant::now();
+        let shown = key.history.iter().map(|value| value.since + key.lag);
+        shown.filter(|time| *time > now).min()
+    }
+
+    fn announce(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn key(&self, name: &str) -> Option<&Key> {
+        let found = self
+            .keys
+            .binary_search_by(|key| key.name.as_str().cmp(name));
+        found.ok().map(|at| &self.keys[at])
+    }
+
+    fn key_mut(&mut self, name: &str) -> &mut Key {
+        let found = self
+            .keys
+            .binary_search_by(|key| key.name.as_str().cmp(name));
+        let at = found.unwrap_or_else(|at| {
+            let key = Key {
+                name: name.into(),
+                history: Vec::new(),
+                lag: Duration::ZERO,
+            };
+            self.keys.insert(at, key);
+            at
+        });
+        &mut self.keys[at]
+    }
+
+    fn newest(&self, name: &str) -> Option<&Value> {
+        self.key(name)?.history.last()
+    }
+
+    fn set(&mut self, name: &str, text: String) -> u64 {
+        self.index += 1;
+        self.stats.writes += 1;
+        let value = Value {
+            text,
+            index: self.index,
+            since: Instant::now(),
+        };
+        let key = self.key_mut(name);
+        key.history.push(value);
+        if key.history.len() > HISTORY_LIMIT {
+            key.history.remove(0);
+        }
+        self.index
+    }
+}
+
+impl Key {
+    /// The value that was visible at the moment that readers see.
+    fn at(&self, frozen: Option<Instant>, now: Instant) -> Option<&Value> {
+        let seen = frozen.unwrap_or(now);
+        let mut values = self.history.iter().rev();
+        values.find(|value| value.since + self.lag <= seen)
+    }
+}
+
+impl ReadLimit {
+    fn take(&mut self, now: Instant) -> bool {
+        let passed = now - self.refilled;
+        self.refilled = now;
+        self.tokens = (self.tokens + passed.as_secs_f64() * self.rate).min(self.rate);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
