Add stand-ins for targets, fabric, callers and feeds

Cause: the whole path needs both of its ends. Ruled out: kernel Geneve devices, which need rights that the tests do not have; targets answer feeds by a plain datagram instead. Change: targets with slots, shedding, drain, cold start, deadlines, cancellation and a log of runs; Geneve end of flows; a fabric that sprays packets; callers that judge each answer by its checksum; feeds that notice another target, lost state and silence; settings files for a deployment.

--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -5,10 +5,12 @@
 use bambooseam_config::{
     InForce, TargetEntry, TargetList, TargetState, VmEntry, VmList, VmState, digest_of,
 };
-use bambooseam_types::{PresetName, Revision, Weight};
+use bambooseam_types::{PresetName, Revision, ServiceId, Weight};
 use bambooseam_view::{ViewNumber, ViewSource};
 use derive_more::{Display, FromStr};
 
+use crate::TargetSpec;
+
 /// Which of the users' places.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromStr)]
 pub enum DeploymentKind {
@@ -68,6 +70,9 @@
 const TARGET_PORT: u16 = 8080;
 
 impl Plan {
+    /// Start of all published keys, without `/`.
+    pub const PREFIX: &str = "bambooseam";
+
     /// The plan of one of the users' places, in the network `127.1`.
     pub fn of(kind: DeploymentKind) -> Self {
         match kind {
@@ -201,6 +206,17 @@
         Plan::of(kind).build()
     }
 
+    /// All targets as stand-ins, each with its service's identifier.
+    pub fn target_specs(&self, plan: &Plan) -> Vec<TargetSpec> {
+        let spec = |entry: &TargetEntry| {
+            let is_orders = entry.service.as_str() == plan.orders.0;
+            let vni = if is_orders { ORDERS_VNI } else { DOWNLOADS_VNI };
+            let vni = ServiceId::try_from(vni).expect("a valid identifier");
+            TargetSpec::new(entry.clone(), vni)
+        };
+        self.targets.0.iter().map(spec).collect()
+    }
+
     /// Text of the preset called `name`.
     pub fn preset_text(&self, name: &PresetName) -> Option<&str> {
         let found = self.presets.iter().find(|(held, _)| held == name)?;
--- /dev/null
+++ b/crates/standin/src/feed.rs
@@ -0,0 +1,224 @@
+//! Feeds: long UDP flows of callers, and what their datagrams say.
+//!
+//! A datagram carries a sequence number; the target answers with its name and the same number. A
+//! feed is broken when another target answers, when its target had not seen its start, or when
+//! answers stay away.
+
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use crate::Fabric;
+
+/// Silence after which a feed is taken for broken.
+const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+/// Largest datagram of an answer.
+const ANSWER_BYTES: usize = 512;
+
+/// What a target answers.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[display("{target} {seq} {is_fresh}")]
+pub struct FeedAnswer {
+    /// Name of the target.
+    pub target: String,
+    /// Sequence number that is answered.
+    pub seq: u64,
+    /// Whether the target first met this flow in the middle.
+    pub is_fresh: bool,
+}
+
+/// What a caller knows of one feed.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct FeedReport {
+    /// Target of the first answer; none before it came.
+    pub target: Option<String>,
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Datagrams answered.
+    pub answered: u64,
+    /// Why the feed is broken.
+    pub broken: Option<BrokenFeed>,
+}
+
+/// Why a feed is broken.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum BrokenFeed {
+    /// Another target than the first one answered.
+    #[display("cause=other_target first={first} now={now}")]
+    OtherTarget {
+        /// The first target.
+        first: String,
+        /// The one that answered now.
+        now: String,
+    },
+    /// The target lost its state of the flow.
+    #[display("cause=state_lost target={target}")]
+    StateLost {
+        /// The target.
+        target: String,
+    },
+    /// No answer came for too long.
+    #[display("cause=silent after={after}")]
+    Silent {
+        /// Datagrams answered before.
+        after: u64,
+    },
+    /// The socket failed.
+    #[display("cause=socket")]
+    Socket,
+}
+
+/// An open feed; it ends when dropped.
+#[derive(Debug)]
+pub struct Feed {
+    report: Arc<Mutex<FeedReport>>,
+    stop: CancellationToken,
+}
+
+/// One feed's task.
+struct Sender {
+    fabric: Arc<Fabric>,
+    socket: UdpSocket,
+    caller: SocketAddrV4,
+    service: SocketAddrV4,
+    report: Arc<Mutex<FeedReport>>,
+}
+
+impl FeedAnswer {
+    /// Reads an answer; `None` when it is not one.
+    pub fn parse(bytes: &[u8]) -> Option<Self> {
+        let mut words = std::str::from_utf8(bytes).ok()?.split(' ');
+        Some(Self {
+            target: words.next()?.to_owned(),
+            seq: words.next()?.parse().ok()?,
+            is_fresh: words.next()?.parse().ok()?,
+        })
+    }
+}
+
+impl Feed {
+    /// Opens a feed from `address` (port 0: any) that sends a datagram every `period`.
+    ///
+    /// # Errors
+    ///
+    /// An error when the address can't be bound or is not IPv4.
+    pub async fn open(
+        fabric: Arc<Fabric>,
+        address: SocketAddr,
+        service: SocketAddr,
+        period: Duration,
+    ) -> io::Result<Self> {
+        let socket = UdpSocket::bind(address).await?;
+        let (SocketAddr::V4(caller), SocketAddr::V4(service)) = (socket.local_addr()?, service)
+        else {
+            return Err(io::ErrorKind::Unsupported.into());
+        };
+        let report = Arc::new(Mutex::new(FeedReport::default()));
+        let stop = CancellationToken::new();
+        let sender = Sender {
+            fabric,
+            socket,
+            caller,
+            service,
+            report: Arc::clone(&report),
+        };
+        let ended = stop.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = ended.cancelled() => {}
+                () = sender.run(period) => {}
+            }
+        });
+        Ok(Self { report, stop })
+    }
+
+    /// What is known of the feed so far.
+    pub fn report(&self) -> FeedReport {
+        lock(&self.report).clone()
+    }
+}
+
+impl Drop for Feed {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+impl Sender {
+    /// Sends and receives until the feed breaks.
+    async fn run(self, period: Duration) {
+        let mut ticks = interval(period);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut heard = Instant::now();
+        let mut seq = 0;
+        loop {
+            let due = ticks.tick().await + period;
+            // The next number is sent only after an answer: a lost datagram is sent again.
+            let payload = format!("{seq}");
+            lock(&self.report).sent += 1;
+            let sent = self
+                .fabric
+                .send(self.caller, self.service, payload.as_bytes());
+            if sent.await.is_err() {
+                return self.break_with(BrokenFeed::Socket);
+            }
+            while let Some(answer) = self.receive(due).await {
+                heard = Instant::now();
+                if let Some(cause) = self.note(&answer) {
+                    return self.break_with(cause);
+                }
+                if answer.seq == seq {
+                    seq += 1;
+                    break;
+                }
+            }
+            if heard.elapsed() > SILENCE_LIMIT {
+                return self.break_with(BrokenFeed::Silent { after: seq });
+            }
+        }
+    }
+
+    /// The next answer before `due`.
+    async fn receive(&self, due: Instant) -> Option<FeedAnswer> {
+        let mut buffer = [0; ANSWER_BYTES];
+        loop {
+            let received = timeout_at(due, self.socket.recv_from(&mut buffer)).await;
+            let (length, _) = received.ok()?.ok()?;
+            let Some(answer) = FeedAnswer::parse(&buffer[..length]) else {
+                continue;
+            };
+            return Some(answer);
+        }
+    }
+
+    /// Notes an answer; gives the cause if it shows the feed broken.
+    fn note(&self, answer: &FeedAnswer) -> Option<BrokenFeed> {
+        let mut report = lock(&self.report);
+        report.answered += 1;
+        let now = answer.target.clone();
+        match &report.target {
+            None => report.target = Some(now),
+            Some(first) if *first != now => {
+                let first = first.clone();
+                return Some(BrokenFeed::OtherTarget { first, now });
+            }
+            Some(_) if answer.is_fresh => return Some(BrokenFeed::StateLost { target: now }),
+            Some(_) => {}
+        }
+        None
+    }
+
+    fn break_with(&self, cause: BrokenFeed) {
+        lock(&self.report).broken = Some(cause);
+    }
+}
+
+fn lock(report: &Mutex<FeedReport>) -> std::sync::MutexGuard<'_, FeedReport> {
+    report.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standin/src/host.rs
@@ -0,0 +1,125 @@
+//! Many targets in one process, with a control path.
+//!
+//! `GET /standin/stats` and `GET /standin/runs` give one line each for a target or a run;
+//! `POST /standin/target` takes `ok ID`, `drain ID` or `stop ID`.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bambooseam_types::TargetId;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::http::{ServeError, plain, serve};
+use crate::{Target, TargetSpec};
+
+/// Largest command in bytes.
+const COMMAND_LIMIT: usize = 1 << 10;
+
+/// Targets of one process; they stop when dropped.
+#[derive(Debug)]
+pub struct TargetHost {
+    address: SocketAddr,
+    stop: CancellationToken,
+}
+
+/// The targets that have not been stopped.
+type Targets = Mutex<Vec<Target>>;
+
+impl TargetHost {
+    /// Starts targets and their control path at `control`.
+    ///
+    /// # Errors
+    ///
+    /// An error when an address can't be bound.
+    pub async fn start(control: SocketAddr, specs: Vec<TargetSpec>) -> io::Result<Self> {
+        let mut targets = Vec::new();
+        for spec in specs {
+            targets.push(Target::start(spec).await?);
+        }
+        let listener = TcpListener::bind(control).await?;
+        let address = listener.local_addr()?;
+        let stop = CancellationToken::new();
+        let targets = Arc::new(Mutex::new(targets));
+        tokio::spawn(serve(listener, stop.clone(), move |request| {
+            answer(Arc::clone(&targets), request)
+        }));
+        Ok(Self { address, stop })
+    }
+
+    /// Address of the control path.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for TargetHost {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+/// Answers one call of the control path.
+async fn answer(
+    targets: Arc<Targets>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, ServeError> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/standin/stats") => {
+            let lines = |target: &Target| {
+                let id = &target.entry().id;
+                format!("target={id} {} {}\n", target.work(), target.flows())
+            };
+            let text: String = lock(&targets).iter().map(lines).collect();
+            Ok(plain(StatusCode::OK, text))
+        }
+        (&Method::GET, "/standin/runs") => {
+            let runs = lock(&targets)
+                .iter()
+                .flat_map(Target::runs)
+                .collect::<Vec<_>>();
+            let text: String = runs.iter().map(|run| format!("{run}\n")).collect();
+            Ok(plain(StatusCode::OK, text))
+        }
+        (&Method::POST, "/standin/target") => {
+            let body = Limited::new(request.into_body(), COMMAND_LIMIT);
+            let bytes = body.collect().await?.to_bytes();
+            Ok(command(&targets, std::str::from_utf8(&bytes)?))
+        }
+        _ => Ok(plain(StatusCode::NOT_FOUND, "unknown path\n")),
+    }
+}
+
+/// Carries out a mode or `stop` for one target.
+fn command(targets: &Targets, text: &str) -> Response<Full<Bytes>> {
+    let bad = |text: &str| plain(StatusCode::BAD_REQUEST, format!("{text}\n"));
+    let Some((word, id)) = text.trim().split_once(' ') else {
+        return bad("ok ID, drain ID or stop ID");
+    };
+    let Ok(id) = id.parse::<TargetId>() else {
+        return bad("not a target's name");
+    };
+    let mut targets = lock(targets);
+    let Some(at) = targets.iter().position(|target| target.entry().id == id) else {
+        return bad("no such target");
+    };
+    if word == "stop" {
+        drop(targets.remove(at));
+        return plain(StatusCode::OK, "");
+    }
+    let Ok(mode) = word.parse() else {
+        return bad("ok, drain or stop");
+    };
+    targets[at].set_mode(mode);
+    plain(StatusCode::OK, "")
+}
+
+fn lock(targets: &Targets) -> MutexGuard<'_, Vec<Target>> {
+    targets.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -1,20 +1,35 @@
-//! HTTP/1.1 service of the stand-ins.
+//! HTTP/1.1 as the stand-ins serve and call it.
 
 use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
+use hyper::header::HOST;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 /// An error that ends a connection without an answer.
 pub type ServeError = Box<dyn std::error::Error + Send + Sync>;
 
+/// A whole answer that a client got.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// Status code.
+    pub status: StatusCode,
+    /// Body as text.
+    pub text: String,
+}
+
+/// Time in which a call must be answered.
+pub const CALL_TIME: Duration = Duration::from_secs(5);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -61,3 +76,46 @@
     *response.status_mut() = status;
     response
 }
+
+/// Gets a path.
+///
+/// # Errors
+///
+/// An error when there is no whole answer within [`CALL_TIME`].
+pub async fn get(address: SocketAddr, path: &str) -> io::Result<Reply> {
+    call(address, Method::GET, path, String::new()).await
+}
+
+/// Calls a path with a body, on a connection of its own.
+///
+/// # Errors
+///
+/// An error when there is no whole answer within [`CALL_TIME`].
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: String,
+) -> io::Result<Reply> {
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(HOST, address.to_string())
+        .body(Full::new(Bytes::from(body)))
+        .map_err(io::Error::other)?;
+    timeout(CALL_TIME, exchange(address, request)).await?
+}
+
+async fn exchange(address: SocketAddr, request: Request<Full<Bytes>>) -> io::Result<Reply> {
+    let stream = TokioIo::new(TcpStream::connect(address).await?);
+    let handshake = hyper::client::conn::http1::handshake(stream).await;
+    let (mut sender, connection) = handshake.map_err(io::Error::other)?;
+    tokio::spawn(connection);
+    let response = sender.send_request(request).await;
+    let response = response.map_err(io::Error::other)?;
+    let status = response.status();
+    let body = response.into_body().collect().await;
+    let bytes = body.map_err(io::Error::other)?.to_bytes();
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    Ok(Reply { status, text })
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,9 +2,21 @@
 //!
 //! For tests, measurements and the demonstration only; the product never links this crate.
 
+pub mod caller;
 pub mod deployment;
-mod http;
+mod fabric;
+pub mod feed;
+pub mod geneve;
+pub mod host;
+pub mod http;
 pub mod platform;
+mod settings;
+pub mod target;
 
+pub use caller::{Callers, Load, Outcome};
 pub use deployment::{Deployment, DeploymentKind, Plan};
+pub use fabric::Fabric;
+pub use feed::Feed;
+pub use host::TargetHost;
 pub use platform::{Mode, Platform};
+pub use target::{Target, TargetMode, TargetSpec};
--- /dev/null
+++ b/crates/standin/src/target/flows.rs
@@ -0,0 +1,147 @@
+//! The target's end of Geneve flows, as a kernel with the service's identifier would be.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+use bambooseam_types::{ServiceId, TargetId};
+use derive_more::Display;
+use etherparse::{NetSlice, SlicedPacket, TransportSlice};
+use tokio::net::UdpSocket;
+
+use crate::feed::FeedAnswer;
+use crate::geneve;
+
+/// Largest packet.
+const PACKET_BYTES: usize = 9_000;
+
+/// Counts of a target's flows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
+#[display("flows={flows} packets={packets} foreign={foreign} bad={bad} fresh={fresh}")]
+pub struct FlowStats {
+    /// Flows met.
+    pub flows: u64,
+    /// Packets answered.
+    pub packets: u64,
+    /// Packets dropped because they bore another service's identifier.
+    pub foreign: u64,
+    /// Packets that could not be read.
+    pub bad: u64,
+    /// Flows first met in the middle.
+    pub fresh: u64,
+}
+
+/// The flows of one target.
+#[derive(Debug)]
+pub(super) struct Flows {
+    target: TargetId,
+    vni: ServiceId,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    callers: Vec<SocketAddr>,
+    stats: FlowStats,
+}
+
+/// A datagram out of its wrapping.
+struct Datagram<'a> {
+    caller: SocketAddr,
+    payload: &'a [u8],
+}
+
+impl Flows {
+    pub(super) fn new(target: TargetId, vni: ServiceId) -> Self {
+        Self {
+            target,
+            vni,
+            inner: Mutex::default(),
+        }
+    }
+
+    pub(super) fn stats(&self) -> FlowStats {
+        self.lock().stats
+    }
+
+    /// Answers packets until dropped.
+    pub(super) async fn serve(&self, socket: UdpSocket) {
+        let mut buffer = [0; PACKET_BYTES];
+        loop {
+            let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            let Some((caller, answer)) = self.answer(&buffer[..length]) else {
+                continue;
+            };
+            if let Err(error) = socket.send_to(answer.to_string().as_bytes(), caller).await {
+                log::debug!("event=answer_lost caller={caller} cause={:?}", error.kind());
+            }
+        }
+    }
+
+    /// The answer to a packet, and the caller that gets it.
+    fn answer(&self, packet: &[u8]) -> Option<(SocketAddr, FeedAnswer)> {
+        let mut inner = self.lock();
+        let Some((vni, inside)) = geneve::unwrap(packet) else {
+            inner.stats.bad += 1;
+            return None;
+        };
+        if vni != self.vni.get() {
+            inner.stats.foreign += 1;
+            return None;
+        }
+        let Some((caller, seq)) = read_datagram(inside).and_then(|datagram| datagram.read_seq())
+        else {
+            inner.stats.bad += 1;
+            return None;
+        };
+        let is_fresh = inner.meet(caller, seq);
+        inner.stats.packets += 1;
+        let answer = FeedAnswer {
+            target: self.target.to_string(),
+            seq,
+            is_fresh,
+        };
+        Some((caller, answer))
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    /// Notes a caller; true if it is met first in the middle of its flow.
+    fn meet(&mut self, caller: SocketAddr, seq: u64) -> bool {
+        let Err(at) = self.callers.binary_search(&caller) else {
+            return false;
+        };
+        self.callers.insert(at, caller);
+        self.stats.flows += 1;
+        self.stats.fresh += u64::from(seq > 0);
+        seq > 0
+    }
+}
+
+impl Datagram<'_> {
+    fn read_seq(&self) -> Option<(SocketAddr, u64)> {
+        let seq = std::str::from_utf8(self.payload).ok()?.parse().ok()?;
+        Some((self.caller, seq))
+    }
+}
+
+/// Reads an inner IPv4 packet with a UDP datagram.
+fn read_datagram(packet: &[u8]) -> Option<Datagram<'_>> {
+    let sliced = SlicedPacket::from_ip(packet).ok()?;
+    let Some(NetSlice::Ipv4(ip)) = &sliced.net else {
+        return None;
+    };
+    let Some(TransportSlice::Udp(udp)) = &sliced.transport else {
+        return None;
+    };
+    let caller = SocketAddr::from((ip.header().source_addr(), udp.source_port()));
+    Some(Datagram {
+        caller,
+        payload: udp.payload(),
+    })
+}
--- /dev/null
+++ b/crates/standin/src/target/work.rs
@@ -0,0 +1,182 @@
+//! Slots, speed and the log of runs.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bambooseam_types::TargetId;
+use derive_more::Display;
+use tokio::time::Instant;
+
+use super::{TargetMode, TargetSpec};
+
+/// How many times slower a target is when it starts cold.
+const COLD_FACTOR: f64 = 4.0;
+
+/// One run of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[display("target={target} request={request} key={key} method={method} outcome={outcome}")]
+pub struct Run {
+    /// The target.
+    pub target: TargetId,
+    /// Request id; empty when the request brought none.
+    pub request: String,
+    /// Idempotency key; empty when the request brought none.
+    pub key: String,
+    /// HTTP method.
+    pub method: String,
+    /// How it ended.
+    pub outcome: RunOutcome,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum RunOutcome {
+    /// It has not ended.
+    #[display("running")]
+    Running,
+    /// The whole answer was handed over.
+    #[display("finished")]
+    Finished,
+    /// The caller left.
+    #[display("cancelled")]
+    Cancelled,
+    /// The deadline passed.
+    #[display("expired")]
+    Expired,
+}
+
+/// Counts of a target's work.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
+#[display(
+    "finished={finished} cancelled={cancelled} expired={expired} shed={shed} busy={busy} peak={peak}"
+)]
+pub struct WorkStats {
+    /// Runs whose whole answer was handed over.
+    pub finished: u64,
+    /// Runs that their caller left.
+    pub cancelled: u64,
+    /// Runs ended by their deadline.
+    pub expired: u64,
+    /// Requests refused without a run.
+    pub shed: u64,
+    /// Slots in use.
+    pub busy: usize,
+    /// Most slots in use at a time.
+    pub peak: usize,
+}
+
+/// The work of one target.
+#[derive(Debug)]
+pub(super) struct Work {
+    target: TargetId,
+    slots: usize,
+    short: Duration,
+    long: Duration,
+    ramp: Duration,
+    started: Instant,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    mode: TargetMode,
+    runs: Vec<Run>,
+    stats: WorkStats,
+}
+
+/// A slot in use by a run; a run dropped before its end counts as cancelled.
+#[derive(Debug)]
+pub(super) struct Running {
+    work: Arc<Work>,
+    index: usize,
+    outcome: RunOutcome,
+}
+
+impl Work {
+    pub(super) fn new(spec: &TargetSpec) -> Self {
+        Self {
+            target: spec.entry.id.clone(),
+            slots: spec.slots,
+            short: spec.short,
+            long: spec.long,
+            ramp: spec.ramp,
+            started: Instant::now(),
+            inner: Mutex::default(),
+        }
+    }
+
+    pub(super) fn set_mode(&self, mode: TargetMode) {
+        self.lock().mode = mode;
+    }
+
+    pub(super) fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
+    pub(super) fn stats(&self) -> WorkStats {
+        self.lock().stats
+    }
+
+    /// Starts a run, or sheds it when no slot is free or the target drains.
+    pub(super) fn begin(
+        self: &Arc<Self>,
+        request: &str,
+        key: &str,
+        method: &str,
+    ) -> Option<Running> {
+        let mut inner = self.lock();
+        if inner.mode == TargetMode::Drain || inner.stats.busy >= self.slots {
+            inner.stats.shed += 1;
+            return None;
+        }
+        inner.stats.busy += 1;
+        inner.stats.peak = inner.stats.peak.max(inner.stats.busy);
+        inner.runs.push(Run {
+            target: self.target.clone(),
+            request: request.into(),
+            key: key.into(),
+            method: method.into(),
+            outcome: RunOutcome::Running,
+        });
+        Some(Running {
+            work: Arc::clone(self),
+            index: inner.runs.len() - 1,
+            outcome: RunOutcome::Cancelled,
+        })
+    }
+
+    /// Time that a run takes now: longer while the target is cold.
+    pub(super) fn service_time(&self, is_long: bool) -> Duration {
+        let usual = if is_long { self.long } else { self.short };
+        let age = self.started.elapsed();
+        if age >= self.ramp {
+            return usual;
+        }
+        let cold = 1.0 - age.as_secs_f64() / self.ramp.as_secs_f64();
+        usual.mul_f64(1.0 + (COLD_FACTOR - 1.0) * cold)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Running {
+    /// Ends the run with this outcome.
+    pub(super) fn end(mut self, outcome: RunOutcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut inner = self.work.lock();
+        inner.stats.busy -= 1;
+        match self.outcome {
+            RunOutcome::Finished => inner.stats.finished += 1,
+            RunOutcome::Expired => inner.stats.expired += 1,
+            RunOutcome::Cancelled | RunOutcome::Running => inner.stats.cancelled += 1,
+        }
+        inner.runs[self.index].outcome = self.outcome;
+    }
+}
