Add the demonstration of the whole path as processes

Cause: a newcomer needs one command that runs the system and says what changes cost. Ruled out: driving libraries in one process, which proves no start, stop or kill of a program. Conclusion: compiles and is lint-clean; not run yet.

--- a/crates/measure/src/demo.rs
+++ b/crates/measure/src/demo.rs
@@ -1,16 +1,184 @@
-//! Measures the whole system as processes on loopback.
+//! Runs the whole system as processes on loopback and measures what changes and faults cost.
+//!
+//! Each step prints one line of key=value pairs; the last line is the result. Everything that was
+//! started is stopped, also after an error or a signal.
 
+mod check;
+mod cost;
+mod process;
+mod stage;
+mod step;
+mod traffic;
+
+use std::io::{self, IsTerminal};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
+
+use bambooseam_observe::stop_signal;
+use bambooseam_standin::DeploymentKind;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
-use clap::{ArgMatches, Command};
+use stage::{Stage, StagePlan};
+use step::Steps;
+use traffic::TrafficPlan;
+
+/// What the command line asks for.
+#[derive(Debug)]
+struct Demo {
+    stage: StagePlan,
+    traffic: TrafficPlan,
+    period: Duration,
+    is_short: bool,
+}
 
 /// Command line of this measurement.
 pub fn command() -> Command {
-    Command::new("demo").about("Measures the whole system as processes on loopback")
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("N")
+            .default_value(default)
+            .help(help)
+    };
+    Command::new("demo")
+        .about("Measures the whole system as processes on loopback")
+        .arg(
+            Arg::new("deployment")
+                .long("deployment")
+                .value_name("PLACE")
+                .default_value("cascade")
+                .value_parser(|text: &str| {
+                    text.parse::<DeploymentKind>().map_err(|e| e.to_string())
+                })
+                .help("Places to run: cascade or swanbourne"),
+        )
+        .arg(number("seed", "1", "Seed of all choices").value_parser(value_parser!(u64)))
+        .arg(
+            number("network", "1", "Second byte of all addresses: 127.N")
+                .value_parser(value_parser!(u8)),
+        )
+        .arg(number("vms", "5", "Number of entry VMs").value_parser(value_parser!(u8)))
+        .arg(number("feeds", "150", "Open feeds").value_parser(value_parser!(usize)))
+        .arg(number("callers", "12", "Callers of orders").value_parser(value_parser!(usize)))
+        .arg(
+            number(
+                "step-time",
+                "4",
+                "Seconds that each step is watched at least",
+            )
+            .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            Arg::new("short")
+                .long("short")
+                .action(ArgAction::SetTrue)
+                .help("Only steady load, no changes and no faults"),
+        )
 }
 
 /// Runs the measurement.
-pub fn run(_matches: &ArgMatches) -> ExitCode {
-    eprintln!("measurement=demo result=not_built");
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return failed(&error),
+    };
+    match Demo::try_from(matches) {
+        Ok(demo) => runtime.block_on(demo.run()),
+        Err(error) => failed(&error),
+    }
+}
+
+impl TryFrom<&ArgMatches> for Demo {
+    type Error = io::Error;
+
+    fn try_from(matches: &ArgMatches) -> Result<Self, io::Error> {
+        let own = std::env::current_exe()?;
+        let binaries = own.parent().unwrap_or(Path::new("."));
+        Ok(Self {
+            stage: StagePlan {
+                kind: *matches.get_one("deployment").expect("has a default"),
+                network: *matches.get_one("network").expect("has a default"),
+                vms: *matches.get_one("vms").expect("has a default"),
+                binaries: binaries.into(),
+            },
+            traffic: TrafficPlan {
+                feeds: *matches.get_one("feeds").expect("has a default"),
+                callers: *matches.get_one("callers").expect("has a default"),
+                seed: *matches.get_one("seed").expect("has a default"),
+            },
+            period: Duration::from_secs(*matches.get_one("step-time").expect("has a default")),
+            is_short: matches.get_flag("short"),
+        })
+    }
+}
+
+impl Demo {
+    /// Runs all steps, stops everything and prints the result.
+    async fn run(self) -> ExitCode {
+        let directory = match make_directory() {
+            Ok(directory) => directory,
+            Err(error) => return failed(&error),
+        };
+        let mut stage = Stage::new(&self.stage, &directory);
+        let result = tokio::select! {
+            result = self.drive(&mut stage) => result,
+            _ = stop_signal() => Err(io::ErrorKind::Interrupted.into()),
+        };
+        progress("stopping all processes");
+        stage.stop().await;
+        let kind = self.stage.kind;
+        let failures = match result {
+            Ok(failures) => failures,
+            Err(error) => vec![format!("cause={:?}", error.to_string())],
+        };
+        for failure in &failures {
+            println!("event=demo_failure {failure}");
+        }
+        if failures.is_empty() {
+            println!("measurement=demo deployment={kind} result=good");
+            // The logs are of use only after a failure.
+            let _removed = std::fs::remove_dir_all(&directory);
+            return ExitCode::SUCCESS;
+        }
+        println!(
+            "measurement=demo deployment={kind} result=failed failures={} logs={}",
+            failures.len(),
+            directory.display()
+        );
+        ExitCode::FAILURE
+    }
+
+    /// Starts the system and runs the steps; gives what must not have happened.
+    async fn drive(&self, stage: &mut Stage) -> io::Result<Vec<String>> {
+        progress("starting platform, targets and programs");
+        stage.start(self.stage.kind).await?;
+        progress("all programs are ready; starting the load");
+        let steps = Steps::start(stage, self.traffic, self.period).await?;
+        steps.run(self.is_short).await
+    }
+}
+
+/// Tells a person at a terminal what happens now.
+fn progress(text: &str) {
+    if io::stderr().is_terminal() {
+        eprintln!("{text} ...");
+    }
+}
+
+/// A directory of this run for settings and logs.
+fn make_directory() -> io::Result<PathBuf> {
+    let name = format!("bambooseam-demo-{}", std::process::id());
+    let directory = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&directory)?;
+    Ok(directory)
+}
+
+/// Reports an error before anything was started.
+fn failed(error: &io::Error) -> ExitCode {
+    println!(
+        "measurement=demo result=failed cause={:?}",
+        error.to_string()
+    );
     ExitCode::FAILURE
 }
--- /dev/null
+++ b/crates/measure/src/demo/cost.rs
@@ -0,0 +1,95 @@
+//! What a step cost its callers.
+
+use std::collections::BTreeMap;
+use std::fmt::{self, Display, Formatter};
+use std::time::Duration;
+
+use bambooseam_config::TargetState;
+use bambooseam_standin::Deployment;
+use bambooseam_standin::caller::{Call, Outcome};
+use bambooseam_standin::feed::FeedReport;
+use hdrhistogram::Histogram;
+
+/// All outcomes, in the order in which they are printed.
+const OUTCOMES: [Outcome; 7] = [
+    Outcome::Whole,
+    Outcome::NotRun,
+    Outcome::Unknown,
+    Outcome::Cut,
+    Outcome::Crossed,
+    Outcome::Error,
+    Outcome::Unsent,
+];
+
+/// Cost of one step.
+#[derive(Debug, Clone)]
+pub struct Cost {
+    /// Name of the step.
+    pub step: &'static str,
+    /// Feeds that broke.
+    pub broken: usize,
+    /// Requests that ended.
+    pub calls: Vec<Call>,
+    /// Feeds of the fullest target over their mean; 0 without feeds.
+    pub imbalance: f64,
+    /// Further figures of the step.
+    pub figures: Vec<(&'static str, String)>,
+}
+
+impl Cost {
+    /// Number of requests with an outcome.
+    pub fn count(&self, outcome: Outcome) -> usize {
+        let calls = self.calls.iter();
+        calls.filter(|call| call.outcome == outcome).count()
+    }
+
+    /// Time below which 99 of 100 short requests got their whole answer.
+    pub fn short_p99(&self) -> Duration {
+        let Ok(mut times) = Histogram::<u64>::new(3) else {
+            return Duration::ZERO;
+        };
+        for call in &self.calls {
+            if call.is_long || call.outcome != Outcome::Whole {
+                continue;
+            }
+            times.saturating_record(u64::try_from(call.time.as_micros()).unwrap_or(u64::MAX));
+        }
+        Duration::from_micros(times.value_at_quantile(0.99))
+    }
+}
+
+impl Display for Cost {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "step={} broken_flows={}", self.step, self.broken)?;
+        for outcome in OUTCOMES {
+            write!(f, " {outcome}={}", self.count(outcome))?;
+        }
+        let p99 = self.short_p99().as_secs_f64() * 1e3;
+        write!(f, " imbalance={:.3} short_p99_ms={p99:.1}", self.imbalance)?;
+        for (name, value) in &self.figures {
+            write!(f, " {name}={value}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Feeds of the fullest live target of the feeds' service over the mean of all of them.
+pub fn imbalance(reports: &[FeedReport], deployment: &Deployment, service: &str) -> f64 {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for target in &deployment.targets.0 {
+        if target.state == TargetState::Live && target.service.as_str() == service {
+            counts.insert(target.id.as_str(), 0);
+        }
+    }
+    for report in reports {
+        let target = report.target.as_deref().unwrap_or_default();
+        if let Some(count) = counts.get_mut(target) {
+            *count += 1;
+        }
+    }
+    let total: usize = counts.values().sum();
+    let Some(most) = counts.values().max().filter(|_| total > 0) else {
+        return 0.0;
+    };
+    *most as f64 * counts.len() as f64 / total as f64
+}
--- /dev/null
+++ b/crates/measure/src/demo/process.rs
@@ -0,0 +1,142 @@
+//! Processes that the demonstration starts, each with a log file of its own, and stops by pid.
+
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::time::Duration;
+
+use tokio::process::{Child, Command};
+use tokio::time::timeout;
+
+/// Time that all processes together have to stop before they are killed.
+const STOP_TIME: Duration = Duration::from_secs(10);
+
+/// All processes that were started and not yet stopped.
+#[derive(Debug)]
+pub struct Processes {
+    binaries: PathBuf,
+    logs: PathBuf,
+    running: Vec<Process>,
+}
+
+#[derive(Debug)]
+struct Process {
+    name: String,
+    child: Child,
+}
+
+impl Processes {
+    /// Creates an empty set; programs are found in `binaries`, logs are written to `logs`.
+    pub fn new(binaries: &Path, logs: &Path) -> Self {
+        Self {
+            binaries: binaries.into(),
+            logs: logs.into(),
+            running: Vec::new(),
+        }
+    }
+
+    /// Starts `program` under a name of its own.
+    ///
+    /// # Errors
+    ///
+    /// An error when the program can't be run or the log can't be written.
+    pub fn start(&mut self, name: &str, program: &str, args: &[&str]) -> io::Result<()> {
+        let log = File::create(self.logs.join(format!("{name}.log")))?;
+        let path = self.binaries.join(program);
+        let child = Command::new(&path)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|error| {
+                io::Error::new(error.kind(), format!("{}: {error}", path.display()))
+            })?;
+        self.running.push(Process {
+            name: name.into(),
+            child,
+        });
+        Ok(())
+    }
+
+    /// Names of processes that ended without being asked to.
+    pub fn dead(&mut self) -> Vec<String> {
+        let mut dead = Vec::new();
+        for process in &mut self.running {
+            if matches!(process.child.try_wait(), Ok(None)) {
+                continue;
+            }
+            dead.push(process.name.clone());
+        }
+        dead
+    }
+
+    /// Asks a process to stop with SIGTERM and waits for its end; `None` when `limit` is over.
+    ///
+    /// # Errors
+    ///
+    /// An error when there is no such process or it can't be waited for.
+    pub async fn terminate(
+        &mut self,
+        name: &str,
+        limit: Duration,
+    ) -> io::Result<Option<ExitStatus>> {
+        let mut process = self.take(name)?;
+        send_terminate(&process).await?;
+        match timeout(limit, process.child.wait()).await {
+            Ok(status) => status.map(Some),
+            Err(_) => {
+                process.child.kill().await?;
+                Ok(None)
+            }
+        }
+    }
+
+    /// Kills a process with SIGKILL.
+    ///
+    /// # Errors
+    ///
+    /// An error when there is no such process.
+    pub async fn kill(&mut self, name: &str) -> io::Result<()> {
+        self.take(name)?.child.kill().await
+    }
+
+    /// Stops all: SIGTERM, then SIGKILL for those that are still there.
+    pub async fn stop_all(&mut self) {
+        for process in &self.running {
+            if let Err(error) = send_terminate(process).await {
+                eprintln!("event=stop_failed process={} cause={error:?}", process.name);
+            }
+        }
+        let wait_all = async {
+            for process in &mut self.running {
+                let _ended = process.child.wait().await;
+            }
+        };
+        if timeout(STOP_TIME, wait_all).await.is_err() {
+            for process in &mut self.running {
+                let _ended = process.child.kill().await;
+            }
+        }
+        self.running.clear();
+    }
+
+    fn take(&mut self, name: &str) -> io::Result<Process> {
+        let found = self.running.iter().position(|process| process.name == name);
+        let at = found.ok_or_else(|| io::Error::other(format!("no process {name}")))?;
+        Ok(self.running.remove(at))
+    }
+}
+
+/// Sends SIGTERM to one process by its pid.
+async fn send_terminate(process: &Process) -> io::Result<()> {
+    let Some(pid) = process.child.id() else {
+        return Ok(());
+    };
+    let mut kill = Command::new("kill");
+    kill.args(["-TERM", &pid.to_string()]);
+    kill.status().await?;
+    Ok(())
+}
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -187,7 +187,7 @@
     }
 
     /// Address of service `index`.
-    fn service_address(&self, index: u8) -> IpAddr {
+    pub fn service_address(&self, index: u8) -> IpAddr {
         let [a, b] = self.network;
         IpAddr::V4(Ipv4Addr::new(a, b, 0, index + 1))
     }
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -86,17 +86,26 @@
     call(address, Method::GET, path, String::new()).await
 }
 
-/// Calls a path with a body, on a connection of its own.
+/// Puts a body to a path.
 ///
 /// # Errors
 ///
 /// An error when there is no whole answer within [`CALL_TIME`].
-pub async fn call(
-    address: SocketAddr,
-    method: Method,
-    path: &str,
-    body: String,
-) -> io::Result<Reply> {
+pub async fn put(address: SocketAddr, path: &str, body: String) -> io::Result<Reply> {
+    call(address, Method::PUT, path, body).await
+}
+
+/// Posts a body to a path.
+///
+/// # Errors
+///
+/// An error when there is no whole answer within [`CALL_TIME`].
+pub async fn post(address: SocketAddr, path: &str, body: String) -> io::Result<Reply> {
+    call(address, Method::POST, path, body).await
+}
+
+/// Calls a path on a connection of its own.
+async fn call(address: SocketAddr, method: Method, path: &str, body: String) -> io::Result<Reply> {
     let request = Request::builder()
         .method(method)
         .uri(path)
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod host;
 pub mod http;
 pub mod platform;
-mod settings;
+pub mod settings;
 pub mod target;
 
 pub use caller::{Callers, Load, Outcome};
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
+use bambooseam_observe::stop_signal;
 use bambooseam_standin::{DeploymentKind, Plan, Platform, TargetHost};
 use clap::{Arg, ArgMatches, Command, value_parser};
-use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -103,7 +103,8 @@
     let platform = Platform::start(address).await?;
     platform.publish(Plan::PREFIX, &plan(matches).build());
     println!("event=platform_ready address={}", platform.address());
-    stop_signal().await
+    stop_signal().await?;
+    Ok(())
 }
 
 /// Runs targets until a signal.
@@ -119,17 +120,7 @@
         "event=targets_ready count={count} control={}",
         host.address()
     );
-    stop_signal().await
-}
-
-/// Waits for SIGTERM or SIGINT.
-async fn stop_signal() -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    stop_signal().await?;
     Ok(())
 }
 
--- a/tests/tests/path_standin.rs
+++ b/tests/tests/path_standin.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use bambooseam_standin::caller::{Callers, Load, Outcome};
-use bambooseam_standin::http::{call, get};
+use bambooseam_standin::http::{get, put};
 use bambooseam_standin::target::RunOutcome;
 use bambooseam_standin::{
     Deployment, DeploymentKind, Fabric, Feed, Mode, Plan, Platform, Target, TargetMode, TargetSpec,
 };
-use hyper::{Method, StatusCode};
+use hyper::StatusCode;
 use tokio::time::Instant;
 
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
@@ -80,7 +80,7 @@
     let index = platform.put("a", "first");
     let path = format!("/v1/kv/a?cas={index}");
     for (text, taken) in [("second", "true"), ("third", "false")] {
-        let reply = call(platform.address(), Method::PUT, &path, text.into()).await;
+        let reply = put(platform.address(), &path, text.into()).await;
         assert_eq!(reply.expect("an answer").text, taken);
     }
     assert_eq!(platform.get("a").expect("a value").text, "second");
