Agent: read and watch the platform, serve checked views

Ruled out: ordering lists by arrival, which a stale platform would revert; waiting at the platform from the index held, which a rebuilt platform never reaches again. Change: platform port with an HTTP client, versions of documents, store that takes newer documents only and refuses bad ones whole, gate before serving, events, /status, view feed; tests against a fake platform.

--- /dev/null
+++ b/crates/agent/src/backoff.rs
@@ -0,0 +1,42 @@
+//! Jittered pauses between retries.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+/// Pauses that double with each failure, each drawn from the upper half of its range.
+#[derive(Debug, Clone)]
+pub struct Backoff {
+    least: Duration,
+    most: Duration,
+    failures: u32,
+}
+
+impl Backoff {
+    /// Creates a backoff whose pauses grow from `least` to `most`.
+    pub const fn new(least: Duration, most: Duration) -> Self {
+        Self {
+            least,
+            most,
+            failures: 0,
+        }
+    }
+
+    /// Starts from the shortest pause again.
+    pub fn reset(&mut self) {
+        self.failures = 0;
+    }
+
+    /// The next pause; at least `floor`.
+    pub fn pause(&mut self, floor: Duration) -> Duration {
+        let factor = 1_u32 << self.failures.min(16);
+        self.failures = self.failures.saturating_add(1);
+        let full = self.least.saturating_mul(factor).min(self.most);
+        jitter(full.max(floor))
+    }
+}
+
+/// A duration between 1 and 1.5 times `base`, so that many agents do not come back together.
+pub(crate) fn jitter(base: Duration) -> Duration {
+    base.mul_f64(rand::rng().random_range(1.0..1.5))
+}
--- /dev/null
+++ b/crates/agent/src/platform/http.rs
@@ -0,0 +1,143 @@
+//! The platform over HTTP/1.1, one connection a read.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bambooseam_config::PlatformSettings;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1;
+use hyper::{Request, Response, StatusCode, body::Incoming, header};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+use super::{Platform, PlatformError, Reading, Wait};
+
+/// Time in which a read that is no watch must be answered.
+const READ_TIME: Duration = Duration::from_secs(2);
+
+/// Longest value that the platform holds, with room for its frame.
+const VALUE_LIMIT: usize = (1 << 20) + (64 << 10);
+
+/// Header with the index of a value.
+const INDEX_HEADER: &str = "x-consul-index";
+
+/// Client of the platform's addresses, tried in turn.
+#[derive(Debug, Clone)]
+pub struct HttpPlatform {
+    addresses: Rc<[SocketAddr]>,
+    prefix: Rc<str>,
+    current: Rc<Cell<usize>>,
+}
+
+/// Ends the connection's task when a read is over or given up.
+struct Connection(JoinHandle<()>);
+
+impl HttpPlatform {
+    /// Creates a client from settings.
+    pub fn new(settings: &PlatformSettings) -> Self {
+        Self {
+            addresses: settings.addresses.as_slice().into(),
+            prefix: settings.prefix.trim_end_matches('/').into(),
+            current: Rc::new(Cell::new(0)),
+        }
+    }
+
+    /// Path and query of a read.
+    fn target(&self, key: &str, wait: Option<Wait>) -> String {
+        let path = format!("/v1/kv/{}/{key}?raw", self.prefix);
+        match wait {
+            Some(Wait { index, time }) => {
+                format!("{path}&index={index}&wait={}ms", time.as_millis())
+            }
+            None => path,
+        }
+    }
+}
+
+impl Platform for HttpPlatform {
+    async fn get(&self, key: &str, wait: Option<Wait>) -> Result<Reading, PlatformError> {
+        let index = self.current.get() % self.addresses.len();
+        let address = self.addresses[index];
+        let time = READ_TIME + wait.map_or(Duration::ZERO, |wait| wait.time);
+        let read = read(address, self.target(key, wait), key);
+        let result = match tokio::time::timeout(time, read).await {
+            Ok(result) => result,
+            Err(_) => Err(unreachable("no answer in time")),
+        };
+        if matches!(result, Err(PlatformError::Unreachable { .. })) {
+            self.current.set(index + 1);
+        }
+        result
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Sends one request and reads its answer.
+async fn read(address: SocketAddr, target: String, key: &str) -> Result<Reading, PlatformError> {
+    metrics::counter!("platform_reads").increment(1);
+    let stream = TcpStream::connect(address).await.map_err(unreachable)?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.map_err(unreachable)?;
+    let _connection = Connection(tokio::task::spawn(async move {
+        // A broken connection shows in the request's own result.
+        let _ = connection.await;
+    }));
+    let request = Request::get(target)
+        .header(header::HOST, address.to_string())
+        .body(Empty::<Bytes>::new())
+        .map_err(bad_answer)?;
+    let response = sender.send_request(request).await.map_err(unreachable)?;
+    match response.status() {
+        StatusCode::OK => read_value(response).await,
+        StatusCode::NOT_FOUND => Err(PlatformError::NoKey { key: key.into() }),
+        StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::Refused {
+            after: retry_after(&response),
+        }),
+        status => Err(unreachable(status)),
+    }
+}
+
+/// Reads index and value of a good answer.
+async fn read_value(response: Response<Incoming>) -> Result<Reading, PlatformError> {
+    let index = response
+        .headers()
+        .get(INDEX_HEADER)
+        .and_then(|value| value.to_str().ok()?.parse().ok())
+        .ok_or_else(|| bad_answer("no index"))?;
+    let body = Limited::new(response.into_body(), VALUE_LIMIT);
+    let body = body.collect().await.map_err(unreachable)?.to_bytes();
+    let text = std::str::from_utf8(&body).map_err(bad_answer)?;
+    Ok(Reading {
+        index,
+        text: Arc::from(text),
+    })
+}
+
+/// When to come back, in seconds.
+fn retry_after(response: &Response<Incoming>) -> Option<Duration> {
+    let value = response.headers().get(header::RETRY_AFTER)?;
+    let seconds = value.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
+
+fn unreachable(cause: impl ToString) -> PlatformError {
+    PlatformError::Unreachable {
+        cause: cause.to_string(),
+    }
+}
+
+fn bad_answer(cause: impl ToString) -> PlatformError {
+    PlatformError::BadAnswer {
+        cause: cause.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/reader.rs
@@ -0,0 +1,216 @@
+//! Tasks that read and watch the platform, one for each key.
+//!
+//! A watching agent waits at the platform for news; the others poll slowly and hear from peers.
+//! Watches wait from the index that the platform itself showed last, so that a platform that was
+//! rebuilt, or an older copy of it, is not waited for in vain.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bambooseam_types::{Finding, Findings, Place, PresetName};
+use tokio::time::sleep;
+
+use crate::backoff::{Backoff, jitter};
+use crate::event::EventKind;
+use crate::platform::{Platform, PlatformError, Reading, Wait};
+use crate::shared::{From, Shared};
+use crate::store::{Offer, read_pointer};
+use crate::version::{ConfigVersion, ListKind, Origin};
+
+/// Shortest and longest pause after a failed read.
+const RETRY_LEAST: Duration = Duration::from_millis(200);
+const RETRY_MOST: Duration = Duration::from_secs(10);
+
+/// Shortest pause after a refusal by rate that names none.
+const REFUSED_PAUSE: Duration = Duration::from_secs(2);
+
+/// Pause between two watches of one key.
+const WATCH_PAUSE: Duration = Duration::from_millis(50);
+
+/// How often a polling agent looks whether it should watch.
+const ROLE_TIME: Duration = Duration::from_secs(1);
+
+/// Key of the pointer.
+const POINTER: &str = "preset-in-force";
+
+/// What a task reads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Followed {
+    /// The pointer, and the preset that it names.
+    Config,
+    /// A list.
+    List(ListKind),
+}
+
+/// Task that keeps one document up to date from the platform.
+#[derive(Debug)]
+pub(crate) struct Reader<P> {
+    platform: P,
+    shared: Arc<Shared>,
+    followed: Followed,
+    seen: Option<u64>,
+    backoff: Backoff,
+}
+
+impl<P: Platform> Reader<P> {
+    /// Creates the task of one document.
+    pub(crate) fn new(platform: P, shared: Arc<Shared>, followed: Followed) -> Self {
+        Self {
+            platform,
+            shared,
+            followed,
+            seen: None,
+            backoff: Backoff::new(RETRY_LEAST, RETRY_MOST),
+        }
+    }
+
+    /// Reads until the agent stops.
+    pub(crate) async fn run(mut self) {
+        loop {
+            let result = self.platform.get(self.key(), self.wait()).await;
+            let result = match result {
+                Ok(reading) => self.take(reading).await,
+                Err(error) => Err(error),
+            };
+            self.shared.note_platform(result.as_ref().map(drop));
+            match result {
+                Ok(true) => {
+                    self.backoff.reset();
+                    self.rest().await;
+                }
+                Ok(false) => {
+                    self.seen = None;
+                    sleep(self.backoff.pause(Duration::ZERO)).await;
+                }
+                Err(error) => {
+                    let floor = match error {
+                        PlatformError::Refused { after } => after.unwrap_or(REFUSED_PAUSE),
+                        _ => Duration::ZERO,
+                    };
+                    sleep(self.backoff.pause(floor)).await;
+                }
+            }
+        }
+    }
+
+    /// Key of the document, without the prefix.
+    fn key(&self) -> &'static str {
+        match self.followed {
+            Followed::Config => POINTER,
+            Followed::List(kind) => kind.key(),
+        }
+    }
+
+    /// The watch to hold; `None` for a plain read.
+    fn wait(&self) -> Option<Wait> {
+        if !self.shared.is_watcher(self.key()) {
+            return None;
+        }
+        let time = self.shared.settings().platform.watch_time;
+        self.seen.map(|index| Wait { index, time })
+    }
+
+    /// Waits until the next read is due.
+    async fn rest(&self) {
+        if self.shared.is_watcher(self.key()) {
+            return sleep(jitter(WATCH_PAUSE)).await;
+        }
+        let mut left = jitter(self.shared.poll_time());
+        while !left.is_zero() && !self.shared.is_watcher(self.key()) {
+            let slice = left.min(ROLE_TIME);
+            sleep(slice).await;
+            left -= slice;
+        }
+    }
+
+    /// Takes what was read; false when the document should be read again soon.
+    async fn take(&mut self, reading: Reading) -> Result<bool, PlatformError> {
+        self.seen = Some(reading.index);
+        match self.followed {
+            Followed::Config => self.take_pointer(reading).await,
+            Followed::List(kind) => {
+                let era = self.shared.lock().store.era();
+                let index = reading.index;
+                let origin = Origin { era, index };
+                self.shared
+                    .take_list(kind, &reading.text, origin, &From::Platform);
+                Ok(true)
+            }
+        }
+    }
+
+    /// Takes a pointer, with its preset from memory or from the platform.
+    async fn take_pointer(&self, reading: Reading) -> Result<bool, PlatformError> {
+        let pointer = match read_pointer(&reading.text) {
+            Ok(pointer) => pointer,
+            Err(findings) => {
+                self.refuse(POINTER, &reading.text, findings);
+                return Ok(true);
+            }
+        };
+        let found = ConfigVersion {
+            revision: pointer.revision,
+            digest: pointer.digest,
+        };
+        let (origin, kept) = {
+            let mut state = self.shared.lock();
+            state.note_conflict(found, &From::Platform);
+            let era = state.store.era_of(pointer.revision, reading.index);
+            if era > state.store.era() {
+                let cause = format!(
+                    "revision {} stands at index {}, below that of revision {}",
+                    pointer.revision,
+                    reading.index,
+                    state.store.revision()
+                );
+                state.record(EventKind::PlatformRebuilt, cause);
+            }
+            let index = reading.index;
+            let kept = state.store.text(pointer.digest);
+            (Origin { era, index }, kept)
+        };
+        if Some(found) <= self.shared.lock().store.version() {
+            self.shared.note_stale(found);
+            return Ok(true);
+        }
+        let preset = match kept {
+            Some(text) => text,
+            None => match self.read_preset(&pointer.name).await? {
+                Some(text) => text,
+                None => return Ok(false),
+            },
+        };
+        let offer = self
+            .shared
+            .take_config(&reading.text, &preset, origin, &From::Platform);
+        Ok(!matches!(offer, Offer::Refused(_)))
+    }
+
+    /// Reads a preset document; `None` when there is none.
+    async fn read_preset(&self, name: &PresetName) -> Result<Option<Arc<str>>, PlatformError> {
+        let key = format!("presets/{name}");
+        match self.platform.get(&key, None).await {
+            Ok(reading) => Ok(Some(reading.text)),
+            Err(error @ PlatformError::NoKey { .. }) => {
+                let mut findings = Findings::new();
+                let place = Place::new(&key, 0, "");
+                let finding = Finding::new(place, error.to_string(), "a preset document");
+                findings.push(finding.with_hint("publish the preset before the pointer"));
+                self.refuse(&key, "", findings);
+                Ok(None)
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Keeps the findings of a document that could not be offered.
+    fn refuse(&self, key: &str, text: &str, findings: Findings) {
+        let mut state = self.shared.lock();
+        if state.store.is_refused(key, text) {
+            return;
+        }
+        let cause = format!("{key} from platform: {findings}");
+        state.store.refuse(key, text, findings);
+        state.record(EventKind::DocumentRefused, cause);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/shared.rs
@@ -0,0 +1,373 @@
+//! State that the tasks of an agent share, and the decisions that need all of it.
+//!
+//! Each task takes the lock for one decision and never across an await. Views leave through
+//! [`Shared::publish`] only, which asserts that nothing falls.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bambooseam_config::Settings;
+use bambooseam_types::{Incarnation, Revision};
+use bambooseam_view::{ViewNumber, ViewSource};
+use derive_more::Display;
+use tokio::sync::watch;
+
+use crate::event::{EventKind, EventLog, unix_ms};
+use crate::gate::Gate;
+use crate::invariant;
+use crate::platform::PlatformError;
+use crate::store::{Offer, Store};
+use crate::version::{ConfigVersion, ListKind, Origin};
+
+/// Failures in a row after which the platform counts as lost.
+const LOST_AFTER: u32 = 3;
+
+/// State and channels of one agent.
+#[derive(Debug)]
+pub struct Shared {
+    settings: Settings,
+    state: Mutex<State>,
+    sources: watch::Sender<Arc<ViewSource>>,
+    changes: watch::Sender<u64>,
+    ready: watch::Sender<bool>,
+}
+
+/// What the lock guards.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) store: Store,
+    pub(crate) events: EventLog,
+    pub(crate) gate: Gate,
+    pub(crate) programs: Vec<ProgramView>,
+    pub(crate) platform: PlatformState,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) number: ViewNumber,
+    pub(crate) served: Option<ConfigVersion>,
+    pub(crate) since_ms: u64,
+    failures: u32,
+    noted: Vec<Noted>,
+}
+
+/// The view that a program acts on.
+#[derive(Debug, Clone)]
+pub(crate) struct ProgramView {
+    pub(crate) name: String,
+    pub(crate) number: ViewNumber,
+    pub(crate) time_ms: u64,
+}
+
+/// What the last reads of the platform met.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum PlatformState {
+    /// Not read yet.
+    #[display("unknown")]
+    Unknown,
+    /// It answers.
+    #[display("reachable")]
+    Reachable,
+    /// It does not answer.
+    #[display("lost")]
+    Lost,
+    /// It refuses by rate.
+    #[display("refusing")]
+    Refusing,
+}
+
+/// Where a document came from.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum From {
+    /// The platform.
+    #[display("platform")]
+    Platform,
+    /// A peer agent.
+    #[display("peer {_0}")]
+    Peer(String),
+}
+
+/// A decision that is recorded once, not at each repetition.
+#[derive(Debug, PartialEq, Eq)]
+struct Noted {
+    kind: EventKind,
+    cause: String,
+}
+
+impl Shared {
+    /// Creates the state of an agent that starts now and has `peers` peers to ask.
+    pub fn new(settings: Settings, incarnation: Incarnation, peers: usize) -> Self {
+        let mut events = EventLog::default();
+        let cause = format!("incarnation {incarnation}");
+        events.record(EventKind::AgentStarted, cause, Revision::default());
+        let state = State {
+            store: Store::default(),
+            events,
+            gate: Gate::new(Instant::now(), peers),
+            programs: Vec::new(),
+            platform: PlatformState::Unknown,
+            incarnation,
+            // Numbers rise across restarts, so that a program takes no old number for a new view.
+            number: ViewNumber::from(unix_ms()),
+            served: None,
+            since_ms: 0,
+            failures: 0,
+            noted: Vec::new(),
+        };
+        Self {
+            settings,
+            state: Mutex::new(state),
+            sources: watch::Sender::new(Arc::default()),
+            changes: watch::Sender::new(0),
+            ready: watch::Sender::new(false),
+        }
+    }
+
+    /// Settings of this VM.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// View sources as they are served.
+    pub fn sources(&self) -> watch::Receiver<Arc<ViewSource>> {
+        self.sources.subscribe()
+    }
+
+    /// Whether views are served.
+    pub fn ready(&self) -> watch::Receiver<bool> {
+        self.ready.subscribe()
+    }
+
+    /// Locks the state for one decision.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a pointer and its preset if they are newer than what is held.
+    pub fn take_config(&self, pointer: &str, preset: &str, origin: Origin, from: &From) -> Offer {
+        let mut state = self.lock();
+        let before = state.store.version();
+        let offer = state.store.offer_config(pointer, preset, origin);
+        let after = state.store.version();
+        invariant::check(after >= before, "revision_never_falls", || {
+            format!("{before:?} then {after:?}")
+        });
+        state.note_offer("preset-in-force", &offer, from);
+        if offer == Offer::Taken {
+            state.note_taken(before, from);
+            self.changes.send_modify(|count| *count += 1);
+            self.publish(&mut state);
+        }
+        offer
+    }
+
+    /// Takes a list if it is newer than the one held.
+    pub fn take_list(&self, kind: ListKind, text: &str, origin: Origin, from: &From) -> Offer {
+        let mut state = self.lock();
+        let before = state.store.list(kind).map(|list| list.version);
+        let offer = state.store.offer_list(kind, text, origin);
+        let after = state.store.list(kind).map(|list| list.version);
+        invariant::check(after >= before, "list_never_falls", || {
+            format!("{kind}: {before:?} then {after:?}")
+        });
+        state.note_offer(kind.key(), &offer, from);
+        if offer == Offer::Taken {
+            let cause = format!("{kind} {origin} from {from}");
+            state.record(EventKind::ListTaken, cause);
+            self.changes.send_modify(|count| *count += 1);
+            self.publish(&mut state);
+        }
+        offer
+    }
+
+    /// Notes a pointer of the platform that is not newer than the one held.
+    pub(crate) fn note_stale(&self, found: ConfigVersion) {
+        let mut state = self.lock();
+        if Some(found) == state.store.version() {
+            return;
+        }
+        state.note_offer("preset-in-force", &Offer::Older, &From::Platform);
+    }
+
+    /// Whether this agent watches a key at the platform, rather than polling it slowly.
+    pub(crate) fn is_watcher(&self, _key: &str) -> bool {
+        true
+    }
+
+    /// Mean time between polls of an agent that does not watch.
+    pub(crate) fn poll_time(&self) -> Duration {
+        self.settings.platform.poll_time
+    }
+
+    /// Notes whether a read of the platform was answered.
+    pub fn note_platform(&self, result: Result<(), &PlatformError>) {
+        let mut state = self.lock();
+        let (now, kind, cause) = match result {
+            Ok(()) => (
+                PlatformState::Reachable,
+                EventKind::PlatformFound,
+                String::from("a read was answered"),
+            ),
+            Err(error @ PlatformError::Refused { .. }) => (
+                PlatformState::Refusing,
+                EventKind::PlatformRefused,
+                error.to_string(),
+            ),
+            Err(error) => (
+                PlatformState::Lost,
+                EventKind::PlatformLost,
+                error.to_string(),
+            ),
+        };
+        state.failures = match now {
+            PlatformState::Lost => state.failures + 1,
+            _ => 0,
+        };
+        let is_early = now == PlatformState::Lost && state.failures < LOST_AFTER;
+        if is_early || state.platform == now {
+            return;
+        }
+        let is_first = state.platform == PlatformState::Unknown;
+        state.platform = now;
+        if is_first && now == PlatformState::Reachable {
+            return;
+        }
+        state.record(kind, cause);
+    }
+
+    /// Notes which view a program acts on.
+    pub(crate) fn note_program(&self, name: &str, number: ViewNumber) {
+        let mut state = self.lock();
+        let view = ProgramView {
+            name: name.to_owned(),
+            number,
+            time_ms: unix_ms(),
+        };
+        let found = state
+            .programs
+            .binary_search_by(|held| held.name.as_str().cmp(name));
+        match found {
+            Ok(index) => state.programs[index] = view,
+            Err(index) => state.programs.insert(index, view),
+        }
+    }
+
+    /// Opens the gate when it is time, and serves what is held.
+    pub(crate) fn try_open(&self) {
+        let mut state = self.lock();
+        if !state.gate.try_open(Instant::now()) {
+            return;
+        }
+        if state.store.source(ViewNumber::default()).is_none() {
+            let cause = format!(
+                "nothing is known: platform {}, no peer knew",
+                state.platform
+            );
+            state.record(EventKind::ServingNothing, cause);
+        }
+        self.publish(&mut state);
+    }
+
+    /// Serves what is held, if all of it is there, the gate is open and it differs from before.
+    pub(crate) fn publish(&self, state: &mut State) {
+        if !state.gate.is_open() {
+            return;
+        }
+        let Some(mut source) = state.store.source(state.number) else {
+            return;
+        };
+        source.suspects = state.suspects();
+        if *self.sources.borrow().as_ref() == source {
+            return;
+        }
+        let version = state.store.version();
+        invariant::check(
+            version >= state.served,
+            "served_revision_never_falls",
+            || format!("{:?} then {version:?}", state.served),
+        );
+        let is_first = state.served.is_none();
+        if version != state.served {
+            state.since_ms = unix_ms();
+        }
+        state.served = version;
+        state.number = state.number.next();
+        source.number = state.number;
+        self.sources.send_replace(Arc::new(source));
+        self.ready.send_replace(true);
+        if is_first {
+            state.record(EventKind::Serving, "all documents are held");
+        }
+    }
+}
+
+impl State {
+    /// Records a decision under the revision held.
+    pub(crate) fn record(&mut self, kind: EventKind, cause: impl Into<String>) {
+        let revision = self.store.revision();
+        self.events.record(kind, cause, revision);
+    }
+
+    /// Records a decision unless the last one of its kind had the same cause.
+    pub(crate) fn record_once(&mut self, kind: EventKind, cause: String) {
+        let noted = Noted { kind, cause };
+        if self.noted.contains(&noted) {
+            return;
+        }
+        self.record(kind, noted.cause.clone());
+        self.noted.retain(|held| held.kind != kind);
+        self.noted.push(noted);
+    }
+
+    /// VMs that programs leave out, sorted.
+    pub(crate) fn suspects(&self) -> Vec<bambooseam_types::VmId> {
+        Vec::new()
+    }
+
+    /// Records what was refused or stale about an offer.
+    fn note_offer(&mut self, key: &str, offer: &Offer, from: &From) {
+        match offer {
+            Offer::Taken | Offer::Same => {}
+            Offer::Older if *from == From::Platform => {
+                let revision = self.store.revision();
+                let cause = format!("{key} from {from} is older than what is held at {revision}");
+                self.record_once(EventKind::PlatformStale, cause);
+            }
+            Offer::Older => {}
+            Offer::Refused(findings) => {
+                let cause = format!("{key} from {from}: {findings}");
+                self.record_once(EventKind::DocumentRefused, cause);
+            }
+        }
+    }
+
+    /// Records a configuration that was taken.
+    fn note_taken(&mut self, before: Option<ConfigVersion>, from: &From) {
+        let Some(config) = self.store.config() else {
+            return;
+        };
+        let cause = format!(
+            "preset {} digest {} from {from}",
+            config.pointer.name, config.pointer.digest
+        );
+        self.record(EventKind::PresetSwitched, cause);
+        if before.is_some() && *from != From::Platform && self.platform != PlatformState::Reachable
+        {
+            let cause = format!("platform {}, taken from {from}", self.platform);
+            self.record(EventKind::FallbackTaken, cause);
+        }
+    }
+
+    /// Records two presets under one revision; which of them counts is the same everywhere.
+    pub(crate) fn note_conflict(&mut self, found: ConfigVersion, from: &From) {
+        let Some(held) = self.store.version() else {
+            return;
+        };
+        if held.revision != found.revision || held.digest == found.digest {
+            return;
+        }
+        let in_force = held.digest.max(found.digest);
+        let cause = format!(
+            "revision {} has two digests, {} and {} ({from}); {in_force} counts, the larger",
+            found.revision, held.digest, found.digest
+        );
+        self.record_once(EventKind::RevisionConflict, cause);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/status.rs
@@ -0,0 +1,86 @@
+//! The JSON object of `/status`.
+
+use bambooseam_config::{VmEntry, VmState};
+use serde_json::{Value, json};
+
+use crate::event::Event;
+use crate::shared::{ProgramView, Shared, State};
+use crate::store::Refusal;
+
+impl Shared {
+    /// What `/status` answers.
+    pub fn status(&self) -> Value {
+        let state = self.lock();
+        let settings = self.settings();
+        let config = state.store.config();
+        let is_serving = state.served.is_some();
+        json!({
+            "program": "agent",
+            "vm": settings.vm.id.as_str(),
+            "zone": settings.vm.zone.as_str(),
+            "view": if is_serving { state.number.get() } else { 0 },
+            "revision": state.served.map_or(0, |served| served.revision.get()),
+            "preset": config.filter(|_| is_serving).map(|config| config.pointer.name.as_str()),
+            "digest": state.served.map(|served| served.digest.to_string()),
+            "in_force_since_ms": state.since_ms,
+            "serving": is_serving,
+            "held_revision": state.store.revision().get(),
+            "incarnation": state.incarnation.get(),
+            "platform": state.platform.to_string(),
+            "programs": state.programs.iter().map(program_json).collect::<Vec<_>>(),
+            "vms": vms_json(&state),
+            "refused": state.store.refusals().iter().map(refusal_json).collect::<Vec<_>>(),
+            "events": state.events.iter().map(event_json).collect::<Vec<_>>(),
+        })
+    }
+}
+
+/// A program beside this agent.
+fn program_json(program: &ProgramView) -> Value {
+    json!({
+        "program": program.name,
+        "view": program.number.get(),
+        "time_ms": program.time_ms,
+    })
+}
+
+/// All VMs of the list held.
+fn vms_json(state: &State) -> Vec<Value> {
+    let list = state.store.vm_list();
+    list.0.iter().map(|vm| vm_json(state, vm)).collect()
+}
+
+/// A VM with its health and cause.
+fn vm_json(_state: &State, vm: &VmEntry) -> Value {
+    let health = match vm.state {
+        VmState::Joining => "joining",
+        VmState::Live => "live",
+        VmState::Leaving => "leaving",
+    };
+    json!({
+        "vm": vm.id.as_str(),
+        "zone": vm.zone.as_str(),
+        "health": health,
+        "cause": "platform",
+    })
+}
+
+/// A refused document.
+fn refusal_json(refusal: &Refusal) -> Value {
+    let findings: Vec<String> = refusal.findings.iter().map(ToString::to_string).collect();
+    json!({
+        "key": refusal.key,
+        "digest": refusal.digest.to_string(),
+        "findings": findings,
+    })
+}
+
+/// A decision.
+fn event_json(event: &Event) -> Value {
+    json!({
+        "time_ms": event.time_ms,
+        "kind": event.kind.to_string(),
+        "cause": event.cause,
+        "revision": event.revision.get(),
+    })
+}
--- /dev/null
+++ b/crates/agent/src/store.rs
@@ -0,0 +1,284 @@
+//! The documents that an agent holds; each is replaced by newer ones only.
+//!
+//! Every document is checked whole before it is taken. One that fails stays out, its findings are
+//! kept for the operators, and what was held before stays in force.
+
+use std::sync::Arc;
+
+use bambooseam_config::{Document, InForce, TargetList, VmList, digest_of};
+use bambooseam_types::{Digest, Finding, Findings, Place, Revision};
+use bambooseam_view::{View, ViewNumber, ViewSource};
+
+use crate::version::{Config, ConfigVersion, List, ListKind, ListVersion, Origin};
+
+/// Preset documents kept, so that a switch back costs no transfer.
+const PRESET_LIMIT: usize = 8;
+
+/// Earlier texts of a list kept as bases of differences.
+const HISTORY_LIMIT: usize = 4;
+
+/// What became of a document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Offer {
+    /// It is newer and was taken.
+    Taken,
+    /// It is the one held.
+    Same,
+    /// An older one than the one held.
+    Older,
+    /// It fails its check.
+    Refused(Findings),
+}
+
+/// A document that was refused and not yet followed by a good one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// Key of the document.
+    pub key: String,
+    /// Digest of its text.
+    pub digest: Digest,
+    /// What was found.
+    pub findings: Findings,
+}
+
+/// Documents held, with what is needed to compare and to send differences.
+#[derive(Debug, Default)]
+pub struct Store {
+    config: Option<Config>,
+    vms: Option<List>,
+    targets: Option<List>,
+    vm_list: VmList,
+    era: Revision,
+    presets: Vec<Text>,
+    history: Vec<Text>,
+    refusals: Vec<Refusal>,
+}
+
+/// A text by its digest.
+#[derive(Debug, Clone)]
+struct Text {
+    digest: Digest,
+    text: Arc<str>,
+}
+
+impl Store {
+    /// Offers a pointer and its preset.
+    pub fn offer_config(&mut self, pointer_text: &str, preset_text: &str, origin: Origin) -> Offer {
+        let source = ViewSource {
+            pointer: pointer_text.to_owned(),
+            preset: preset_text.to_owned(),
+            ..ViewSource::default()
+        };
+        let view = match View::build(&source) {
+            Ok(view) => view,
+            Err(findings) => return self.refuse("preset-in-force", pointer_text, findings),
+        };
+        if origin.era > view.revision() {
+            let findings = era_finding("preset-in-force", origin, view.revision());
+            return self.refuse("preset-in-force", pointer_text, findings);
+        }
+        let config = Config {
+            pointer: view.pointer,
+            pointer_text: pointer_text.into(),
+            preset_text: preset_text.into(),
+            origin,
+        };
+        let held = self.config.as_ref().map(Config::version);
+        match Some(config.version()).cmp(&held) {
+            std::cmp::Ordering::Less => return Offer::Older,
+            std::cmp::Ordering::Equal => return Offer::Same,
+            std::cmp::Ordering::Greater => {}
+        }
+        self.keep_preset(config.pointer.digest, &config.preset_text);
+        self.era = self.era.max(origin.era);
+        self.config = Some(config);
+        self.refusals.retain(|held| !is_config_key(&held.key));
+        Offer::Taken
+    }
+
+    /// Offers a list.
+    pub fn offer_list(&mut self, kind: ListKind, text: &str, origin: Origin) -> Offer {
+        let version = ListVersion {
+            origin,
+            digest: digest_of(text),
+        };
+        let held = self.list(kind).map(|list| list.version);
+        if held == Some(version) {
+            return Offer::Same;
+        }
+        if held.is_some_and(|held| held > version) {
+            return Offer::Older;
+        }
+        let in_force = self.revision();
+        if origin.era > in_force {
+            let findings = era_finding(kind.key(), origin, in_force);
+            return self.refuse(kind.key(), text, findings);
+        }
+        let checked = match kind {
+            ListKind::Vms => read(kind, text).map(|list| self.vm_list = list),
+            ListKind::Targets => read::<TargetList>(kind, text).map(drop),
+        };
+        if let Err(findings) = checked {
+            return self.refuse(kind.key(), text, findings);
+        }
+        let list = List {
+            version,
+            text: text.into(),
+        };
+        let slot = match kind {
+            ListKind::Vms => &mut self.vms,
+            ListKind::Targets => &mut self.targets,
+        };
+        let earlier = slot.replace(list);
+        self.refusals.retain(|held| held.key != kind.key());
+        if let Some(earlier) = earlier {
+            self.keep_history(earlier);
+        }
+        Offer::Taken
+    }
+
+    /// Era of documents that the platform shows now.
+    ///
+    /// A pointer that is newer than the one held, but stands at a lower index, proves that the
+    /// platform was rebuilt: a stale platform can't show a newer revision.
+    pub fn era_of(&self, revision: Revision, index: u64) -> Revision {
+        let Some(held) = &self.config else {
+            return self.era;
+        };
+        let is_newer = revision > held.pointer.revision;
+        let is_behind = held.origin.era == self.era && index < held.origin.index;
+        if is_newer && is_behind {
+            return revision;
+        }
+        self.era
+    }
+
+    /// Era of the lists that the platform shows.
+    pub fn era(&self) -> Revision {
+        self.era
+    }
+
+    /// The configuration held.
+    pub fn config(&self) -> Option<&Config> {
+        self.config.as_ref()
+    }
+
+    /// A list held.
+    pub fn list(&self, kind: ListKind) -> Option<&List> {
+        match kind {
+            ListKind::Vms => self.vms.as_ref(),
+            ListKind::Targets => self.targets.as_ref(),
+        }
+    }
+
+    /// The VMs of the list held.
+    pub fn vm_list(&self) -> &VmList {
+        &self.vm_list
+    }
+
+    /// Revision held; 0 when there is none.
+    pub fn revision(&self) -> Revision {
+        self.config
+            .as_ref()
+            .map_or(Revision::default(), |config| config.pointer.revision)
+    }
+
+    /// Version of the configuration held.
+    pub fn version(&self) -> Option<ConfigVersion> {
+        self.config.as_ref().map(Config::version)
+    }
+
+    /// A text that was held before or is held now, by its digest.
+    pub fn text(&self, digest: Digest) -> Option<Arc<str>> {
+        for list in [&self.vms, &self.targets].into_iter().flatten() {
+            if list.version.digest == digest {
+                return Some(Arc::clone(&list.text));
+            }
+        }
+        let mut kept = self.presets.iter().chain(&self.history);
+        let found = kept.find(|kept| kept.digest == digest)?;
+        Some(Arc::clone(&found.text))
+    }
+
+    /// Documents refused and not yet followed by good ones.
+    pub fn refusals(&self) -> &[Refusal] {
+        &self.refusals
+    }
+
+    /// What to serve as view `number`; `None` while a document is missing.
+    pub fn source(&self, number: ViewNumber) -> Option<ViewSource> {
+        let config = self.config.as_ref()?;
+        Some(ViewSource {
+            number,
+            pointer: config.pointer_text.as_ref().to_owned(),
+            preset: config.preset_text.as_ref().to_owned(),
+            vms: self.vms.as_ref()?.text.as_ref().to_owned(),
+            targets: self.targets.as_ref()?.text.as_ref().to_owned(),
+            suspects: Vec::new(),
+        })
+    }
+
+    /// Notes a refusal of a document that could not even be offered.
+    pub fn refuse(&mut self, key: &str, text: &str, findings: Findings) -> Offer {
+        let digest = digest_of(text);
+        self.refusals.retain(|held| held.key != key);
+        self.refusals.push(Refusal {
+            key: key.into(),
+            digest,
+            findings: findings.clone(),
+        });
+        Offer::Refused(findings)
+    }
+
+    /// Whether this very text was refused under `key` before.
+    pub fn is_refused(&self, key: &str, text: &str) -> bool {
+        let digest = digest_of(text);
+        self.refusals
+            .iter()
+            .any(|held| held.key == key && held.digest == digest)
+    }
+
+    fn keep_preset(&mut self, digest: Digest, text: &Arc<str>) {
+        self.presets.retain(|kept| kept.digest != digest);
+        self.presets.truncate(PRESET_LIMIT - 1);
+        let text = Arc::clone(text);
+        self.presets.insert(0, Text { digest, text });
+    }
+
+    fn keep_history(&mut self, list: List) {
+        let digest = list.version.digest;
+        self.history.retain(|kept| kept.digest != digest);
+        self.history.truncate(HISTORY_LIMIT - 1);
+        let text = list.text;
+        self.history.insert(0, Text { digest, text });
+    }
+}
+
+/// Parses a pointer.
+pub(crate) fn read_pointer(text: &str) -> Result<InForce, Findings> {
+    InForce::try_from(&Document::parse("preset-in-force", text)?)
+}
+
+/// Parses and checks a list.
+fn read<T>(kind: ListKind, text: &str) -> Result<T, Findings>
+where
+    T: for<'a> TryFrom<&'a Document, Error = Findings>,
+{
+    T::try_from(&Document::parse(kind.key(), text)?)
+}
+
+/// Whether refusals under `key` end with the next good configuration.
+fn is_config_key(key: &str) -> bool {
+    key == "preset-in-force" || key.starts_with("presets/")
+}
+
+/// An era above the revision in force can't have been proved.
+fn era_finding(key: &str, origin: Origin, revision: Revision) -> Findings {
+    let mut findings = Findings::new();
+    findings.push(Finding::new(
+        Place::new(key, 0, "era"),
+        origin.era.to_string(),
+        format!("at most the revision {revision}"),
+    ));
+    findings
+}
--- /dev/null
+++ b/tests/tests/control/fake.rs
@@ -0,0 +1,214 @@
+//! A fake behind the agent's platform port, and helpers of the control tests.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bambooseam_agent::{Platform, PlatformError, Reading, Shared, Wait};
+use bambooseam_config::{Document, Settings};
+use bambooseam_standin::Deployment;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// Longest wait of a test for something that must come.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+/// How a platform behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// It answers.
+    Good,
+    /// It can't be reached.
+    Down,
+    /// It never answers.
+    Silent,
+    /// It refuses by rate.
+    Refusing,
+}
+
+/// A key's value and the index of its last write.
+#[derive(Debug, Clone)]
+struct Value {
+    key: String,
+    text: Arc<str>,
+    index: u64,
+}
+
+/// What one or more fakes serve.
+#[derive(Debug, Clone, Default)]
+pub struct Store {
+    values: Vec<Value>,
+    index: u64,
+}
+
+/// One agent's way to the platform.
+#[derive(Debug, Clone)]
+pub struct Fake {
+    store: Rc<RefCell<Store>>,
+    mode: Rc<RefCell<Mode>>,
+    changed: watch::Sender<u64>,
+    reads: Rc<RefCell<u64>>,
+}
+
+impl Store {
+    /// Writes a key.
+    pub fn put(&mut self, key: &str, text: &str) {
+        self.index += 1;
+        self.values.retain(|value| value.key != key);
+        self.values.push(Value {
+            key: key.into(),
+            text: text.into(),
+            index: self.index,
+        });
+    }
+
+    /// Sets the index from which writes count on.
+    pub fn count_from(&mut self, index: u64) {
+        self.index = index;
+    }
+
+    /// Writes all documents of a deployment, the pointer last.
+    pub fn publish(&mut self, deployment: &Deployment) {
+        for (name, text) in &deployment.presets {
+            self.put(&format!("presets/{name}"), text);
+        }
+        self.put("vms", &deployment.vms.to_text());
+        self.put("targets", &deployment.targets.to_text());
+        self.put("preset-in-force", &deployment.pointer.to_text());
+    }
+
+    fn get(&self, key: &str) -> Option<&Value> {
+        self.values.iter().find(|value| value.key == key)
+    }
+}
+
+impl Fake {
+    /// Creates a platform that holds a deployment.
+    pub fn new(deployment: &Deployment) -> Self {
+        let mut store = Store::default();
+        store.publish(deployment);
+        Self {
+            store: Rc::new(RefCell::new(store)),
+            mode: Rc::new(RefCell::new(Mode::Good)),
+            changed: watch::Sender::new(0),
+            reads: Rc::default(),
+        }
+    }
+
+    /// Another agent's way to the same platform, with a mode of its own.
+    pub fn another(&self) -> Self {
+        Self {
+            mode: Rc::new(RefCell::new(Mode::Good)),
+            ..self.clone()
+        }
+    }
+
+    /// Changes what the platform holds.
+    pub fn edit<T>(&self, edit: impl FnOnce(&mut Store) -> T) -> T {
+        let value = edit(&mut self.store.borrow_mut());
+        self.changed.send_modify(|count| *count += 1);
+        value
+    }
+
+    /// Sets how it behaves.
+    pub fn set(&self, mode: Mode) {
+        *self.mode.borrow_mut() = mode;
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// A copy of what it holds, to go back to.
+    pub fn snapshot(&self) -> Store {
+        self.store.borrow().clone()
+    }
+
+    /// Reads counted so far.
+    pub fn reads(&self) -> u64 {
+        *self.reads.borrow()
+    }
+
+    /// Answers from what is held now.
+    fn read(&self, key: &str) -> Result<Reading, PlatformError> {
+        match *self.mode.borrow() {
+            Mode::Good => {}
+            Mode::Refusing => return Err(PlatformError::Refused { after: None }),
+            Mode::Down | Mode::Silent => {
+                return Err(PlatformError::Unreachable {
+                    cause: "down".into(),
+                });
+            }
+        }
+        let store = self.store.borrow();
+        let value = store
+            .get(key)
+            .ok_or_else(|| PlatformError::NoKey { key: key.into() })?;
+        Ok(Reading {
+            index: value.index,
+            text: Arc::clone(&value.text),
+        })
+    }
+}
+
+impl Platform for Fake {
+    async fn get(&self, key: &str, wait: Option<Wait>) -> Result<Reading, PlatformError> {
+        *self.reads.borrow_mut() += 1;
+        let mut changed = self.changed.subscribe();
+        let wait_time = wait.map_or(Duration::ZERO, |wait| wait.time);
+        let end = tokio::time::Instant::now() + wait_time;
+        loop {
+            if *self.mode.borrow() == Mode::Silent {
+                sleep(Duration::from_secs(1)).await;
+                return self.read(key);
+            }
+            let reading = self.read(key)?;
+            if wait.is_none_or(|wait| reading.index > wait.index) {
+                return Ok(reading);
+            }
+            if timeout(end - tokio::time::Instant::now(), changed.changed())
+                .await
+                .is_err()
+            {
+                return Ok(reading);
+            }
+        }
+    }
+}
+
+/// Settings of VM `vm` whose agent asks `peers`.
+pub fn settings(vm: &str, zone: &str, peers: &[std::net::SocketAddr]) -> Settings {
+    let peers: Vec<String> = peers.iter().map(ToString::to_string).collect();
+    let mut text = format!(
+        "[vm]\nid = {vm}\nzone = {zone}\naddress = 127.0.0.1\n\
+         [platform]\naddresses = 127.0.0.1:1\nwatch-time = 2s\npoll-time = 2s\n\
+         [agent]\nlisten = 127.0.0.1:0\nviews = 127.0.0.1:0\nbudget = 64KiB/s\nexchanges = 10/s\n"
+    );
+    if !peers.is_empty() {
+        text.push_str(&format!("peers = {}\n", peers.join(", ")));
+    }
+    let document = Document::parse("settings", &text).expect("INI");
+    Settings::try_from(&document).expect("good settings")
+}
+
+/// Waits until `is_met` holds of an agent; fails with its status after [`LIMIT`].
+pub async fn wait_until(shared: &Shared, what: &str, is_met: impl Fn(&Shared) -> bool) {
+    let wait = async {
+        while !is_met(shared) {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    if timeout(LIMIT, wait).await.is_err() {
+        panic!("not {what}: {:#}", shared.status());
+    }
+}
+
+/// Revision that an agent serves.
+pub fn revision(shared: &Shared) -> u64 {
+    shared.status()["revision"].as_u64().expect("a number")
+}
+
+/// Whether an event of this kind was recorded.
+pub fn has_event(shared: &Shared, kind: &str) -> bool {
+    let status = shared.status();
+    let events = status["events"].as_array().expect("events");
+    events.iter().any(|event| event["kind"] == kind)
+}
