Add a test that runs the whole path as processes

Ruled out: calling the programs' libraries in the test, which proves no start and no stop. Change: tests/tests/path.rs builds the programs once and runs the demonstration in a small form.

--- /dev/null
+++ b/tests/tests/path.rs
@@ -0,0 +1,62 @@
+//! The whole path as processes: platform, targets, and three programs on each VM.
+
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::LazyLock;
+
+/// Directory of the programs, built once with the features of the whole workspace.
+static PROGRAMS: LazyLock<PathBuf> = LazyLock::new(|| {
+    // Cargo builds no programs of other packages for a test.
+    let status = Command::new(env!("CARGO"))
+        .args(["build", "--workspace", "--bins", "--locked"])
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .status()
+        .expect("cargo runs");
+    assert!(status.success(), "the programs do not build");
+    let own = std::env::current_exe().expect("a path");
+    let profile = own.ancestors().nth(2).expect("target/PROFILE/deps/NAME");
+    profile.to_owned()
+});
+
+/// Runs the demonstration; gives its output.
+fn demo(args: &[&str]) -> String {
+    let output = Command::new(PROGRAMS.join("bambooseam-measure"))
+        .arg("demo")
+        .args(args)
+        .output()
+        .expect("the demonstration runs");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{text}\n{errors}");
+    text
+}
+
+/// Value of `key` in the line of `step`.
+fn figure(text: &str, step: &str, key: &str) -> f64 {
+    let line = text.lines().find(|line| line.starts_with(step));
+    let line = line.unwrap_or_else(|| panic!("no {step} in {text}"));
+    let pair = line.split(' ').filter_map(|pair| pair.split_once('='));
+    let value = pair
+        .filter(|(name, _)| *name == key)
+        .map(|(_, value)| value);
+    let value = value.last().unwrap_or_else(|| panic!("no {key} in {line}"));
+    value.parse().expect("a number")
+}
+
+#[test]
+fn requests_and_feeds_pass_through_three_vms() {
+    let text = demo(&[
+        "--short",
+        "--network",
+        "41",
+        "--vms",
+        "3",
+        "--feeds",
+        "20",
+        "--callers",
+        "4",
+    ]);
+    assert!(figure(&text, "step=steady", "whole") > 10.0, "{text}");
+    assert_eq!(figure(&text, "step=steady", "broken_flows"), 0.0, "{text}");
+    assert!(text.contains("result=good"), "{text}");
+}
