Report progress of the demonstration on a terminal

Cause: a run of half a minute shows nothing on a terminal. Ruled out: a progress bar; steps differ in length. Change: a line for each step on a terminal.

--- a/crates/measure/src/demo/step.rs
+++ b/crates/measure/src/demo/step.rs
@@ -12,6 +12,7 @@
 
 use super::check::{Faults, sum_of, value_of};
 use super::cost::{Cost, imbalance};
+use super::progress;
 use super::stage::Stage;
 use super::traffic::{Traffic, TrafficPlan};
 
@@ -91,6 +92,7 @@
 
     /// Nothing changes.
     async fn steady(&mut self) -> io::Result<()> {
+        progress("steady load");
         self.watch(self.period).await?;
         self.report("steady", Kind::Planned, Vec::new());
         Ok(())
@@ -98,6 +100,7 @@
 
     /// The peak season begins.
     async fn switch_preset(&mut self) -> io::Result<()> {
+        progress("switching the preset to peak-season");
         let name = "peak-season".parse().map_err(io::Error::other)?;
         let time = self.stage.switch(&name).await?;
         self.watch(self.period).await?;
@@ -109,6 +112,7 @@
     /// An entry VM leaves as planned.
     async fn leave_vm(&mut self) -> io::Result<()> {
         let id = self.pick_vm()?;
+        progress(&format!("{id} leaves as planned"));
         self.stage.announce_leaving_vm(&id).await?;
         self.watch(NOTICE_TIME).await?;
         self.traffic.follow(self.stage);
@@ -131,6 +135,7 @@
     /// A target leaves as planned; its feeds end before it stops.
     async fn leave_target(&mut self) -> io::Result<()> {
         let id = self.pick_target()?;
+        progress(&format!("{id} leaves as planned"));
         self.stage.announce_leaving_target(&id).await?;
         self.watch(NOTICE_TIME).await?;
         let before = self.work_of(&id).await?;
@@ -151,6 +156,7 @@
     /// An entry VM dies.
     async fn kill_vm(&mut self) -> io::Result<()> {
         let id = self.pick_vm()?;
+        progress(&format!("{id} is killed"));
         self.stage.kill_vm(&id).await?;
         sleep(FABRIC_TIME).await;
         self.stage.announce_leaving_vm(&id).await?;
@@ -164,6 +170,7 @@
 
     /// Lets all work end and compares the logs of both sides.
     async fn conclude(&mut self) -> io::Result<()> {
+        progress("letting all work end and comparing logs");
         self.traffic.finish().await;
         self.report("end", Kind::Planned, Vec::new());
         let runs = self.stage.target_lines("/standin/runs").await?;
