--- a/crates/measure/src/requests.rs
+++ b/crates/measure/src/requests.rs
@@ -1,5 +1,10 @@
 //! Measures queues, slots, the crest of a swing and the truth of outcomes.
 
+pub mod caller;
+pub mod fleet;
+pub mod network;
+pub mod target;
+
 use std::process::ExitCode;
 
 use clap::{ArgMatches, Command};
--- /dev/null
+++ b/crates/measure/src/requests/target.rs
@@ -0,0 +1,342 @@
+//! Targets in this process that log every run.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+
+/// Answer of a target.
+type Answer = UnsyncBoxBody<Bytes, Infallible>;
+
+/// Bytes of one frame of a long answer.
+const FRAME: usize = 16 << 10;
+
+/// What a target does with requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// Serves, and sheds what exceeds its slots.
+    Serve,
+    /// Accepts connections and never answers.
+    Hang,
+    /// Sheds everything.
+    Shed,
+    /// Resets each connection after it has read and written so many bytes.
+    Cut {
+        /// Bytes read before the reset.
+        read: usize,
+        /// Bytes written before the reset.
+        write: usize,
+    },
+    /// Logs the run, then closes without an answer.
+    RunAndClose,
+}
+
+/// Runs that targets have begun, by request id.
+#[derive(Debug, Default)]
+pub struct RunLog {
+    runs: Mutex<BTreeMap<String, u32>>,
+}
+
+/// A target that listens at one address.
+#[derive(Debug)]
+pub struct TestTarget {
+    /// What it does.
+    pub mode: Arc<Mutex<Mode>>,
+    /// Most requests that it ran at a time.
+    pub most: Arc<AtomicU32>,
+    shared: Arc<Shared>,
+    serving: Mutex<Option<JoinSet<()>>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    name: String,
+    address: SocketAddr,
+    log: Arc<RunLog>,
+    mode: Arc<Mutex<Mode>>,
+    slots: Arc<Semaphore>,
+    limit: u32,
+    running: AtomicU32,
+    most: Arc<AtomicU32>,
+}
+
+impl RunLog {
+    /// Notes a run of a request.
+    pub fn note(&self, id: &str) {
+        *lock(&self.runs).entry(id.to_owned()).or_default() += 1;
+    }
+
+    /// How often a request ran.
+    pub fn runs(&self, id: &str) -> u32 {
+        lock(&self.runs).get(id).copied().unwrap_or(0)
+    }
+
+    /// Runs of all requests.
+    pub fn total(&self) -> u64 {
+        lock(&self.runs).values().map(|runs| u64::from(*runs)).sum()
+    }
+}
+
+impl TestTarget {
+    /// Starts a target called `name` with `limit` slots.
+    ///
+    /// # Panics
+    ///
+    /// When the address is taken.
+    pub async fn start(name: &str, address: SocketAddr, limit: u32, log: Arc<RunLog>) -> Self {
+        let mode = Arc::new(Mutex::new(Mode::Serve));
+        let most = Arc::new(AtomicU32::new(0));
+        let shared = Arc::new(Shared {
+            name: name.to_owned(),
+            address,
+            log,
+            mode: Arc::clone(&mode),
+            slots: Arc::new(Semaphore::new(limit as usize)),
+            limit,
+            running: AtomicU32::new(0),
+            most: Arc::clone(&most),
+        });
+        let target = Self {
+            mode,
+            most,
+            shared,
+            serving: Mutex::new(None),
+        };
+        target.revive().await;
+        target
+    }
+
+    /// Changes what the target does.
+    pub fn set(&self, mode: Mode) {
+        *lock(&self.mode) = mode;
+    }
+
+    /// Closes listener and connections at once.
+    pub fn kill(&self) {
+        *lock(&self.serving) = None;
+    }
+
+    /// Listens again.
+    ///
+    /// # Panics
+    ///
+    /// When the address is taken.
+    pub async fn revive(&self) {
+        let listener = listen(self.shared.address).expect("the target's address is free");
+        let shared = Arc::clone(&self.shared);
+        let mut serving = JoinSet::new();
+        serving.spawn(accept(listener, shared));
+        *lock(&self.serving) = Some(serving);
+    }
+}
+
+/// Listens although connections of an earlier listener may linger.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(1_024)
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    // Dropping the set ends all connections.
+    let mut connections = JoinSet::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        while connections.try_join_next().is_some() {}
+        connections.spawn(serve(stream, Arc::clone(&shared)));
+    }
+}
+
+async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+    let mode = *lock(&shared.mode);
+    let (read, write) = match mode {
+        Mode::Cut { read, write } => (read, write),
+        _ => (usize::MAX, usize::MAX),
+    };
+    if mode == Mode::Hang {
+        std::future::pending::<()>().await;
+    }
+    let _ = stream.set_nodelay(true);
+    if mode != Mode::Serve {
+        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    }
+    let stream = CutStream {
+        stream,
+        read,
+        write,
+    };
+    let service = service_fn(move |request| {
+        let shared = Arc::clone(&shared);
+        async move { shared.answer(request).await }
+    });
+    let _ = hyper::server::conn::http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .with_upgrades()
+        .await;
+}
+
+impl Shared {
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Answer>, io::Error> {
+        let header = |name: &str| {
+            let value = request.headers().get(name).and_then(|v| v.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        let uri = request.uri().clone();
+        let id = header("x-request-id");
+        let timeout = header("request-timeout-ms");
+        let trace = header("traceparent");
+        let mode = *lock(&self.mode);
+        if mode == Mode::Hang {
+            std::future::pending::<()>().await;
+        }
+        let permit = match Arc::clone(&self.slots).try_acquire_owned() {
+            Ok(permit) if mode != Mode::Shed => permit,
+            _ => return Ok(shed()),
+        };
+        self.log.note(&id);
+        let running = self.running.fetch_add(1, Ordering::Relaxed) + 1;
+        debug_assert!(running <= self.limit);
+        self.most.fetch_max(running, Ordering::Relaxed);
+        let guard = RunGuard(Arc::clone(&self));
+        if mode == Mode::RunAndClose {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        let time = query(&uri, "ms").unwrap_or(0);
+        let count = query(&uri, "bytes");
+        // A caller whose body stops has still run the request.
+        let _ = request.into_body().collect().await;
+        tokio::time::sleep(Duration::from_millis(time)).await;
+        let head = format!(
+            "id={id} target={} timeout={timeout} trace={trace}\n",
+            self.name
+        );
+        let Some(count) = count else {
+            drop((guard, permit));
+            return Ok(Response::new(Full::new(Bytes::from(head)).boxed_unsync()));
+        };
+        let frames = count as usize / FRAME;
+        let pause = Duration::from_millis(query(&uri, "pause").unwrap_or(0));
+        let body = stream::unfold((0, (guard, permit)), move |(sent, held)| {
+            let head = head.clone();
+            async move {
+                if sent > frames {
+                    return None;
+                }
+                let data = if sent == 0 {
+                    Bytes::from(head)
+                } else {
+                    tokio::time::sleep(pause).await;
+                    Bytes::from(vec![b'x'; FRAME])
+                };
+                Some((Ok::<_, Infallible>(Frame::data(data)), (sent + 1, held)))
+            }
+        });
+        Ok(Response::new(StreamBody::new(body).boxed_unsync()))
+    }
+}
+
+/// The answer of a target that has not run the request.
+fn shed() -> Response<Answer> {
+    let mut response = Response::new(Full::default().boxed_unsync());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let outcome = hyper::header::HeaderValue::from_static("not-run");
+    response.headers_mut().insert("bambooseam-outcome", outcome);
+    response
+}
+
+/// A number in the query.
+fn query(uri: &hyper::Uri, name: &str) -> Option<u64> {
+    let pairs = uri.query()?.split('&');
+    let mut values = pairs.filter_map(|pair| pair.split_once('='));
+    values.find(|pair| pair.0 == name)?.1.parse().ok()
+}
+
+/// A run in progress.
+struct RunGuard(Arc<Shared>);
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A connection that is reset after a number of bytes.
+struct CutStream {
+    stream: TcpStream,
+    read: usize,
+    write: usize,
+}
+
+impl AsyncRead for CutStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.read == 0 {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        let most = self.read.min(buffer.remaining());
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(most));
+        let polled = Pin::new(&mut self.stream).poll_read(cx, &mut part);
+        let count = part.filled().len();
+        buffer.advance(count);
+        self.read -= count;
+        polled
+    }
+}
+
+impl AsyncWrite for CutStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.write == 0 {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        let most = bytes.len().min(self.write);
+        let polled = Pin::new(&mut self.stream).poll_write(cx, &bytes[..most]);
+        if let Poll::Ready(Ok(count)) = polled {
+            self.write -= count;
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/peer/schema/slot.capnp
@@ -0,0 +1,51 @@
+@0xc6a1f0b25d7e3948;
+
+# What proxies ask of one another: slots of targets, and claims of idempotency keys.
+
+enum WorkClass {
+  short @0;
+  long @1;
+}
+
+enum Report {
+  left @0;
+  served @1;
+  shed @2;
+  failed @3;
+  unreachable @4;
+}
+
+struct Ask {
+  service @0 :Text;
+  zone @1 :Text;
+  class @2 :WorkClass;
+  waitedMs @3 :UInt32;
+  limitMs @4 :UInt32;
+  owners @5 :UInt32;
+  avoid @6 :List(Text);
+}
+
+interface Slot {
+  # A slot in use; dropping it frees the slot.
+  finish @0 (report :Report);
+}
+
+interface Claim {
+  # A right to run one attempt; dropping it counts the attempt as run.
+  settleNotRun @0 ();
+}
+
+struct Answer {
+  union {
+    slot @0 :Slot;
+    # Expected wait in milliseconds.
+    refusal @1 :UInt32;
+  }
+  target @2 :Text;
+}
+
+interface Desk {
+  acquire @0 (ask :Ask) -> (answer :Answer);
+  # `claim` is null when an earlier attempt may have run.
+  claim @1 (key :UInt64, attempt :UInt32) -> (claim :Claim);
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -14,3 +14,8 @@
 #[rustfmt::skip]
 #[path = "generated/view_capnp.rs"]
 pub mod view_capnp;
+
+#[allow(missing_docs, clippy::all, clippy::use_self, unused_qualifications)]
+#[rustfmt::skip]
+#[path = "generated/slot_capnp.rs"]
+pub mod slot_capnp;
--- /dev/null
+++ b/crates/proxy/src/answer.rs
@@ -0,0 +1,170 @@
+//! Answers that the proxy makes itself.
+
+use std::time::Duration;
+
+use bambooseam_types::{Findings, RequestId};
+use bytes::Bytes;
+use derive_more::Display;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use rand::Rng;
+
+use crate::body::AnswerBody;
+use crate::head::{OUTCOME, REQUEST_ID};
+
+/// Least time before a refused caller may come back.
+const LEAST_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Longest time over which refused callers come back.
+const MOST_BACKOFF: Duration = Duration::from_secs(60);
+
+/// Whether a request that gets no answer of a target ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Outcome {
+    /// No byte of it reached a target, or the target said that it did not run.
+    #[display("not-run")]
+    NotRun,
+    /// It may have run.
+    #[display("unknown")]
+    Unknown,
+}
+
+/// Why the proxy answers itself.
+#[derive(Debug, Clone, Display)]
+pub enum Cause {
+    /// The head breaks rules.
+    #[display("bad request: {_0}")]
+    BadHead(Findings),
+    /// No view has arrived yet, or none has this port.
+    #[display("no service here")]
+    NoService,
+    /// No slot within the time that the request may wait.
+    #[display("overloaded")]
+    Overload,
+    /// No target could be reached within the retry budget.
+    #[display("no target reached")]
+    Unreachable,
+    /// The target closed or broke the connection.
+    #[display("target failed")]
+    TargetFailed,
+    /// The end of the target's answer could not be told from a cut.
+    #[display("answer without an end")]
+    EndlessAnswer,
+    /// The deadline passed.
+    #[display("deadline passed")]
+    Deadline,
+    /// The caller's body stopped.
+    #[display("request body stopped")]
+    BodyStopped,
+    /// An earlier attempt with the same key may have run.
+    #[display("an earlier attempt may have run")]
+    Unvouched,
+}
+
+/// An answer of the proxy's own.
+#[derive(Debug, Clone)]
+pub struct OwnAnswer {
+    /// Why.
+    pub cause: Cause,
+    /// Whether the request ran.
+    pub outcome: Outcome,
+    /// Time over which callers should come back.
+    pub backoff: Duration,
+}
+
+impl Cause {
+    /// Status of the answer.
+    const fn status(&self) -> StatusCode {
+        match self {
+            Self::BadHead(_) => StatusCode::BAD_REQUEST,
+            Self::NoService | Self::Overload | Self::Unreachable => StatusCode::SERVICE_UNAVAILABLE,
+            Self::TargetFailed | Self::EndlessAnswer => StatusCode::BAD_GATEWAY,
+            Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
+            Self::BodyStopped => StatusCode::REQUEST_TIMEOUT,
+            Self::Unvouched => StatusCode::CONFLICT,
+        }
+    }
+
+    /// Name in metrics.
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::BadHead(_) => "bad_head",
+            Self::NoService => "no_service",
+            Self::Overload => "overload",
+            Self::Unreachable => "unreachable",
+            Self::TargetFailed => "target_failed",
+            Self::EndlessAnswer => "endless_answer",
+            Self::Deadline => "deadline",
+            Self::BodyStopped => "body_stopped",
+            Self::Unvouched => "unvouched",
+        }
+    }
+
+    /// Whether coming back later may help.
+    const fn is_temporary(&self) -> bool {
+        !matches!(self, Self::BadHead(_))
+    }
+}
+
+impl OwnAnswer {
+    /// An answer to a request that did not run.
+    pub fn not_run(cause: Cause) -> Self {
+        Self {
+            cause,
+            outcome: Outcome::NotRun,
+            backoff: LEAST_BACKOFF,
+        }
+    }
+
+    /// An answer to a request that may have run.
+    pub fn unknown(cause: Cause) -> Self {
+        Self {
+            cause,
+            outcome: Outcome::Unknown,
+            backoff: LEAST_BACKOFF,
+        }
+    }
+
+    /// Sets the time over which callers should come back.
+    pub fn with_backoff(mut self, backoff: Duration) -> Self {
+        self.backoff = backoff;
+        self
+    }
+
+    /// The response.
+    pub fn into_response(self, id: Option<&RequestId>) -> Response<AnswerBody> {
+        let outcome = match self.outcome {
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        };
+        metrics::counter!("own_answers", "cause" => self.cause.name(), "outcome" => outcome)
+            .increment(1);
+        let text = format!("{}\n", self.cause);
+        let mut response = Response::new(AnswerBody::Own(Full::new(Bytes::from(text))));
+        *response.status_mut() = self.cause.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        headers.insert(OUTCOME, HeaderValue::from_static(outcome));
+        if self.cause.is_temporary() {
+            headers.insert(RETRY_AFTER, HeaderValue::from(jittered(self.backoff)));
+        }
+        if let Some(id) = id {
+            insert_text(headers, REQUEST_ID, id.as_str());
+        }
+        response
+    }
+}
+
+/// Seconds after which one caller should come back, spread evenly over the backoff.
+fn jittered(backoff: Duration) -> u64 {
+    let most = backoff.clamp(LEAST_BACKOFF, MOST_BACKOFF).as_secs() + 1;
+    rand::rng().random_range(1..=most)
+}
+
+/// Inserts a header whose text was checked before.
+pub fn insert_text(headers: &mut hyper::HeaderMap, name: HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name, value);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/keys.rs
@@ -0,0 +1,146 @@
+//! Work that callers name by an idempotency key.
+//!
+//! The key's owner remembers what became of earlier attempts. An attempt that is marked as a
+//! resend runs only when the owner vouches that all earlier ones did not run, so a change of
+//! owner can make an answer `unknown` but can't make work run twice.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bambooseam_view::FlowKey;
+
+/// Parts of the table, each with its own lock.
+const SHARDS: usize = 64;
+
+/// Most keys of one shard.
+const SHARD_LIMIT: usize = 2_048;
+
+/// What is known of the attempts with one key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum KeyState {
+    /// An attempt may be running.
+    Running,
+    /// No attempt ran.
+    NotRun,
+    /// An attempt ran or may have run.
+    Spent,
+}
+
+/// The keys that one proxy owns.
+#[derive(Debug)]
+pub struct KeyDesk {
+    shards: Vec<Mutex<Shard>>,
+}
+
+#[derive(Debug, Default)]
+struct Shard {
+    /// Sorted by key.
+    entries: Vec<KeyEntry>,
+    clock: u64,
+}
+
+#[derive(Debug)]
+struct KeyEntry {
+    key: FlowKey,
+    state: KeyState,
+    touched: u64,
+}
+
+/// Right to run one attempt; when dropped unsettled, the attempt counts as run.
+#[derive(Debug)]
+pub struct Claim {
+    desk: Arc<KeyDesk>,
+    key: FlowKey,
+    state: KeyState,
+}
+
+impl KeyDesk {
+    /// Creates an empty desk.
+    pub fn new() -> Arc<Self> {
+        let shards = (0..SHARDS).map(|_| Mutex::default()).collect();
+        Arc::new(Self { shards })
+    }
+
+    /// Claims a key for attempt number `attempt`; `None` when an earlier attempt may have run.
+    pub fn claim(self: &Arc<Self>, key: FlowKey, attempt: u32) -> Option<Claim> {
+        let mut shard = self.shard(key);
+        let state = shard.state(key);
+        let may_run = match state {
+            Some(KeyState::NotRun) => true,
+            Some(KeyState::Running | KeyState::Spent) => false,
+            None => attempt <= 1,
+        };
+        if !may_run {
+            return None;
+        }
+        shard.set(key, KeyState::Running);
+        Some(Claim {
+            desk: Arc::clone(self),
+            key,
+            state: KeyState::Spent,
+        })
+    }
+
+    fn shard(&self, key: FlowKey) -> MutexGuard<'_, Shard> {
+        let index = key.get() as usize % SHARDS;
+        self.shards[index]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Claim {
+    /// Notes that the attempt did not run; the key may be claimed again.
+    pub fn settle_not_run(mut self) {
+        self.state = KeyState::NotRun;
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.desk.shard(self.key).set(self.key, self.state);
+    }
+}
+
+impl Shard {
+    fn find(&self, key: FlowKey) -> Result<usize, usize> {
+        self.entries.binary_search_by_key(&key, |entry| entry.key)
+    }
+
+    fn state(&self, key: FlowKey) -> Option<KeyState> {
+        self.find(key).ok().map(|index| self.entries[index].state)
+    }
+
+    fn set(&mut self, key: FlowKey, state: KeyState) {
+        self.clock += 1;
+        let touched = self.clock;
+        if let Ok(index) = self.find(key) {
+            let entry = &mut self.entries[index];
+            entry.state = state;
+            entry.touched = touched;
+            return;
+        }
+        if self.entries.len() >= SHARD_LIMIT {
+            self.forget_oldest();
+        }
+        let index = self.find(key).unwrap_or_else(|index| index);
+        let entry = KeyEntry {
+            key,
+            state,
+            touched,
+        };
+        self.entries.insert(index, entry);
+    }
+
+    /// Forgets the key that was used least recently; its resends are answered `unknown`.
+    fn forget_oldest(&mut self) {
+        let oldest = self
+            .entries
+            .iter()
+            .enumerate()
+            .min_by_key(|(_, e)| e.touched);
+        let Some(index) = oldest.map(|(index, _)| index) else {
+            return;
+        };
+        self.entries.remove(index);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/owners.rs
@@ -0,0 +1,64 @@
+//! The owners that run in this process.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bambooseam_view::View;
+
+use crate::routes::{Group, group_slots};
+use crate::slots::{Health, OwnerStatus, Policy, SlotOwner};
+
+/// Owners by group, made when first asked for.
+///
+/// Any proxy acts as owner when it is asked, since ownership is advisory: with two owners a
+/// target sheds what is too much for it.
+#[derive(Debug, Default)]
+pub struct Owners {
+    held: Mutex<Vec<(Group, Arc<SlotOwner>)>>,
+}
+
+impl Owners {
+    /// The owner of a group under `view`; `None` when the view lacks the service.
+    pub fn get(&self, group: &Group, view: &View) -> Option<Arc<SlotOwner>> {
+        let mut held = self.lock();
+        match held.binary_search_by(|(key, _)| key.cmp(group)) {
+            Ok(index) => Some(Arc::clone(&held[index].1)),
+            Err(index) => {
+                let (policy, targets) = group_slots(view, group)?;
+                let owner = SlotOwner::new(policy);
+                // Nothing tells a new owner how long the targets have run.
+                owner.update(policy, targets, Health::warm);
+                held.insert(index, (group.clone(), Arc::clone(&owner)));
+                Some(owner)
+            }
+        }
+    }
+
+    /// Takes over a new view.
+    pub fn update(&self, view: &View) {
+        for (group, owner) in self.lock().iter() {
+            let (policy, targets) = group_slots(view, group).unwrap_or((Policy::USUAL, Vec::new()));
+            let ramp_time = policy.ramp_time;
+            owner.update(policy, targets, || Health::cold(ramp_time));
+        }
+    }
+
+    /// Lets time-bound states of targets take effect.
+    pub fn tick(&self) {
+        for (_, owner) in self.lock().iter() {
+            owner.tick();
+        }
+    }
+
+    /// Counts of all owners.
+    pub fn status(&self) -> Vec<(Group, OwnerStatus)> {
+        let held = self.lock();
+        let statuses = held
+            .iter()
+            .map(|(group, owner)| (group.clone(), owner.status()));
+        statuses.collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<(Group, Arc<SlotOwner>)>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/peers/serve.rs
@@ -0,0 +1,145 @@
+//! The side that answers other proxies.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bambooseam_config::WorkClass;
+use bambooseam_peer::serve;
+use bambooseam_peer::slot_capnp::{self, claim, desk, slot};
+use bambooseam_view::FlowKey;
+use tokio::net::TcpListener;
+
+use crate::keys::{Claim, KeyDesk};
+use crate::routes::Group;
+use crate::slots::{Ask, Grant, Report, SlotOwner};
+
+/// What other proxies may ask for.
+pub trait Desk: Clone + 'static {
+    /// The owner of a group; `None` when no view has its service.
+    fn owner(&self, group: &Group) -> Option<Arc<SlotOwner>>;
+
+    /// The keys that this proxy owns.
+    fn keys(&self) -> &Arc<KeyDesk>;
+}
+
+/// Answers the proxies that connect; must run in a `LocalSet`.
+pub async fn serve_desk<D: Desk>(listener: TcpListener, desk: D) {
+    serve(listener, |_| {
+        let client: desk::Client = capnp_rpc::new_client(DeskServer(desk.clone()));
+        client.client
+    })
+    .await;
+}
+
+struct DeskServer<D>(D);
+
+struct SlotServer(RefCell<Option<Grant>>);
+
+struct ClaimServer(RefCell<Option<Claim>>);
+
+impl<D: Desk> desk::Server for DeskServer<D> {
+    async fn acquire(
+        self: Rc<Self>,
+        params: desk::AcquireParams,
+        mut results: desk::AcquireResults,
+    ) -> Result<(), capnp::Error> {
+        let (group, ask) = read_ask(params.get()?.get_ask()?)?;
+        let Some(owner) = self.0.owner(&group) else {
+            return Err(capnp::Error::failed("an unknown service".into()));
+        };
+        let answer = owner.acquire(ask).await;
+        let mut builder = results.get().init_answer();
+        match answer {
+            Ok(grant) => {
+                builder.set_target(grant.target().as_str());
+                let server = SlotServer(RefCell::new(Some(grant)));
+                builder.set_slot(capnp_rpc::new_client(server));
+            }
+            Err(refusal) => {
+                let wait = u32::try_from(refusal.wait.as_millis()).unwrap_or(u32::MAX);
+                builder.set_refusal(wait);
+            }
+        }
+        Ok(())
+    }
+
+    async fn claim(
+        self: Rc<Self>,
+        params: desk::ClaimParams,
+        mut results: desk::ClaimResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let key = FlowKey::from(params.get_key());
+        if let Some(claim) = self.0.keys().claim(key, params.get_attempt()) {
+            let server = ClaimServer(RefCell::new(Some(claim)));
+            results.get().set_claim(capnp_rpc::new_client(server));
+        }
+        Ok(())
+    }
+}
+
+impl slot::Server for SlotServer {
+    async fn finish(
+        self: Rc<Self>,
+        params: slot::FinishParams,
+        _results: slot::FinishResults,
+    ) -> Result<(), capnp::Error> {
+        let report = params.get()?.get_report()?.into();
+        if let Some(grant) = self.0.borrow_mut().take() {
+            grant.finish(report);
+        }
+        Ok(())
+    }
+}
+
+impl claim::Server for ClaimServer {
+    async fn settle_not_run(
+        self: Rc<Self>,
+        _params: claim::SettleNotRunParams,
+        _results: claim::SettleNotRunResults,
+    ) -> Result<(), capnp::Error> {
+        if let Some(claim) = self.0.borrow_mut().take() {
+            claim.settle_not_run();
+        }
+        Ok(())
+    }
+}
+
+/// Reads and checks a question for a slot.
+fn read_ask(ask: slot_capnp::ask::Reader<'_>) -> Result<(Group, Ask), capnp::Error> {
+    let bad = |_| capnp::Error::failed("a bad name".into());
+    let group = Group {
+        service: ask.get_service()?.to_str()?.parse().map_err(bad)?,
+        zone: ask.get_zone()?.to_str()?.parse().map_err(bad)?,
+    };
+    let mut avoid = Vec::new();
+    for target in ask.get_avoid()? {
+        avoid.push(target?.to_str()?.parse().map_err(bad)?);
+    }
+    let class = match ask.get_class()? {
+        slot_capnp::WorkClass::Short => WorkClass::Short,
+        slot_capnp::WorkClass::Long => WorkClass::Long,
+    };
+    let ask = Ask {
+        class,
+        waited: Duration::from_millis(ask.get_waited_ms().into()),
+        limit: Duration::from_millis(ask.get_limit_ms().into()),
+        owners: ask.get_owners(),
+        avoid,
+    };
+    Ok((group, ask))
+}
+
+impl From<slot_capnp::Report> for Report {
+    fn from(report: slot_capnp::Report) -> Self {
+        match report {
+            slot_capnp::Report::Left => Self::Left,
+            slot_capnp::Report::Served => Self::Served,
+            slot_capnp::Report::Shed => Self::Shed,
+            slot_capnp::Report::Failed => Self::Failed,
+            slot_capnp::Report::Unreachable => Self::Unreachable,
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/pool.rs
@@ -0,0 +1,152 @@
+//! Idle connections to targets.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bambooseam_types::TargetId;
+use bambooseam_view::View;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
+
+use crate::body::RequestBody;
+
+/// Idle time after which a connection is closed.
+const IDLE_TIME: Duration = Duration::from_secs(10);
+
+/// Age after which a connection is not used again.
+const AGE_LIMIT: Duration = Duration::from_secs(60);
+
+/// Most idle connections to one target.
+const IDLE_LIMIT: usize = 4;
+
+/// Time in which a connection must be made.
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+
+/// Time for which sent bytes may go unacknowledged before the connection counts as lost.
+const USER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time in which a connection whose answer has ended becomes ready again.
+const READY_TIME: Duration = Duration::from_millis(20);
+
+/// A connection to a target, for one request at a time.
+#[derive(Debug)]
+pub struct Connection {
+    /// Takes requests.
+    pub sender: SendRequest<RequestBody>,
+    /// Whether it has carried a request before.
+    pub is_reused: bool,
+    address: SocketAddr,
+    target: TargetId,
+    born: Instant,
+    idle_since: Instant,
+}
+
+/// Idle connections, sorted by target and address.
+///
+/// The target is part of the key, so that an address that now belongs to another service's target
+/// never receives a request over an old connection.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: Mutex<Vec<(TargetId, SocketAddr, Vec<Connection>)>>,
+}
+
+impl Connection {
+    /// Connects to a target.
+    ///
+    /// # Errors
+    ///
+    /// An error when the connection is refused or takes too long.
+    pub async fn open(target: &TargetId, address: SocketAddr) -> std::io::Result<Self> {
+        let stream = timeout(CONNECT_TIME, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+        let (sender, connection) = Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(std::io::Error::other)?;
+        tokio::spawn(async move {
+            // Errors reach the request that the connection carries.
+            let _ = connection.with_upgrades().await;
+        });
+        let now = Instant::now();
+        Ok(Self {
+            sender,
+            is_reused: false,
+            address,
+            target: target.clone(),
+            born: now,
+            idle_since: now,
+        })
+    }
+}
+
+impl Pool {
+    /// An idle connection that has been idle for at most `most` and is ready.
+    pub async fn take(
+        &self,
+        target: &TargetId,
+        address: SocketAddr,
+        most: Duration,
+    ) -> Option<Connection> {
+        loop {
+            let mut connection = self.pop(target, address)?;
+            let is_fresh = connection.idle_since.elapsed() <= most.min(IDLE_TIME);
+            if !is_fresh || connection.sender.is_closed() {
+                continue;
+            }
+            let ready = timeout(READY_TIME, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                connection.is_reused = true;
+                return Some(connection);
+            }
+        }
+    }
+
+    /// Gives a connection back whose answer has ended.
+    pub fn put(&self, mut connection: Connection) {
+        if connection.sender.is_closed() || connection.born.elapsed() > AGE_LIMIT {
+            return;
+        }
+        connection.idle_since = Instant::now();
+        let key = (connection.target.clone(), connection.address);
+        let mut idle = self.lock();
+        let found = idle.binary_search_by(|held| (&held.0, held.1).cmp(&(&key.0, key.1)));
+        let index = found.unwrap_or_else(|index| {
+            idle.insert(index, (key.0, key.1, Vec::new()));
+            index
+        });
+        let connections = &mut idle[index].2;
+        if connections.len() < IDLE_LIMIT {
+            connections.push(connection);
+        }
+    }
+
+    /// Closes connections that are old or whose target the view no longer has there.
+    pub fn clean(&self, view: Option<&View>) {
+        let mut idle = self.lock();
+        for (_, _, connections) in idle.iter_mut() {
+            connections.retain(|held| held.idle_since.elapsed() <= IDLE_TIME);
+        }
+        idle.retain(|(target, address, connections)| {
+            let is_known = view.is_none_or(|view| {
+                let mut targets = view.targets.iter();
+                targets.any(|t| t.entry.id == *target && t.entry.requests == *address)
+            });
+            is_known && !connections.is_empty()
+        });
+    }
+
+    fn pop(&self, target: &TargetId, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.lock();
+        let found = idle.binary_search_by(|held| (&held.0, held.1).cmp(&(target, address)));
+        idle[found.ok()?].2.pop()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<(TargetId, SocketAddr, Vec<Connection>)>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/routes.rs
@@ -0,0 +1,166 @@
+//! Who owns which slots under one view.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+use std::time::SystemTime;
+
+use bambooseam_types::{ServiceName, VmId, ZoneId};
+use bambooseam_view::{FlowKey, Ranking, ServiceIndex, View, VmHealth};
+
+use crate::slots::{Policy, Share, TargetSlots};
+
+/// Owners in rank order that are tried for one group of targets.
+const OWNER_TRIES: usize = 3;
+
+/// The targets of a service in one zone; they have one owner.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Group {
+    /// The service.
+    pub service: ServiceName,
+    /// The zone of the targets.
+    pub zone: ZoneId,
+}
+
+/// A group and its owners in rank order.
+#[derive(Debug, Clone)]
+pub struct GroupRoute {
+    /// The group.
+    pub group: Group,
+    /// Owners, the first in rank first.
+    pub owners: Vec<OwnerAddress>,
+}
+
+/// Where an owner is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OwnerAddress {
+    /// This proxy.
+    Own,
+    /// Another proxy.
+    Peer(SocketAddr),
+}
+
+/// A view and the routes that follow from it; made when first used.
+#[derive(Debug)]
+pub struct Routes {
+    /// The view.
+    pub view: Arc<View>,
+    /// When this revision came into force here.
+    pub since: SystemTime,
+    vm: VmId,
+    zone: ZoneId,
+    services: Vec<OnceLock<Vec<GroupRoute>>>,
+}
+
+impl Routes {
+    /// Creates the routes of VM `vm` in `zone`.
+    pub fn new(view: Arc<View>, vm: VmId, zone: ZoneId, since: SystemTime) -> Self {
+        let services = view.preset.services.iter().map(|_| OnceLock::new());
+        Self {
+            services: services.collect(),
+            view,
+            since,
+            vm,
+            zone,
+        }
+    }
+
+    /// Groups of a service, that of this zone first.
+    pub fn groups(&self, service: ServiceIndex) -> &[GroupRoute] {
+        self.services[service.0].get_or_init(|| self.rank(service))
+    }
+
+    /// Owner of an idempotency key; `None` without a live proxy.
+    pub fn key_owner(&self, key: FlowKey) -> Option<OwnerAddress> {
+        self.view
+            .proxies()
+            .first(key)
+            .map(|index| self.address(index))
+    }
+
+    fn rank(&self, service: ServiceIndex) -> Vec<GroupRoute> {
+        let name = &self.view.service(service).name;
+        let mut zones = zones_of(&self.view, service);
+        // Other zones follow in an order of this VM's own, so that spilled work spreads.
+        let turn = FlowKey::of_name(self.vm.as_str()).get() as usize % zones.len().max(1);
+        zones.rotate_left(turn);
+        zones.sort_by_key(|zone| *zone != self.zone);
+        let routes = zones.into_iter().map(|zone| GroupRoute {
+            owners: self.owners(name, &zone),
+            group: Group {
+                service: name.clone(),
+                zone,
+            },
+        });
+        routes.collect()
+    }
+
+    /// Live proxies of the zone in rank order, then those of the fleet.
+    fn owners(&self, service: &ServiceName, zone: &ZoneId) -> Vec<OwnerAddress> {
+        let key = FlowKey::of_name(&format!("{service}/{zone}"));
+        let live = self
+            .view
+            .vms
+            .iter()
+            .enumerate()
+            .filter(|(_, vm)| vm.health == VmHealth::Live && vm.entry.zone == *zone);
+        let local = Ranking::new(live.map(|(index, vm)| (index, vm.entry.id.as_str())));
+        let mut ranked = local.walk(key);
+        let fleet = self.view.proxies().top::<{ OWNER_TRIES + 1 }>(key);
+        for index in fleet.into_iter().flatten() {
+            if !ranked.contains(&index) {
+                ranked.push(index);
+            }
+        }
+        ranked.truncate(OWNER_TRIES);
+        ranked
+            .into_iter()
+            .map(|index| self.address(index))
+            .collect()
+    }
+
+    fn address(&self, index: usize) -> OwnerAddress {
+        let entry = &self.view.vms[index].entry;
+        if entry.id == self.vm {
+            return OwnerAddress::Own;
+        }
+        OwnerAddress::Peer(entry.proxy)
+    }
+}
+
+/// Zones with targets of a service, sorted.
+fn zones_of(view: &View, service: ServiceIndex) -> Vec<ZoneId> {
+    let targets = view.targets_of(service).iter();
+    let mut zones: Vec<ZoneId> = targets.map(|target| target.entry.zone.clone()).collect();
+    zones.sort();
+    zones.dedup();
+    zones
+}
+
+/// Policy and targets of a group under a view; `None` when the service is gone.
+pub fn group_slots(view: &View, group: &Group) -> Option<(Policy, Vec<TargetSlots>)> {
+    let index = view.service_index(&group.service)?;
+    let service = view.service(index);
+    let mut before = 0;
+    let mut targets = Vec::new();
+    for target in view.targets_of(index) {
+        let is_open = target.is_open();
+        if target.entry.zone < group.zone && is_open {
+            before += service.slots;
+        }
+        if target.entry.zone != group.zone {
+            continue;
+        }
+        targets.push(TargetSlots {
+            id: target.entry.id.clone(),
+            limit: service.slots,
+            is_open,
+        });
+    }
+    let policy = Policy {
+        ramp_time: service.ramp_time,
+        eject_share: service.eject_share,
+        share: Share { before },
+        ..Policy::USUAL
+    };
+    Some((policy, targets))
+}
--- /dev/null
+++ b/crates/proxy/src/slots.rs
@@ -0,0 +1,22 @@
+//! Slots of targets: who may start which work when.
+//!
+//! Each target's slots have one owner. [`SlotOwner`] keeps the exact counts and the queue of work
+//! that waits, [`SlotFinder`] asks owners from where a request arrived. Both run on the tokio
+//! clock, so measurements and tests run the same code in virtual time.
+
+mod class;
+mod drain;
+mod finder;
+mod health;
+mod load;
+mod owner;
+mod policy;
+mod queue;
+
+pub use class::ClassLearner;
+pub use drain::DrainMeter;
+pub use finder::{Lease, SlotFinder, SlotSource};
+pub use health::{Health, Report};
+pub use load::Load;
+pub use owner::{Ask, Grant, OwnerStatus, Refusal, SlotOwner, TargetSlots};
+pub use policy::{Policy, Rule, Share};
--- /dev/null
+++ b/crates/proxy/src/slots/health.rs
@@ -0,0 +1,137 @@
+//! What an owner has seen of a target: ejection, return in steps, cold start.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// How one piece of work ended on a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Report {
+    /// The target gave a whole answer.
+    Served,
+    /// The target refused without running it.
+    Shed,
+    /// The target failed or was silent.
+    Failed,
+    /// No connection to the target could be made.
+    Unreachable,
+    /// The caller left; says nothing about the target.
+    Left,
+}
+
+/// Failures in a row after which a target is ejected.
+const FAILURE_LIMIT: u32 = 3;
+
+/// First time out of service; it doubles with each ejection in a row.
+const EJECT_TIME: Duration = Duration::from_secs(2);
+
+/// Time out of service of a target that can't be reached; nothing is lost by leaving it out.
+const UNREACHABLE_TIME: Duration = Duration::from_secs(1);
+
+/// Longest time out of service.
+const EJECT_LIMIT: Duration = Duration::from_secs(60);
+
+/// Time for which a target that sheds gets one slot less.
+const SHED_TIME: Duration = Duration::from_millis(500);
+
+/// Own observations of one target.
+#[derive(Debug, Clone)]
+pub struct Health {
+    failures: u32,
+    ejections: u32,
+    sheds: u32,
+    shed_until: Instant,
+    ejected_until: Option<Instant>,
+    warm_since: Instant,
+    ramp_time: Duration,
+}
+
+impl Health {
+    /// A target that starts cold now.
+    pub fn cold(ramp_time: Duration) -> Self {
+        let now = Instant::now();
+        Self {
+            failures: 0,
+            ejections: 0,
+            sheds: 0,
+            shed_until: now,
+            ejected_until: None,
+            warm_since: now,
+            ramp_time,
+        }
+    }
+
+    /// A target that is at its full share.
+    pub fn warm() -> Self {
+        Self::cold(Duration::ZERO)
+    }
+
+    /// Notes how work ended; tells whether the target should be ejected.
+    pub fn note(&mut self, report: Report) -> bool {
+        match report {
+            Report::Served => {
+                self.failures = 0;
+                self.ejections = 0;
+                self.ejected_until = None;
+                self.sheds = 0;
+            }
+            Report::Shed => {
+                self.sheds += 1;
+                self.shed_until = Instant::now() + SHED_TIME;
+            }
+            Report::Failed => self.failures += 1,
+            Report::Unreachable => {
+                self.failures += 1;
+                self.ejections = self.ejections.max(1);
+                self.ejected_until = Some(Instant::now() + UNREACHABLE_TIME);
+            }
+            Report::Left => {}
+        }
+        self.failures >= FAILURE_LIMIT && !self.is_ejected()
+    }
+
+    /// Takes the target out of service for a while; it then returns in steps.
+    pub fn eject(&mut self, ramp_time: Duration) {
+        let time = EJECT_TIME.saturating_mul(1 << self.ejections.min(5));
+        let until = Instant::now() + time.min(EJECT_LIMIT);
+        self.ejections += 1;
+        // One more failure after the return ejects again.
+        self.failures = FAILURE_LIMIT - 1;
+        self.ejected_until = Some(until);
+        self.warm_since = until;
+        self.ramp_time = ramp_time;
+    }
+
+    /// Whether the target is out of service now.
+    pub fn is_ejected(&self) -> bool {
+        self.ejected_until
+            .is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Whether failures have been seen that no served work has cleared.
+    pub fn is_doubtful(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Slots, of `limit`, that may be used now.
+    pub fn allowed(&self, limit: u32) -> u32 {
+        if self.is_ejected() {
+            return 0;
+        }
+        let now = Instant::now();
+        // A target that has failed and not served since proves itself with one request.
+        if self.failures > 0 && self.ejections > 0 {
+            return limit.min(1);
+        }
+        let mut allowed = limit;
+        if !self.ramp_time.is_zero() {
+            let passed = now.saturating_duration_since(self.warm_since).as_secs_f64();
+            let part = (passed / self.ramp_time.as_secs_f64()).min(1.0);
+            allowed = ((f64::from(limit) * part) as u32).clamp(1, limit);
+        }
+        if now < self.shed_until {
+            allowed = allowed.saturating_sub(self.sheds).max(1);
+        }
+        allowed
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/slots/load.rs
@@ -0,0 +1,97 @@
+//! Measured load of an owner: busy slots by class and service times.
+
+use std::time::Duration;
+
+use bambooseam_config::WorkClass;
+use tokio::time::Instant;
+
+/// Weight of one service time in the mean.
+const MEAN_WEIGHT: f64 = 1.0 / 32.0;
+
+/// Moving averages of one owner.
+#[derive(Debug, Clone)]
+pub struct Load {
+    window: Duration,
+    at: Instant,
+    busy: [u32; 2],
+    average: [f64; 2],
+    means: [Mean; 2],
+}
+
+/// Mean of service times, in seconds.
+#[derive(Debug, Clone, Copy, Default)]
+struct Mean {
+    count: u32,
+    value: f64,
+}
+
+/// Index of a class in the arrays.
+const fn slot_of(class: WorkClass) -> usize {
+    match class {
+        WorkClass::Short => 0,
+        WorkClass::Long => 1,
+    }
+}
+
+impl Load {
+    /// Creates an idle load.
+    pub fn new(window: Duration) -> Self {
+        Self {
+            window,
+            at: Instant::now(),
+            busy: [0; 2],
+            average: [0.0; 2],
+            means: [Mean::default(); 2],
+        }
+    }
+
+    /// Slots that run work of a class now.
+    pub fn busy(&self, class: WorkClass) -> u32 {
+        self.busy[slot_of(class)]
+    }
+
+    /// Slots that ran work of a class, averaged over the window.
+    pub fn average(&self, class: WorkClass) -> f64 {
+        self.average[slot_of(class)]
+    }
+
+    /// Mean service time of a class; zero until something is known.
+    pub fn mean(&self, class: WorkClass) -> Duration {
+        Duration::from_secs_f64(self.means[slot_of(class)].value)
+    }
+
+    /// Notes the start of work.
+    pub fn start(&mut self, class: WorkClass) {
+        self.advance();
+        self.busy[slot_of(class)] += 1;
+    }
+
+    /// Notes the end of work; `time` is its service time when it ran to its end.
+    pub fn end(&mut self, class: WorkClass, time: Option<Duration>) {
+        self.advance();
+        let busy = &mut self.busy[slot_of(class)];
+        *busy = busy.saturating_sub(1);
+        if let Some(time) = time {
+            self.means[slot_of(class)].add(time.as_secs_f64());
+        }
+    }
+
+    /// Moves the averages on to now.
+    pub fn advance(&mut self) {
+        let now = Instant::now();
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.at = now;
+        let weight = 1.0 - (-passed / self.window.as_secs_f64()).exp();
+        for (average, busy) in self.average.iter_mut().zip(self.busy) {
+            *average += (f64::from(busy) - *average) * weight;
+        }
+    }
+}
+
+impl Mean {
+    fn add(&mut self, value: f64) {
+        self.count = self.count.saturating_add(1);
+        let weight = MEAN_WEIGHT.max(1.0 / f64::from(self.count));
+        self.value += (value - self.value) * weight;
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/slots/owner.rs
@@ -0,0 +1,409 @@
+//! The owner of some targets' slots.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bambooseam_config::WorkClass;
+use bambooseam_types::TargetId;
+use derive_more::{Display, Error};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use super::queue::{Queue, Waiter};
+use super::{Health, Load, Policy, Report, Rule};
+
+/// Part of the time limit up to which the expected wait may grow; the rest is for errors of the
+/// estimate, so that admitted work seldom waits in vain.
+const ADMIT_PART: f64 = 0.5;
+
+/// Expected wait when no target may take work.
+const NO_TARGET_WAIT: Duration = Duration::from_secs(5);
+
+/// A request for a slot.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Class of the work.
+    pub class: WorkClass,
+    /// Time since the request arrived.
+    pub waited: Duration,
+    /// Longest further wait.
+    pub limit: Duration,
+    /// Owners that are asked at the same time.
+    pub owners: u32,
+    /// Targets that were tried before.
+    pub avoid: Vec<TargetId>,
+}
+
+/// No slot within the time limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("no slot for {wait:?}")]
+pub struct Refusal {
+    /// Expected wait.
+    pub wait: Duration,
+}
+
+/// A target and its limit, as the view has them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetSlots {
+    /// The target.
+    pub id: TargetId,
+    /// Requests that it runs at a time.
+    pub limit: u32,
+    /// Whether it may get new work.
+    pub is_open: bool,
+}
+
+/// Exact slots of some targets, and the work that waits for them.
+#[derive(Debug)]
+pub struct SlotOwner {
+    state: Mutex<State>,
+}
+
+/// A slot that is in use until this value is dropped.
+#[derive(Debug)]
+pub struct Grant {
+    owner: Option<Arc<SlotOwner>>,
+    target: TargetId,
+    class: WorkClass,
+    began: Instant,
+    report: Report,
+}
+
+/// Counts of an owner.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OwnerStatus {
+    /// Slots that may be used.
+    pub slots: u32,
+    /// Slots in use.
+    pub busy: u32,
+    /// Short and long requests that wait.
+    pub waiting: [f64; 2],
+    /// Slots that long work leaves free.
+    pub reserve: u32,
+    /// Targets out of service.
+    pub ejected: usize,
+}
+
+#[derive(Debug)]
+struct State {
+    policy: Policy,
+    targets: Vec<TargetState>,
+    load: Load,
+    short: Queue,
+    long: Queue,
+    picks: u64,
+}
+
+#[derive(Debug)]
+struct TargetState {
+    slots: TargetSlots,
+    busy: u32,
+    last: u64,
+    health: Health,
+}
+
+impl SlotOwner {
+    /// Creates an owner without targets.
+    pub fn new(policy: Policy) -> Arc<Self> {
+        let state = State {
+            policy,
+            targets: Vec::new(),
+            load: Load::new(policy.window),
+            short: Queue::default(),
+            long: Queue::default(),
+            picks: 0,
+        };
+        Arc::new(Self {
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Takes over policy and targets of a new view; new targets start with `health`.
+    ///
+    /// A target that is gone keeps its slots in use until its work ends.
+    pub fn update(
+        self: &Arc<Self>,
+        policy: Policy,
+        targets: Vec<TargetSlots>,
+        health: impl Fn() -> Health,
+    ) {
+        let mut state = self.lock();
+        state.policy = policy;
+        for held in &mut state.targets {
+            held.slots.is_open = false;
+        }
+        for slots in targets {
+            match state.find(&slots.id) {
+                Ok(index) => state.targets[index].slots = slots,
+                Err(index) => {
+                    let target = TargetState {
+                        slots,
+                        busy: 0,
+                        last: 0,
+                        health: health(),
+                    };
+                    state.targets.insert(index, target);
+                }
+            }
+        }
+        state
+            .targets
+            .retain(|held| held.slots.is_open || held.busy > 0);
+        self.dispatch(&mut state);
+    }
+
+    /// Waits for a slot; dropping the future gives the place in the queue up.
+    ///
+    /// # Errors
+    ///
+    /// A refusal at once when the expected wait exceeds the limit.
+    pub async fn acquire(self: &Arc<Self>, ask: Ask) -> Result<Grant, Refusal> {
+        let waiting = {
+            let mut state = self.lock();
+            let (sender, receiver) = oneshot::channel();
+            let arrived = Instant::now();
+            let waiter = Waiter {
+                arrived: arrived.checked_sub(ask.waited).unwrap_or(arrived),
+                part: 1.0 / f64::from(ask.owners.max(1)),
+                avoid: ask.avoid,
+                sender,
+            };
+            let wait = state.expected_wait(ask.class);
+            state.queue(ask.class).push(waiter);
+            self.dispatch(&mut state);
+            let mut receiver = receiver;
+            if let Ok(grant) = receiver.try_recv() {
+                return Ok(grant);
+            }
+            if ask.limit.is_zero() || wait > ask.limit.mul_f64(ADMIT_PART) {
+                return Err(Refusal { wait });
+            }
+            receiver
+        };
+        waiting.await.map_err(|_| Refusal {
+            wait: NO_TARGET_WAIT,
+        })
+    }
+
+    /// Starts what may start now, for targets that became usable as time passed.
+    pub fn tick(self: &Arc<Self>) {
+        let mut state = self.lock();
+        state.load.advance();
+        self.dispatch(&mut state);
+    }
+
+    /// Counts now.
+    pub fn status(&self) -> OwnerStatus {
+        let state = self.lock();
+        OwnerStatus {
+            slots: state.slots(),
+            busy: state.targets.iter().map(|target| target.busy).sum(),
+            waiting: [state.short.len(), state.long.len()],
+            reserve: state.reserve(),
+            ejected: state.ejected(),
+        }
+    }
+
+    /// Grants free slots to waiting work in the order of the policy.
+    fn dispatch(self: &Arc<Self>, state: &mut State) {
+        while let Some(class) = state.next_class() {
+            let Some(waiter) = state.queue(class).pop() else {
+                return;
+            };
+            let Some(index) = state.pick(&waiter.avoid) else {
+                state.queue(class).push(waiter);
+                return;
+            };
+            let grant = Grant {
+                owner: Some(Arc::clone(self)),
+                target: state.targets[index].slots.id.clone(),
+                class,
+                began: Instant::now(),
+                report: Report::Left,
+            };
+            // The receiver may have gone; its grant is dropped without freeing a slot.
+            if let Err(mut unused) = waiter.sender.send(grant) {
+                unused.owner = None;
+                continue;
+            }
+            state.take(index, class);
+        }
+    }
+
+    fn release(self: &Arc<Self>, grant: &Grant) {
+        let mut state = self.lock();
+        let served = grant.report == Report::Served;
+        let time = served.then(|| grant.began.elapsed());
+        state.load.end(grant.class, time);
+        state.free(&grant.target, grant.report);
+        self.dispatch(&mut state);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Grant {
+    /// The target that the work may run on.
+    pub fn target(&self) -> &TargetId {
+        &self.target
+    }
+
+    /// Frees the slot and tells how the work ended.
+    pub fn finish(mut self, report: Report) {
+        self.report = report;
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        if let Some(owner) = self.owner.take() {
+            owner.release(self);
+        }
+    }
+}
+
+impl State {
+    fn find(&self, id: &TargetId) -> Result<usize, usize> {
+        self.targets.binary_search_by(|held| held.slots.id.cmp(id))
+    }
+
+    fn queue(&mut self, class: WorkClass) -> &mut Queue {
+        match class {
+            WorkClass::Short => &mut self.short,
+            WorkClass::Long => &mut self.long,
+        }
+    }
+
+    /// Slots that may be used now.
+    fn slots(&self) -> u32 {
+        self.targets.iter().map(TargetState::allowed).sum()
+    }
+
+    fn reserve(&self) -> u32 {
+        let short = self.load.average(WorkClass::Short);
+        let long = self.load.average(WorkClass::Long);
+        self.policy.reserve(self.slots(), short, long)
+    }
+
+    fn ejected(&self) -> usize {
+        let ejected = |target: &&TargetState| target.health.is_ejected();
+        self.targets.iter().filter(ejected).count()
+    }
+
+    /// Class of the work that starts next, if a slot is free for any.
+    fn next_class(&mut self) -> Option<WorkClass> {
+        if self.targets.iter().all(|target| target.free() == 0) {
+            return None;
+        }
+        let (short, long) = (self.short.front(), self.long.front());
+        let Some(long) = long else {
+            return short.map(|_| WorkClass::Short);
+        };
+        let slots = self.slots();
+        let busy = self.load.busy(WorkClass::Long);
+        let Some(short) = short else {
+            let cap = slots.saturating_sub(self.reserve());
+            return (busy < cap).then_some(WorkClass::Long);
+        };
+        let is_older = long < short;
+        let is_long = match self.policy.rule {
+            Rule::Fifo => is_older,
+            // Long work keeps a few slots however much short work arrives, so neither starves.
+            _ => is_older && busy < self.policy.long_floor(slots),
+        };
+        Some(if is_long {
+            WorkClass::Long
+        } else {
+            WorkClass::Short
+        })
+    }
+
+    /// The target with the smallest part of its slots in use; tried ones come last.
+    fn pick(&self, avoid: &[TargetId]) -> Option<usize> {
+        let free = self
+            .targets
+            .iter()
+            .enumerate()
+            .filter(|(_, t)| t.free() > 0);
+        let order = |target: &TargetState| {
+            let part = u64::from(target.busy) * 1_000 / u64::from(target.slots.limit.max(1));
+            let tried = avoid.contains(&target.slots.id);
+            (tried, target.health.is_doubtful(), part, target.last)
+        };
+        free.min_by_key(|(_, target)| order(target))
+            .map(|(index, _)| index)
+    }
+
+    fn take(&mut self, index: usize, class: WorkClass) {
+        self.picks += 1;
+        self.load.start(class);
+        let target = &mut self.targets[index];
+        target.busy += 1;
+        target.last = self.picks;
+        if target.busy <= target.slots.limit && target.slots.is_open {
+            return;
+        }
+        let id = &target.slots.id;
+        metrics::counter!("invariant_broken", "name" => "slots").increment(1);
+        log::error!(
+            "event=invariant_broken name=slots target={id} busy={}",
+            target.busy
+        );
+        debug_assert!(false, "slots in use above the limit of {id}");
+    }
+
+    fn free(&mut self, id: &TargetId, report: Report) {
+        let Ok(index) = self.find(id) else { return };
+        let ejected = self.ejected();
+        let most = self.targets.len() * usize::from(self.policy.eject_share) / 100;
+        let ramp_time = self.policy.ramp_time;
+        let target = &mut self.targets[index];
+        target.busy = target.busy.saturating_sub(1);
+        if target.health.note(report) && ejected < most {
+            target.health.eject(ramp_time);
+            metrics::counter!("targets_ejected").increment(1);
+            log::warn!("event=target_ejected target={id} cause=failures");
+        }
+        if !target.slots.is_open && target.busy == 0 {
+            self.targets.remove(index);
+        }
+    }
+
+    /// Expected wait of a request that joins the queue of `class` now.
+    fn expected_wait(&self, class: WorkClass) -> Duration {
+        let slots = self.slots();
+        if slots == 0 {
+            return NO_TARGET_WAIT;
+        }
+        let busy_long = self.load.busy(WorkClass::Long);
+        let (ahead, mean, servers) = match class {
+            WorkClass::Short => {
+                let servers = slots.saturating_sub(busy_long).max(1);
+                (self.short.len(), self.load.mean(class), f64::from(servers))
+            }
+            WorkClass::Long => {
+                let floor = self.policy.long_floor(slots).max(1);
+                let short = self.load.average(WorkClass::Short);
+                let cap = f64::from(slots.saturating_sub(self.reserve()).max(floor));
+                let servers = (f64::from(slots) - short).clamp(f64::from(floor), cap);
+                (self.long.len(), self.load.mean(class), servers)
+            }
+        };
+        mean.mul_f64(ahead / servers)
+    }
+}
+
+impl TargetState {
+    fn allowed(&self) -> u32 {
+        if !self.slots.is_open {
+            return 0;
+        }
+        self.health.allowed(self.slots.limit)
+    }
+
+    fn free(&self) -> u32 {
+        self.allowed().saturating_sub(self.busy)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/slots/policy.rs
@@ -0,0 +1,107 @@
+//! Rules by which an owner orders work.
+
+use std::time::Duration;
+
+/// Order in which waiting work starts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Rule {
+    /// In order of arrival.
+    Fifo,
+    /// Short work before long work.
+    ShortFirst,
+    /// Short work first, and a fixed number of slots that long work never takes.
+    FixedReserve(u32),
+    /// Short work first, and a reserve that follows the measured load.
+    AdaptiveReserve,
+}
+
+/// What an owner does with its slots.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Policy {
+    /// Order of work.
+    pub rule: Rule,
+    /// Time over which load is averaged.
+    pub window: Duration,
+    /// Time over which a cold target reaches its full share.
+    pub ramp_time: Duration,
+    /// Targets that may be ejected, in percent.
+    pub eject_share: u8,
+    /// The owner's part of the service's slots.
+    pub share: Share,
+}
+
+/// Where an owner's slots lie among all slots of a service, in a fixed order of owners.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Share {
+    /// Slots of the owners before this one.
+    pub before: u32,
+}
+
+/// Utilisation by long work that the slots outside the reserve are sized for.
+const LONG_UTILISATION: f64 = 0.8;
+
+/// Standard deviations of the number of short requests in service that the reserve may cover.
+const SHORT_DEVIATIONS: f64 = 2.0;
+
+/// One slot in this many may always run long work.
+const LONG_FLOOR: u32 = 8;
+
+impl Policy {
+    /// The usual policy of a service.
+    pub const USUAL: Self = Self {
+        rule: Rule::AdaptiveReserve,
+        window: Duration::from_secs(10),
+        ramp_time: Duration::from_secs(10),
+        eject_share: 30,
+        share: Share { before: 0 },
+    };
+
+    /// Sets the rule.
+    pub fn with_rule(mut self, rule: Rule) -> Self {
+        self.rule = rule;
+        self
+    }
+
+    /// Sets the owner's share.
+    pub fn with_share(mut self, share: Share) -> Self {
+        self.share = share;
+        self
+    }
+
+    /// Slots that long work leaves free, of `slots`, when the busy slots average `short` and
+    /// `long`.
+    pub fn reserve(&self, slots: u32, short: f64, long: f64) -> u32 {
+        match self.rule {
+            Rule::Fifo | Rule::ShortFirst => 0,
+            Rule::FixedReserve(reserve) => self.share.of(f64::from(reserve), slots),
+            Rule::AdaptiveReserve => {
+                let count = f64::from(slots.max(1));
+                let spare = 1.0 - long / count / LONG_UTILISATION;
+                let need = (short + SHORT_DEVIATIONS * short.sqrt()) / count;
+                let reserve = self.share.of_part(spare.min(need).clamp(0.0, 1.0), slots);
+                reserve.min(slots.saturating_sub(self.long_floor(slots)))
+            }
+        }
+    }
+
+    /// Slots of `slots` that long work may hold although short work waits.
+    pub fn long_floor(&self, slots: u32) -> u32 {
+        self.share.of_part(1.0 / f64::from(LONG_FLOOR), slots)
+    }
+}
+
+impl Share {
+    /// Part of `total`, which is given for the whole service with `slots` slots.
+    fn of(self, total: f64, slots: u32) -> u32 {
+        self.of_part(total / f64::from(slots.max(1)), slots)
+    }
+
+    /// Slots that a part of the service's slots gives this owner.
+    ///
+    /// Parts are rounded along the order of owners, so that small owners together reserve as many
+    /// as one large owner would.
+    fn of_part(self, part: f64, slots: u32) -> u32 {
+        let upto = |count: u32| (part * f64::from(count) + 1e-9).floor() as u32;
+        upto(self.before + slots) - upto(self.before)
+    }
+}
