Observe: trace context, span files, log limit and decision log

Cause: hops need one trace id from caller to target, bad input needs counted and bounded log lines, and each program tells its last decisions in /status. Ruled out: tracing-subscriber's JSON format, which writes events, not one object for an ended span; OpenTelemetry, which needs a collector. Change: TraceParent, Hop and init_traces (started by Program), LogLimit, DecisionLog.

--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -1,11 +1,16 @@
 //! Logs, metrics, traces and the admin endpoint, and the start and stop that programs share.
 
 mod admin;
+mod decisions;
+mod limit;
 mod logs;
 mod program;
 mod stop;
+pub mod trace;
 
 pub use admin::{Admin, AdminError};
+pub use decisions::{Decision, DecisionLog};
+pub use limit::LogLimit;
 pub use logs::{LogError, init_logs};
 pub use program::{EXIT_BAD_INPUT, EXIT_FAILED, Program, Start};
 pub use stop::stop_signal;
--- a/crates/observe/src/program.rs
+++ b/crates/observe/src/program.rs
@@ -7,6 +7,7 @@
 use clap::{Arg, ArgAction, Command, value_parser};
 
 use crate::init_logs;
+use crate::trace::init_traces;
 
 /// Exit code of a run that failed.
 pub const EXIT_FAILED: u8 = 1;
@@ -17,13 +18,14 @@
 /// A program with `--settings` and `--check`.
 #[derive(Debug)]
 pub struct Program {
+    name: &'static str,
     command: Command,
 }
 
 /// What a program's command line asks for.
 #[derive(Debug)]
 pub enum Start {
-    /// Run with these settings; logs are started.
+    /// Run with these settings; logs and traces are started.
     Run(Box<Settings>),
     /// Exit at once with this code; the reason has been printed.
     Exit(ExitCode),
@@ -47,10 +49,10 @@
             .version(env!("CARGO_PKG_VERSION"))
             .arg(settings)
             .arg(check);
-        Self { command }
+        Self { name, command }
     }
 
-    /// Reads command line and settings and starts logs.
+    /// Reads command line and settings and starts logs and traces.
     pub fn start(self) -> Start {
         let matches = self.command.get_matches();
         let Some(path) = matches.get_one::<PathBuf>("settings") else {
@@ -71,6 +73,10 @@
             eprintln!("{error}");
             return Start::Exit(ExitCode::from(EXIT_FAILED));
         }
+        if let Err(error) = init_traces(&settings, self.name) {
+            eprintln!("{error}");
+            return Start::Exit(ExitCode::from(EXIT_FAILED));
+        }
         Start::Run(Box::new(settings))
     }
 }
