ctl: check, status, wait, explain and can-stop

Cause: operators need to check documents before publishing, see what each VM has in force, wait for a revision, and learn why a flow went where it did. Ruled out: documents served by the admin endpoint (a megabyte in each status); explain reads the published files or an agent's view port instead. Change: the crate bambooseam-ctl with exit codes 0 good, 1 failed, 2 bad input, 3 unknown; check_published in config; place without line or key prints short.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -77,6 +77,11 @@
         &self.file
     }
 
+    /// Names of all sections, in the order they stand.
+    pub fn section_names(&self) -> impl Iterator<Item = &str> {
+        self.sections.iter().map(|raw| raw.name.as_str())
+    }
+
     /// The section called `name`.
     pub fn section(&self, name: &str) -> Option<Section<'_>> {
         let raw = self.sections.iter().find(|raw| raw.name == name)?;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod force;
 mod preset;
+mod published;
 mod settings;
 mod value;
 
@@ -15,6 +16,7 @@
 pub use fleet::{TargetEntry, TargetList, TargetState, VmEntry, VmList, VmState};
 pub use force::{InForce, digest_of};
 pub use preset::{ClassRule, Preset, Service, WorkClass};
+pub use published::check_published;
 pub use settings::{
     AgentSettings, ForwarderSettings, LogSettings, PlatformSettings, ProxySettings, Settings,
     TraceSettings, VmSettings,
--- /dev/null
+++ b/crates/config/src/published.rs
@@ -0,0 +1,82 @@
+//! Checks of published documents against one another.
+//!
+//! The agent does not refuse what is found here, since lists and presets change apart; operators
+//! learn of it before they publish.
+
+use bambooseam_types::{Finding, Findings, Place, PresetName};
+
+use crate::{Preset, TargetList, TargetState, VmList, VmState};
+
+/// Checks documents that are good by themselves against one another.
+pub fn check_published(
+    in_force: &PresetName,
+    presets: &[Preset],
+    vms: &VmList,
+    targets: &TargetList,
+) -> Findings {
+    let mut findings = Findings::new();
+    check_names(presets, &mut findings);
+    check_vms(vms, &mut findings);
+    check_services(presets, targets, &mut findings);
+    for preset in presets {
+        if preset.name == *in_force {
+            check_capacity(preset, targets, &mut findings);
+        }
+    }
+    findings
+}
+
+/// Reports presets that share a name.
+fn check_names(presets: &[Preset], findings: &mut Findings) {
+    for (index, preset) in presets.iter().enumerate() {
+        if presets[..index]
+            .iter()
+            .all(|other| other.name != preset.name)
+        {
+            continue;
+        }
+        let place = Place::new(format!("presets/{}", preset.name), 0, "preset.name");
+        let found = format!("{}, which another preset has too", preset.name);
+        findings.push(Finding::new(place, found, "a name of its own"));
+    }
+}
+
+/// Reports a list without a live VM.
+fn check_vms(vms: &VmList, findings: &mut Findings) {
+    if vms.0.iter().any(|vm| vm.state == VmState::Live) {
+        return;
+    }
+    let place = Place::new("vms", 0, "");
+    findings.push(Finding::new(place, "no live VM", "at least one live VM"));
+}
+
+/// Reports targets whose service no preset describes.
+fn check_services(presets: &[Preset], targets: &TargetList, findings: &mut Findings) {
+    for target in &targets.0 {
+        if presets
+            .iter()
+            .any(|preset| preset.service(&target.service).is_some())
+        {
+            continue;
+        }
+        let place = Place::new("targets", 0, format!("target {}.service", target.id));
+        let found = format!("{}, which no preset describes", target.service);
+        findings.push(Finding::new(place, found, "a service of a preset"));
+    }
+}
+
+/// Reports services of the preset in force that no live target serves.
+fn check_capacity(preset: &Preset, targets: &TargetList, findings: &mut Findings) {
+    for service in &preset.services {
+        let mut own = targets
+            .0
+            .iter()
+            .filter(|target| target.service == service.name);
+        if own.any(|target| target.state == TargetState::Live && target.weight.get() > 0) {
+            continue;
+        }
+        let place = Place::new("targets", 0, format!("service {}", service.name));
+        let found = "no live target with a weight above 0";
+        findings.push(Finding::new(place, found, "at least one live target"));
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/command.rs
@@ -0,0 +1,247 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use bambooseam_types::{PresetName, Protocol, Revision, ServiceName, TargetId, VmId};
+use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
+
+use crate::documents::Kind;
+use crate::fleet::Programs;
+use crate::report::Format;
+
+/// Exit codes, for the help text.
+const EXIT_CODES: &str = "\
+Exit codes: 0 good or yes, 1 failed or no, 2 bad input, 3 somebody could not be reached or does \
+not know";
+
+/// The command line of `bambooseam-ctl`.
+pub fn command() -> Command {
+    Command::new("bambooseam-ctl")
+        .about("Checks configuration before it is published and asks the fleet about it")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help(EXIT_CODES)
+        .arg_required_else_help(true)
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .global(true)
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings of a VM, in INI: its programs are asked too"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .requires("settings")
+                .help("Check the settings and exit: 0 good, 2 bad"),
+        )
+        .arg(
+            Arg::new("format")
+                .long("format")
+                .global(true)
+                .value_name("FORMAT")
+                .default_value("human")
+                .value_parser(|text: &str| text.parse::<Format>().map_err(|_| "human or json"))
+                .help("human or json"),
+        )
+        .subcommand(check())
+        .subcommand(status())
+        .subcommand(wait())
+        .subcommand(explain())
+        .subcommand(can_stop())
+}
+
+fn check() -> Command {
+    Command::new("check")
+        .about("Checks a settings file, documents, or a directory of all documents")
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .required(true)
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(PathBuf))
+                .help("Files, or a directory with preset-in-force, presets/, vms and targets"),
+        )
+        .arg(
+            Arg::new("kind")
+                .long("kind")
+                .value_name("KIND")
+                .value_parser(|text: &str| text.parse::<Kind>().map_err(|_| Kind::ALLOWED))
+                .help("settings, preset, pointer, vms or targets; else told by name and sections"),
+        )
+}
+
+fn status() -> Command {
+    with_fleet(Command::new("status"))
+        .about("Puts side by side what each VM has in force and marks those that differ")
+        .arg(
+            Arg::new("events")
+                .long("events")
+                .value_name("COUNT")
+                .default_value("5")
+                .value_parser(value_parser!(usize))
+                .help("Latest decisions that are shown of each VM"),
+        )
+}
+
+fn wait() -> Command {
+    with_fleet(Command::new("wait"))
+        .about("Waits until a revision is in force in each program of each VM")
+        .arg(
+            Arg::new("revision")
+                .long("revision")
+                .value_name("REVISION")
+                .required(true)
+                .value_parser(|text: &str| text.parse::<Revision>())
+                .help("Revision, or a later one, to wait for"),
+        )
+        .arg(
+            Arg::new("timeout")
+                .long("timeout")
+                .value_name("TIME")
+                .default_value("60s")
+                .value_parser(value_parser!(humantime::Duration))
+                .help("Longest wait, such as 8s"),
+        )
+}
+
+fn explain() -> Command {
+    let flow = Command::new("flow")
+        .about("Explains where packets of a flow go")
+        .arg(address("from", "Address and port of the caller").required(true))
+        .arg(address("to", "Address and port of the service").required(true))
+        .arg(
+            Arg::new("protocol")
+                .long("protocol")
+                .value_name("PROTOCOL")
+                .default_value("tcp")
+                .value_parser(parse_protocol)
+                .help("tcp or udp"),
+        );
+    let request = Command::new("request")
+        .about("Explains where a request goes")
+        .arg(
+            Arg::new("service")
+                .long("service")
+                .value_name("NAME")
+                .value_parser(|text: &str| text.parse::<ServiceName>())
+                .help("Service that is asked"),
+        )
+        .arg(address("to", "Address and request port of the service"))
+        .group(
+            ArgGroup::new("which")
+                .args(["service", "to"])
+                .required(true),
+        )
+        .arg(
+            Arg::new("path")
+                .long("path")
+                .value_name("PATH")
+                .default_value("/")
+                .help("Path of the request"),
+        );
+    Command::new("explain")
+        .about("Explains where a flow or request goes under the view of each VM")
+        .subcommand_required(true)
+        .subcommand(with_views(flow))
+        .subcommand(with_views(request))
+}
+
+fn can_stop() -> Command {
+    let vm = Arg::new("stop-vm")
+        .value_name("VM")
+        .required(true)
+        .value_parser(|text: &str| text.parse::<VmId>())
+        .help("VM to stop");
+    let target = Arg::new("stop-target")
+        .value_name("TARGET")
+        .required(true)
+        .value_parser(|text: &str| text.parse::<TargetId>())
+        .help("Target to stop");
+    Command::new("can-stop")
+        .about("Tells whether stopping a VM or target now would break something")
+        .subcommand_required(true)
+        .subcommand(with_views(
+            Command::new("vm").about("Asks about an entry VM").arg(vm),
+        ))
+        .subcommand(with_views(
+            Command::new("target")
+                .about("Asks about a target")
+                .arg(target),
+        ))
+}
+
+/// Adds the arguments that say whom to ask.
+fn with_fleet(command: Command) -> Command {
+    command
+        .arg(
+            Arg::new("vm")
+                .long("vm")
+                .value_name("AGENT[,FORWARDER,PROXY]")
+                .action(ArgAction::Append)
+                .value_parser(|text: &str| text.parse::<Programs>())
+                .help("Admin endpoints of one VM; may be repeated"),
+        )
+        .arg(
+            Arg::new("fleet")
+                .long("fleet")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("INI file with a section [vm NAME] for each VM: agent, forwarder, proxy"),
+        )
+        .arg(
+            Arg::new("patience")
+                .long("patience")
+                .value_name("TIME")
+                .default_value("2s")
+                .value_parser(value_parser!(humantime::Duration))
+                .help("Longest wait for one answer"),
+        )
+}
+
+/// Adds the arguments that say where views come from.
+fn with_views(command: Command) -> Command {
+    with_fleet(command)
+        .arg(
+            Arg::new("documents")
+                .long("documents")
+                .value_name("DIR")
+                .value_parser(value_parser!(PathBuf))
+                .help("Directory with preset-in-force, presets/, vms and targets"),
+        )
+        .arg(
+            Arg::new("preset")
+                .long("preset")
+                .value_name("NAME")
+                .value_parser(|text: &str| text.parse::<PresetName>())
+                .requires("documents")
+                .help("Preset to suppose in force instead of the pointer's"),
+        )
+        .arg(
+            address("views", "View port of an agent (setting agent.views)")
+                .conflicts_with("documents"),
+        )
+        .group(
+            ArgGroup::new("source")
+                .args(["documents", "views"])
+                .required(true),
+        )
+}
+
+fn address(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("IP:PORT")
+        .value_parser(value_parser!(SocketAddr))
+        .help(help)
+}
+
+fn parse_protocol(text: &str) -> Result<Protocol, &'static str> {
+    match text {
+        "tcp" => Ok(Protocol::Tcp),
+        "udp" => Ok(Protocol::Udp),
+        _ => Err("tcp or udp"),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/documents.rs
@@ -0,0 +1,262 @@
+//! Settings and documents as files, before they are published.
+//!
+//! A directory stands for the published keys: `preset-in-force`, `presets/NAME`, `vms` and
+//! `targets`, each with or without the ending `.ini`.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use bambooseam_config::{Document, InForce, Preset, Settings, TargetList, VmList};
+use bambooseam_types::{Finding, Findings, Place, PresetName, VmId};
+use bambooseam_view::{ViewNumber, ViewSource};
+use derive_more::{Display, FromStr};
+
+/// Largest document that the platform holds, in bytes.
+const DOCUMENT_LIMIT: usize = 1_000_000;
+
+/// What a file holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, FromStr)]
+pub enum Kind {
+    /// Settings of a VM.
+    #[display("settings")]
+    Settings,
+    /// The pointer to the preset in force.
+    #[display("pointer")]
+    Pointer,
+    /// A preset.
+    #[display("preset")]
+    Preset,
+    /// The list of VMs.
+    #[display("vms")]
+    Vms,
+    /// The list of targets.
+    #[display("targets")]
+    Targets,
+}
+
+/// A file and what it holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InputFile {
+    /// Name for findings.
+    pub name: String,
+    /// What it holds.
+    pub kind: Kind,
+    /// Its text.
+    pub text: String,
+}
+
+/// All documents of a directory, as they would be published.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Published {
+    /// The pointer.
+    pub pointer: InputFile,
+    /// All presets.
+    pub presets: Vec<InputFile>,
+    /// The list of VMs.
+    pub vms: InputFile,
+    /// The list of targets.
+    pub targets: InputFile,
+}
+
+impl Kind {
+    /// What a kind may be.
+    pub const ALLOWED: &'static str = "settings, preset, pointer, vms or targets";
+
+    /// Tells the kind by the file's name, else by the sections of its text.
+    pub fn of(path: &Path, text: &str) -> Option<Self> {
+        Self::of_name(path).or_else(|| Self::of_text(text))
+    }
+
+    fn of_name(path: &Path) -> Option<Self> {
+        let parent = path.parent().and_then(Path::file_name);
+        if parent.is_some_and(|parent| parent == "presets") {
+            return Some(Self::Preset);
+        }
+        match path.file_stem()?.to_str()? {
+            "settings" => Some(Self::Settings),
+            "preset-in-force" => Some(Self::Pointer),
+            "vms" => Some(Self::Vms),
+            "targets" => Some(Self::Targets),
+            _ => None,
+        }
+    }
+
+    fn of_text(text: &str) -> Option<Self> {
+        let document = Document::parse("", text).ok()?;
+        for name in document.section_names() {
+            match name.split(' ').next() {
+                Some("platform") => return Some(Self::Settings),
+                Some("preset") => return Some(Self::Preset),
+                Some(InForce::SECTION) => return Some(Self::Pointer),
+                Some("vm") if name != "vm" => return Some(Self::Vms),
+                Some("target") => return Some(Self::Targets),
+                _ => continue,
+            }
+        }
+        None
+    }
+}
+
+impl InputFile {
+    /// Reads a file; `kind` is told by name and sections unless given.
+    ///
+    /// # Errors
+    ///
+    /// A finding when the file can't be read or its kind can't be told.
+    pub fn read(path: &Path, kind: Option<Kind>) -> Result<Self, Findings> {
+        let name = path.display().to_string();
+        let text = fs::read_to_string(path)
+            .map_err(|error| single(&name, error.to_string(), "a readable file", ""))?;
+        let kind = kind.or_else(|| Kind::of(path, &text)).ok_or_else(|| {
+            let found = "a file whose kind can't be told";
+            single(&name, found, Kind::ALLOWED, "name the kind with --kind")
+        })?;
+        Ok(Self { name, kind, text })
+    }
+
+    /// Runs the check that the agent or the programs run on this kind of file.
+    pub fn check(&self) -> Findings {
+        let mut findings = Findings::new();
+        if self.kind != Kind::Settings && self.text.len() > DOCUMENT_LIMIT {
+            let found = format!("{} bytes", self.text.len());
+            let allowed = format!("at most {DOCUMENT_LIMIT} bytes");
+            findings.append(single(&self.name, found, allowed, ""));
+        }
+        let checked = match self.kind {
+            Kind::Settings => self.parse::<Settings>().err(),
+            Kind::Pointer => self.parse::<InForce>().err(),
+            Kind::Preset => self.parse::<Preset>().err(),
+            Kind::Vms => self.parse::<VmList>().err(),
+            Kind::Targets => self.parse::<TargetList>().err(),
+        };
+        findings.append(checked.unwrap_or_default());
+        findings
+    }
+
+    /// Parses the file as `T`.
+    ///
+    /// # Errors
+    ///
+    /// All findings of the file.
+    pub fn parse<T>(&self) -> Result<T, Findings>
+    where
+        T: for<'a> TryFrom<&'a Document, Error = Findings>,
+    {
+        T::try_from(&Document::parse(&self.name, &self.text)?)
+    }
+}
+
+impl Published {
+    /// Reads a directory.
+    ///
+    /// # Errors
+    ///
+    /// Findings for each file that is missing or can't be read.
+    pub fn read(directory: &Path) -> Result<Self, Findings> {
+        let mut findings = Findings::new();
+        let pointer = read_key(directory, "preset-in-force", Kind::Pointer, &mut findings);
+        let vms = read_key(directory, "vms", Kind::Vms, &mut findings);
+        let targets = read_key(directory, "targets", Kind::Targets, &mut findings);
+        let presets = read_presets(&directory.join("presets"), &mut findings);
+        match (pointer, vms, targets) {
+            (Some(pointer), Some(vms), Some(targets)) => findings.into_result(Self {
+                pointer,
+                presets,
+                vms,
+                targets,
+            }),
+            _ => Err(findings),
+        }
+    }
+
+    /// All files.
+    pub fn files(&self) -> impl Iterator<Item = &InputFile> {
+        let rest = [&self.pointer, &self.vms, &self.targets];
+        rest.into_iter().chain(&self.presets)
+    }
+
+    /// The preset file whose document is called `name`.
+    pub fn preset(&self, name: &PresetName) -> Option<&InputFile> {
+        let is_named = |file: &&InputFile| {
+            let preset = file.parse::<Preset>();
+            preset.is_ok_and(|preset| preset.name == *name)
+        };
+        self.presets.iter().find(is_named)
+    }
+
+    /// What an agent that has read all documents would serve, with `suspects` as its own finding.
+    ///
+    /// # Errors
+    ///
+    /// Findings when the pointer is bad or names no preset of the directory.
+    pub fn source(&self, suspects: &[VmId]) -> Result<ViewSource, Findings> {
+        let pointer: InForce = self.pointer.parse()?;
+        let preset = self.preset(&pointer.name).ok_or_else(|| {
+            let found = format!("{}, which no file describes", pointer.name);
+            single(&self.pointer.name, found, "a preset under presets/", "")
+        })?;
+        let mut suspects = suspects.to_vec();
+        suspects.sort();
+        Ok(ViewSource {
+            number: ViewNumber::default(),
+            pointer: self.pointer.text.clone(),
+            preset: preset.text.clone(),
+            vms: self.vms.text.clone(),
+            targets: self.targets.text.clone(),
+            suspects,
+        })
+    }
+}
+
+/// Reads the file of a published key.
+fn read_key(directory: &Path, key: &str, kind: Kind, findings: &mut Findings) -> Option<InputFile> {
+    let plain = directory.join(key);
+    let path = match plain.is_file() {
+        true => plain,
+        false => directory.join(format!("{key}.ini")),
+    };
+    match InputFile::read(&path, Some(kind)) {
+        Ok(file) => Some(file),
+        Err(found) => {
+            findings.append(found);
+            None
+        }
+    }
+}
+
+/// Reads all presets, sorted by file name.
+fn read_presets(directory: &Path, findings: &mut Findings) -> Vec<InputFile> {
+    let Ok(entries) = fs::read_dir(directory) else {
+        let name = directory.display().to_string();
+        findings.append(single(
+            &name,
+            "no such directory",
+            "a file for each preset",
+            "",
+        ));
+        return Vec::new();
+    };
+    let mut paths: Vec<PathBuf> = entries.flatten().map(|entry| entry.path()).collect();
+    paths.sort();
+    let mut presets = Vec::new();
+    for path in paths {
+        match InputFile::read(&path, Some(Kind::Preset)) {
+            Ok(file) => presets.push(file),
+            Err(found) => findings.append(found),
+        }
+    }
+    presets
+}
+
+/// One finding about a whole file.
+pub fn single(
+    file: &str,
+    found: impl Into<String>,
+    allowed: impl Into<String>,
+    hint: &str,
+) -> Findings {
+    let mut findings = Findings::new();
+    let finding = Finding::new(Place::new(file, 0, ""), found, allowed);
+    findings.push(finding.with_hint(hint));
+    findings
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,38 @@
 //! Command line for operators.
+//!
+//! Each subcommand of `bambooseam-ctl` has a module: [`check`], [`status`], [`wait`], [`explain`]
+//! and [`can_stop`]. A subcommand makes a typed report, which [`report`] prints for people or for
+//! scripts, and ends with an [`Outcome`]. The fleet is asked through the admin endpoints of its
+//! programs ([`fleet`]).
+
+pub mod can_stop;
+pub mod check;
+mod command;
+pub mod documents;
+pub mod explain;
+pub mod fleet;
+mod outcome;
+pub mod report;
+pub mod status;
+pub mod wait;
+
+pub use command::command;
+pub use outcome::Outcome;
+
+use clap::ArgMatches;
+
+/// Runs the subcommand that the command line names.
+pub async fn run(matches: &ArgMatches) -> Outcome {
+    match matches.subcommand() {
+        Some(("check", matches)) => check::run(matches),
+        Some(("status", matches)) => status::run(matches).await,
+        Some(("wait", matches)) => wait::run(matches).await,
+        Some(("explain", matches)) => explain::run(matches).await,
+        Some(("can-stop", matches)) => can_stop::run(matches).await,
+        _ if matches.get_flag("check") => check::run_settings(matches),
+        _ => {
+            eprintln!("no subcommand is given; see --help");
+            Outcome::BadInput
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/report.rs
@@ -0,0 +1,95 @@
+//! Reports of subcommands, printed for people or for scripts.
+
+use std::fmt::Display;
+
+use clap::ArgMatches;
+use derive_more::{Display, FromStr};
+use serde_json::{Value, json};
+
+use bambooseam_types::{Finding, Findings};
+
+use crate::Outcome;
+
+/// How a report is printed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, FromStr)]
+pub enum Format {
+    /// Lines and tables for people.
+    #[display("human")]
+    Human,
+    /// One JSON object.
+    #[display("json")]
+    Json,
+}
+
+/// What a subcommand has found.
+pub trait Report: Display {
+    /// The report as one JSON object.
+    fn to_json(&self) -> Value;
+
+    /// How the subcommand ended.
+    fn outcome(&self) -> Outcome;
+}
+
+/// Findings of a bad command line or document, as a report.
+#[derive(Debug, Display)]
+pub struct BadInput(pub Findings);
+
+impl Report for BadInput {
+    fn to_json(&self) -> Value {
+        json!({ "findings": findings_json(&self.0) })
+    }
+
+    fn outcome(&self) -> Outcome {
+        Outcome::BadInput
+    }
+}
+
+/// Prints a report as the command line asks, and gives its outcome.
+pub fn print<R: Report>(matches: &ArgMatches, report: &R) -> Outcome {
+    let outcome = report.outcome();
+    let format = matches.get_one("format").copied().unwrap_or(Format::Human);
+    match format {
+        Format::Human => println!("{report}"),
+        Format::Json => {
+            let mut value = report.to_json();
+            value["result"] = outcome.to_string().into();
+            println!("{value}");
+        }
+    }
+    outcome
+}
+
+/// Findings as JSON objects.
+pub fn findings_json(findings: &Findings) -> Value {
+    findings.iter().map(finding_json).collect()
+}
+
+fn finding_json(finding: &Finding) -> Value {
+    json!({
+        "file": finding.place.file,
+        "line": finding.place.line,
+        "key": finding.place.key,
+        "found": finding.found,
+        "allowed": finding.allowed,
+        "hint": finding.hint,
+    })
+}
+
+/// Lays rows out in columns; the first row is the head.
+pub fn columns(rows: &[Vec<String>]) -> String {
+    let count = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |column: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..count).map(width).collect();
+    let mut lines = Vec::new();
+    for row in rows {
+        let mut line = String::new();
+        for (cell, width) in row.iter().zip(&widths) {
+            line.push_str(&format!("{cell:width$}  "));
+        }
+        lines.push(line.trim_end().to_owned());
+    }
+    lines.join("\n")
+}
--- a/crates/types/src/find.rs
+++ b/crates/types/src/find.rs
@@ -43,7 +43,14 @@
 
 impl Display for Place {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}: {}", self.file, self.line, self.key)
+        write!(f, "{}", self.file)?;
+        if self.line > 0 {
+            write!(f, ":{}", self.line)?;
+        }
+        if !self.key.is_empty() {
+            write!(f, ": {}", self.key)?;
+        }
+        Ok(())
     }
 }
 
