--- a/crates/forwarder/benches/packet.rs
+++ b/crates/forwarder/benches/packet.rs
@@ -1,1 +1,3 @@
+//! Benchmark of the per-packet path.
+
 fn main() {}
