--- a/crates/measure/src/flows/fleet.rs
+++ b/crates/measure/src/flows/fleet.rs
@@ -72,9 +72,12 @@
 #[derive(Debug, Clone, Default)]
 pub struct FakeClock(Rc<Cell<u64>>);
 
+/// A datagram and where it goes.
+type Datagram = (SocketAddr, Vec<u8>);
+
 /// Datagrams that a forwarder has sent.
 #[derive(Debug, Clone, Default)]
-pub struct Wire(Rc<RefCell<Vec<(SocketAddr, Vec<u8>)>>>);
+pub struct Wire(Rc<RefCell<Vec<Datagram>>>);
 
 /// A forwarder and its state.
 struct Node<P> {
--- a/tests/tests/path.rs
+++ b/tests/tests/path.rs
@@ -39,7 +39,9 @@
     let value = pair
         .filter(|(name, _)| *name == key)
         .map(|(_, value)| value);
-    let value = value.last().unwrap_or_else(|| panic!("no {key} in {line}"));
+    let value = value
+        .next_back()
+        .unwrap_or_else(|| panic!("no {key} in {line}"));
     value.parse().expect("a number")
 }
 
