--- a/tests/tests/path.rs
+++ b/tests/tests/path.rs
@@ -36,10 +36,10 @@
     let line = text.lines().find(|line| line.starts_with(step));
     let line = line.unwrap_or_else(|| panic!("no {step} in {text}"));
     let pair = line.split(' ').filter_map(|pair| pair.split_once('='));
-    let value = pair
+    let mut values = pair
         .filter(|(name, _)| *name == key)
         .map(|(_, value)| value);
-    let value = value
+    let value = values
         .next_back()
         .unwrap_or_else(|| panic!("no {key} in {line}"));
     value.parse().expect("a number")
