--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -3,24 +3,34 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant, SystemTime};
 
 use bambooseam_config::Settings;
+use bambooseam_peer::agent::serve_peers;
 use bambooseam_peer::feed::serve_views;
 use bambooseam_types::Incarnation;
 use bambooseam_view::ViewNumber;
 use derive_more::{Display, Error, From};
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 use crate::event::unix_ms;
+use crate::exchange::Answerer;
+use crate::peering::Peering;
 use crate::platform::Platform;
 use crate::reader::{Followed, Reader};
 use crate::shared::Shared;
 use crate::version::ListKind;
 
 /// How often the gate is tried.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
+
+/// How often the health of VMs is judged.
+const JUDGE_TIME: Duration = Duration::from_millis(500);
+
+/// Gap between two ticks that counts as a pause.
+const PAUSE_LEAST: Duration = Duration::from_secs(2);
 
 /// Why an agent could not start.
 #[derive(Debug, Display, Error, From)]
@@ -92,8 +102,13 @@
         let noting = Arc::clone(&shared);
         let note = move |program: &str, number: ViewNumber| noting.note_program(program, number);
         tasks.spawn_local(serve_views(views, shared.sources(), note));
+        let meter = Arc::clone(shared.meter());
+        let answerer = Answerer {
+            shared: Arc::clone(&shared),
+        };
+        tasks.spawn_local(serve_peers(peers, meter, answerer));
+        tasks.spawn_local(Peering::new(Arc::clone(&shared)).run());
         tasks.spawn_local(tick(shared));
-        drop(peers);
         while let Some(result) = tasks.join_next().await {
             if let Err(error) = result {
                 log::error!("event=agent_task_failed cause={:?}", error.to_string());
@@ -103,11 +118,24 @@
     }
 }
 
-/// Opens the gate in time.
+/// Opens the gate in time, judges the VMs, and finds pauses of this process.
 async fn tick(shared: Arc<Shared>) {
-    let mut ticks = tokio::time::interval(TICK);
+    let mut time = Instant::now();
+    let mut wall = SystemTime::now();
+    let mut judged = time;
     loop {
-        ticks.tick().await;
+        sleep(TICK).await;
+        // A stopped process misses time on the one clock, a stopped VM on the other.
+        let wall_passed = wall.elapsed().unwrap_or_default();
+        let passed = time.elapsed().max(wall_passed);
+        (time, wall) = (Instant::now(), SystemTime::now());
+        if passed >= PAUSE_LEAST {
+            shared.note_pause(passed);
+        }
         shared.try_open();
+        if judged.elapsed() >= JUDGE_TIME {
+            shared.judge();
+            judged = time;
+        }
     }
 }
--- /dev/null
+++ b/crates/agent/src/budget.rs
@@ -0,0 +1,54 @@
+//! Token bucket on the control bytes that an agent sends.
+//!
+//! Every byte sent to peers drains the bucket. Summaries are small and go out in any case, less
+//! often while the bucket is in debt; an update waits until the bucket holds its size.
+
+use std::time::Instant;
+
+use bambooseam_types::{ByteCount, ByteRate};
+
+/// Seconds of the rate that the bucket holds.
+const BURST_SECONDS: f64 = 60.0;
+
+/// Tokens for control bytes.
+#[derive(Debug)]
+pub struct Budget {
+    rate: f64,
+    level: f64,
+    time: Instant,
+    sent: u64,
+}
+
+impl Budget {
+    /// Creates a full bucket.
+    pub fn new(rate: ByteRate, now: Instant) -> Self {
+        let rate = rate.get() as f64;
+        Self {
+            rate,
+            level: rate * BURST_SECONDS,
+            time: now,
+            sent: 0,
+        }
+    }
+
+    /// Refills for the time that has passed and drains what was sent, `sent` bytes in all.
+    pub fn settle(&mut self, now: Instant, sent: ByteCount) {
+        let burst = self.rate * BURST_SECONDS;
+        let passed = now.saturating_duration_since(self.time).as_secs_f64();
+        let drained = sent.get().saturating_sub(self.sent) as f64;
+        self.level = (self.level + self.rate * passed).min(burst) - drained;
+        self.time = now;
+        self.sent = sent.get();
+    }
+
+    /// Whether an update of this size may be sent; one above half the burst needs a half-full bucket.
+    pub fn allows(&self, size: usize) -> bool {
+        let half = self.rate * BURST_SECONDS / 2.0;
+        self.level >= (size as f64).min(half)
+    }
+
+    /// Whether more was sent than the rate allows.
+    pub fn is_overdrawn(&self) -> bool {
+        self.level < 0.0
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -2,24 +2,33 @@
 //!
 //! An agent reads what operators publish, exchanges digests and differences with peer agents, and
 //! serves one checked view to the forwarder and the proxy beside it. What it holds only gets newer:
-//! [`Store`] compares versions, [`Agent`] runs the tasks that bring documents in.
+//! [`Store`] compares versions, [`Members`] tells who is alive, [`Agent`] runs the tasks that bring
+//! documents and news in.
 
 mod agent;
 mod backoff;
+mod budget;
 mod event;
+mod exchange;
 mod gate;
 mod invariant;
+mod member;
+mod neighbour;
+mod peering;
 mod platform;
 mod reader;
+mod rumour;
 mod shared;
 mod status;
 mod store;
 mod version;
 
 pub use agent::{Agent, AgentError};
+pub use budget::Budget;
 pub use event::{Event, EventKind, EventLog};
-pub use gate::{Gate, GateState};
+pub use gate::{Gate, Opened};
+pub use member::{Change, Health, Heard, Members};
 pub use platform::{HttpPlatform, Platform, PlatformError, Reading, Wait};
-pub use shared::Shared;
+pub use shared::{From, Shared};
 pub use store::{Offer, Refusal, Store};
 pub use version::{Config, ConfigVersion, List, ListKind, ListVersion, Origin};
--- /dev/null
+++ b/crates/agent/src/member.rs
@@ -0,0 +1,500 @@
+//! What an agent knows of each VM's life.
+//!
+//! A sign of life is a start (incarnation) and the seconds since it, so a late packet or a woken
+//! process can't undo newer news. A VM that does not answer is reported silent by the agents that
+//! observe it; the suspicion takes effect when two of them say so, one of them in the VM's own
+//! zone. A zone that is cut off as a whole is seen by observers outside it only, and so nobody in
+//! it is suspected.
+
+use std::time::{Duration, Instant};
+
+use bambooseam_config::{VmEntry, VmList, VmState};
+use bambooseam_peer::agent::{Beat, Rumour};
+use bambooseam_types::{Incarnation, VmId, ZoneId};
+use derive_more::Display;
+
+use crate::rumour::RumourQueue;
+
+/// Failed exchanges in a row after which an observer reports a VM silent.
+const MISSES: u32 = 2;
+
+/// Observers that a suspicion needs where there are that many.
+const OBSERVERS: usize = 2;
+
+/// Seconds by which a report may lag behind the last sign of life: peers hear at different times.
+const BEAT_SLACK: u64 = 10;
+
+/// Time after a direct sign of life in which reports of others do not count.
+const DIRECT_TIME: Duration = Duration::from_secs(5);
+
+/// Time after which a report that led to nothing is dropped.
+const REPORT_TIME: Duration = Duration::from_secs(60);
+
+/// Time after which a suspected VM counts as dead.
+const DEAD_TIME: Duration = Duration::from_secs(30);
+
+/// Time without any sign of life from a zone after which it may count as silent.
+const ZONE_TIME: Duration = Duration::from_secs(10);
+
+/// Zones of fewer VMs need observers from outside.
+const SMALL_ZONE: usize = 3;
+
+/// Failed exchanges after which an observer reports again.
+const REPORT_EVERY: u32 = 16;
+
+/// VMs kept that the platform does not list.
+const UNLISTED_LIMIT: usize = 64;
+
+/// Health of a VM as this agent sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Health {
+    /// Announced, or heard and not listed yet.
+    #[display("joining")]
+    Joining,
+    /// In service.
+    #[display("live")]
+    Live,
+    /// Announced to stop.
+    #[display("leaving")]
+    Leaving,
+    /// Silent towards enough observers.
+    #[display("suspected")]
+    Suspected,
+    /// Suspected for long.
+    #[display("dead")]
+    Dead,
+}
+
+/// What a sign of life was worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// News.
+    New,
+    /// Nothing new.
+    Known,
+    /// From an earlier start than the last one known.
+    Late,
+}
+
+/// A change that is worth an event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// A VM is suspected, by these observers.
+    Suspected(VmId, Vec<VmId>),
+    /// A suspected VM has been silent for long.
+    Dead(VmId),
+    /// A suspected VM is no longer.
+    Recovered(VmId),
+    /// No VM of a zone is heard.
+    ZoneSilent(ZoneId),
+    /// A silent zone is heard.
+    ZoneHeard(ZoneId),
+}
+
+/// What is known of one VM.
+#[derive(Debug)]
+struct Member {
+    vm: VmId,
+    last: Beat,
+    heard: Option<Instant>,
+    misses: u32,
+    reports: Vec<Report>,
+    suspected: Option<Instant>,
+    is_dead: bool,
+}
+
+/// An observer's word that a VM is silent.
+#[derive(Debug)]
+struct Report {
+    observer: VmId,
+    beat: Beat,
+    time: Instant,
+}
+
+/// What is known of all VMs.
+#[derive(Debug)]
+pub struct Members {
+    me: VmId,
+    zone: ZoneId,
+    members: Vec<Member>,
+    silent: Vec<ZoneId>,
+    rumours: RumourQueue,
+}
+
+impl Members {
+    /// Creates the table of the VM `me`.
+    pub fn new(me: VmId, zone: ZoneId) -> Self {
+        Self {
+            me,
+            zone,
+            members: Vec::new(),
+            silent: Vec::new(),
+            rumours: RumourQueue::default(),
+        }
+    }
+
+    /// Notes a sign of life that came from the VM itself.
+    pub fn hear(&mut self, vm: &VmId, beat: Beat, list: &VmList, now: Instant) -> Heard {
+        if list.get(vm).is_none() && self.unlisted(list).len() >= UNLISTED_LIMIT {
+            return Heard::Known;
+        }
+        let Some(member) = self.entry(vm) else {
+            return Heard::Known;
+        };
+        if beat.incarnation < member.last.incarnation {
+            return Heard::Late;
+        }
+        if beat <= member.last {
+            return Heard::Known;
+        }
+        member.last = beat;
+        member.heard = Some(now);
+        member.misses = 0;
+        let was_reported = !member.reports.is_empty();
+        member.drop_refuted();
+        let me = self.me.clone();
+        if let Some(member) = self.member_mut(vm) {
+            member.reports.retain(|report| report.observer != me);
+        }
+        if was_reported {
+            let rumour = Rumour {
+                vm: vm.clone(),
+                beat,
+                observer: None,
+            };
+            self.rumours.push(rumour);
+        }
+        Heard::New
+    }
+
+    /// Notes an answer to an exchange that this agent began.
+    pub fn note_answer(&mut self, vm: &VmId) {
+        if let Some(member) = self.member_mut(vm) {
+            member.misses = 0;
+        }
+    }
+
+    /// Notes an exchange that failed; after some, this agent reports the VM silent.
+    pub fn note_miss(&mut self, vm: &VmId, list: &VmList, now: Instant) {
+        let me = self.me.clone();
+        let Some(member) = self.entry(vm) else {
+            return;
+        };
+        member.misses = member.misses.saturating_add(1);
+        if member.misses < MISSES || !(member.misses - MISSES).is_multiple_of(REPORT_EVERY) {
+            return;
+        }
+        let beat = member.last;
+        member.report(me.clone(), beat, now);
+        if !self.is_spread(vm, list) {
+            return;
+        }
+        self.rumours.push(Rumour {
+            vm: vm.clone(),
+            beat,
+            observer: Some(me),
+        });
+    }
+
+    /// Takes news of a VM from a peer.
+    pub fn take_rumour(&mut self, rumour: &Rumour, list: &VmList, now: Instant) {
+        let is_own = rumour.vm == self.me || rumour.observer.as_ref() == Some(&self.me);
+        let is_listed = list.get(&rumour.vm).is_some();
+        if is_own || !is_listed {
+            return;
+        }
+        let Some(member) = self.entry(&rumour.vm) else {
+            return;
+        };
+        let is_news = match &rumour.observer {
+            None => {
+                let is_news = rumour.beat > member.last;
+                member.last = member.last.max(rumour.beat);
+                member.drop_refuted();
+                is_news
+            }
+            Some(observer) if list.get(observer).is_some() && *observer != rumour.vm => {
+                member.report(observer.clone(), rumour.beat, now)
+            }
+            Some(_) => false,
+        };
+        if is_news {
+            self.rumours.push(rumour.clone());
+        }
+    }
+
+    /// Decides who is suspected and which zones are silent; gives what has changed.
+    pub fn judge(&mut self, list: &VmList, now: Instant) -> Vec<Change> {
+        let mut changes = Vec::new();
+        self.members
+            .retain(|member| list.get(&member.vm).is_some() || member.is_fresh(now));
+        for index in 0..self.members.len() {
+            let observers = self.observers(&self.members[index], list, now);
+            let member = &mut self.members[index];
+            let is_suspected = observers.is_some();
+            match (is_suspected, member.suspected) {
+                (true, None) => {
+                    member.suspected = Some(now);
+                    let observers = observers.unwrap_or_default();
+                    changes.push(Change::Suspected(member.vm.clone(), observers));
+                }
+                (true, Some(since)) if !member.is_dead && now - since >= DEAD_TIME => {
+                    member.is_dead = true;
+                    changes.push(Change::Dead(member.vm.clone()));
+                }
+                (false, Some(_)) => {
+                    member.suspected = None;
+                    member.is_dead = false;
+                    changes.push(Change::Recovered(member.vm.clone()));
+                }
+                _ => {}
+            }
+            if member.suspected.is_none() {
+                member.drop_old(now);
+            }
+        }
+        self.judge_zones(list, now, &mut changes);
+        changes
+    }
+
+    /// Gives everyone time to be heard again after this process was paused.
+    pub fn forgive(&mut self) {
+        let me = self.me.clone();
+        for member in &mut self.members {
+            member.misses = 0;
+            member.reports.retain(|report| report.observer != me);
+        }
+    }
+
+    /// Suspected VMs, sorted.
+    pub fn suspects(&self) -> Vec<VmId> {
+        let suspected = self.members.iter().filter(|m| m.suspected.is_some());
+        suspected.map(|member| member.vm.clone()).collect()
+    }
+
+    /// Health of a listed VM and its cause.
+    pub fn health(&self, vm: &VmEntry) -> (Health, String) {
+        let member = self.member(&vm.id);
+        if let Some(member) = member
+            && member.suspected.is_some()
+        {
+            let health = match member.is_dead {
+                true => Health::Dead,
+                false => Health::Suspected,
+            };
+            return (health, member.cause());
+        }
+        let health = match vm.state {
+            VmState::Joining => Health::Joining,
+            VmState::Live => Health::Live,
+            VmState::Leaving => Health::Leaving,
+        };
+        if self.silent.contains(&vm.zone) {
+            return (health, format!("listed; zone {} is silent", vm.zone));
+        }
+        let cause = match member {
+            Some(member) if member.misses >= MISSES => "listed; silent towards this VM",
+            Some(member) if member.heard.is_some() => "listed; heard",
+            _ => "listed",
+        };
+        (health, cause.into())
+    }
+
+    /// VMs that were heard and that the platform does not list.
+    pub fn unlisted(&self, list: &VmList) -> Vec<VmId> {
+        let unlisted = self.members.iter().filter(|m| list.get(&m.vm).is_none());
+        unlisted.map(|member| member.vm.clone()).collect()
+    }
+
+    /// Whether exchanges with a VM have failed lately.
+    pub fn is_missed(&self, vm: &VmId) -> bool {
+        self.member(vm)
+            .is_some_and(|member| member.misses >= MISSES)
+    }
+
+    /// Last start of a VM that is known.
+    pub fn incarnation(&self, vm: &VmId) -> Incarnation {
+        self.member(vm)
+            .map_or(Incarnation::default(), |member| member.last.incarnation)
+    }
+
+    /// News for the next summary; `fleet` is the number of VMs.
+    pub fn news(&mut self, fleet: usize) -> Vec<Rumour> {
+        self.rumours.take(fleet)
+    }
+
+    /// Observers by which a VM is suspected; `None` when they are too few.
+    fn observers(&self, member: &Member, list: &VmList, now: Instant) -> Option<Vec<VmId>> {
+        let entry = list.get(&member.vm)?;
+        let is_direct = member
+            .heard
+            .is_some_and(|heard| now.saturating_duration_since(heard) < DIRECT_TIME);
+        if is_direct || member.reports.is_empty() {
+            return None;
+        }
+        let listed = |id: &VmId| list.get(id);
+        let found: Vec<&VmEntry> = member
+            .reports
+            .iter()
+            .filter_map(|report| listed(&report.observer))
+            .collect();
+        let wanted = OBSERVERS.min(list.0.len().saturating_sub(1));
+        let has_mates = list
+            .0
+            .iter()
+            .any(|vm| vm.zone == entry.zone && vm.id != entry.id);
+        let has_insider = found.iter().any(|vm| vm.zone == entry.zone);
+        if found.len() < wanted || (has_mates && !has_insider) {
+            return None;
+        }
+        Some(found.into_iter().map(|vm| vm.id.clone()).collect())
+    }
+
+    /// Finds zones of which nobody is heard.
+    fn judge_zones(&mut self, list: &VmList, now: Instant, changes: &mut Vec<Change>) {
+        let mut zones: Vec<&ZoneId> = list.0.iter().map(|vm| &vm.zone).collect();
+        zones.sort();
+        zones.dedup();
+        for zone in zones {
+            if *zone == self.zone {
+                continue;
+            }
+            let is_silent = self.is_silent(zone, list, now);
+            let was_silent = self.silent.contains(zone);
+            if is_silent && !was_silent {
+                self.silent.push(zone.clone());
+                changes.push(Change::ZoneSilent(zone.clone()));
+            }
+            if !is_silent && was_silent {
+                self.silent.retain(|held| held != zone);
+                changes.push(Change::ZoneHeard(zone.clone()));
+            }
+        }
+    }
+
+    /// Whether some VMs of a zone do not answer and none was heard lately.
+    fn is_silent(&self, zone: &ZoneId, list: &VmList, now: Instant) -> bool {
+        let mut listed = 0;
+        let mut missed = 0;
+        for vm in list.0.iter().filter(|vm| vm.zone == *zone) {
+            listed += 1;
+            let Some(member) = self.member(&vm.id) else {
+                continue;
+            };
+            let is_heard = member
+                .heard
+                .is_some_and(|heard| now.saturating_duration_since(heard) < ZONE_TIME);
+            if is_heard {
+                return false;
+            }
+            missed += usize::from(member.misses >= MISSES);
+        }
+        listed >= 2 && missed >= 2
+    }
+
+    /// Whether this agent's reports of a VM go to others: zones with enough VMs judge themselves.
+    fn is_spread(&self, vm: &VmId, list: &VmList) -> bool {
+        let Some(entry) = list.get(vm) else {
+            return false;
+        };
+        let size = list.0.iter().filter(|vm| vm.zone == entry.zone).count();
+        entry.zone == self.zone || size < SMALL_ZONE
+    }
+
+    fn member(&self, vm: &VmId) -> Option<&Member> {
+        let index = self.members.binary_search_by(|m| m.vm.cmp(vm)).ok()?;
+        self.members.get(index)
+    }
+
+    fn member_mut(&mut self, vm: &VmId) -> Option<&mut Member> {
+        let index = self.members.binary_search_by(|m| m.vm.cmp(vm)).ok()?;
+        self.members.get_mut(index)
+    }
+
+    /// The entry of a VM, made when there is room; `None` for this VM itself.
+    fn entry(&mut self, vm: &VmId) -> Option<&mut Member> {
+        if *vm == self.me {
+            return None;
+        }
+        match self.members.binary_search_by(|m| m.vm.cmp(vm)) {
+            Ok(index) => self.members.get_mut(index),
+            Err(index) => {
+                self.members.insert(index, Member::new(vm.clone()));
+                self.members.get_mut(index)
+            }
+        }
+    }
+}
+
+impl Member {
+    fn new(vm: VmId) -> Self {
+        Self {
+            vm,
+            last: Beat::default(),
+            heard: None,
+            misses: 0,
+            reports: Vec::new(),
+            suspected: None,
+            is_dead: false,
+        }
+    }
+
+    /// Keeps a report unless a newer sign of life refutes it; true when it is news.
+    fn report(&mut self, observer: VmId, beat: Beat, now: Instant) -> bool {
+        if self.refutes(beat) {
+            return false;
+        }
+        let report = Report {
+            observer,
+            beat,
+            time: now,
+        };
+        let found = self
+            .reports
+            .iter_mut()
+            .find(|held| held.observer == report.observer);
+        match found {
+            Some(held) if held.beat >= report.beat => {
+                held.time = now;
+                false
+            }
+            Some(held) => {
+                *held = report;
+                true
+            }
+            None => {
+                let is_news = self.reports.len() <= OBSERVERS;
+                self.reports.push(report);
+                is_news
+            }
+        }
+    }
+
+    /// Whether a later sign of life is known than the one that a report rests on.
+    fn refutes(&self, beat: Beat) -> bool {
+        let last = self.last;
+        beat.incarnation < last.incarnation
+            || (beat.incarnation == last.incarnation && beat.second + BEAT_SLACK < last.second)
+    }
+
+    fn drop_refuted(&mut self) {
+        let reports = std::mem::take(&mut self.reports);
+        let held = reports.into_iter().filter(|r| !self.refutes(r.beat));
+        self.reports = held.collect();
+    }
+
+    fn drop_old(&mut self, now: Instant) {
+        self.reports
+            .retain(|report| now.saturating_duration_since(report.time) < REPORT_TIME);
+    }
+
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.heard
+            .is_some_and(|heard| now.saturating_duration_since(heard) < REPORT_TIME)
+    }
+
+    fn cause(&self) -> String {
+        let names: Vec<&str> = self.reports.iter().map(|r| r.observer.as_str()).collect();
+        format!("silent towards {}", names.join(", "))
+    }
+}
--- /dev/null
+++ b/crates/agent/src/peering.rs
@@ -0,0 +1,283 @@
+//! One task for each peer, and the task that decides which peers there are.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bambooseam_peer::PeerError;
+use bambooseam_peer::agent::PeerLink;
+use bambooseam_types::VmId;
+use rand::seq::IndexedRandom;
+use tokio::sync::watch;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{sleep, timeout};
+
+use crate::backoff::{Backoff, jitter};
+use crate::neighbour::{Neighbour, random_neighbours, ring_neighbours};
+use crate::shared::Shared;
+
+/// Time in which an exchange must be answered.
+const EXCHANGE_TIME: Duration = Duration::from_secs(1);
+
+/// How often the choice of peers is checked.
+const CHOICE_TIME: Duration = Duration::from_secs(1);
+
+/// Mean time after which random peers are changed.
+const SHUFFLE_TIME: Duration = Duration::from_secs(60);
+
+/// Shortest and longest pause after a failed exchange.
+const RETRY_LEAST: Duration = Duration::from_millis(400);
+const RETRY_MOST: Duration = Duration::from_secs(10);
+
+/// First pause when a peer holds something newer and could not send it yet.
+const LACKING_LEAST: Duration = Duration::from_millis(100);
+
+/// Factor by which exchanges are rarer while the budget is overdrawn.
+const OVERDRAWN_FACTOR: u32 = 4;
+
+/// Listed peers below which the addresses of the settings are used, too.
+const FEW_PEERS: usize = 2;
+
+/// Addresses of the settings that are asked.
+const SEED_LIMIT: usize = 3;
+
+/// Mean of the factor that [`jitter`] applies.
+const JITTER_MEAN: f64 = 1.25;
+
+/// Chooses peers and runs a task for each.
+#[derive(Debug)]
+pub(crate) struct Peering {
+    shared: Arc<Shared>,
+    random: Vec<Neighbour>,
+    shuffle: Instant,
+    seeds: Vec<SocketAddr>,
+    running: Vec<Running>,
+    tasks: JoinSet<()>,
+    count: watch::Sender<usize>,
+}
+
+#[derive(Debug)]
+struct Running {
+    neighbour: Neighbour,
+    handle: AbortHandle,
+}
+
+impl Peering {
+    /// Creates the task of an agent.
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        let agent = &shared.settings().agent;
+        let known: Vec<SocketAddr> = agent
+            .peers
+            .iter()
+            .copied()
+            .filter(|peer| *peer != agent.listen)
+            .collect();
+        let seeds = known.choose_multiple(&mut rand::rng(), SEED_LIMIT);
+        Self {
+            seeds: seeds.copied().collect(),
+            shared,
+            random: Vec::new(),
+            shuffle: Instant::now(),
+            running: Vec::new(),
+            tasks: JoinSet::new(),
+            count: watch::Sender::new(1),
+        }
+    }
+
+    /// Runs until dropped; all tasks end with it.
+    pub(crate) async fn run(mut self) {
+        let mut changes = self.shared.changes();
+        loop {
+            while self.tasks.try_join_next().is_some() {}
+            let wanted = self.choose();
+            self.adopt(wanted);
+            tokio::select! {
+                () = sleep(CHOICE_TIME) => {}
+                // A first list of VMs brings the first peers.
+                _ = changes.changed(), if self.running.is_empty() => {}
+            }
+        }
+    }
+
+    /// Peers to talk to now.
+    fn choose(&mut self) -> Vec<Neighbour> {
+        let settings = self.shared.settings();
+        let state = self.shared.lock();
+        let list = state.store.vm_list();
+        let (me, zone) = (&settings.vm.id, &settings.vm.zone);
+        let mut wanted = ring_neighbours(list, me, zone);
+        let is_avoided = |vm: &VmId| state.members.is_missed(vm);
+        let is_listed =
+            |peer: &Neighbour| peer.vm.as_ref().is_some_and(|vm| list.get(vm).is_some());
+        let is_poor = self
+            .random
+            .iter()
+            .any(|peer| !is_listed(peer) || peer.vm.as_ref().is_some_and(is_avoided));
+        if is_poor || Instant::now() >= self.shuffle {
+            let mut rng = rand::rng();
+            self.random = random_neighbours(list, me, zone, is_avoided, &mut rng);
+            // Suspected VMs are tried from time to time, so that no suspicion outlives its cause.
+            let suspects = state.members.suspects();
+            let tried = suspects.choose(&mut rng).and_then(|vm| list.get(vm));
+            self.random.extend(tried.map(|vm| Neighbour {
+                vm: Some(vm.id.clone()),
+                address: vm.agent,
+            }));
+            self.shuffle = Instant::now() + jitter(SHUFFLE_TIME);
+        }
+        wanted.extend(self.random.iter().cloned());
+        if wanted.len() < FEW_PEERS {
+            let seeds = self.seeds.iter().map(|address| Neighbour {
+                vm: None,
+                address: *address,
+            });
+            wanted.extend(seeds);
+        }
+        wanted.sort();
+        wanted.dedup_by_key(|peer| peer.address);
+        wanted
+    }
+
+    /// Starts and ends tasks so that there is one for each wanted peer.
+    fn adopt(&mut self, wanted: Vec<Neighbour>) {
+        self.running.retain(|running| {
+            let is_kept = wanted.contains(&running.neighbour);
+            if !is_kept {
+                running.handle.abort();
+            }
+            is_kept
+        });
+        let _ = self.count.send_replace(wanted.len().max(1));
+        for neighbour in wanted {
+            if self.running.iter().any(|held| held.neighbour == neighbour) {
+                continue;
+            }
+            let peer = Peer::new(Arc::clone(&self.shared), neighbour.clone());
+            let handle = self.tasks.spawn_local(peer.run(self.count.subscribe()));
+            self.running.push(Running { neighbour, handle });
+        }
+    }
+}
+
+/// Task of one peer.
+struct Peer {
+    shared: Arc<Shared>,
+    vm: Option<VmId>,
+    address: SocketAddr,
+    link: Option<PeerLink>,
+    failures: Backoff,
+    lacking: Backoff,
+}
+
+/// How an exchange ended.
+enum Outcome {
+    /// Both hold the same, as far as could be sent.
+    Done,
+    /// The peer holds something newer that it did not send.
+    Lacking,
+}
+
+impl Peer {
+    fn new(shared: Arc<Shared>, neighbour: Neighbour) -> Self {
+        Self {
+            shared,
+            vm: neighbour.vm,
+            address: neighbour.address,
+            link: None,
+            failures: Backoff::new(RETRY_LEAST, RETRY_MOST),
+            lacking: Backoff::new(LACKING_LEAST, RETRY_MOST),
+        }
+    }
+
+    /// Exchanges from time to time, and at once when there is news.
+    async fn run(mut self, count: watch::Receiver<usize>) {
+        let mut changes = self.shared.changes();
+        let mut wakes = self.shared.wakes();
+        loop {
+            changes.mark_unchanged();
+            let outcome = match timeout(EXCHANGE_TIME, self.exchange()).await {
+                Ok(outcome) => outcome,
+                Err(elapsed) => Err(std::io::Error::from(elapsed).into()),
+            };
+            let pause = match &outcome {
+                Ok(Outcome::Done) => {
+                    self.failures.reset();
+                    self.lacking.reset();
+                    self.interval(*count.borrow())
+                }
+                Ok(Outcome::Lacking) => {
+                    self.failures.reset();
+                    let interval = self.interval(*count.borrow());
+                    self.lacking.pause(Duration::ZERO).min(interval)
+                }
+                Err(error) => {
+                    self.link = None;
+                    self.note_miss(error);
+                    self.failures.pause(Duration::ZERO)
+                }
+            };
+            let is_reached = outcome.is_ok();
+            let pause = sleep(pause);
+            tokio::pin!(pause);
+            loop {
+                tokio::select! {
+                    () = &mut pause => break,
+                    _ = wakes.changed() => break,
+                    _ = changes.changed(), if is_reached => {
+                        if self.shared.is_news_for(self.vm.as_ref()) {
+                            break;
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Compares once with the peer, and brings it what it lacks.
+    async fn exchange(&mut self) -> Result<Outcome, PeerError> {
+        let link = match self.link.take() {
+            Some(link) => link,
+            None => {
+                let meter = Arc::clone(self.shared.meter());
+                let source = self.shared.settings().vm.address;
+                PeerLink::connect(self.address, source, meter).await?
+            }
+        };
+        let sent = self.shared.begin_exchange(self.vm.as_ref());
+        let (summary, update) = link.exchange(&sent).await?;
+        let (lacks, is_lacking) = self.shared.end_exchange(&sent, &summary, &update);
+        if !lacks.is_empty() {
+            link.deliver(&self.shared.settings().vm.id, &lacks).await?;
+            self.shared.note_delivered(&summary.vm, &lacks);
+        }
+        self.vm = Some(summary.vm);
+        self.link = Some(link);
+        match is_lacking {
+            true => Ok(Outcome::Lacking),
+            false => Ok(Outcome::Done),
+        }
+    }
+
+    /// Time until the next exchange with this peer, so that all peers together get the set rate.
+    fn interval(&self, peers: usize) -> Duration {
+        let rate = self.shared.settings().agent.exchanges.get().max(0.01);
+        let base = Duration::from_secs_f64(peers as f64 / rate / JITTER_MEAN);
+        let base = jitter(base);
+        match self.shared.is_overdrawn() {
+            true => base * OVERDRAWN_FACTOR,
+            false => base,
+        }
+    }
+
+    fn note_miss(&self, error: &PeerError) {
+        log::debug!(
+            "event=exchange_failed peer={} cause={:?}",
+            self.address,
+            error.to_string()
+        );
+        let Some(vm) = &self.vm else { return };
+        let mut state = self.shared.lock();
+        let crate::shared::State { members, store, .. } = &mut *state;
+        members.note_miss(vm, store.vm_list(), Instant::now());
+    }
+}
--- a/crates/agent/src/reader.rs
+++ b/crates/agent/src/reader.rs
@@ -66,8 +66,16 @@
 
     /// Reads until the agent stops.
     pub(crate) async fn run(mut self) {
+        let mut wakes = self.shared.wakes();
         loop {
-            let result = self.platform.get(self.key(), self.wait()).await;
+            let result = tokio::select! {
+                result = self.platform.get(self.key(), self.wait()) => result,
+                _ = wakes.changed() => {
+                    // What was waited for before a pause may be lost.
+                    self.seen = None;
+                    continue;
+                }
+            };
             let result = match result {
                 Ok(reading) => self.take(reading).await,
                 Err(error) => Err(error),
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -6,15 +6,19 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bambooseam_config::Settings;
-use bambooseam_types::{Incarnation, Revision};
-use bambooseam_view::{ViewNumber, ViewSource};
+use bambooseam_config::{Settings, VmSettings};
+use bambooseam_peer::Meter;
+use bambooseam_types::{Incarnation, Revision, VmId};
+use bambooseam_view::{FlowKey, Ranking, ViewNumber, ViewSource};
 use derive_more::Display;
 use tokio::sync::watch;
 
+use crate::budget::Budget;
 use crate::event::{EventKind, EventLog, unix_ms};
+use crate::exchange::PeerTable;
 use crate::gate::Gate;
 use crate::invariant;
+use crate::member::{Change, Members};
 use crate::platform::PlatformError;
 use crate::store::{Offer, Store};
 use crate::version::{ConfigVersion, ListKind, Origin};
@@ -22,6 +26,12 @@
 /// Failures in a row after which the platform counts as lost.
 const LOST_AFTER: u32 = 3;
 
+/// Agents of a zone that watch a key at the platform.
+const WATCHERS: usize = 2;
+
+/// Agents of a zone that together poll once in a poll time.
+const POLLERS: usize = 4;
+
 /// State and channels of one agent.
 #[derive(Debug)]
 pub struct Shared {
@@ -29,7 +39,9 @@
     state: Mutex<State>,
     sources: watch::Sender<Arc<ViewSource>>,
     changes: watch::Sender<u64>,
+    wakes: watch::Sender<u64>,
     ready: watch::Sender<bool>,
+    meter: Arc<Meter>,
 }
 
 /// What the lock guards.
@@ -40,7 +52,11 @@
     pub(crate) gate: Gate,
     pub(crate) programs: Vec<ProgramView>,
     pub(crate) platform: PlatformState,
+    pub(crate) members: Members,
+    pub(crate) budget: Budget,
+    pub(crate) peers: PeerTable,
     pub(crate) incarnation: Incarnation,
+    pub(crate) started: Instant,
     pub(crate) number: ViewNumber,
     pub(crate) served: Option<ConfigVersion>,
     pub(crate) since_ms: u64,
@@ -94,16 +110,21 @@
 impl Shared {
     /// Creates the state of an agent that starts now and has `peers` peers to ask.
     pub fn new(settings: Settings, incarnation: Incarnation, peers: usize) -> Self {
+        let now = Instant::now();
         let mut events = EventLog::default();
         let cause = format!("incarnation {incarnation}");
         events.record(EventKind::AgentStarted, cause, Revision::default());
         let state = State {
             store: Store::default(),
             events,
-            gate: Gate::new(Instant::now(), peers),
+            gate: Gate::new(now, peers),
             programs: Vec::new(),
             platform: PlatformState::Unknown,
+            members: Members::new(settings.vm.id.clone(), settings.vm.zone.clone()),
+            budget: Budget::new(settings.agent.budget, now),
+            peers: PeerTable::default(),
             incarnation,
+            started: now,
             // Numbers rise across restarts, so that a program takes no old number for a new view.
             number: ViewNumber::from(unix_ms()),
             served: None,
@@ -116,7 +137,9 @@
             state: Mutex::new(state),
             sources: watch::Sender::new(Arc::default()),
             changes: watch::Sender::new(0),
+            wakes: watch::Sender::new(0),
             ready: watch::Sender::new(false),
+            meter: Arc::default(),
         }
     }
 
@@ -135,6 +158,21 @@
         self.ready.subscribe()
     }
 
+    /// Bytes exchanged with peers.
+    pub fn meter(&self) -> &Arc<Meter> {
+        &self.meter
+    }
+
+    /// Changes when a document that peers may lack was taken.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Changes when this process was paused and all that it waits for is out of date.
+    pub(crate) fn wakes(&self) -> watch::Receiver<u64> {
+        self.wakes.subscribe()
+    }
+
     /// Locks the state for one decision.
     pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -187,13 +225,36 @@
     }
 
     /// Whether this agent watches a key at the platform, rather than polling it slowly.
-    pub(crate) fn is_watcher(&self, _key: &str) -> bool {
-        true
+    ///
+    /// The first few of the zone, ranked by rendezvous, watch; before the list of VMs is known, or
+    /// when it lacks this VM, everyone does.
+    pub(crate) fn is_watcher(&self, key: &str) -> bool {
+        let state = self.lock();
+        let VmSettings { id, zone, .. } = &self.settings.vm;
+        let list = state.store.vm_list();
+        if list.get(id).is_none() {
+            return true;
+        }
+        let suspects = state.members.suspects();
+        let mates = list.0.iter().enumerate().filter(|(_, vm)| {
+            vm.zone == *zone && (vm.id == *id || suspects.binary_search(&vm.id).is_err())
+        });
+        let ranking = Ranking::new(mates.map(|(index, vm)| (index, vm.id.as_str())));
+        let watchers = ranking.top::<WATCHERS>(FlowKey::of_name(key));
+        watchers
+            .iter()
+            .flatten()
+            .any(|index| list.0[*index].id == *id)
     }
 
-    /// Mean time between polls of an agent that does not watch.
+    /// Mean time between polls of an agent that does not watch; it grows with the zone.
     pub(crate) fn poll_time(&self) -> Duration {
-        self.settings.platform.poll_time
+        let state = self.lock();
+        let zone = &self.settings.vm.zone;
+        let list = state.store.vm_list();
+        let mates = list.0.iter().filter(|vm| vm.zone == *zone).count();
+        let factor = (mates / POLLERS).max(1);
+        self.settings.platform.poll_time * u32::try_from(factor).unwrap_or(u32::MAX)
     }
 
     /// Notes whether a read of the platform was answered.
@@ -221,6 +282,9 @@
             _ => 0,
         };
         let is_early = now == PlatformState::Lost && state.failures < LOST_AFTER;
+        if now == PlatformState::Reachable {
+            state.gate.count_reading();
+        }
         if is_early || state.platform == now {
             return;
         }
@@ -251,9 +315,15 @@
 
     /// Opens the gate when it is time, and serves what is held.
     pub(crate) fn try_open(&self) {
+        let now = Instant::now();
         let mut state = self.lock();
-        if !state.gate.try_open(Instant::now()) {
+        let is_behind = state.is_behind();
+        let Some(opened) = state.gate.try_open(now, is_behind) else {
             return;
+        };
+        if opened.after_pause {
+            let cause = format!("checked {} ms after the pause", opened.time.as_millis());
+            state.record(EventKind::PauseChecked, cause);
         }
         if state.store.source(ViewNumber::default()).is_none() {
             let cause = format!(
@@ -265,6 +335,48 @@
         self.publish(&mut state);
     }
 
+    /// Shuts the gate after a pause of `time` and wakes all tasks.
+    pub(crate) fn note_pause(&self, time: Duration) {
+        let mut state = self.lock();
+        let cause = format!("paused for {} ms", time.as_millis());
+        state.record(EventKind::PauseFound, cause);
+        state.members.forgive();
+        state.gate.shut_after_pause(Instant::now());
+        self.wakes.send_modify(|count| *count += 1);
+    }
+
+    /// Decides who is suspected; serves the new view when that has changed.
+    pub(crate) fn judge(&self) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let State {
+            members,
+            store,
+            peers,
+            ..
+        } = &mut *state;
+        let changes = members.judge(store.vm_list(), now);
+        peers.retain(|vm| store.vm_list().get(vm).is_some());
+        for change in changes {
+            let (kind, cause) = match change {
+                Change::Suspected(vm, by) => {
+                    let by: Vec<&str> = by.iter().map(VmId::as_str).collect();
+                    let cause = format!("{vm} is silent towards {}", by.join(", "));
+                    (EventKind::VmSuspected, cause)
+                }
+                Change::Dead(vm) => (EventKind::VmDead, format!("{vm} stays silent")),
+                Change::Recovered(vm) => (EventKind::VmRecovered, format!("{vm} was heard")),
+                Change::ZoneSilent(zone) => {
+                    let cause = format!("nobody in zone {zone} is heard; its VMs stay in the view");
+                    (EventKind::ZoneSilent, cause)
+                }
+                Change::ZoneHeard(zone) => (EventKind::ZoneHeard, format!("zone {zone} is heard")),
+            };
+            state.record(kind, cause);
+        }
+        self.publish(&mut state);
+    }
+
     /// Serves what is held, if all of it is there, the gate is open and it differs from before.
     pub(crate) fn publish(&self, state: &mut State) {
         if !state.gate.is_open() {
@@ -273,7 +385,7 @@
         let Some(mut source) = state.store.source(state.number) else {
             return;
         };
-        source.suspects = state.suspects();
+        source.suspects = state.members.suspects();
         if *self.sources.borrow().as_ref() == source {
             return;
         }
@@ -316,11 +428,6 @@
         self.noted.push(noted);
     }
 
-    /// VMs that programs leave out, sorted.
-    pub(crate) fn suspects(&self) -> Vec<bambooseam_types::VmId> {
-        Vec::new()
-    }
-
     /// Records what was refused or stale about an offer.
     fn note_offer(&mut self, key: &str, offer: &Offer, from: &From) {
         match offer {
--- a/crates/agent/src/status.rs
+++ b/crates/agent/src/status.rs
@@ -1,9 +1,10 @@
 //! The JSON object of `/status`.
 
-use bambooseam_config::{VmEntry, VmState};
+use bambooseam_config::VmEntry;
 use serde_json::{Value, json};
 
 use crate::event::Event;
+use crate::member::Health;
 use crate::shared::{ProgramView, Shared, State};
 use crate::store::Refusal;
 
@@ -27,6 +28,8 @@
             "held_revision": state.store.revision().get(),
             "incarnation": state.incarnation.get(),
             "platform": state.platform.to_string(),
+            "sent_bytes": self.meter().sent().get(),
+            "received_bytes": self.meter().received().get(),
             "programs": state.programs.iter().map(program_json).collect::<Vec<_>>(),
             "vms": vms_json(&state),
             "refused": state.store.refusals().iter().map(refusal_json).collect::<Vec<_>>(),
@@ -44,24 +47,30 @@
     })
 }
 
-/// All VMs of the list held.
+/// All VMs of the list held, and those that are heard and not listed.
 fn vms_json(state: &State) -> Vec<Value> {
     let list = state.store.vm_list();
-    list.0.iter().map(|vm| vm_json(state, vm)).collect()
+    let mut vms: Vec<Value> = list.0.iter().map(|vm| vm_json(state, vm)).collect();
+    for vm in state.members.unlisted(list) {
+        vms.push(json!({
+            "vm": vm.as_str(),
+            "zone": null,
+            "health": Health::Joining.to_string(),
+            "cause": "heard; not listed",
+        }));
+    }
+    vms
 }
 
 /// A VM with its health and cause.
-fn vm_json(_state: &State, vm: &VmEntry) -> Value {
-    let health = match vm.state {
-        VmState::Joining => "joining",
-        VmState::Live => "live",
-        VmState::Leaving => "leaving",
-    };
+fn vm_json(state: &State, vm: &VmEntry) -> Value {
+    let (health, cause) = state.members.health(vm);
     json!({
         "vm": vm.id.as_str(),
         "zone": vm.zone.as_str(),
-        "health": health,
-        "cause": "platform",
+        "health": health.to_string(),
+        "cause": cause,
+        "incarnation": state.members.incarnation(&vm.id).get(),
     })
 }
 
--- a/crates/agent/src/store.rs
+++ b/crates/agent/src/store.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use bambooseam_config::{Document, InForce, TargetList, VmList, digest_of};
+use bambooseam_peer::agent::mark_of;
 use bambooseam_types::{Digest, Finding, Findings, Place, Revision};
 use bambooseam_view::{View, ViewNumber, ViewSource};
 
@@ -200,6 +201,16 @@
         Some(Arc::clone(&found.text))
     }
 
+    /// A text that was held before or is held now, by the mark of its digest.
+    pub fn text_of_mark(&self, mark: u64) -> Option<Arc<str>> {
+        let lists = [&self.vms, &self.targets].into_iter().flatten();
+        let digests = lists.map(|list| list.version.digest);
+        let kept = self.presets.iter().chain(&self.history);
+        let mut digests = digests.chain(kept.map(|kept| kept.digest));
+        let digest = digests.find(|digest| mark_of(digest) == mark)?;
+        self.text(digest)
+    }
+
     /// Documents refused and not yet followed by good ones.
     pub fn refusals(&self) -> &[Refusal] {
         &self.refusals
--- a/crates/agent/src/version.rs
+++ b/crates/agent/src/version.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use bambooseam_config::InForce;
+use bambooseam_peer::agent::{DocumentVersion, mark_of};
 use bambooseam_types::{Digest, Revision};
 use derive_more::Display;
 
@@ -81,6 +82,17 @@
     }
 }
 
+impl List {
+    /// The version as summaries show it.
+    pub fn shown(&self) -> DocumentVersion {
+        DocumentVersion {
+            rank: self.version.origin.era,
+            index: self.version.origin.index,
+            mark: mark_of(&self.version.digest),
+        }
+    }
+}
+
 impl ListKind {
     /// Both kinds.
     pub const ALL: [Self; 2] = [Self::Vms, Self::Targets];
--- a/crates/measure/src/control.rs
+++ b/crates/measure/src/control.rs
@@ -1,5 +1,7 @@
 //! Measures time until a change is in force everywhere, and what control costs.
 
+pub mod relay;
+
 use std::process::ExitCode;
 
 use clap::{ArgMatches, Command};
--- /dev/null
+++ b/crates/peer/src/agent/codec.rs
@@ -0,0 +1,182 @@
+//! Typed messages to and from their capnp form.
+
+use bambooseam_types::{Incarnation, Revision, VmId};
+
+use super::{
+    Beat, ConfigUpdate, DocumentVersion, ListUpdate, Patch, Rumour, Step, Summary, Update,
+};
+use crate::PeerError;
+use crate::agent_capnp::{patch, rumour, summary, update, version};
+
+/// Most news in one summary.
+const RUMOUR_LIMIT: u32 = 64;
+
+/// Writes a summary.
+pub(super) fn write_summary(value: &Summary, mut builder: summary::Builder<'_>) {
+    builder.set_vm(value.vm.as_str());
+    builder.set_incarnation(value.beat.incarnation.get());
+    builder.set_beat(value.beat.second);
+    builder.set_known(value.known.get());
+    builder.set_revision(value.config.rank.get());
+    builder.set_mark(value.config.mark);
+    builder.set_era(value.era.get());
+    builder.set_index(value.index);
+    builder.set_wants(value.wants);
+    write_version(value.vms, builder.reborrow().init_vms());
+    write_version(value.targets, builder.reborrow().init_targets());
+    let count = RUMOUR_LIMIT.min(value.rumours.len() as u32);
+    let mut rumours = builder.init_rumours(count);
+    for (index, rumour) in (0..count).zip(&value.rumours) {
+        write_rumour(rumour, rumours.reborrow().get(index));
+    }
+}
+
+/// Reads a summary.
+pub(super) fn read_summary(reader: summary::Reader<'_>) -> Result<Summary, PeerError> {
+    let mut rumours = Vec::new();
+    for rumour in reader.get_rumours()?.iter().take(RUMOUR_LIMIT as usize) {
+        rumours.push(read_rumour(rumour)?);
+    }
+    Ok(Summary {
+        vm: read_vm(reader.get_vm()?)?,
+        beat: Beat {
+            incarnation: Incarnation::from(reader.get_incarnation()),
+            second: reader.get_beat(),
+        },
+        known: Incarnation::from(reader.get_known()),
+        config: DocumentVersion {
+            rank: Revision::from(reader.get_revision()),
+            index: 0,
+            mark: reader.get_mark(),
+        },
+        era: Revision::from(reader.get_era()),
+        index: reader.get_index(),
+        vms: read_version(reader.get_vms()?),
+        targets: read_version(reader.get_targets()?),
+        rumours,
+        wants: reader.get_wants(),
+    })
+}
+
+/// Writes an update.
+pub(super) fn write_update(value: &Update, mut builder: update::Builder<'_>) {
+    if let Some(config) = &value.config {
+        builder.set_pointer(&config.pointer);
+        builder.set_era(config.era.get());
+        builder.set_index(config.index);
+        write_patch(&config.preset, builder.reborrow().init_preset());
+    }
+    if let Some(list) = &value.vms {
+        write_version(list.version, builder.reborrow().init_vms_version());
+        write_patch(&list.patch, builder.reborrow().init_vms());
+    }
+    if let Some(list) = &value.targets {
+        write_version(list.version, builder.reborrow().init_targets_version());
+        write_patch(&list.patch, builder.reborrow().init_targets());
+    }
+}
+
+/// Reads an update.
+pub(super) fn read_update(reader: update::Reader<'_>) -> Result<Update, PeerError> {
+    let mut value = Update::default();
+    if reader.has_pointer() {
+        value.config = Some(ConfigUpdate {
+            pointer: read_text(reader.get_pointer()?)?,
+            era: Revision::from(reader.get_era()),
+            index: reader.get_index(),
+            preset: read_patch(reader.get_preset()?)?,
+        });
+    }
+    if reader.has_vms() {
+        value.vms = Some(ListUpdate {
+            version: read_version(reader.get_vms_version()?),
+            patch: read_patch(reader.get_vms()?)?,
+        });
+    }
+    if reader.has_targets() {
+        value.targets = Some(ListUpdate {
+            version: read_version(reader.get_targets_version()?),
+            patch: read_patch(reader.get_targets()?)?,
+        });
+    }
+    Ok(value)
+}
+
+/// Reads the name of a VM.
+pub(super) fn read_vm(reader: capnp::text::Reader<'_>) -> Result<VmId, PeerError> {
+    let text = reader.to_str().map_err(capnp::Error::from)?;
+    let id = text.parse();
+    id.map_err(|_| capnp::Error::failed("a bad VM id".into()).into())
+}
+
+fn read_text(reader: capnp::text::Reader<'_>) -> Result<String, PeerError> {
+    Ok(reader.to_str().map_err(capnp::Error::from)?.to_owned())
+}
+
+fn write_version(value: DocumentVersion, mut builder: version::Builder<'_>) {
+    builder.set_rank(value.rank.get());
+    builder.set_index(value.index);
+    builder.set_mark(value.mark);
+}
+
+fn read_version(reader: version::Reader<'_>) -> DocumentVersion {
+    DocumentVersion {
+        rank: Revision::from(reader.get_rank()),
+        index: reader.get_index(),
+        mark: reader.get_mark(),
+    }
+}
+
+fn write_rumour(value: &Rumour, mut builder: rumour::Builder<'_>) {
+    builder.set_vm(value.vm.as_str());
+    builder.set_incarnation(value.beat.incarnation.get());
+    builder.set_beat(value.beat.second);
+    if let Some(observer) = &value.observer {
+        builder.set_observer(observer.as_str());
+    }
+}
+
+fn read_rumour(reader: rumour::Reader<'_>) -> Result<Rumour, PeerError> {
+    let observer = match reader.has_observer() {
+        true => Some(read_vm(reader.get_observer()?)?),
+        false => None,
+    };
+    Ok(Rumour {
+        vm: read_vm(reader.get_vm()?)?,
+        beat: Beat {
+            incarnation: Incarnation::from(reader.get_incarnation()),
+            second: reader.get_beat(),
+        },
+        observer,
+    })
+}
+
+fn write_patch(value: &Patch, mut builder: patch::Builder<'_>) {
+    builder.set_base(value.base);
+    // Documents are at most 1 MiB, so the steps of a patch can be counted in 32 bits.
+    let count = value.steps.len() as u32;
+    let mut steps = builder.init_steps(count);
+    for (index, step) in (0..count).zip(&value.steps) {
+        let mut builder = steps.reborrow().get(index);
+        builder.set_start(step.start);
+        builder.set_count(step.count);
+        if !step.text.is_empty() {
+            builder.set_text(&step.text);
+        }
+    }
+}
+
+fn read_patch(reader: patch::Reader<'_>) -> Result<Patch, PeerError> {
+    let mut steps = Vec::new();
+    for step in reader.get_steps()? {
+        steps.push(Step {
+            start: step.get_start(),
+            count: step.get_count(),
+            text: read_text(step.get_text()?)?,
+        });
+    }
+    Ok(Patch {
+        base: reader.get_base(),
+        steps,
+    })
+}
--- a/crates/peer/src/connect.rs
+++ b/crates/peer/src/connect.rs
@@ -5,7 +5,7 @@
 
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -14,12 +14,13 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
 use futures::AsyncReadExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle as Task, JoinSet, LocalSet, spawn_local};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::PeerError;
+use crate::meter::{Activity, Meter, Metered};
 
 /// Most connections that one listener serves at a time.
 const CONNECTION_LIMIT: usize = 4_096;
@@ -27,9 +28,26 @@
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Silence after which a metered connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(120);
+
 /// Largest message, in words of 8 bytes: four documents of 1 MiB and their frame.
 const MESSAGE_LIMIT_WORDS: usize = (5 << 20) / 8;
 
+/// A connection to an object of another process; it closes when dropped.
+#[derive(Debug)]
+pub struct Link<C> {
+    /// The object.
+    pub client: C,
+    system: Task<()>,
+}
+
+impl<C> Drop for Link<C> {
+    fn drop(&mut self) {
+        self.system.abort();
+    }
+}
+
 /// Starts a thread that runs `work` on a `LocalSet` of its own.
 ///
 /// # Errors
@@ -59,22 +77,78 @@
 pub async fn connect<C: FromClientHook>(address: SocketAddr) -> Result<C, PeerError> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let mut system = RpcSystem::new(network(stream, Side::Client), None);
+    let network = network(stream, Side::Client, Arc::default(), Activity::new());
+    let mut system = RpcSystem::new(network, None);
     let client = system.bootstrap(Side::Server);
     spawn_local(system);
     Ok(client)
 }
 
+/// Connects until the link is dropped, and counts the bytes on `meter`; must run in a `LocalSet`.
+///
+/// With a `source`, the connection comes from that address.
+///
+/// # Errors
+///
+/// An error when the connection is refused or the source is not an address of this VM.
+pub async fn connect_metered<C: FromClientHook>(
+    address: SocketAddr,
+    source: Option<IpAddr>,
+    meter: Arc<Meter>,
+) -> Result<Link<C>, PeerError> {
+    let stream = match source {
+        Some(source) => connect_from(address, source).await?,
+        None => TcpStream::connect(address).await?,
+    };
+    stream.set_nodelay(true)?;
+    let network = network(stream, Side::Client, meter, Activity::new());
+    let mut system = RpcSystem::new(network, None);
+    let client = system.bootstrap(Side::Server);
+    let system = spawn_local(async move {
+        // The end of the connection shows in the calls that it breaks.
+        let _ = system.await;
+    });
+    Ok(Link { client, system })
+}
+
+/// Connects from an address of this VM.
+async fn connect_from(address: SocketAddr, source: IpAddr) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Serves one object to each connection that `listener` accepts; must run in a `LocalSet`.
 pub async fn serve<F>(listener: TcpListener, object: F)
+where
+    F: Fn(SocketAddr) -> Client,
+{
+    serve_until(listener, Arc::default(), Duration::MAX, object).await;
+}
+
+/// Serves as [`serve`] does, counts the bytes on `meter` and closes connections that carry none.
+pub async fn serve_metered<F>(listener: TcpListener, meter: Arc<Meter>, object: F)
+where
+    F: Fn(SocketAddr) -> Client,
+{
+    serve_until(listener, meter, IDLE_LIMIT, object).await;
+}
+
+/// Serves until dropped; a connection ends after a silence of `limit`.
+async fn serve_until<F>(listener: TcpListener, meter: Arc<Meter>, limit: Duration, object: F)
 where
     F: Fn(SocketAddr) -> Client,
 {
     let open = Arc::new(Semaphore::new(CONNECTION_LIMIT));
+    let mut connections = JoinSet::new();
     loop {
         let Ok(permit) = Arc::clone(&open).acquire_owned().await else {
             return;
         };
+        while connections.try_join_next().is_some() {}
         let Ok((stream, address)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
@@ -82,22 +156,51 @@
         if stream.set_nodelay(true).is_err() {
             continue;
         }
-        let system = RpcSystem::new(network(stream, Side::Server), Some(object(address)));
-        spawn_local(async move {
-            if let Err(error) = system.await {
-                log::debug!(
-                    "event=peer_connection_ended peer={address} cause={:?}",
-                    error.kind
-                );
+        let activity = Activity::new();
+        let network = network(stream, Side::Server, Arc::clone(&meter), activity.clone());
+        let system = RpcSystem::new(network, Some(object(address)));
+        connections.spawn_local(async move {
+            tokio::select! {
+                result = system => note_end(address, result),
+                () = idle(&activity, limit) => {
+                    log::debug!("event=peer_connection_ended peer={address} cause=idle");
+                }
             }
             drop(permit);
         });
     }
 }
 
+/// Logs the end of a served connection.
+fn note_end(address: SocketAddr, result: capnp::Result<()>) {
+    if let Err(error) = result {
+        log::debug!(
+            "event=peer_connection_ended peer={address} cause={:?}",
+            error.kind
+        );
+    }
+}
+
+/// Waits until a connection has carried nothing for `limit`.
+async fn idle(activity: &Activity, limit: Duration) {
+    loop {
+        let left = limit.saturating_sub(activity.last().elapsed());
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left).await;
+    }
+}
+
 /// The two-party network over one connection.
-fn network(stream: TcpStream, side: Side) -> Box<twoparty::VatNetwork<impl futures::AsyncRead>> {
-    let (reader, writer) = stream.compat().split();
+fn network(
+    stream: TcpStream,
+    side: Side,
+    meter: Arc<Meter>,
+    activity: Activity,
+) -> Box<twoparty::VatNetwork<impl futures::AsyncRead>> {
+    let stream = Metered::new(stream.compat(), meter, activity);
+    let (reader, writer) = stream.split();
     Box::new(twoparty::VatNetwork::new(
         futures::io::BufReader::new(reader),
         futures::io::BufWriter::new(writer),
--- a/crates/peer/src/feed.rs
+++ b/crates/peer/src/feed.rs
@@ -1,7 +1,8 @@
 //! How views travel from an agent to the programs beside it.
 //!
 //! [`subscribe`] keeps a program's current view in a `watch` channel. While the agent is away the
-//! channel holds the last view, and the program goes on with it.
+//! channel holds the last view, and the program goes on with it. An agent that started again numbers
+//! its views above the earlier ones, so a program always tells the number that it has in force.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,11 +14,14 @@
 use tokio::sync::watch;
 
 use crate::view_capnp::{view_feed, view_source};
-use crate::{PeerError, connect, local_thread, serve};
+use crate::{Link, PeerError, connect_metered, local_thread, serve};
 
 /// Pause before a lost feed is connected again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Pause after a view that was refused.
+const REFUSED_PAUSE: Duration = Duration::from_secs(2);
+
 /// Longest wait for one answer; after it the connection is taken for dead.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -108,11 +112,11 @@
     program: &str,
     sender: &watch::Sender<Option<Arc<View>>>,
 ) -> Result<(), PeerError> {
-    let client: view_feed::Client = connect(address).await?;
-    // An agent that started again counts views from the start, so the number held is not sent.
-    let mut after = ViewNumber::default();
+    let link: Link<view_feed::Client> = connect_metered(address, None, Arc::default()).await?;
     loop {
-        let mut request = client.watch_request();
+        let held = sender.borrow().as_ref().map(|view| view.number);
+        let after = held.unwrap_or_default();
+        let mut request = link.client.watch_request();
         request.get().set_program(program);
         request.get().set_after(after.get());
         let answer = tokio::time::timeout(WATCH_TIMEOUT, request.send().promise);
@@ -122,19 +126,24 @@
             continue;
         }
         let source = read_source(results.get_source()?)?;
-        after = source.number;
-        offer(&source, sender)?;
+        if !offer(&source, sender)? {
+            // The refused view would be answered again at once.
+            tokio::time::sleep(REFUSED_PAUSE).await;
+        }
     }
 }
 
-/// Puts a view in force unless its revision is below the one in force.
-fn offer(source: &ViewSource, sender: &watch::Sender<Option<Arc<View>>>) -> Result<(), PeerError> {
+/// Puts a view in force unless its revision is below the one in force; false when it is.
+fn offer(
+    source: &ViewSource,
+    sender: &watch::Sender<Option<Arc<View>>>,
+) -> Result<bool, PeerError> {
     let view = View::build(source)?;
     let held = sender.borrow().as_ref().map(|held| held.revision());
     if held.is_some_and(|held| held > view.revision()) {
         let revision = view.revision();
         log::warn!("event=view_refused cause=lower_revision revision={revision}");
-        return Ok(());
+        return Ok(false);
     }
     log::info!(
         "event=view_in_force number={} revision={}",
@@ -142,7 +151,7 @@
         view.revision()
     );
     sender.send_replace(Some(Arc::new(view)));
-    Ok(())
+    Ok(true)
 }
 
 /// Writes a source into a message.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,12 +3,20 @@
 //! The code in `generated/` comes from `schema/` by `scripts/generate-schema.sh` and is committed,
 //! so that the build needs no generator.
 
+pub mod agent;
 mod connect;
 mod error;
 pub mod feed;
+mod meter;
 
-pub use connect::{connect, local_thread, serve};
+pub use connect::{Link, connect, connect_metered, local_thread, serve, serve_metered};
 pub use error::PeerError;
+pub use meter::Meter;
+
+#[allow(missing_docs, clippy::all, clippy::use_self, unused_qualifications)]
+#[rustfmt::skip]
+#[path = "generated/agent_capnp.rs"]
+pub mod agent_capnp;
 
 #[allow(missing_docs, clippy::all, clippy::use_self, unused_qualifications)]
 #[rustfmt::skip]
