Measure control with agents as processes

Change: bambooseam-measure control: agents as processes, platform stand-in and a view feed for each agent in the measuring process, changes, kills, freezes and cuts; a relay that cuts zones off by source address. Conclusion: bytes to and from the platform are not yet counted; that is next.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -2,13 +2,7 @@
 
 use std::process::ExitCode;
 
-use bambooseam_agent::{Agent, HttpPlatform};
-use bambooseam_config::Settings;
-use bambooseam_observe::{Admin, EXIT_FAILED, Program, Start, stop_signal};
-use tokio::task::LocalSet;
-
-/// Any error that ends the program.
-type AnyError = Box<dyn std::error::Error>;
+use bambooseam_observe::{EXIT_FAILED, Program, Start};
 
 fn main() -> ExitCode {
     let program = Program::new("bambooseam-agent", "Control program of an entry VM");
@@ -16,7 +10,7 @@
         Start::Run(settings) => settings,
         Start::Exit(code) => return code,
     };
-    match run(*settings) {
+    match bambooseam_agent::run_process(*settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("event=agent_failed cause={:?}", error.to_string());
@@ -25,25 +19,3 @@
         }
     }
 }
-
-/// Runs the agent on one thread until a stop signal comes.
-fn run(settings: Settings) -> Result<(), AnyError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    LocalSet::new().block_on(&runtime, async move {
-        let platform = HttpPlatform::new(&settings.platform);
-        let admin = Admin::bind(settings.agent.admin).await?;
-        let agent = Agent::bind(settings).await?;
-        let shared = agent.shared();
-        let ready = shared.ready();
-        tokio::task::spawn_local(admin.serve(ready, move || shared.status()));
-        tokio::select! {
-            () = agent.run(platform) => Err("the agent's tasks ended".into()),
-            signal = stop_signal() => {
-                log::info!("event=agent_stopped signal={}", signal?);
-                Ok(())
-            }
-        }
-    })
-}
--- /dev/null
+++ b/crates/measure/src/control/fleet.rs
@@ -0,0 +1,252 @@
+//! Agents as processes.
+
+use std::fs;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use bambooseam_standin::{Deployment, DeploymentKind, Plan};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::net::TcpStream;
+
+use super::Options;
+use super::cost::Cost;
+use super::relay::{Cuts, Relay};
+
+/// Names of the zones: those of two regions.
+pub(crate) const ZONES: [&str; 6] = [
+    "skagit",
+    "yakima",
+    "palouse",
+    "subiaco",
+    "claremont",
+    "fremantle",
+];
+
+/// Port of an agent behind its relay.
+const AGENT_PORT: u16 = 7099;
+/// Port of the view feed.
+const VIEW_PORT: u16 = 7101;
+/// Port of the admin endpoint.
+const ADMIN_PORT: u16 = 7110;
+/// Address at which no platform answers.
+const NO_PLATFORM: &str = "127.0.0.1:9";
+/// Agents that a starting one is told of.
+const SEEDS: usize = 5;
+/// Start of the published keys.
+pub(crate) const PREFIX: &str = "bambooseam";
+
+/// All agents.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) deployment: Deployment,
+    pub(crate) agents: Vec<Agent>,
+    pub(crate) cuts: Cuts,
+    folder: PathBuf,
+    _relays: Vec<Relay>,
+}
+
+/// One agent.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    pub(crate) ip: IpAddr,
+    pub(crate) zone: usize,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+/// What an agent has cost and sent so far.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Usage {
+    pub(crate) cost: Cost,
+    pub(crate) sent: u64,
+}
+
+impl Fleet {
+    /// Plans the agents and starts none.
+    pub(crate) async fn plan(options: &Options, platform: SocketAddr) -> io::Result<Self> {
+        let mut plan = Plan::of(DeploymentKind::Cascade).with_vms(options.agents);
+        plan.zones = ZONES[..options.zones].to_vec();
+        let downloads = options.targets / 5 + 1;
+        let plan = plan
+            .with_targets(
+                options.targets - downloads.min(options.targets - 1),
+                downloads,
+            )
+            .with_network([127, options.network]);
+        let deployment = plan.build();
+        let folder =
+            std::env::temp_dir().join(format!("bambooseam-control-{}", std::process::id()));
+        fs::create_dir_all(&folder)?;
+        let cuts = Cuts::default();
+        let mut fleet = Self {
+            deployment,
+            agents: Vec::new(),
+            cuts,
+            folder,
+            _relays: Vec::new(),
+        };
+        for index in 0..options.agents {
+            fleet.add(index, options, platform).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Writes the settings of one agent, and puts a relay before it when cuts are asked for.
+    async fn add(
+        &mut self,
+        index: usize,
+        options: &Options,
+        platform: SocketAddr,
+    ) -> io::Result<()> {
+        let vms = &self.deployment.vms.0;
+        let vm = &vms[index];
+        let zone = index % options.zones;
+        let reaches = options.reach == 0 || zone < options.reach;
+        let platform = match reaches {
+            true => platform.to_string(),
+            false => NO_PLATFORM.into(),
+        };
+        let ip = vm.agent.ip();
+        let listen = match options.cuts {
+            0 => vm.agent,
+            _ => SocketAddr::new(ip, AGENT_PORT),
+        };
+        let seeds: Vec<String> = (1..=SEEDS.min(vms.len() - 1))
+            .map(|step| vms[(index + step * step) % vms.len()].agent.to_string())
+            .collect();
+        let mut text = format!(
+            "[vm]\nid = {}\nzone = {}\naddress = {ip}\n[platform]\naddresses = {platform}\n\
+             [agent]\nlisten = {listen}\nviews = {ip}:{VIEW_PORT}\nadmin = {ip}:{ADMIN_PORT}\n\
+             [log]\nlevel = {}\nfile = {}\n",
+            vm.id,
+            vm.zone,
+            options.log,
+            self.folder.join(format!("{}.log", vm.id)).display(),
+        );
+        if !seeds.is_empty() {
+            text = text.replace("[log]", &format!("peers = {}\n[log]", seeds.join(", ")));
+        }
+        let settings = self.folder.join(format!("{}.ini", vm.id));
+        fs::write(&settings, text)?;
+        if options.cuts > 0 {
+            let relay = Relay::start(vm.agent, listen, self.cuts.clone()).await?;
+            self._relays.push(relay);
+        }
+        self.agents.push(Agent {
+            ip,
+            zone,
+            settings,
+            child: None,
+        });
+        Ok(())
+    }
+
+    /// Starts all agents.
+    pub(crate) fn start(&mut self) -> io::Result<()> {
+        self.agents.iter_mut().try_for_each(Agent::start)
+    }
+
+    /// Where each agent serves views.
+    pub(crate) fn views(&self) -> Vec<SocketAddr> {
+        let at = |agent: &Agent| SocketAddr::new(agent.ip, VIEW_PORT);
+        self.agents.iter().map(at).collect()
+    }
+
+    /// Usage of all agents.
+    pub(crate) async fn usage(&self) -> Vec<Usage> {
+        let mut all = Vec::new();
+        for agent in &self.agents {
+            all.push(agent.usage().await);
+        }
+        all
+    }
+
+    /// Addresses of the agents in a zone and of those outside it.
+    pub(crate) fn sides(&self, zone: usize) -> (Vec<IpAddr>, Vec<IpAddr>) {
+        let (inside, outside): (Vec<&Agent>, Vec<&Agent>) =
+            self.agents.iter().partition(|agent| agent.zone == zone);
+        let ips = |side: Vec<&Agent>| side.into_iter().map(|agent| agent.ip).collect();
+        (ips(inside), ips(outside))
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for agent in &mut self.agents {
+            agent.kill();
+        }
+        if std::env::var_os("BAMBOOSEAM_KEEP_LOGS").is_none() {
+            // Nothing depends on the folder any more.
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+impl Agent {
+    /// Starts the process.
+    pub(crate) fn start(&mut self) -> io::Result<()> {
+        let child = Command::new(std::env::current_exe()?)
+            .args(["control", "--as-agent"])
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Kills the process.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // A process that has ended already needs no kill.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends a signal by name to the process.
+    pub(crate) fn signal(&self, name: &str) -> io::Result<()> {
+        let Some(child) = &self.child else {
+            return Ok(());
+        };
+        let pid = child.id().to_string();
+        Command::new("kill").args(["-s", name, &pid]).status()?;
+        Ok(())
+    }
+
+    /// Usage so far; zero when the process does not answer.
+    pub(crate) async fn usage(&self) -> Usage {
+        let pid = self.child.as_ref().map_or(0, Child::id);
+        let status = self.status().await;
+        Usage {
+            cost: Cost::of(pid),
+            sent: status.map_or(0, |s| s["sent_bytes"].as_u64().unwrap_or_default()),
+        }
+    }
+
+    /// The answer of `/status`.
+    pub(crate) async fn status(&self) -> Option<Value> {
+        serde_json::from_str(&self.get("/status").await?).ok()
+    }
+
+    /// The answer of a path of the admin endpoint.
+    pub(crate) async fn get(&self, path: &str) -> Option<String> {
+        let address = SocketAddr::new(self.ip, ADMIN_PORT);
+        let stream = TcpStream::connect(address).await.ok()?;
+        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = handshake.ok()?;
+        let connection = tokio::spawn(connection);
+        let request = Request::get(path).header("host", "agent");
+        let request = request.body(Empty::<Bytes>::new()).ok()?;
+        let response = sender.send_request(request).await.ok()?;
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        connection.abort();
+        String::from_utf8(body.to_vec()).ok()
+    }
+}
--- /dev/null
+++ b/crates/measure/src/control/run.rs
@@ -0,0 +1,362 @@
+//! The run: start, rest, changes with faults, and the figures.
+
+use std::time::{Duration, Instant};
+
+use bambooseam_config::TargetState;
+use bambooseam_standin::platform::{Platform, Stats};
+use bambooseam_types::{PresetName, Revision};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use tokio::time::{sleep, timeout};
+
+use super::Options;
+use super::faults::{Fault, Faults};
+use super::feeds::Feeds;
+use super::fleet::{Fleet, PREFIX, Usage};
+
+/// Any error that ends the measurement.
+pub(crate) type AnyError = Box<dyn std::error::Error>;
+
+/// Longest wait for the fleet to start or to settle.
+const SETTLE_LIMIT: Duration = Duration::from_secs(60);
+
+/// Time in which a change must be in force everywhere.
+const EVERYWHERE_LIMIT: Duration = Duration::from_secs(8);
+
+/// How often faults are begun and ended.
+const STEP: Duration = Duration::from_millis(50);
+
+/// One change in this many is one of the list of targets.
+const LIST_EVERY: usize = 4;
+
+/// A change that was published.
+#[derive(Debug, Clone, Copy)]
+struct Change {
+    time: Instant,
+    kind: ChangeKind,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum ChangeKind {
+    /// A switch to this revision.
+    Preset(Revision),
+    /// A list with so many open targets.
+    Targets(usize),
+}
+
+/// Runs the whole measurement on a runtime of its own.
+pub(crate) fn run(options: &Options) -> Result<(), AnyError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(measure(options))
+}
+
+async fn measure(options: &Options) -> Result<(), AnyError> {
+    let mut rng = StdRng::seed_from_u64(options.seed);
+    let platform = Platform::start(([127, 0, 0, 1], 0).into()).await?;
+    let mut fleet = Fleet::plan(options, platform.address()).await?;
+    platform.publish(PREFIX, &fleet.deployment);
+    println!(
+        "measurement=control agents={} zones={} targets={} seed={} reach={} list_bytes={}",
+        options.agents,
+        options.zones,
+        options.targets,
+        options.seed,
+        options.reach,
+        fleet.deployment.targets.to_text().len() + fleet.deployment.vms.to_text().len(),
+    );
+    let feeds = Feeds::start(&fleet.views())?;
+    let start = Instant::now();
+    fleet.start()?;
+    let first = Revision::from(1);
+    wait_for(&feeds, options.agents, first).await?;
+    println!("start_all_s={:.3}", start.elapsed().as_secs_f64());
+    sleep(Duration::from_secs(options.warm)).await;
+
+    let before = Sample::take(&fleet, &platform).await;
+    sleep(Duration::from_secs(options.rest)).await;
+    let after = Sample::take(&fleet, &platform).await;
+    after.print("rest_", &before);
+
+    let time = Duration::from_millis(options.interval) * options.changes as u32;
+    let mut faults = Faults::plan(options, time, &mut rng);
+    let changes = publish(options, &mut fleet, &platform, &mut faults, &mut rng).await?;
+    let done = Sample::take(&fleet, &platform).await;
+    done.print("", &after);
+    settle(&mut fleet, &feeds, &mut faults, &changes).await?;
+    print_times(&fleet, &feeds, &faults, &changes);
+    print_faults(&fleet, &feeds, &faults).await;
+    print_recovery(&feeds, &faults, &changes);
+    Ok(())
+}
+
+/// Prints how long restarted agents took to serve, and woken ones to have what was newest.
+fn print_recovery(feeds: &Feeds, faults: &Faults, changes: &[Change]) {
+    let mut restarts = Vec::new();
+    let mut pauses = Vec::new();
+    let mut never = 0;
+    for spell in &faults.spells {
+        let (times, found) = match spell.fault {
+            Fault::Kill(agent) => (&mut restarts, feeds.next(agent, spell.end)),
+            Fault::Freeze(agent) => {
+                let newest = newest_at(changes, spell.end);
+                (&mut pauses, feeds.current_since(agent, spell.end, newest))
+            }
+            Fault::Cut(_) => continue,
+        };
+        match found {
+            Some(time) => times.push(time.saturating_duration_since(spell.end)),
+            None => never += 1,
+        }
+    }
+    if restarts.is_empty() && pauses.is_empty() && never == 0 {
+        return;
+    }
+    print_share("serving_after_restart", &mut restarts);
+    print_share("current_after_pause", &mut pauses);
+    println!("never_recovered={never}");
+}
+
+/// Newest revision that was published by a time.
+fn newest_at(changes: &[Change], time: Instant) -> Revision {
+    let published = changes.iter().filter(|change| change.time <= time);
+    let revisions = published.filter_map(|change| match change.kind {
+        ChangeKind::Preset(revision) => Some(revision),
+        ChangeKind::Targets(_) => None,
+    });
+    revisions.max().unwrap_or_default()
+}
+
+/// Publishes the changes, with faults meanwhile.
+async fn publish(
+    options: &Options,
+    fleet: &mut Fleet,
+    platform: &Platform,
+    faults: &mut Faults,
+    rng: &mut StdRng,
+) -> Result<Vec<Change>, AnyError> {
+    let start = Instant::now();
+    let mut changes = Vec::new();
+    for index in 0..options.changes {
+        let due = Duration::from_millis(options.interval) * index as u32;
+        while start.elapsed() < due {
+            faults.step(fleet, start.elapsed())?;
+            sleep(STEP.min(due.saturating_sub(start.elapsed()))).await;
+        }
+        let kind = match index % LIST_EVERY {
+            0 => change_target(fleet, platform, rng),
+            _ => switch_preset(fleet, platform, rng),
+        };
+        changes.push(Change {
+            time: Instant::now(),
+            kind,
+        });
+    }
+    let end = start + Duration::from_millis(options.interval) * options.changes as u32;
+    while Instant::now() < end || !faults.is_over() {
+        faults.step(fleet, start.elapsed())?;
+        sleep(STEP).await;
+    }
+    Ok(changes)
+}
+
+/// Puts another preset in force.
+fn switch_preset(fleet: &mut Fleet, platform: &Platform, rng: &mut StdRng) -> ChangeKind {
+    let deployment = &mut fleet.deployment;
+    let others: Vec<PresetName> = deployment
+        .presets
+        .iter()
+        .map(|(name, _)| name.clone())
+        .filter(|name| *name != deployment.pointer.name)
+        .collect();
+    if let Some(name) = others.choose(rng) {
+        deployment.switch(name);
+    }
+    let pointer = deployment.pointer.to_text();
+    let revision = deployment.pointer.revision;
+    platform.put(&format!("{PREFIX}/preset-in-force"), pointer);
+    ChangeKind::Preset(revision)
+}
+
+/// Makes one target leave, or lets a leaving one return.
+fn change_target(fleet: &mut Fleet, platform: &Platform, rng: &mut StdRng) -> ChangeKind {
+    let targets = &mut fleet.deployment.targets.0;
+    let index = rng.random_range(0..targets.len());
+    let target = &mut targets[index];
+    target.state = match target.state {
+        TargetState::Live => TargetState::Leaving,
+        TargetState::Leaving => TargetState::Live,
+    };
+    let open = targets
+        .iter()
+        .filter(|t| t.state == TargetState::Live)
+        .count();
+    let text = fleet.deployment.targets.to_text();
+    platform.put(&format!("{PREFIX}/targets"), text);
+    ChangeKind::Targets(open)
+}
+
+/// Waits until all agents have the last preset in force.
+async fn settle(
+    fleet: &mut Fleet,
+    feeds: &Feeds,
+    faults: &mut Faults,
+    changes: &[Change],
+) -> Result<(), AnyError> {
+    let start = Instant::now();
+    while !faults.is_over() {
+        faults.step(fleet, Duration::MAX)?;
+        sleep(STEP).await;
+    }
+    let last = changes.iter().rev().find_map(|change| match change.kind {
+        ChangeKind::Preset(revision) => Some(revision),
+        ChangeKind::Targets(_) => None,
+    });
+    if let Some(last) = last {
+        wait_for(feeds, fleet.agents.len(), last).await?;
+    }
+    println!("settled_s={:.3}", start.elapsed().as_secs_f64());
+    Ok(())
+}
+
+/// Waits until all agents have a revision in force.
+async fn wait_for(feeds: &Feeds, agents: usize, revision: Revision) -> Result<(), AnyError> {
+    let wait = async {
+        while (0..agents).any(|agent| feeds.since(agent, revision).is_none()) {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(SETTLE_LIMIT, wait)
+        .await
+        .map_err(|_| format!("revision {revision} is not in force everywhere").into())
+}
+
+/// Prints the times until changes were in force on all agents that no fault touched.
+fn print_times(fleet: &Fleet, feeds: &Feeds, faults: &Faults, changes: &[Change]) {
+    let mut everywhere = Vec::new();
+    let mut lists = Vec::new();
+    let mut missed = 0;
+    for (index, change) in changes.iter().enumerate() {
+        let mut slowest = Duration::ZERO;
+        for agent in 0..fleet.agents.len() {
+            let to = change.time + EVERYWHERE_LIMIT;
+            if faults.touches(fleet, agent, change.time, to) {
+                continue;
+            }
+            let since = match change.kind {
+                ChangeKind::Preset(revision) => feeds.since(agent, revision),
+                ChangeKind::Targets(open) => feeds.targets_since(agent, change.time, open),
+            };
+            let Some(since) = since else {
+                // A list that another one soon followed may never have been served.
+                let is_last = changes.len() - index <= LIST_EVERY;
+                missed += usize::from(matches!(change.kind, ChangeKind::Preset(_)) || is_last);
+                continue;
+            };
+            slowest = slowest.max(since.saturating_duration_since(change.time));
+        }
+        match change.kind {
+            ChangeKind::Preset(_) => everywhere.push(slowest),
+            ChangeKind::Targets(_) => lists.push(slowest),
+        }
+    }
+    print_share("everywhere", &mut everywhere);
+    print_share("list_everywhere", &mut lists);
+    println!("changes={} never_in_force={missed}", changes.len());
+}
+
+fn print_share(name: &str, times: &mut [Duration]) {
+    times.sort_unstable();
+    let at = |share: f64| {
+        let index = (times.len() as f64 * share).ceil() as usize;
+        let time = times.get(index.saturating_sub(1)).copied();
+        time.unwrap_or_default().as_secs_f64()
+    };
+    println!(
+        "{name}_p50_s={:.3} {name}_p99_s={:.3} {name}_max_s={:.3}",
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
+}
+
+/// Prints what must be zero, and how fast agents came back.
+async fn print_faults(fleet: &Fleet, feeds: &Feeds, faults: &Faults) {
+    let (reverts, conflicts) = feeds.faults();
+    let mut broken = 0;
+    for agent in &fleet.agents {
+        let metrics = agent.get("/metrics").await.unwrap_or_default();
+        broken += metrics
+            .lines()
+            .filter(|line| line.starts_with("invariants_broken"))
+            .count();
+    }
+    println!("reverts={reverts} two_presets={conflicts} invariants_broken={broken}");
+    let mut suspected = 0;
+    for agent in &fleet.agents {
+        let status = agent.status().await.unwrap_or_default();
+        let vms = status["vms"].as_array().cloned().unwrap_or_default();
+        suspected += vms
+            .iter()
+            .filter(|vm| vm["health"] == "suspected" || vm["health"] == "dead")
+            .count();
+    }
+    println!("suspected_at_end={suspected}");
+    let count =
+        |is_it: &dyn Fn(Fault) -> bool| faults.spells.iter().filter(|s| is_it(s.fault)).count();
+    println!(
+        "kills={} freezes={} cuts={}",
+        count(&|fault| matches!(fault, Fault::Kill(_))),
+        count(&|fault| matches!(fault, Fault::Freeze(_))),
+        count(&|fault| matches!(fault, Fault::Cut(_))),
+    );
+}
+
+/// Usage of all agents and reads of the platform at one time.
+struct Sample {
+    time: Instant,
+    usage: Vec<Usage>,
+    stats: Stats,
+}
+
+impl Sample {
+    async fn take(fleet: &Fleet, platform: &Platform) -> Self {
+        Self {
+            usage: fleet.usage().await,
+            time: Instant::now(),
+            stats: platform.stats(),
+        }
+    }
+
+    /// Prints the rates since an earlier sample.
+    fn print(&self, prefix: &str, before: &Self) {
+        let time = (self.time - before.time).as_secs_f64();
+        let pairs = || before.usage.iter().zip(&self.usage);
+        // An agent that was started again has counted from zero and is left out.
+        let sent = pairs().filter(|(b, a)| a.sent >= b.sent);
+        let mut sent: Vec<f64> = sent.map(|(b, a)| (a.sent - b.sent) as f64 / time).collect();
+        let cpu = pairs().filter(|(b, a)| a.cost.cpu >= b.cost.cpu);
+        let mut cpu: Vec<f64> = cpu.map(|(b, a)| (a.cost.cpu - b.cost.cpu) / time).collect();
+        let mut memory: Vec<f64> = self
+            .usage
+            .iter()
+            .map(|usage| usage.cost.memory as f64 / 1024.0)
+            .collect();
+        let reads = (self.stats.reads - before.stats.reads) as f64 / time;
+        let refused = self.stats.refused - before.stats.refused;
+        println!("{prefix}seconds={time:.1}");
+        print_spread(prefix, "control_bytes_per_s", &mut sent, 0);
+        println!("{prefix}reads_per_s={reads:.2} {prefix}reads_refused={refused}");
+        print_spread(prefix, "cpu_fraction", &mut cpu, 5);
+        print_spread(prefix, "rss_mb", &mut memory, 1);
+    }
+}
+
+fn print_spread(prefix: &str, name: &str, values: &mut [f64], digits: usize) {
+    values.sort_by(f64::total_cmp);
+    let mean = values.iter().sum::<f64>() / values.len().max(1) as f64;
+    let most = values.last().copied().unwrap_or_default();
+    println!("{prefix}{name}={mean:.digits$} {prefix}{name}_max={most:.digits$}");
+}
