Test control: peers, members, faults, randomised runs

Cause: each decision needs a test that brings about the failure it is for. Change: tests of bad, late and replayed messages, suspicion by two observers, silent zones, budget, gate, differences, a paused process, the platform over HTTP with each fault, racing operators, and a randomised run with kills, cuts and stale platforms; bytes to the platform are metered and charged.

--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -334,7 +334,7 @@
     }
 
     fn settle(&self, state: &mut State) {
-        state.budget.settle(Instant::now(), self.meter().sent());
+        state.budget.settle(Instant::now(), self.sent());
     }
 
     /// Takes the documents of an update, each on its own, if they are newer and good.
--- a/crates/agent/src/platform/http.rs
+++ b/crates/agent/src/platform/http.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bambooseam_config::PlatformSettings;
+use bambooseam_peer::{Activity, Meter, Metered};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
@@ -14,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio_util::compat::{FuturesAsyncReadCompatExt, TokioAsyncReadCompatExt};
 
 use super::{Platform, PlatformError, Reading, Wait};
 
@@ -32,15 +34,17 @@
     addresses: Rc<[SocketAddr]>,
     prefix: Rc<str>,
     current: Rc<Cell<usize>>,
+    meter: Arc<Meter>,
 }
 
 /// Ends the connection's task when a read is over or given up.
 struct Connection(JoinHandle<()>);
 
 impl HttpPlatform {
-    /// Creates a client from settings.
-    pub fn new(settings: &PlatformSettings) -> Self {
+    /// Creates a client from settings that counts its bytes on `meter`.
+    pub fn new(settings: &PlatformSettings, meter: Arc<Meter>) -> Self {
         Self {
+            meter,
             addresses: settings.addresses.as_slice().into(),
             prefix: settings.prefix.trim_end_matches('/').into(),
             current: Rc::new(Cell::new(0)),
@@ -64,7 +68,8 @@
         let index = self.current.get() % self.addresses.len();
         let address = self.addresses[index];
         let time = READ_TIME + wait.map_or(Duration::ZERO, |wait| wait.time);
-        let read = read(address, self.target(key, wait), key);
+        let meter = Arc::clone(&self.meter);
+        let read = read(address, self.target(key, wait), key, meter);
         let result = match tokio::time::timeout(time, read).await {
             Ok(result) => result,
             Err(_) => Err(unreachable("no answer in time")),
@@ -83,9 +88,15 @@
 }
 
 /// Sends one request and reads its answer.
-async fn read(address: SocketAddr, target: String, key: &str) -> Result<Reading, PlatformError> {
+async fn read(
+    address: SocketAddr,
+    target: String,
+    key: &str,
+    meter: Arc<Meter>,
+) -> Result<Reading, PlatformError> {
     metrics::counter!("platform_reads").increment(1);
     let stream = TcpStream::connect(address).await.map_err(unreachable)?;
+    let stream = Metered::new(stream.compat(), meter, Activity::default()).compat();
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.map_err(unreachable)?;
     let _connection = Connection(tokio::task::spawn(async move {
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -1,6 +1,7 @@
 //! An agent as a process of its own.
 
 use std::io;
+use std::sync::Arc;
 
 use bambooseam_config::Settings;
 use bambooseam_observe::{Admin, AdminError, stop_signal};
@@ -36,10 +37,11 @@
         .enable_all()
         .build()?;
     LocalSet::new().block_on(&runtime, async move {
-        let platform = HttpPlatform::new(&settings.platform);
+        let platform = settings.platform.clone();
         let admin = Admin::bind(settings.agent.admin).await?;
         let agent = Agent::bind(settings).await?;
         let shared = agent.shared();
+        let platform = HttpPlatform::new(&platform, Arc::clone(shared.platform_meter()));
         let ready = shared.ready();
         spawn_local(admin.serve(ready, move || shared.status()));
         tokio::select! {
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -8,7 +8,7 @@
 
 use bambooseam_config::{Settings, VmSettings};
 use bambooseam_peer::Meter;
-use bambooseam_types::{Incarnation, Revision, VmId};
+use bambooseam_types::{ByteCount, Incarnation, Revision, VmId};
 use bambooseam_view::{FlowKey, Ranking, ViewNumber, ViewSource};
 use derive_more::Display;
 use tokio::sync::watch;
@@ -42,6 +42,7 @@
     wakes: watch::Sender<u64>,
     ready: watch::Sender<bool>,
     meter: Arc<Meter>,
+    platform_meter: Arc<Meter>,
 }
 
 /// What the lock guards.
@@ -140,6 +141,7 @@
             wakes: watch::Sender::new(0),
             ready: watch::Sender::new(false),
             meter: Arc::default(),
+            platform_meter: Arc::default(),
         }
     }
 
@@ -163,6 +165,21 @@
         &self.meter
     }
 
+    /// Bytes exchanged with the platform.
+    pub fn platform_meter(&self) -> &Arc<Meter> {
+        &self.platform_meter
+    }
+
+    /// All control bytes sent.
+    pub fn sent(&self) -> ByteCount {
+        ByteCount::new(self.meter.sent().get() + self.platform_meter.sent().get())
+    }
+
+    /// All control bytes received.
+    pub fn received(&self) -> ByteCount {
+        ByteCount::new(self.meter.received().get() + self.platform_meter.received().get())
+    }
+
     /// Changes when a document that peers may lack was taken.
     pub(crate) fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/crates/measure/src/control/fleet.rs
+++ b/crates/measure/src/control/fleet.rs
@@ -65,6 +65,7 @@
 pub(crate) struct Usage {
     pub(crate) cost: Cost,
     pub(crate) sent: u64,
+    pub(crate) received: u64,
 }
 
 impl Fleet {
@@ -223,10 +224,11 @@
     /// Usage so far; zero when the process does not answer.
     pub(crate) async fn usage(&self) -> Usage {
         let pid = self.child.as_ref().map_or(0, Child::id);
-        let status = self.status().await;
+        let status = self.status().await.unwrap_or_default();
         Usage {
             cost: Cost::of(pid),
-            sent: status.map_or(0, |s| s["sent_bytes"].as_u64().unwrap_or_default()),
+            sent: status["sent_bytes"].as_u64().unwrap_or_default(),
+            received: status["received_bytes"].as_u64().unwrap_or_default(),
         }
     }
 
--- a/crates/measure/src/control/run.rs
+++ b/crates/measure/src/control/run.rs
@@ -337,6 +337,10 @@
         // An agent that was started again has counted from zero and is left out.
         let sent = pairs().filter(|(b, a)| a.sent >= b.sent);
         let mut sent: Vec<f64> = sent.map(|(b, a)| (a.sent - b.sent) as f64 / time).collect();
+        let received = pairs().filter(|(b, a)| a.received >= b.received);
+        let mut received: Vec<f64> = received
+            .map(|(b, a)| (a.received - b.received) as f64 / time)
+            .collect();
         let cpu = pairs().filter(|(b, a)| a.cost.cpu >= b.cost.cpu);
         let mut cpu: Vec<f64> = cpu.map(|(b, a)| (a.cost.cpu - b.cost.cpu) / time).collect();
         let mut memory: Vec<f64> = self
@@ -348,6 +352,7 @@
         let refused = self.stats.refused - before.stats.refused;
         println!("{prefix}seconds={time:.1}");
         print_spread(prefix, "control_bytes_per_s", &mut sent, 0);
+        print_spread(prefix, "received_bytes_per_s", &mut received, 0);
         println!("{prefix}reads_per_s={reads:.2} {prefix}reads_refused={refused}");
         print_spread(prefix, "cpu_fraction", &mut cpu, 5);
         print_spread(prefix, "rss_mb", &mut memory, 1);
--- a/crates/peer/src/connect.rs
+++ b/crates/peer/src/connect.rs
@@ -77,7 +77,7 @@
 pub async fn connect<C: FromClientHook>(address: SocketAddr) -> Result<C, PeerError> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let network = network(stream, Side::Client, Arc::default(), Activity::new());
+    let network = network(stream, Side::Client, Arc::default(), Activity::default());
     let mut system = RpcSystem::new(network, None);
     let client = system.bootstrap(Side::Server);
     spawn_local(system);
@@ -101,7 +101,7 @@
         None => TcpStream::connect(address).await?,
     };
     stream.set_nodelay(true)?;
-    let network = network(stream, Side::Client, meter, Activity::new());
+    let network = network(stream, Side::Client, meter, Activity::default());
     let mut system = RpcSystem::new(network, None);
     let client = system.bootstrap(Side::Server);
     let system = spawn_local(async move {
@@ -156,7 +156,7 @@
         if stream.set_nodelay(true).is_err() {
             continue;
         }
-        let activity = Activity::new();
+        let activity = Activity::default();
         let network = network(stream, Side::Server, Arc::clone(&meter), activity.clone());
         let system = RpcSystem::new(network, Some(object(address)));
         connections.spawn_local(async move {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use connect::{Link, connect, connect_metered, local_thread, serve, serve_metered};
 pub use error::PeerError;
-pub use meter::Meter;
+pub use meter::{Activity, Meter, Metered};
 
 #[allow(missing_docs, clippy::all, clippy::use_self, unused_qualifications)]
 #[rustfmt::skip]
--- a/crates/peer/src/meter.rs
+++ b/crates/peer/src/meter.rs
@@ -19,11 +19,11 @@
 
 /// When a connection last carried a byte.
 #[derive(Debug, Clone)]
-pub(crate) struct Activity(Arc<Mutex<Instant>>);
+pub struct Activity(Arc<Mutex<Instant>>);
 
 /// A stream whose bytes are counted.
 #[derive(Debug)]
-pub(crate) struct Metered<S> {
+pub struct Metered<S> {
     stream: S,
     meter: Arc<Meter>,
     activity: Activity,
@@ -41,14 +41,15 @@
     }
 }
 
-impl Activity {
-    /// A connection that begins now.
-    pub(crate) fn new() -> Self {
+impl Default for Activity {
+    fn default() -> Self {
         Self(Arc::new(Mutex::new(Instant::now())))
     }
+}
 
+impl Activity {
     /// When the last byte passed.
-    pub(crate) fn last(&self) -> Instant {
+    pub fn last(&self) -> Instant {
         *self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -59,7 +60,7 @@
 
 impl<S> Metered<S> {
     /// Counts the bytes of `stream` on `meter`.
-    pub(crate) fn new(stream: S, meter: Arc<Meter>, activity: Activity) -> Self {
+    pub fn new(stream: S, meter: Arc<Meter>, activity: Activity) -> Self {
         Self {
             stream,
             meter,
--- a/tests/tests/control/fake.rs
+++ b/tests/tests/control/fake.rs
@@ -25,6 +25,8 @@
     Silent,
     /// It refuses by rate.
     Refusing,
+    /// It shows what it held when this mode was set.
+    Stale,
 }
 
 /// A key's value and the index of its last write.
@@ -47,6 +49,7 @@
 pub struct Fake {
     store: Rc<RefCell<Store>>,
     mode: Rc<RefCell<Mode>>,
+    frozen: Rc<RefCell<Option<Store>>>,
     changed: watch::Sender<u64>,
     reads: Rc<RefCell<u64>>,
 }
@@ -91,6 +94,7 @@
         Self {
             store: Rc::new(RefCell::new(store)),
             mode: Rc::new(RefCell::new(Mode::Good)),
+            frozen: Rc::default(),
             changed: watch::Sender::new(0),
             reads: Rc::default(),
         }
@@ -100,6 +104,7 @@
     pub fn another(&self) -> Self {
         Self {
             mode: Rc::new(RefCell::new(Mode::Good)),
+            frozen: Rc::default(),
             ..self.clone()
         }
     }
@@ -113,6 +118,10 @@
 
     /// Sets how it behaves.
     pub fn set(&self, mode: Mode) {
+        *self.frozen.borrow_mut() = match mode {
+            Mode::Stale => Some(self.snapshot()),
+            _ => None,
+        };
         *self.mode.borrow_mut() = mode;
         self.changed.send_modify(|count| *count += 1);
     }
@@ -130,7 +139,7 @@
     /// Answers from what is held now.
     fn read(&self, key: &str) -> Result<Reading, PlatformError> {
         match *self.mode.borrow() {
-            Mode::Good => {}
+            Mode::Good | Mode::Stale => {}
             Mode::Refusing => return Err(PlatformError::Refused { after: None }),
             Mode::Down | Mode::Silent => {
                 return Err(PlatformError::Unreachable {
@@ -138,7 +147,9 @@
                 });
             }
         }
-        let store = self.store.borrow();
+        let frozen = self.frozen.borrow();
+        let newest = self.store.borrow();
+        let store = frozen.as_ref().unwrap_or(&newest);
         let value = store
             .get(key)
             .ok_or_else(|| PlatformError::NoKey { key: key.into() })?;
--- /dev/null
+++ b/tests/tests/control_members.rs
@@ -0,0 +1,257 @@
+//! Membership, the gate, the budget and differences, each by itself with times that the test sets.
+
+use std::time::{Duration, Instant};
+
+use bambooseam_agent::{Budget, Change, Gate, Health, Heard, Members};
+use bambooseam_config::VmList;
+use bambooseam_peer::agent::{Beat, Patch, Rumour};
+use bambooseam_standin::{DeploymentKind, Plan};
+use bambooseam_types::{ByteCount, ByteRate, Incarnation, VmId};
+
+/// Bounded cases of the property test.
+const CASES: usize = 500;
+
+/// Twelve VMs in three zones; `vm-001`, `vm-004`, `vm-007` and `vm-010` are in the first.
+fn list() -> VmList {
+    let plan = Plan::of(DeploymentKind::Cascade).with_vms(12);
+    plan.build().vms
+}
+
+fn vm(number: usize) -> VmId {
+    format!("vm-{number:03}").parse().expect("a name")
+}
+
+fn beat(incarnation: u64, second: u64) -> Beat {
+    Beat {
+        incarnation: Incarnation::from(incarnation),
+        second,
+    }
+}
+
+fn silent(number: usize, observer: usize, since: Beat) -> Rumour {
+    Rumour {
+        vm: vm(number),
+        beat: since,
+        observer: Some(vm(observer)),
+    }
+}
+
+/// The table of `vm-001`.
+fn members() -> Members {
+    Members::new(vm(1), list().0[0].zone.clone())
+}
+
+fn after(start: Instant, seconds: u64) -> Instant {
+    start + Duration::from_secs(seconds)
+}
+
+#[test]
+fn one_observer_is_not_enough_and_two_are() {
+    let (list, start) = (list(), Instant::now());
+    let mut members = members();
+    members.hear(&vm(4), beat(100, 5), &list, start);
+    members.take_rumour(&silent(4, 7, beat(100, 5)), &list, after(start, 10));
+    assert_eq!(members.judge(&list, after(start, 10)), []);
+    // The same word again is no second observer.
+    members.take_rumour(&silent(4, 7, beat(100, 5)), &list, after(start, 11));
+    assert_eq!(members.judge(&list, after(start, 11)), []);
+    members.take_rumour(&silent(4, 10, beat(100, 5)), &list, after(start, 12));
+    let changes = members.judge(&list, after(start, 12));
+    assert_eq!(changes, [Change::Suspected(vm(4), vec![vm(7), vm(10)])]);
+    assert_eq!(members.suspects(), [vm(4)]);
+    assert_eq!(
+        members.judge(&list, after(start, 43)),
+        [Change::Dead(vm(4))]
+    );
+    assert_eq!(members.health(&list.0[3]).0, Health::Dead);
+}
+
+#[test]
+fn observers_outside_the_zone_alone_eject_nobody() {
+    let (list, start) = (list(), Instant::now());
+    let mut members = members();
+    for dead in [2, 5, 8, 11] {
+        members.hear(&vm(dead), beat(100, 5), &list, start);
+        for observer in [3, 6, 4] {
+            members.take_rumour(
+                &silent(dead, observer, beat(100, 5)),
+                &list,
+                after(start, 20),
+            );
+        }
+        members.note_miss(&vm(dead), &list, after(start, 20));
+        members.note_miss(&vm(dead), &list, after(start, 21));
+    }
+    let changes = members.judge(&list, after(start, 22));
+    assert_eq!(changes, [Change::ZoneSilent(list.0[1].zone.clone())]);
+    assert!(members.suspects().is_empty());
+    // One of the zone is heard: the zone is not silent, and its own observers count.
+    members.hear(&vm(5), beat(100, 40), &list, after(start, 40));
+    let changes = members.judge(&list, after(start, 40));
+    assert_eq!(changes, [Change::ZoneHeard(list.0[1].zone.clone())]);
+    members.take_rumour(&silent(2, 5, beat(100, 5)), &list, after(start, 41));
+    members.take_rumour(&silent(2, 8, beat(100, 5)), &list, after(start, 41));
+    members.judge(&list, after(start, 41));
+    assert_eq!(members.suspects(), [vm(2)]);
+}
+
+#[test]
+fn late_and_replayed_messages_change_nothing() {
+    let (list, start) = (list(), Instant::now());
+    let mut members = members();
+    assert_eq!(
+        members.hear(&vm(4), beat(200, 50), &list, start),
+        Heard::New
+    );
+    // A message of the start before, and one that was seen already.
+    assert_eq!(
+        members.hear(&vm(4), beat(100, 900), &list, start),
+        Heard::Late
+    );
+    assert_eq!(
+        members.hear(&vm(4), beat(200, 50), &list, after(start, 9)),
+        Heard::Known
+    );
+    // Old words about it, from before its restart and from before it was heard.
+    for observer in [7, 10] {
+        members.take_rumour(
+            &silent(4, observer, beat(100, 900)),
+            &list,
+            after(start, 20),
+        );
+        members.take_rumour(&silent(4, observer, beat(200, 30)), &list, after(start, 20));
+    }
+    assert_eq!(members.judge(&list, after(start, 20)), []);
+    // A replay does not keep a silent VM alive either.
+    for observer in [7, 10] {
+        members.take_rumour(&silent(4, observer, beat(200, 50)), &list, after(start, 20));
+    }
+    members.hear(&vm(4), beat(200, 50), &list, after(start, 21));
+    members.judge(&list, after(start, 21));
+    assert_eq!(members.suspects(), [vm(4)]);
+}
+
+#[test]
+fn restart_and_later_sign_of_life_refute_a_suspicion() {
+    let (list, start) = (list(), Instant::now());
+    for refuting in [beat(300, 0), beat(200, 100)] {
+        let mut members = members();
+        members.hear(&vm(4), beat(200, 50), &list, start);
+        for observer in [7, 10] {
+            members.take_rumour(&silent(4, observer, beat(200, 48)), &list, after(start, 20));
+        }
+        members.judge(&list, after(start, 20));
+        assert_eq!(members.suspects(), [vm(4)]);
+        let rumour = Rumour {
+            vm: vm(4),
+            beat: refuting,
+            observer: None,
+        };
+        members.take_rumour(&rumour, &list, after(start, 30));
+        let changes = members.judge(&list, after(start, 30));
+        assert_eq!(changes, [Change::Recovered(vm(4))]);
+    }
+}
+
+#[test]
+fn unlisted_names_count_for_nothing() {
+    let (list, start) = (list(), Instant::now());
+    let mut members = members();
+    members.hear(&vm(4), beat(200, 50), &list, start);
+    for observer in [7, 98, 99, 4] {
+        members.take_rumour(&silent(4, observer, beat(200, 50)), &list, after(start, 20));
+    }
+    assert_eq!(members.judge(&list, after(start, 20)), []);
+    for number in 100..400 {
+        members.hear(&vm(number), beat(1, 1), &list, start);
+    }
+    assert!(members.unlisted(&list).len() <= 64);
+}
+
+#[test]
+fn news_is_passed_on_a_bounded_number_of_times() {
+    let (list, start) = (list(), Instant::now());
+    let mut members = members();
+    members.hear(&vm(4), beat(200, 50), &list, start);
+    members.take_rumour(&silent(4, 7, beat(200, 50)), &list, start);
+    let sends = (0..100).filter(|_| !members.news(850).is_empty()).count();
+    // The binary logarithm of 850 is 9.
+    assert!((9..=18).contains(&sends), "{sends}");
+}
+
+#[test]
+fn gate_waits_for_peers_and_not_for_ever() {
+    let start = Instant::now();
+    let mut gate = Gate::new(start, 5);
+    gate.count_reading();
+    for _ in 0..2 {
+        gate.count_answer();
+    }
+    assert!(gate.try_open(start, false).is_none());
+    gate.count_answer();
+    assert!(
+        gate.try_open(start, true).is_none(),
+        "a peer holds something newer"
+    );
+    assert!(gate.try_open(start, false).is_some());
+    let mut gate = Gate::new(start, 5);
+    assert!(gate.try_open(after(start, 2), true).is_none());
+    assert!(gate.try_open(after(start, 5), true).is_some());
+    gate.shut_after_pause(after(start, 60));
+    assert!(gate.try_open(after(start, 60), false).is_none());
+    gate.count_reading();
+    let opened = gate.try_open(after(start, 60), false).expect("open");
+    assert!(opened.after_pause);
+}
+
+#[test]
+fn budget_holds_the_rate_over_any_long_time() {
+    let start = Instant::now();
+    let mut budget = Budget::new(ByteRate::new(3_000), start);
+    let mut sent = 0;
+    for second in 0..3_600 {
+        budget.settle(after(start, second), ByteCount::new(sent));
+        for size in [40_000, 9_000, 500] {
+            if budget.allows(size) {
+                sent += size as u64;
+                budget.settle(after(start, second), ByteCount::new(sent));
+            }
+        }
+    }
+    // One burst of a minute on top of an hour.
+    assert!(sent <= 3_000 * (3_600 + 60), "{sent}");
+    assert!(sent >= 3_000 * 3_400, "{sent}");
+    // A document above the burst goes through once in a while.
+    let mut budget = Budget::new(ByteRate::new(3_000), start);
+    assert!(budget.allows(700_000));
+    budget.settle(start, ByteCount::new(700_000));
+    assert!(!budget.allows(100));
+    assert!(budget.is_overdrawn());
+}
+
+#[test]
+fn differences_make_the_same_text() {
+    bolero::check!()
+        .with_iterations(CASES)
+        .with_type::<(Vec<(u8, u8)>, Vec<(u8, u8)>)>()
+        .for_each(|(base, text)| {
+            let write = |sections: &[(u8, u8)]| -> String {
+                let line = |(name, value): &(u8, u8)| format!("[s {name}]\nv = {value}\n");
+                sections.iter().map(line).collect()
+            };
+            let (base, text) = (write(base), write(text));
+            let patch = Patch::between(7, &base, &text);
+            assert_eq!(patch.apply(&base).as_deref(), Ok(text.as_str()));
+            assert_eq!(Patch::whole(&text).apply("").as_deref(), Ok(text.as_str()));
+        });
+}
+
+#[test]
+fn difference_of_one_target_is_small() {
+    let plan = Plan::of(DeploymentKind::Cascade).with_targets(1_000, 10);
+    let base = plan.build().targets.to_text();
+    let text = base.replacen("state = live", "state = leaving", 1);
+    let patch = Patch::between(1, &base, &text);
+    assert!(patch.size() < 400, "{}", patch.size());
+    assert!(patch.apply(&text[..100]).is_err());
+}
--- /dev/null
+++ b/tests/tests/control_peers.rs
@@ -0,0 +1,351 @@
+//! Messages of peers, some of them bad, and a platform over HTTP.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bambooseam_agent::{Agent, HttpPlatform, Shared};
+use bambooseam_config::digest_of;
+use bambooseam_peer::agent::{
+    Beat, ConfigUpdate, DocumentVersion, ListUpdate, Patch, PeerLink, Summary, Update, mark_of,
+};
+use bambooseam_standin::{Deployment, DeploymentKind, Mode as PlatformMode, Platform};
+use bambooseam_types::{Incarnation, PresetName, Revision, VmId};
+use fake::{Fake, Mode, has_event, revision, settings, wait_until};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+#[path = "control/fake.rs"]
+#[allow(dead_code)]
+mod fake;
+
+/// Time in which something that must not happen would have happened.
+const QUIET: Duration = Duration::from_millis(600);
+
+/// Time for which a process is paused.
+const PAUSE: Duration = Duration::from_secs(4);
+
+/// Runs a test on a `LocalSet`.
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+fn deployment() -> Deployment {
+    Deployment::of(DeploymentKind::Cascade)
+}
+
+fn name(text: &str) -> PresetName {
+    text.parse().expect("a name")
+}
+
+/// An agent, and a connection to it as a peer has one.
+async fn start(fake: &Fake) -> (Arc<Shared>, PeerLink) {
+    let mut settings = settings("vm-001", "skagit", &[]);
+    let peers = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("bound");
+    let views = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("bound");
+    settings.agent.listen = peers.local_addr().expect("an address");
+    let listen = settings.agent.listen;
+    let agent = Agent::new(settings, peers, views);
+    let shared = agent.shared();
+    spawn_local(agent.run(fake.clone()));
+    let link = PeerLink::connect(listen, listen.ip(), Arc::default()).await;
+    wait_until(&shared, "serving", |shared| revision(shared) == 1).await;
+    (shared, link.expect("connected"))
+}
+
+fn now_ms() -> u64 {
+    let since = std::time::UNIX_EPOCH.elapsed().expect("a clock");
+    u64::try_from(since.as_millis()).expect("a time")
+}
+
+fn summary(vm: &str, incarnation: u64, second: u64) -> Summary {
+    Summary {
+        vm: vm.parse().expect("a name"),
+        beat: Beat {
+            incarnation: Incarnation::from(incarnation),
+            second,
+        },
+        known: Incarnation::default(),
+        config: DocumentVersion::default(),
+        era: Revision::default(),
+        index: 0,
+        vms: DocumentVersion::default(),
+        targets: DocumentVersion::default(),
+        rumours: Vec::new(),
+        wants: true,
+    }
+}
+
+fn peer() -> VmId {
+    "vm-002".parse().expect("a name")
+}
+
+/// An update that brings a configuration.
+fn config_update(pointer: String, preset: &str) -> Update {
+    Update {
+        config: Some(ConfigUpdate {
+            pointer,
+            era: Revision::default(),
+            index: 50,
+            preset: Patch::whole(preset),
+        }),
+        ..Update::default()
+    }
+}
+
+#[test]
+fn empty_peer_is_brought_everything() {
+    run(async {
+        let published = deployment();
+        let (_shared, link) = start(&Fake::new(&published)).await;
+        let answer = link.exchange(&summary("vm-002", now_ms(), 1)).await;
+        let (theirs, update) = answer.expect("an answer");
+        assert_eq!(theirs.config.rank, Revision::from(1));
+        assert!(update.config.is_some() && update.vms.is_some() && update.targets.is_some());
+        // One who holds all of it is brought nothing.
+        let mut holding = summary("vm-002", now_ms(), 2);
+        (holding.config, holding.vms, holding.targets) =
+            (theirs.config, theirs.vms, theirs.targets);
+        let (_, update) = link.exchange(&holding).await.expect("an answer");
+        assert!(update.is_empty());
+    });
+}
+
+#[test]
+fn sender_of_an_earlier_start_is_told_and_changes_nothing() {
+    run(async {
+        let (shared, link) = start(&Fake::new(&deployment())).await;
+        let now = now_ms();
+        link.exchange(&summary("vm-002", now, 5))
+            .await
+            .expect("an answer");
+        let late = summary("vm-002", now - 1_000, 900);
+        let (theirs, update) = link.exchange(&late).await.expect("an answer");
+        assert_eq!(theirs.known, Incarnation::from(now));
+        assert!(update.is_empty());
+        assert!(has_event(&shared, "peer_refused"));
+        // A start far in the future is refused, too, and does not shut the VM out.
+        let future = summary("vm-002", u64::MAX, 1);
+        link.exchange(&future).await.expect("an answer");
+        let next = summary("vm-002", now + 10, 1);
+        let (theirs, update) = link.exchange(&next).await.expect("an answer");
+        assert_eq!(theirs.known, Incarnation::from(now + 10));
+        assert!(!update.is_empty());
+    });
+}
+
+#[test]
+fn bad_updates_change_nothing() {
+    run(async {
+        let mut published = deployment();
+        let (shared, link) = start(&Fake::new(&published)).await;
+        let before = shared.sources().borrow().clone();
+        let old = published.clone();
+        published.switch(&name("peak-season"));
+        let pointer = published.pointer.to_text();
+        let other = published
+            .preset_text(&name("maintenance"))
+            .expect("a preset");
+        let good = published
+            .preset_text(&name("peak-season"))
+            .expect("a preset");
+        let list = |text: &str, rank: u64, mark: u64| Update {
+            targets: Some(ListUpdate {
+                version: DocumentVersion {
+                    rank: Revision::from(rank),
+                    index: 1_000_000,
+                    mark,
+                },
+                patch: Patch::whole(text),
+            }),
+            ..Update::default()
+        };
+        let bad_target = "[target a]\nservice = none\n";
+        let mark = |text: &str| mark_of(&digest_of(text));
+        let mut no_base = config_update(pointer.clone(), good);
+        if let Some(config) = &mut no_base.config {
+            config.preset.base = 99;
+        }
+        let bad = [
+            config_update(pointer.clone(), other),
+            config_update(pointer.replace("revision = 2", "revision = two"), good),
+            config_update(old.pointer.to_text(), "[preset]\n"),
+            no_base,
+            list("", 0, 5),
+            list(bad_target, 0, mark(bad_target)),
+            // An era that no revision in force has proved.
+            list("", 77, mark("")),
+        ];
+        for update in &bad {
+            link.deliver(&peer(), update).await.expect("an answer");
+        }
+        assert_eq!(shared.sources().borrow().clone(), before);
+        assert!(has_event(&shared, "peer_refused"));
+        // The good one is taken, and the old one after it is not.
+        let good = config_update(pointer, good);
+        link.deliver(&peer(), &good).await.expect("an answer");
+        assert_eq!(revision(&shared), 2);
+        let text = old.preset_text(&old.pointer.name).expect("a preset");
+        let old = config_update(old.pointer.to_text(), text);
+        link.deliver(&peer(), &old).await.expect("an answer");
+        assert_eq!(revision(&shared), 2);
+    });
+}
+
+#[test]
+fn joiner_that_the_platform_does_not_list_yet_gets_the_view_and_is_shown() {
+    run(async {
+        let mut published = deployment();
+        published.vms.0.truncate(1);
+        let fake = Fake::new(&published);
+        let (shared, _link) = start(&fake).await;
+        let known = shared.settings().agent.listen;
+        let joiner = Agent::bind(settings("vm-009", "yakima", &[known])).await;
+        let joiner = joiner.expect("bound");
+        let joined = joiner.shared();
+        let platform = fake.another();
+        platform.set(Mode::Down);
+        spawn_local(joiner.run(platform));
+        wait_until(&joined, "serving", |shared| revision(shared) == 1).await;
+        wait_until(&shared, "shown", |shared| {
+            let vms = shared.status()["vms"].to_string();
+            vms.contains("vm-009") && vms.contains("joining")
+        })
+        .await;
+    });
+}
+
+#[test]
+fn paused_process_checks_before_it_serves_again() {
+    run(async {
+        let mut published = deployment();
+        let platform = Platform::start(([127, 0, 0, 1], 0).into())
+            .await
+            .expect("bound");
+        platform.publish("bambooseam", &published);
+        let mut settings = settings("vm-001", "skagit", &[]);
+        settings.platform.addresses = vec![platform.address()];
+        let (sender, mut receiver) = tokio::sync::mpsc::unbounded_channel();
+        // The agent has a thread of its own, which is blocked as a stopped process would be.
+        std::thread::spawn(move || {
+            run(async move {
+                let agent = Agent::bind(settings.clone()).await.expect("bound");
+                let shared = agent.shared();
+                let meter = Arc::clone(shared.platform_meter());
+                spawn_local(agent.run(HttpPlatform::new(&settings.platform, meter)));
+                wait_until(&shared, "serving", |shared| revision(shared) == 1).await;
+                sender.send(Arc::clone(&shared)).expect("a receiver");
+                std::thread::sleep(PAUSE);
+                sender.send(shared).expect("a receiver");
+                std::future::pending::<()>().await;
+            });
+        });
+        let mut receive = async || receiver.recv().await.expect("an agent");
+        let shared = receive().await;
+        published.switch(&name("maintenance"));
+        platform.publish("bambooseam", &published);
+        receive().await;
+        let woken = Instant::now();
+        wait_until(&shared, "current", |shared| revision(shared) == 2).await;
+        assert!(
+            woken.elapsed() < Duration::from_secs(5),
+            "{:?}",
+            woken.elapsed()
+        );
+        wait_until(&shared, "checked", |shared| {
+            has_event(shared, "pause_checked")
+        })
+        .await;
+        assert!(has_event(&shared, "pause_found"));
+    });
+}
+
+#[test]
+fn http_platform_with_each_fault_reverts_nothing_and_recovers() {
+    run(async {
+        let mut published = deployment();
+        let platform = Platform::start(([127, 0, 0, 1], 0).into())
+            .await
+            .expect("bound");
+        platform.publish("bambooseam", &published);
+        let mut settings = settings("vm-001", "skagit", &[]);
+        settings.platform.addresses = vec![platform.address()];
+        let agent = Agent::bind(settings.clone()).await.expect("bound");
+        let shared = agent.shared();
+        let meter = Arc::clone(shared.platform_meter());
+        spawn_local(agent.run(HttpPlatform::new(&settings.platform, meter)));
+        let mut expected = 1;
+        wait_until(&shared, "serving", |shared| revision(shared) == 1).await;
+        for mode in [
+            PlatformMode::Slow(Duration::from_millis(300)),
+            PlatformMode::Stale,
+            PlatformMode::Refusing,
+            PlatformMode::Down,
+        ] {
+            platform.set_mode(mode);
+            published.switch(&name(["ordinary", "peak-season"][expected as usize % 2]));
+            platform.publish("bambooseam", &published);
+            sleep(QUIET).await;
+            assert!(revision(&shared) >= expected, "{mode}");
+            expected += 1;
+            platform.set_mode(PlatformMode::Ok);
+            wait_until(&shared, "current", |shared| revision(shared) == expected).await;
+        }
+        assert!(has_event(&shared, "platform_refused"));
+        // A list that lags behind the pointer stays as it was until it is shown.
+        platform.set_lag("bambooseam/vms", Duration::from_secs(3));
+        published.vms.0.truncate(3);
+        published.switch(&name("maintenance"));
+        platform.publish("bambooseam", &published);
+        wait_until(&shared, "switched", |s| revision(s) == expected + 1).await;
+        assert!(shared.sources().borrow().vms.contains("vm-005"));
+        wait_until(&shared, "listed", |s| {
+            !s.sources().borrow().vms.contains("vm-005")
+        })
+        .await;
+    });
+}
+
+#[test]
+fn one_of_two_racing_operators_wins_everywhere() {
+    run(async {
+        let published = deployment();
+        let platform = Platform::start(([127, 0, 0, 1], 0).into())
+            .await
+            .expect("bound");
+        platform.publish("bambooseam", &published);
+        let mut agents = Vec::new();
+        for vm in ["vm-001", "vm-002"] {
+            let mut settings = settings(vm, "skagit", &[]);
+            settings.platform.addresses = vec![platform.address()];
+            let agent = Agent::bind(settings.clone()).await.expect("bound");
+            let shared = agent.shared();
+            let meter = Arc::clone(shared.platform_meter());
+            spawn_local(agent.run(HttpPlatform::new(&settings.platform, meter)));
+            wait_until(&shared, "serving", |shared| revision(shared) == 1).await;
+            agents.push(shared);
+        }
+        let key = "bambooseam/preset-in-force";
+        let index = platform.get(key).expect("a pointer").index;
+        let mut taken = Vec::new();
+        for preset in ["peak-season", "maintenance"] {
+            let mut switched = published.clone();
+            switched.switch(&name(preset));
+            taken.push(platform.cas(key, switched.pointer.to_text(), index));
+        }
+        assert_eq!(taken, [true, false]);
+        for shared in &agents {
+            wait_until(shared, "switched", |shared| revision(shared) == 2).await;
+            // The loser's preset is not the one that status shows.
+            assert_eq!(shared.status()["preset"], "peak-season");
+            assert!(!has_event(shared, "revision_conflict"));
+        }
+    });
+}
