--- a/crates/measure/src/control.rs
+++ b/crates/measure/src/control.rs
@@ -22,6 +22,7 @@
     pub(crate) agents: usize,
     pub(crate) zones: usize,
     pub(crate) targets: usize,
+    pub(crate) services: usize,
     pub(crate) seed: u64,
     pub(crate) network: u8,
     pub(crate) warm: u64,
@@ -43,6 +44,7 @@
         .arg(number("agents", "5", "Agents to start"))
         .arg(number("zones", "3", "Zones over which they are spread"))
         .arg(number("targets", "20", "Targets in the published list"))
+        .arg(number("services", "2", "Services in each preset"))
         .arg(number("seed", "1", "Seed of changes and faults"))
         .arg(number(
             "network",
@@ -139,6 +141,7 @@
             agents: count("agents").max(1),
             zones: count("zones").clamp(1, fleet::ZONES.len()),
             targets: count("targets").max(2),
+            services: count("services"),
             seed: number("seed"),
             network: u8::try_from(number("network")).unwrap_or(u8::MAX),
             warm: number("warm"),
--- a/crates/measure/src/control/fleet.rs
+++ b/crates/measure/src/control/fleet.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
+use bambooseam_config::digest_of;
 use bambooseam_standin::{Deployment, DeploymentKind, Plan};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
@@ -80,7 +81,8 @@
                 downloads,
             )
             .with_network([127, options.network]);
-        let deployment = plan.build();
+        let mut deployment = plan.build();
+        add_services(&mut deployment, options);
         let folder =
             std::env::temp_dir().join(format!("bambooseam-control-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
@@ -177,6 +179,27 @@
     }
 }
 
+/// Adds services without targets to each preset; their limits differ between presets.
+fn add_services(deployment: &mut Deployment, options: &Options) {
+    let usual = 2;
+    for (position, (_, text)) in deployment.presets.iter_mut().enumerate() {
+        for number in usual..options.services {
+            let (third, fourth) = (100 + number / 250, number % 250 + 1);
+            text.push_str(&format!(
+                "\n[service extra-{number:04}]\nvni = {}\naddress = 127.{}.{third}.{fourth}\n\
+                 flow-ports = 7000\nslots = 2\nqueue-limit = {}ms\n",
+                1_000 + number,
+                options.network,
+                1_000 * (position + 1),
+            ));
+        }
+    }
+    let name = deployment.pointer.name.clone();
+    if let Some(text) = deployment.preset_text(&name) {
+        deployment.pointer.digest = digest_of(text);
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for agent in &mut self.agents {
--- a/crates/measure/src/control/run.rs
+++ b/crates/measure/src/control/run.rs
@@ -59,13 +59,16 @@
     let mut fleet = Fleet::plan(options, platform.address()).await?;
     platform.publish(PREFIX, &fleet.deployment);
     println!(
-        "measurement=control agents={} zones={} targets={} seed={} reach={} list_bytes={}",
+        "measurement=control agents={} zones={} targets={} services={} seed={} reach={} \
+         list_bytes={} preset_bytes={}",
         options.agents,
         options.zones,
         options.targets,
+        options.services,
         options.seed,
         options.reach,
         fleet.deployment.targets.to_text().len() + fleet.deployment.vms.to_text().len(),
+        fleet.deployment.presets[0].1.len(),
     );
     let feeds = Feeds::start(&fleet.views())?;
     let start = Instant::now();
