--- a/crates/measure/src/demo.rs
+++ b/crates/measure/src/demo.rs
@@ -59,7 +59,7 @@
                 .value_parser(value_parser!(u8)),
         )
         .arg(number("vms", "5", "Number of entry VMs").value_parser(value_parser!(u8)))
-        .arg(number("feeds", "150", "Open feeds").value_parser(value_parser!(usize)))
+        .arg(number("feeds", "450", "Open feeds").value_parser(value_parser!(usize)))
         .arg(number("callers", "12", "Callers of orders").value_parser(value_parser!(usize)))
         .arg(
             number(
--- a/crates/measure/src/demo/process.rs
+++ b/crates/measure/src/demo/process.rs
@@ -42,7 +42,7 @@
     ///
     /// An error when the program can't be run or the log can't be written.
     pub fn start(&mut self, name: &str, program: &str, args: &[&str]) -> io::Result<()> {
-        let log = File::create(self.logs.join(format!("{name}.log")))?;
+        let log = File::create(self.log_file(name))?;
         let path = self.binaries.join(program);
         let child = Command::new(&path)
             .args(args)
@@ -73,6 +73,12 @@
         dead
     }
 
+    /// Last line that a process wrote to its log; empty when there is none.
+    pub fn last_line(&self, name: &str) -> String {
+        let text = std::fs::read_to_string(self.log_file(name)).unwrap_or_default();
+        text.lines().next_back().unwrap_or_default().to_owned()
+    }
+
     /// Asks a process to stop with SIGTERM and waits for its end; `None` when `limit` is over.
     ///
     /// # Errors
@@ -123,6 +129,10 @@
         self.running.clear();
     }
 
+    fn log_file(&self, name: &str) -> PathBuf {
+        self.logs.join(format!("{name}.log"))
+    }
+
     fn take(&mut self, name: &str) -> io::Result<Process> {
         let found = self.running.iter().position(|process| process.name == name);
         let at = found.ok_or_else(|| io::Error::other(format!("no process {name}")))?;
--- a/crates/measure/src/demo/stage.rs
+++ b/crates/measure/src/demo/stage.rs
@@ -294,9 +294,9 @@
     async fn wait_ready(&mut self) -> io::Result<()> {
         let until = Instant::now() + READY_TIME;
         loop {
-            let dead = self.dead();
-            if !dead.is_empty() {
-                return Err(io::Error::other(format!("ended at start: {dead:?}")));
+            if let Some(name) = self.dead().first() {
+                let line = self.processes.last_line(name);
+                return Err(io::Error::other(format!("{name} ended at start: {line}")));
             }
             let waiting = self.not_ready().await;
             if waiting.is_empty() {
--- a/crates/measure/src/demo/traffic.rs
+++ b/crates/measure/src/demo/traffic.rs
@@ -13,7 +13,7 @@
 use super::stage::Stage;
 
 /// Time between two datagrams of a feed.
-const FEED_PERIOD: Duration = Duration::from_millis(100);
+const FEED_PERIOD: Duration = Duration::from_millis(250);
 /// Mean pause between the requests of a caller.
 const CALL_PAUSE: Duration = Duration::from_millis(40);
 /// Share of long work among downloads.
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -12,10 +12,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::http::{ServeError, plain, serve};
+use crate::http::{ServeError, bind, plain, serve};
 use crate::{Target, TargetSpec};
 
 /// Largest command in bytes.
@@ -42,7 +41,7 @@
         for spec in specs {
             targets.push(Target::start(spec).await?);
         }
-        let listener = TcpListener::bind(control).await?;
+        let listener = bind(control).await?;
         let address = listener.local_addr()?;
         let stop = CancellationToken::new();
         let targets = Arc::new(Mutex::new(targets));
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -33,6 +33,16 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Binds a listener.
+///
+/// # Errors
+///
+/// An error that names the address.
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))
+}
+
 /// Serves until `stop`; then all connections are closed at once.
 pub async fn serve<A, F, B>(listener: TcpListener, stop: CancellationToken, answer: A)
 where
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -16,12 +16,11 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use tokio::net::TcpListener;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::Deployment;
-use crate::http::{ServeError, plain, serve};
+use crate::http::{ServeError, bind, plain, serve};
 
 pub use store::{Mode, ParseModeError, Stats, Value};
 use store::{Store, Watch};
@@ -76,7 +75,7 @@
     ///
     /// An error when the address can't be bound.
     pub async fn start_limited(address: SocketAddr, reads: u32) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
+        let listener = bind(address).await?;
         let address = listener.local_addr()?;
         let store = Arc::new(Store::new(reads));
         let stop = CancellationToken::new();
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -15,10 +15,10 @@
 use bambooseam_config::TargetEntry;
 use bambooseam_types::ServiceId;
 use derive_more::{Display, FromStr};
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
-use crate::http::serve;
+use crate::http::{bind, serve};
 
 pub use answer::{CHECKSUM_HEADER, LONG_PATH, SHED_HEADER, body_of, checksum_of};
 pub use flows::FlowStats;
@@ -97,7 +97,7 @@
     ///
     /// An error when an address can't be bound.
     pub async fn start(spec: TargetSpec) -> io::Result<Self> {
-        let listener = TcpListener::bind(spec.entry.requests).await?;
+        let listener = bind(spec.entry.requests).await?;
         let socket = UdpSocket::bind(spec.entry.flows).await?;
         let mut entry = spec.entry.clone();
         entry.requests = listener.local_addr()?;
--- a/tests/tests/path.rs
+++ b/tests/tests/path.rs
@@ -45,6 +45,26 @@
     value.parse().expect("a number")
 }
 
+#[test]
+fn planned_changes_and_a_killed_vm_break_no_flow() {
+    let text = demo(&[
+        "--network",
+        "42",
+        "--feeds",
+        "45",
+        "--callers",
+        "4",
+        "--step-time",
+        "1",
+    ]);
+    for step in ["preset_switch", "planned_vm", "planned_target", "killed_vm"] {
+        let step = format!("step={step}");
+        assert_eq!(figure(&text, &step, "broken_flows"), 0.0, "{text}");
+    }
+    let time = figure(&text, "step=preset_switch", "everywhere_s");
+    assert!(time < 8.0, "{text}");
+}
+
 #[test]
 fn requests_and_feeds_pass_through_three_vms() {
     let text = demo(&[
