--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -12,10 +12,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::http::{ServeError, plain, serve};
+use crate::http::{ServeError, bind, plain, serve};
 use crate::{Target, TargetSpec};
 
 /// Largest command in bytes.
@@ -28,7 +27,7 @@
     stop: CancellationToken,
 }
 
-/// The targets that have not been stopped.
+/// All targets; stopped ones keep their counts and runs.
 type Targets = Mutex<Vec<Target>>;
 
 impl TargetHost {
@@ -42,7 +41,7 @@
         for spec in specs {
             targets.push(Target::start(spec).await?);
         }
-        let listener = TcpListener::bind(control).await?;
+        let listener = bind(control).await?;
         let address = listener.local_addr()?;
         let stop = CancellationToken::new();
         let targets = Arc::new(Mutex::new(targets));
@@ -105,18 +104,18 @@
     let Ok(id) = id.parse::<TargetId>() else {
         return bad("not a target's name");
     };
-    let mut targets = lock(targets);
-    let Some(at) = targets.iter().position(|target| target.entry().id == id) else {
+    let targets = lock(targets);
+    let Some(target) = targets.iter().find(|target| target.entry().id == id) else {
         return bad("no such target");
     };
     if word == "stop" {
-        drop(targets.remove(at));
+        target.stop();
         return plain(StatusCode::OK, "");
     }
     let Ok(mode) = word.parse() else {
         return bad("ok, drain or stop");
     };
-    targets[at].set_mode(mode);
+    target.set_mode(mode);
     plain(StatusCode::OK, "")
 }
 
