--- a/crates/forwarder/src/counters.rs
+++ b/crates/forwarder/src/counters.rs
@@ -42,6 +42,9 @@
     /// The view is checked again after a pause.
     #[display("recheck")]
     Recheck,
+    /// It may have waited for long while this process was paused.
+    #[display("stale")]
+    Stale,
     /// It speaks for a forwarder but comes from none.
     #[display("unknown_sender")]
     UnknownSender,
@@ -78,6 +81,8 @@
     pub flows_expired: u64,
     /// Flows that did not fit into the table.
     pub flows_unremembered: u64,
+    /// Marks from forwarders that the view does not name.
+    pub unknown_senders: u64,
     /// Two forwarders remembered different targets.
     pub conflicts: u64,
     /// SYN packets whose data was taken off.
--- a/crates/forwarder/src/forwarder.rs
+++ b/crates/forwarder/src/forwarder.rs
@@ -26,7 +26,7 @@
 use crate::strip::strip_data;
 use crate::table::{Entry, EntryState, FlowTable, SHARDS, Tick};
 use crate::target::{Identity, Standing, TargetNumber, TargetRegistry};
-use crate::topology::{Group, GroupIndex, Ranks, Role, Topology};
+use crate::topology::{Group, GroupIndex, Member, Ranks, Role, Topology};
 use crate::{Clock, Moment};
 
 /// Times that a packet may be relayed before its holder acts as owner.
@@ -37,18 +37,28 @@
 const HISTORY_LIMIT: usize = 16;
 /// Time after a change of membership in which new flows are asked about before they are placed.
 const SETTLE_TIME: Duration = Duration::from_secs(30);
-/// Time for which packets are dropped while a lost forwarder may know their flow.
+/// Time for which packets are dropped while a dead forwarder may know their flow.
 const HOLD_TIME: Duration = Duration::from_secs(10);
+/// The same for TCP while a zone is cut off: callers of TCP send again for minutes.
+const CUT_HOLD_TIME: Duration = Duration::from_secs(120);
 /// Gap between two events after which this process takes itself for paused.
 const PAUSE_TIME: Duration = Duration::from_secs(2);
 /// Time that a view may take to arrive after a pause.
-const RECHECK_TIME: Duration = Duration::from_secs(1);
+const RECHECK_TIME: Duration = Duration::from_secs(15);
 /// Time for which a target that only other forwarders name is kept.
 const FOREIGN_TIME: Duration = Duration::from_secs(60);
 /// Ticks in which a SYN of a known flow is taken for a retransmission: a minute.
 const RETRANSMIT_TICKS: u32 = 600;
+/// Ticks after which a further packet shows that the target of a guessed flow has not reset it.
+const PROOF_TICKS: u32 = 20;
+/// Time after a pause in which first packets may have waited for long and are dropped.
+const STALE_TIME: Duration = Duration::from_millis(200);
+/// Ticks before which a further SYN is a copy that the fabric made.
+const RESEND_TICKS: u32 = 2;
 /// Ticks of silence after which a closing flow is forgotten: two minutes.
 const CLOSING_IDLE_TICKS: u32 = 1_200;
+/// Ticks of silence after which a flow that never opened is forgotten: a minute.
+const OPENING_IDLE_TICKS: u32 = 600;
 /// Ticks of silence after which a guessed flow is forgotten: a minute.
 const GUESSED_IDLE_TICKS: u32 = 600;
 
@@ -87,6 +97,8 @@
     changed: Moment,
     /// No new flow is placed before this moment.
     recheck_until: Moment,
+    /// First packets that arrive before this moment may have waited for long.
+    stale_until: Moment,
     latest: Moment,
     sweep: usize,
     pub(crate) is_stopping: bool,
@@ -119,6 +131,7 @@
             counters: Counters::default(),
             changed: latest,
             recheck_until: latest,
+            stale_until: latest,
             latest,
             sweep: 0,
             is_stopping: false,
@@ -265,10 +278,13 @@
         if hops > HOP_LIMIT {
             return Err(DropCause::Looping);
         }
+        if packet.phase == Phase::First && self.latest < self.stale_until {
+            return Err(DropCause::Stale);
+        }
         let kind = datagram.mark.map_or(MarkKind::Relay, |mark| mark.kind);
         let names_target = matches!(
             kind,
-            MarkKind::Known(_) | MarkKind::Learn(_) | MarkKind::Correct(_)
+            MarkKind::Known(_) | MarkKind::Learn { .. } | MarkKind::Correct(_)
         );
         if names_target && datagram.vni != vni.get() {
             return Err(DropCause::ServiceMismatch);
@@ -281,7 +297,9 @@
             }
             MarkKind::Known(recalled) => self.take_known(source, &packet, &route, recalled),
             MarkKind::Unknown { rank } => self.walk(&packet, &route, usize::from(rank) + 1),
-            MarkKind::Learn(recalled) => self.take_learn(source, &packet, &route, recalled),
+            MarkKind::Learn { recalled, is_final } => {
+                self.take_learn(source, &packet, &route, recalled, is_final)
+            }
             MarkKind::Correct(recalled) => self.take_correct(source, &packet, &route, recalled),
             MarkKind::Handover { .. } | MarkKind::HandoverDone { .. } => {
                 Err(DropCause::Malformed(geneve::PacketError::BadMark))
@@ -293,10 +311,18 @@
     fn arrive(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
         let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
         let role = topology.role(&route.ranks);
+        if packet.phase == Phase::Middle
+            && role != Role::Relay
+            && let Some(number) = self.settled_target(packet, route)
+        {
+            return self.deliver(packet, route, number);
+        }
         let is_owner = role == Role::Owner || route.hops >= RELAY_LIMIT;
         if !is_owner {
-            let is_known = role == Role::Shadow && packet.phase != Phase::First;
-            if let Some(entry) = self.known(packet.key, route).filter(|_| is_known) {
+            // The owner must see how a flow begins and ends.
+            let is_known = role == Role::Shadow && packet.phase == Phase::Middle;
+            let is_open = |entry: &Entry| is_known && !entry.state().is_opening();
+            if let Some(entry) = self.known(packet.key, route).filter(is_open) {
                 self.touch(packet, entry);
                 return self.deliver(packet, route, entry.target());
             }
@@ -304,28 +330,67 @@
         }
         match self.known(packet.key, route) {
             Some(entry) if packet.phase != Phase::First => self.pass(packet, route, entry),
-            Some(entry) if self.is_retransmitted(entry) => {
-                self.touch(packet, entry);
-                self.teach(packet, route, entry, Teaching::Copy);
-                self.deliver(packet, route, entry.target())
-            }
+            Some(entry) if self.is_retransmitted(entry) => self.repeat(packet, route, entry),
             Some(_) => self.begin(packet, route),
             None if packet.phase == Phase::First && self.is_settled() => self.begin(packet, route),
             None => self.walk(packet, route, 0),
         }
     }
 
+    /// Target of an open flow that the shadow knows too; notes that the flow was seen.
+    fn settled_target(&mut self, packet: &Packet<'_>, route: &Route) -> Option<TargetNumber> {
+        let changed = Tick::from(self.changed);
+        let entry = self.table.get_mut(packet.key)?;
+        let record = self.targets.get(entry.target());
+        let is_settled = entry.state() == EntryState::Open
+            && entry.seen() > changed
+            && record.is_usable()
+            && record.identity.vni == route.vni;
+        if !is_settled {
+            return None;
+        }
+        entry.set_seen(Tick::from(self.latest));
+        Some(entry.target())
+    }
+
     /// Sends a packet of a known flow on, by way of a shadow that may not know it yet.
     fn pass(&mut self, packet: &Packet<'_>, route: &Route, entry: Entry) -> Result<(), DropCause> {
         self.touch(packet, entry);
-        if entry.seen() <= Tick::from(self.changed)
-            && self.teach(packet, route, entry, Teaching::Path)
-        {
+        let is_due = packet.phase == Phase::Last
+            || entry.state().is_opening()
+            || entry.seen() <= Tick::from(self.changed);
+        if is_due && self.teach(packet, route, entry, Teaching::Path) {
             return Ok(());
         }
         self.deliver(packet, route, entry.target())
     }
 
+    /// Sends a further copy of a first packet on.
+    ///
+    /// A copy that the fabric made takes the way of the first, as the shadow may yet overrule the
+    /// pick. A caller sends again only after a while: then the shadow may be dead, and the packet
+    /// goes straight to the target. When the caller sends a third time, the target may be dead,
+    /// and another one is picked.
+    fn repeat(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+        entry: Entry,
+    ) -> Result<(), DropCause> {
+        let is_copy = Tick::from(self.latest).since(entry.seen()) < RESEND_TICKS;
+        if !is_copy && entry.state() == EntryState::Reopening {
+            return self.place(packet, route, Some(entry.target()));
+        }
+        self.touch(packet, entry);
+        if is_copy && self.teach(packet, route, entry, Teaching::Path) {
+            return Ok(());
+        }
+        if !is_copy {
+            self.teach(packet, route, entry, Teaching::Copy);
+        }
+        self.deliver(packet, route, entry.target())
+    }
+
     /// Relays a packet to the owner.
     fn relay(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
         let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
@@ -336,6 +401,17 @@
         Ok(())
     }
 
+    /// Lets the next in rank act as owner while this forwarder's view may be old.
+    fn defer(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
+        let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
+        let other = topology.first_other(&route.ranks);
+        let to = other.ok_or(DropCause::Recheck)?.address;
+        self.counters.relayed += 1;
+        let hops = route.hops.max(RELAY_LIMIT);
+        self.send_marked(to, 0, MarkKind::Relay, hops, packet);
+        Ok(())
+    }
+
     /// Asks the next forwarder in rank, or concludes that none knows the flow.
     fn walk(&mut self, packet: &Packet<'_>, route: &Route, from: usize) -> Result<(), DropCause> {
         if let Some(entry) = self.known(packet.key, route) {
@@ -378,6 +454,9 @@
         if let Some(entry) = self.known(packet.key, route) {
             return self.pass(packet, route, entry);
         }
+        if packet.phase == Phase::First && self.is_gone(route, recalled) {
+            return self.begin(packet, route);
+        }
         let entry = self.learn(source, packet, route, recalled);
         let is_from_shadow = self
             .topology
@@ -397,23 +476,67 @@
         packet: &Packet<'_>,
         route: &Route,
         recalled: Recalled,
+        is_final: bool,
     ) -> Result<(), DropCause> {
-        let held = self.known(packet.key, route);
+        let held = self.known(packet.key, route).filter(|_| !is_final);
         let other = held.filter(|entry| self.address_of(*entry) != recalled.target);
         if let Some(entry) = other
             && self.is_better(packet, entry, recalled)
         {
             self.counters.conflicts += 1;
-            let kind = MarkKind::Correct(self.recall(entry));
-            self.counters.control_bytes += packet.bytes.len() as u64;
-            self.send_marked(source, route.vni.get(), kind, route.hops, packet);
+            self.send_correct(source, packet, route, entry);
             self.touch(packet, entry);
             return self.deliver(packet, route, entry.target());
         }
+        if packet.phase == Phase::First && self.is_closed(route, recalled) {
+            return self.overrule(source, packet, route);
+        }
         let entry = self.learn(source, packet, route, recalled);
         self.deliver(packet, route, entry.target())
     }
 
+    /// Whether the view says that a target takes no new flows.
+    fn is_closed(&self, route: &Route, recalled: Recalled) -> bool {
+        let standing = self.standing_of(route, recalled);
+        matches!(standing, Some(Standing::Leaving | Standing::Gone))
+    }
+
+    /// Whether the view has lost a target that it had before.
+    fn is_gone(&self, route: &Route, recalled: Recalled) -> bool {
+        self.standing_of(route, recalled) == Some(Standing::Gone)
+    }
+
+    /// What the view says of a target that another forwarder names.
+    fn standing_of(&self, route: &Route, recalled: Recalled) -> Option<Standing> {
+        let number = self.targets.find(Identity {
+            vni: route.vni,
+            address: recalled.target,
+        })?;
+        Some(self.targets.get(number).standing)
+    }
+
+    /// Picks anew as shadow, since the owner does not know yet that its pick is leaving.
+    fn overrule(
+        &mut self,
+        source: SocketAddr,
+        packet: &Packet<'_>,
+        route: &Route,
+    ) -> Result<(), DropCause> {
+        let number = self.pick_target(packet, route, None)?;
+        let entry = self.new_entry(packet, number);
+        self.remember(packet.key, entry);
+        self.counters.conflicts += 1;
+        self.send_correct(source, packet, route, entry);
+        self.deliver(packet, route, number)
+    }
+
+    /// Tells another forwarder what this one remembers, with a copy of the packet.
+    fn send_correct(&mut self, to: SocketAddr, packet: &Packet<'_>, route: &Route, entry: Entry) {
+        let kind = MarkKind::Correct(self.recall(entry));
+        self.counters.control_bytes += packet.bytes.len() as u64;
+        self.send_marked(to, route.vni.get(), kind, route.hops, packet);
+    }
+
     /// Learns without sending the packet on.
     fn take_correct(
         &mut self,
@@ -422,9 +545,6 @@
         route: &Route,
         recalled: Recalled,
     ) -> Result<(), DropCause> {
-        if !self.is_member(source) {
-            return Err(DropCause::UnknownSender);
-        }
         self.learn(source, packet, route, recalled);
         Ok(())
     }
@@ -458,11 +578,14 @@
             self.targets.set_standing(number, standing);
         }
         let state = match packet.phase {
+            Phase::First => EntryState::Opening,
+            Phase::Middle => EntryState::Open,
             Phase::Last => EntryState::Closing,
-            _ => EntryState::Open,
         };
-        let entry = Entry::new(number, state, Tick::from(self.latest));
-        if self.is_member(source) && self.remember(packet.key, entry) {
+        let entry = Entry::new(number, state, Tick::from(self.latest)).with_tcp(packet.is_tcp());
+        // A forwarder that joined may be in the views of others before it is in this one.
+        self.counters.unknown_senders += u64::from(!self.is_member(source));
+        if self.remember(packet.key, entry) {
             self.counters.flows_learned += 1;
         }
         entry
@@ -475,8 +598,11 @@
         }
         let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
         let now = self.latest;
-        let is_recent = |since: Moment| now.since(since) < HOLD_TIME;
-        if topology.has_lost_rank(&route.ranks, |member| is_recent(member.since)) {
+        let is_recent = |member: &Member| now.since(member.since) < HOLD_TIME;
+        let is_cut = |member: &Member| now.since(member.since) < CUT_HOLD_TIME;
+        let is_held = topology.has_lost_rank(&route.ranks, is_recent)
+            || (packet.is_tcp() && topology.has_lost_zone(is_cut));
+        if is_held {
             return Err(DropCause::Held);
         }
         let is_lost = topology.has_lost_rank(&route.ranks, |_| true);
@@ -489,12 +615,18 @@
     /// Sends a packet of an unknown flow to the default pick.
     fn guess(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
         if self.latest < self.recheck_until {
-            return Err(DropCause::Recheck);
+            return self.defer(packet, route);
         }
         let number = self
             .default_pick(packet.key, route.group)
             .ok_or(DropCause::NoTarget)?;
-        let entry = Entry::new(number, EntryState::Guessed, Tick::from(self.latest));
+        let seen = Tick::from(self.latest);
+        // A target of UDP takes any packet, so the guess binds the flow.
+        let state = match packet.is_tcp() {
+            true => EntryState::Guessed,
+            false => EntryState::Open,
+        };
+        let entry = Entry::new(number, state, seen).with_tcp(packet.is_tcp());
         self.remember(packet.key, entry);
         self.counters.flows_guessed += 1;
         self.deliver(packet, route, number)
@@ -502,42 +634,70 @@
 
     /// Places a new flow.
     fn begin(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
+        self.place(packet, route, None)
+    }
+
+    /// Places a new flow, or one that the target `given_up` did not take.
+    fn place(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+        given_up: Option<TargetNumber>,
+    ) -> Result<(), DropCause> {
         if self.latest < self.recheck_until {
-            return Err(DropCause::Recheck);
+            return self.defer(packet, route);
         }
         if self.table.is_full() && self.table.get(packet.key).is_none() {
             return Err(DropCause::TableFull);
         }
-        let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
-        let loads = Loads {
-            targets: &self.targets,
-            now: self.latest,
-        };
-        let number = self
-            .pick
-            .pick(packet.key, topology.group(route.group), &loads)
-            .ok_or(DropCause::NoTarget)?;
-        self.check(self.targets.get(number).is_open(), "new_flow_to_leaving");
-        let entry = Entry::new(number, EntryState::Open, Tick::from(self.latest));
+        let number = self.pick_target(packet, route, given_up)?;
+        let entry = self.new_entry(packet, number);
         self.remember(packet.key, entry);
         self.counters.flows_new += 1;
-        if self.teach(packet, route, entry, Teaching::Path) {
+        let teaching = match given_up {
+            Some(_) => Teaching::Final,
+            None => Teaching::Path,
+        };
+        if self.teach(packet, route, entry, teaching) {
             return Ok(());
         }
         self.deliver(packet, route, number)
     }
 
-    /// Sends a packet by the pick of the hash alone.
-    fn place_stateless(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
+    /// The entry of a flow that this forwarder has placed.
+    fn new_entry(&self, packet: &Packet<'_>, number: TargetNumber) -> Entry {
+        let state = match packet.phase {
+            Phase::First => EntryState::Opening,
+            _ => EntryState::Open,
+        };
+        Entry::new(number, state, Tick::from(self.latest)).with_tcp(packet.is_tcp())
+    }
+
+    /// An open target for a new flow.
+    fn pick_target(
+        &mut self,
+        packet: &Packet<'_>,
+        route: &Route,
+        given_up: Option<TargetNumber>,
+    ) -> Result<TargetNumber, DropCause> {
         let topology = self.topology.as_ref().ok_or(DropCause::NoView)?;
         let loads = Loads {
             targets: &self.targets,
             now: self.latest,
         };
-        let number = self
-            .pick
-            .pick(packet.key, topology.group(route.group), &loads)
-            .ok_or(DropCause::NoTarget)?;
+        let group = topology.group(route.group);
+        let picked = match given_up {
+            Some(given_up) => self.pick.pick(packet.key, &group.without(given_up), &loads),
+            None => self.pick.pick(packet.key, group, &loads),
+        };
+        let picked = picked.or(given_up).ok_or(DropCause::NoTarget)?;
+        self.check(self.targets.get(picked).is_open(), "new_flow_to_leaving");
+        Ok(picked)
+    }
+
+    /// Sends a packet by the pick of the hash alone.
+    fn place_stateless(&mut self, packet: &Packet<'_>, route: &Route) -> Result<(), DropCause> {
+        let number = self.pick_target(packet, route, None)?;
         self.deliver(packet, route, number)
     }
 
@@ -581,11 +741,14 @@
         let to = shadow.address;
         let recalled = self.recall(entry);
         let kind = match teaching {
-            Teaching::Path => MarkKind::Learn(recalled),
+            Teaching::Path | Teaching::Final => MarkKind::Learn {
+                recalled,
+                is_final: teaching == Teaching::Final,
+            },
             Teaching::Copy => MarkKind::Correct(recalled),
         };
         match teaching {
-            Teaching::Path => self.counters.taught += 1,
+            Teaching::Path | Teaching::Final => self.counters.taught += 1,
             Teaching::Copy => self.counters.control_bytes += packet.bytes.len() as u64,
         }
         self.send_marked(to, route.vni.get(), kind, route.hops, packet);
@@ -621,9 +784,7 @@
     /// Whether a SYN of a known flow is a copy of its first packet.
     fn is_retransmitted(&self, entry: Entry) -> bool {
         let silence = Tick::from(self.latest).since(entry.seen());
-        entry.state() == EntryState::Open
-            && silence < RETRANSMIT_TICKS
-            && self.targets.get(entry.target()).standing != Standing::Leaving
+        entry.state().is_alive() && silence < RETRANSMIT_TICKS
     }
 
     /// Whether members have been the same for a while.
@@ -633,13 +794,21 @@
 
     /// Notes that a packet of a known flow has been seen.
     fn touch(&mut self, packet: &Packet<'_>, entry: Entry) {
-        let state = match packet.phase {
-            Phase::Last => EntryState::Closing,
-            _ => entry.state(),
+        let silence = Tick::from(self.latest).since(entry.seen());
+        let is_proved = entry.state() == EntryState::Guessed && silence >= PROOF_TICKS;
+        let state = match (packet.phase, entry.state()) {
+            (Phase::Last, _) => EntryState::Closing,
+            (Phase::Middle, EntryState::Opening | EntryState::Reopening) => EntryState::Open,
+            (Phase::First, EntryState::Opening) if silence >= RESEND_TICKS => EntryState::Reopening,
+            _ if is_proved => EntryState::Open,
+            (_, state) => state,
         };
-        let fresh = Entry::new(entry.target(), state, Tick::from(self.latest));
-        if state == entry.state() {
-            self.table.update(packet.key, fresh);
+        let fresh =
+            Entry::new(entry.target(), state, Tick::from(self.latest)).with_tcp(entry.is_tcp());
+        if state == entry.state()
+            && let Some(held) = self.table.get_mut(packet.key)
+        {
+            *held = fresh;
             return;
         }
         self.remember(packet.key, fresh);
@@ -698,7 +867,7 @@
         current.default_pick(key)
     }
 
-    /// Whether an address is that of another forwarder.
+    /// Whether an address is that of a forwarder in the view.
     pub(crate) fn is_member(&self, address: SocketAddr) -> bool {
         let topology = self.topology.as_ref();
         topology.is_some_and(|topology| topology.is_member(address))
@@ -716,6 +885,7 @@
             self.counters.pauses += 1;
             self.changed = now;
             self.recheck_until = now.after(RECHECK_TIME);
+            self.stale_until = now.after(STALE_TIME);
             log::warn!(
                 "event=process_paused time_ms={}",
                 now.since(self.latest).as_millis()
@@ -737,6 +907,7 @@
                 EntryState::Open => targets.get(entry.target()).idle,
                 EntryState::Closing => CLOSING_IDLE_TICKS,
                 EntryState::Guessed => GUESSED_IDLE_TICKS,
+                EntryState::Opening | EntryState::Reopening => OPENING_IDLE_TICKS,
             };
             // A flow that others own has been handed over, and its end would not be seen here.
             let is_others = topology.as_mut().is_some_and(|topology| {
@@ -772,6 +943,8 @@
 enum Teaching {
     /// The packet goes by way of the shadow to the target.
     Path,
+    /// The same, and the shadow must not stay with the target that it knows.
+    Final,
     /// The shadow gets a copy that it does not send on.
     Copy,
 }
