Compare ways of giving out slots; reserve in proportion to offered work

Change: proxies send the short part of the work they see with each ask; owners average it and round along the order of owners; long work that has waited 4 mean times may pass the reserve.

--- a/crates/measure/src/requests.rs
+++ b/crates/measure/src/requests.rs
@@ -1,22 +1,57 @@
 //! Measures queues, slots, the crest of a swing and the truth of outcomes.
 
 pub mod caller;
+pub mod comparison;
 pub mod fleet;
 pub mod network;
+pub mod schedule;
 pub mod target;
 
 use std::process::ExitCode;
 
-use clap::{ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command, value_parser};
 
 /// Command line of this measurement.
 pub fn command() -> Command {
+    let seed = Arg::new("seed")
+        .long("seed")
+        .value_parser(value_parser!(u64))
+        .default_value("1")
+        .help("Seed of all random draws");
     Command::new("requests")
         .about("Measures queues, slots, the crest of a swing and the truth of outcomes")
+        .arg(seed)
 }
 
 /// Runs the measurement.
-pub fn run(_matches: &ArgMatches) -> ExitCode {
-    eprintln!("measurement=requests result=not_built");
-    ExitCode::FAILURE
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    let seed = matches.get_one::<u64>("seed").copied().unwrap_or(1);
+    println!("seed={seed}");
+    let mut is_met = true;
+    is_met &= comparison::print(seed);
+    if is_met {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+/// Prints one figure with its bound; returns whether it is met.
+pub fn print_bound(name: &str, value: f64, bound: Bound) -> bool {
+    let (is_met, sign, limit) = match bound {
+        Bound::Most(limit) => (value <= limit, "<=", limit),
+        Bound::Least(limit) => (value >= limit, ">=", limit),
+    };
+    let result = if is_met { "met" } else { "missed" };
+    println!("{name}={value:.3} bound={sign}{limit} result={result}");
+    is_met
+}
+
+/// What a figure must keep to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Bound {
+    /// At most this.
+    Most(f64),
+    /// At least this.
+    Least(f64),
 }
--- a/crates/peer/schema/slot.capnp
+++ b/crates/peer/schema/slot.capnp
@@ -23,6 +23,8 @@
   limitMs @4 :UInt32;
   owners @5 :UInt32;
   avoid @6 :List(Text);
+  # Part of the service's work that is short, in thousandths; 0 when unknown.
+  shortPart @7 :UInt16;
 }
 
 interface Slot {
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -43,6 +43,7 @@
     proxy: Arc<Proxy>,
     state: Arc<ServiceState>,
     path: String,
+    class: WorkClass,
     began: Instant,
 }
 
@@ -54,6 +55,9 @@
     state: Arc<ServiceState>,
     head: Head,
     method: Method,
+    class: WorkClass,
+    /// Part of the service's work that is short.
+    short_part: Option<f64>,
     arrived: Instant,
     deadline: Instant,
     fault: CallerFault,
@@ -108,12 +112,17 @@
     let (parts, body) = request.into_parts();
     let (body, fault) = RequestBody::new(body);
     let id = head.id.clone();
+    let ruled = routes.view.preset.class_of(&setting.name, &head.path);
+    let class = ruled.unwrap_or_else(|| state.class_of(&head.path));
+    let short_part = state.arrive(class);
     let exchange = Exchange {
         proxy,
         routes,
         service,
         state,
         method: parts.method.clone(),
+        class,
+        short_part,
         head,
         arrived,
         deadline,
@@ -259,7 +268,8 @@
             let queue_limit = self.arrived + self.setting().queue_limit;
             let until = queue_limit.min(self.deadline);
             let ask = Ask {
-                class: self.class(),
+                class: self.class,
+                short_part: self.short_part,
                 waited: now.saturating_duration_since(self.arrived),
                 limit: until.saturating_duration_since(now),
                 owners: 1,
@@ -314,12 +324,6 @@
         self.routes.view.service(self.service)
     }
 
-    fn class(&self) -> WorkClass {
-        let name = &self.setting().name;
-        let ruled = self.routes.view.preset.class_of(name, &self.head.path);
-        ruled.unwrap_or_else(|| self.state.class_of(&self.head.path))
-    }
-
     /// Tells the target how much time is left.
     fn stamp(&self, request: &mut Request<RequestBody>) {
         let left = self.deadline.saturating_duration_since(Instant::now());
@@ -376,6 +380,7 @@
             proxy: Arc::clone(&self.proxy),
             state: Arc::clone(&self.state),
             path: self.head.path.clone(),
+            class: self.class,
             began,
         }
     }
@@ -434,7 +439,8 @@
         if let Some(connection) = self.connection.take() {
             self.proxy.pool.put(connection);
         }
-        self.state.serve(&self.path, self.began.elapsed());
+        let time = self.began.elapsed();
+        self.state.serve(&self.path, self.class, time);
     }
 
     /// The answer was cut: frees the slot and drops the connection.
--- a/crates/proxy/src/peers/ask.rs
+++ b/crates/proxy/src/peers/ask.rs
@@ -27,6 +27,9 @@
 /// Calls that may wait for the thread.
 const CALL_LIMIT: usize = 65_536;
 
+/// Parts are sent in thousandths.
+pub const THOUSAND: f64 = 1_000.0;
+
 /// Wait that is reported when an owner can't be asked.
 const LOST_WAIT: Duration = Duration::from_secs(1);
 
@@ -271,6 +274,8 @@
     builder.set_waited_ms(milliseconds(ask.waited));
     builder.set_limit_ms(milliseconds(ask.limit));
     builder.set_owners(ask.owners);
+    let part = ask.short_part.map_or(0, |part| (part * THOUSAND) as u16);
+    builder.set_short_part(part);
     let count = u32::try_from(ask.avoid.len()).unwrap_or(u32::MAX);
     let mut avoid = builder.init_avoid(count);
     for (index, target) in (0..count).zip(&ask.avoid) {
--- a/crates/proxy/src/peers/serve.rs
+++ b/crates/proxy/src/peers/serve.rs
@@ -11,6 +11,7 @@
 use bambooseam_view::FlowKey;
 use tokio::net::TcpListener;
 
+use super::ask::THOUSAND;
 use crate::keys::{Claim, KeyDesk};
 use crate::routes::Group;
 use crate::slots::{Ask, Grant, Report, SlotOwner};
@@ -122,7 +123,9 @@
         slot_capnp::WorkClass::Short => WorkClass::Short,
         slot_capnp::WorkClass::Long => WorkClass::Long,
     };
+    let part = ask.get_short_part();
     let ask = Ask {
+        short_part: (part > 0).then(|| f64::from(part) / THOUSAND),
         class,
         waited: Duration::from_millis(ask.get_waited_ms().into()),
         limit: Duration::from_millis(ask.get_limit_ms().into()),
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -21,7 +21,7 @@
 use crate::pool::Pool;
 use crate::retry::RetryBudget;
 use crate::routes::{Group, Routes};
-use crate::slots::{ClassLearner, DrainMeter, SlotOwner};
+use crate::slots::{ClassLearner, DrainMeter, SlotOwner, WorkMix};
 
 /// Time between looks at states that change as time passes.
 const TICK: Duration = Duration::from_millis(100);
@@ -72,6 +72,7 @@
     /// Retries that may be made.
     pub budget: RetryBudget,
     learner: Mutex<ClassLearner>,
+    mix: Mutex<WorkMix>,
     drain: Mutex<DrainMeter>,
 }
 
@@ -269,9 +270,17 @@
         lock(&self.learner).class_of(path)
     }
 
+    /// Notes an arrival; returns the part of the service's work that is short.
+    pub fn arrive(&self, class: WorkClass) -> Option<f64> {
+        let mut mix = lock(&self.mix);
+        mix.arrive(class);
+        mix.short_part()
+    }
+
     /// Notes a whole answer and its service time.
-    pub fn serve(&self, path: &str, time: Duration) {
+    pub fn serve(&self, path: &str, class: WorkClass, time: Duration) {
         lock(&self.learner).note(path, time);
+        lock(&self.mix).serve(class, time);
         lock(&self.drain).serve();
     }
 
--- a/crates/proxy/src/routes.rs
+++ b/crates/proxy/src/routes.rs
@@ -140,10 +140,13 @@
 pub fn group_slots(view: &View, group: &Group) -> Option<(Policy, Vec<TargetSlots>)> {
     let index = view.service_index(&group.service)?;
     let service = view.service(index);
-    let mut before = 0;
+    let (mut before, mut total) = (0, 0);
     let mut targets = Vec::new();
     for target in view.targets_of(index) {
         let is_open = target.is_open();
+        if is_open {
+            total += service.slots;
+        }
         if target.entry.zone < group.zone && is_open {
             before += service.slots;
         }
@@ -159,7 +162,7 @@
     let policy = Policy {
         ramp_time: service.ramp_time,
         eject_share: service.eject_share,
-        share: Share { before },
+        share: Share { before, total },
         ..Policy::USUAL
     };
     Some((policy, targets))
--- a/crates/proxy/src/slots/load.rs
+++ b/crates/proxy/src/slots/load.rs
@@ -18,11 +18,12 @@
     means: [Mean; 2],
 }
 
-/// Mean of service times, in seconds.
+/// Moving mean.
 #[derive(Debug, Clone, Copy, Default)]
-struct Mean {
+pub struct Mean {
+    /// The mean; zero of none.
+    pub value: f64,
     count: u32,
-    value: f64,
 }
 
 /// Index of a class in the arrays.
@@ -72,7 +73,7 @@
         let busy = &mut self.busy[slot_of(class)];
         *busy = busy.saturating_sub(1);
         if let Some(time) = time {
-            self.means[slot_of(class)].add(time.as_secs_f64());
+            self.means[slot_of(class)].add(time.as_secs_f64(), MEAN_WEIGHT);
         }
     }
 
@@ -89,9 +90,10 @@
 }
 
 impl Mean {
-    fn add(&mut self, value: f64) {
+    /// Adds a value; `least` is its weight once many are known.
+    pub fn add(&mut self, value: f64, least: f64) {
         self.count = self.count.saturating_add(1);
-        let weight = MEAN_WEIGHT.max(1.0 / f64::from(self.count));
+        let weight = least.max(1.0 / f64::from(self.count));
         self.value += (value - self.value) * weight;
     }
 }
--- a/crates/proxy/src/slots/owner.rs
+++ b/crates/proxy/src/slots/owner.rs
@@ -16,6 +16,12 @@
 /// estimate, so that admitted work seldom waits in vain.
 const ADMIT_PART: f64 = 0.5;
 
+/// Long work that has waited this many times its mean service time may take reserved slots.
+const LONG_PATIENCE: u32 = 4;
+
+/// Weight of one proxy's word in the part of work that is short.
+const PART_WEIGHT: f64 = 1.0 / 64.0;
+
 /// Expected wait when no target may take work.
 const NO_TARGET_WAIT: Duration = Duration::from_secs(5);
 
@@ -32,6 +38,8 @@
     pub owners: u32,
     /// Targets that were tried before.
     pub avoid: Vec<TargetId>,
+    /// Part of the service's work that is short, if the proxy knows it.
+    pub short_part: Option<f64>,
 }
 
 /// No slot within the time limit.
@@ -89,6 +97,8 @@
     policy: Policy,
     targets: Vec<TargetState>,
     load: Load,
+    /// Part of the service's work that is short, averaged over proxies.
+    short_part: f64,
     short: Queue,
     long: Queue,
     picks: u64,
@@ -109,6 +119,7 @@
             policy,
             targets: Vec::new(),
             load: Load::new(policy.window),
+            short_part: 0.0,
             short: Queue::default(),
             long: Queue::default(),
             picks: 0,
@@ -168,6 +179,7 @@
                 avoid: ask.avoid,
                 sender,
             };
+            state.learn(ask.short_part);
             let wait = state.expected_wait(ask.class);
             state.queue(ask.class).push(waiter);
             self.dispatch(&mut state);
@@ -282,9 +294,18 @@
     }
 
     fn reserve(&self) -> u32 {
-        let short = self.load.average(WorkClass::Short);
-        let long = self.load.average(WorkClass::Long);
-        self.policy.reserve(self.slots(), short, long)
+        self.policy.reserve(self.slots(), self.short_part)
+    }
+
+    /// Averages what proxies tell of the service's work.
+    fn learn(&mut self, short_part: Option<f64>) {
+        let Some(part) = short_part.filter(|part| (0.0..=1.0).contains(part)) else {
+            return;
+        };
+        if self.short_part == 0.0 {
+            self.short_part = part;
+        }
+        self.short_part += (part - self.short_part) * PART_WEIGHT;
     }
 
     fn ejected(&self) -> usize {
@@ -305,7 +326,10 @@
         let busy = self.load.busy(WorkClass::Long);
         let Some(short) = short else {
             let cap = slots.saturating_sub(self.reserve());
-            return (busy < cap).then_some(WorkClass::Long);
+            let patience = self.load.mean(WorkClass::Long) * LONG_PATIENCE;
+            // A small owner may reserve all its slots; its long work must not wait for ever.
+            let may_start = busy < cap || long.elapsed() > patience;
+            return may_start.then_some(WorkClass::Long);
         };
         let is_older = long < short;
         let is_long = match self.policy.rule {
--- a/crates/proxy/src/slots/policy.rs
+++ b/crates/proxy/src/slots/policy.rs
@@ -35,14 +35,10 @@
 pub struct Share {
     /// Slots of the owners before this one.
     pub before: u32,
+    /// Slots of all owners.
+    pub total: u32,
 }
 
-/// Utilisation by long work that the slots outside the reserve are sized for.
-const LONG_UTILISATION: f64 = 0.8;
-
-/// Standard deviations of the number of short requests in service that the reserve may cover.
-const SHORT_DEVIATIONS: f64 = 2.0;
-
 /// One slot in this many may always run long work.
 const LONG_FLOOR: u32 = 8;
 
@@ -50,10 +46,13 @@
     /// The usual policy of a service.
     pub const USUAL: Self = Self {
         rule: Rule::AdaptiveReserve,
-        window: Duration::from_secs(10),
+        window: Duration::from_secs(20),
         ramp_time: Duration::from_secs(10),
         eject_share: 30,
-        share: Share { before: 0 },
+        share: Share {
+            before: 0,
+            total: 0,
+        },
     };
 
     /// Sets the rule.
@@ -68,20 +67,15 @@
         self
     }
 
-    /// Slots that long work leaves free, of `slots`, when the busy slots average `short` and
-    /// `long`.
-    pub fn reserve(&self, slots: u32, short: f64, long: f64) -> u32 {
-        match self.rule {
+    /// Slots that long work leaves free, of `slots`, when a part `short` of the work is short.
+    pub fn reserve(&self, slots: u32, short: f64) -> u32 {
+        let reserve = match self.rule {
             Rule::Fifo | Rule::ShortFirst => 0,
             Rule::FixedReserve(reserve) => self.share.of(f64::from(reserve), slots),
-            Rule::AdaptiveReserve => {
-                let count = f64::from(slots.max(1));
-                let spare = 1.0 - long / count / LONG_UTILISATION;
-                let need = (short + SHORT_DEVIATIONS * short.sqrt()) / count;
-                let reserve = self.share.of_part(spare.min(need).clamp(0.0, 1.0), slots);
-                reserve.min(slots.saturating_sub(self.long_floor(slots)))
-            }
-        }
+            // Divided in proportion to the work, both classes see the same utilisation.
+            Rule::AdaptiveReserve => self.share.of_part(short, slots),
+        };
+        reserve.min(slots.saturating_sub(self.long_floor(slots)))
     }
 
     /// Slots of `slots` that long work may hold although short work waits.
@@ -91,9 +85,9 @@
 }
 
 impl Share {
-    /// Part of `total`, which is given for the whole service with `slots` slots.
-    fn of(self, total: f64, slots: u32) -> u32 {
-        self.of_part(total / f64::from(slots.max(1)), slots)
+    /// This owner's part of a number of slots that is given for the whole service.
+    fn of(self, count: f64, slots: u32) -> u32 {
+        self.of_part(count / f64::from(self.total.max(slots).max(1)), slots)
     }
 
     /// Slots that a part of the service's slots gives this owner.
@@ -101,7 +95,7 @@
     /// Parts are rounded along the order of owners, so that small owners together reserve as many
     /// as one large owner would.
     fn of_part(self, part: f64, slots: u32) -> u32 {
-        let upto = |count: u32| (part * f64::from(count) + 1e-9).floor() as u32;
+        let upto = |count: u32| (part * f64::from(count)).round() as u32;
         upto(self.before + slots) - upto(self.before)
     }
 }
