--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -1,11 +1,17 @@
 //! INI text with the line of each section and key.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bambooseam_types::{Finding, Findings, Place};
+use humantime::format_duration;
 use ini::{Ini, ParseOption};
 
 use crate::Value;
+use crate::lines::{locate, report_repeats, scan};
+
+/// What a line may be.
+pub(crate) const LINE_ALLOWED: &str = "[section], key = value, or a line that begins with ; or #";
 
 /// Least similarity (0 to 1) for a known key to be offered as a hint.
 const HINT_LIKENESS: f64 = 0.6;
@@ -27,18 +33,18 @@
 
 /// A section as it was written.
 #[derive(Debug, Clone)]
-struct RawSection {
-    name: String,
-    line: usize,
-    entries: Vec<Entry>,
+pub(crate) struct RawSection {
+    pub(crate) name: String,
+    pub(crate) line: usize,
+    pub(crate) entries: Vec<Entry>,
 }
 
 /// A key as it was written.
 #[derive(Debug, Clone)]
-struct Entry {
-    key: String,
-    value: String,
-    line: usize,
+pub(crate) struct Entry {
+    pub(crate) key: String,
+    pub(crate) value: String,
+    pub(crate) line: usize,
 }
 
 impl Document {
@@ -49,6 +55,7 @@
     /// A finding with the line where the text is not INI, and one for each key or section that
     /// stands twice.
     pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        let lines = scan(file, text)?;
         let option = ParseOption {
             enabled_escape: false,
             ..ParseOption::default()
@@ -56,14 +63,10 @@
         let ini = Ini::load_from_str_opt(text, option).map_err(|error| {
             let place = Place::new(file, error.line + 1, "");
             let mut findings = Findings::new();
-            findings.push(Finding::new(
-                place,
-                error.msg,
-                "INI: [section] and key = value lines",
-            ));
+            findings.push(Finding::new(place, error.msg, LINE_ALLOWED));
             findings
         })?;
-        let sections = locate(&ini, text);
+        let sections = locate(&ini, &lines);
         let mut findings = Findings::new();
         report_repeats(file, &sections, &mut findings);
         findings.into_result(Self {
@@ -109,10 +112,32 @@
     ) -> impl Iterator<Item = (&'a str, Section<'a>)> + 'a {
         self.sections.iter().filter_map(move |raw| {
             let name = raw.name.strip_prefix(kind)?.strip_prefix(' ')?;
-            Some((name.trim(), Section::new(&self.file, raw)))
+            Some((name, Section::new(&self.file, raw)))
         })
     }
 
+    /// Reports each section that is neither `[kind]` for a plain kind nor `[kind NAME]` for a
+    /// named one.
+    pub fn check_sections(&self, plain: &[&str], named: &[&str], findings: &mut Findings) {
+        let known = [plain, named].concat();
+        self.report_unknown_sections(&known, findings);
+        for raw in &self.sections {
+            let (kind, name) = match raw.name.split_once(' ') {
+                Some((kind, name)) => (kind, name),
+                None => (raw.name.as_str(), ""),
+            };
+            let allowed = if name.is_empty() && named.contains(&kind) {
+                format!("[{kind} NAME]")
+            } else if !name.is_empty() && plain.contains(&kind) {
+                format!("[{kind}]")
+            } else {
+                continue;
+            };
+            let place = Place::new(&self.file, raw.line, raw.name.clone());
+            findings.push(Finding::new(place, format!("[{}]", raw.name), allowed));
+        }
+    }
+
     /// Reports each section whose name or kind is not among `known`.
     pub fn report_unknown_sections(&self, known: &[&str], findings: &mut Findings) {
         for raw in &self.sections {
@@ -120,6 +145,16 @@
             if known.contains(&kind) {
                 continue;
             }
+            if raw.name.is_empty() {
+                let line = raw.entries.first().map_or(0, |entry| entry.line);
+                let place = Place::new(&self.file, line, "");
+                findings.push(Finding::new(
+                    place,
+                    "a key before any section",
+                    "[section] first",
+                ));
+                continue;
+            }
             let place = Place::new(&self.file, raw.line, raw.name.clone());
             let finding = Finding::new(place, "an unknown section", known.join(", "));
             findings.push(hint_nearest(finding, kind, known));
@@ -227,12 +262,33 @@
             .map_or(default, Into::into)
     }
 
+    /// Parses a duration within `allowed`, with `default` for an absent one.
+    pub fn duration_within(
+        &mut self,
+        key: &'static str,
+        default: Duration,
+        allowed: RangeInclusive<Duration>,
+        findings: &mut Findings,
+    ) -> Duration {
+        let value = self.duration(key, default, findings);
+        if !allowed.contains(&value) {
+            let found = format_duration(value).to_string();
+            let (least, most) = (
+                format_duration(*allowed.start()),
+                format_duration(*allowed.end()),
+            );
+            let range = format!("a time from {least} to {most}");
+            findings.push(Finding::new(self.place(key), found, range));
+        }
+        value
+    }
+
     /// Parses a whole number within `allowed`, with `default` for an absent one.
     pub fn within(
         &mut self,
         key: &'static str,
         default: u64,
-        allowed: std::ops::RangeInclusive<u64>,
+        allowed: RangeInclusive<u64>,
         findings: &mut Findings,
     ) -> u64 {
         let value = self.or(key, default, findings);
@@ -264,94 +320,6 @@
     }
 }
 
-/// Joins the parsed sections with the lines on which they and their keys stand.
-///
-/// The library gives no lines, but keeps the order of the text within each section.
-fn locate(ini: &Ini, text: &str) -> Vec<RawSection> {
-    let mut sections = Vec::new();
-    for (name, properties) in ini.iter() {
-        let name = name.unwrap_or_default().trim();
-        let repeats = sections
-            .iter()
-            .filter(|raw: &&RawSection| raw.name == name)
-            .count();
-        let head = section_line(text, name, repeats);
-        let mut entries = Vec::new();
-        for (key, value) in properties.iter() {
-            let after = entries.iter().rfind(|entry: &&Entry| entry.key == key);
-            let from = after.map_or(head, |entry| entry.line);
-            let line = key_line(text, key, from);
-            entries.push(Entry {
-                key: key.into(),
-                value: value.into(),
-                line,
-            });
-        }
-        if name.is_empty() && entries.is_empty() {
-            continue;
-        }
-        sections.push(RawSection {
-            name: name.into(),
-            line: head,
-            entries,
-        });
-    }
-    sections
-}
-
-/// Line of the section head called `name`, after `repeats` earlier ones; 0 for the nameless one.
-fn section_line(text: &str, name: &str, repeats: usize) -> usize {
-    let is_head = |line: &str| {
-        let inner = line
-            .trim()
-            .strip_prefix('[')
-            .and_then(|rest| rest.strip_suffix(']'));
-        inner.is_some_and(|inner| inner.trim() == name)
-    };
-    let mut heads = text.lines().enumerate().filter(|(_, line)| is_head(line));
-    heads.nth(repeats).map_or(0, |(index, _)| index + 1)
-}
-
-/// First line after `from` that sets `key`.
-fn key_line(text: &str, key: &str, from: usize) -> usize {
-    for (index, line) in text.lines().enumerate().skip(from) {
-        let Some((left, _)) = line.split_once(['=', ':']) else {
-            continue;
-        };
-        if left.trim() == key {
-            return index + 1;
-        }
-    }
-    from
-}
-
-/// Reports sections and keys that stand twice.
-fn report_repeats(file: &str, sections: &[RawSection], findings: &mut Findings) {
-    for (index, raw) in sections.iter().enumerate() {
-        if sections[..index]
-            .iter()
-            .any(|earlier| earlier.name == raw.name)
-        {
-            let place = Place::new(file, raw.line, raw.name.clone());
-            findings.push(Finding::new(
-                place,
-                "the section twice",
-                "each section once",
-            ));
-        }
-        for (index, entry) in raw.entries.iter().enumerate() {
-            if raw.entries[..index]
-                .iter()
-                .all(|earlier| earlier.key != entry.key)
-            {
-                continue;
-            }
-            let place = Place::new(file, entry.line, format!("{}.{}", raw.name, entry.key));
-            findings.push(Finding::new(place, "the key twice", "each key once"));
-        }
-    }
-}
-
 /// Adds the known word that is most like `word` as a hint.
 fn hint_nearest(finding: Finding, word: &str, known: &[&str]) -> Finding {
     let mut nearest = None;
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -2,10 +2,13 @@
 
 use std::net::{IpAddr, SocketAddr};
 
-use bambooseam_types::{Finding, Findings, ServiceName, TargetId, VmId, Weight, ZoneId};
+use bambooseam_types::{
+    Finding, Findings, FlowPort, Place, ServiceName, TargetId, VmId, Weight, ZoneId,
+};
 use derive_more::{Display, FromStr};
 
-use crate::Document;
+use crate::claims::Claims;
+use crate::{Document, Section};
 
 /// Announced state of an entry VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromStr)]
@@ -85,12 +88,33 @@
 /// Port of a target's requests when it names none.
 const REQUEST_PORT: u16 = 8080;
 
+/// Where a target receives the flows or requests of a service.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[display("{address} for {kind} of {service}")]
+struct Receiver {
+    service: ServiceName,
+    kind: &'static str,
+    address: SocketAddr,
+}
+
+impl Receiver {
+    fn new(service: &ServiceName, kind: &'static str, address: SocketAddr) -> Self {
+        Self {
+            service: service.clone(),
+            kind,
+            address,
+        }
+    }
+}
+
 impl TryFrom<&Document> for VmList {
     type Error = Findings;
 
     fn try_from(document: &Document) -> Result<Self, Findings> {
         let mut findings = Findings::new();
-        document.report_unknown_sections(&["vm"], &mut findings);
+        document.check_sections(&[], &["vm"], &mut findings);
+        let mut streams = Claims::new();
+        let mut packets = Claims::new();
         let mut vms = Vec::new();
         for (name, mut section) in document.sections_of("vm") {
             let id = name.parse::<VmId>();
@@ -101,9 +125,20 @@
             let zone = section.required("zone", &mut findings);
             let state = section.or("state", VmState::Live, &mut findings);
             let address: Option<IpAddr> = section.required("address", &mut findings);
-            let agent = section.or("agent-port", AGENT_PORT, &mut findings);
-            let forwarder = section.or("forwarder-port", GENEVE_PORT, &mut findings);
-            let proxy = section.or("proxy-port", PROXY_PORT, &mut findings);
+            let agent = port(&mut section, "agent-port", AGENT_PORT, &mut findings);
+            let forwarder = port(&mut section, "forwarder-port", GENEVE_PORT, &mut findings);
+            let proxy = port(&mut section, "proxy-port", PROXY_PORT, &mut findings);
+            if let Some(address) = address {
+                check_address(address, section.place("address"), &mut findings);
+                let place = |key: &str| section.place(key);
+                streams.add(SocketAddr::new(address, agent), name, place("agent-port"));
+                streams.add(SocketAddr::new(address, proxy), name, place("proxy-port"));
+                packets.add(
+                    SocketAddr::new(address, forwarder),
+                    name,
+                    place("forwarder-port"),
+                );
+            }
             section.report_unknown_keys(&mut findings);
             let (Ok(id), Some(zone), Some(address)) = (id, zone, address) else {
                 continue;
@@ -117,6 +152,8 @@
                 proxy: SocketAddr::new(address, proxy),
             });
         }
+        streams.report("an address and port of its own", &mut findings);
+        packets.report("an address and port of its own", &mut findings);
         vms.sort_by(|a, b| a.id.cmp(&b.id));
         findings.into_result(Self(vms))
     }
@@ -156,7 +193,8 @@
 
     fn try_from(document: &Document) -> Result<Self, Findings> {
         let mut findings = Findings::new();
-        document.report_unknown_sections(&["target"], &mut findings);
+        document.check_sections(&[], &["target"], &mut findings);
+        let mut claims = Claims::new();
         let mut targets = Vec::new();
         for (name, mut section) in document.sections_of("target") {
             let id = name.parse::<TargetId>();
@@ -164,13 +202,23 @@
                 let found = format!("{name:?}");
                 findings.push(Finding::new(section.place("name"), found, error.allowed));
             }
-            let service = section.required("service", &mut findings);
+            let service: Option<ServiceName> = section.required("service", &mut findings);
             let zone = section.required("zone", &mut findings);
             let state = section.or("state", TargetState::Live, &mut findings);
             let address: Option<IpAddr> = section.required("address", &mut findings);
-            let flows = section.or("flow-port", GENEVE_PORT, &mut findings);
-            let requests = section.or("request-port", REQUEST_PORT, &mut findings);
+            let flows = port(&mut section, "flow-port", GENEVE_PORT, &mut findings);
+            let requests = port(&mut section, "request-port", REQUEST_PORT, &mut findings);
             let weight = section.or("weight", Weight::USUAL, &mut findings);
+            if let Some(address) = address {
+                check_address(address, section.place("address"), &mut findings);
+            }
+            if let (Some(service), Some(address)) = (&service, address) {
+                let place = |key: &str| section.place(key);
+                let claim =
+                    |port, kind| Receiver::new(service, kind, SocketAddr::new(address, port));
+                claims.add(claim(flows, "flows"), name, place("flow-port"));
+                claims.add(claim(requests, "requests"), name, place("request-port"));
+            }
             section.report_unknown_keys(&mut findings);
             let (Ok(id), Some(service), Some(zone), Some(address)) = (id, service, zone, address)
             else {
@@ -186,6 +234,10 @@
                 weight,
             });
         }
+        claims.report(
+            "an address and port of its own in the service",
+            &mut findings,
+        );
         targets.sort_by(|a, b| a.id.cmp(&b.id));
         findings.into_result(Self(targets))
     }
@@ -220,3 +272,26 @@
         text
     }
 }
+
+/// Reads a port; 0 is none.
+fn port(
+    section: &mut Section<'_>,
+    key: &'static str,
+    default: u16,
+    findings: &mut Findings,
+) -> u16 {
+    let port: Option<FlowPort> = section.optional(key, findings);
+    port.map_or(default, FlowPort::get)
+}
+
+/// Reports an address that no single machine has.
+pub(crate) fn check_address(address: IpAddr, place: Place, findings: &mut Findings) {
+    let is_broadcast = matches!(address, IpAddr::V4(address) if address.is_broadcast());
+    if address.is_unspecified() || address.is_multicast() || is_broadcast {
+        findings.push(Finding::new(
+            place,
+            address.to_string(),
+            "an address of one machine",
+        ));
+    }
+}
--- a/crates/config/src/force.rs
+++ b/crates/config/src/force.rs
@@ -1,6 +1,6 @@
 //! The one published key that decides which preset is in force.
 
-use bambooseam_types::{Digest, Findings, PresetName, Revision};
+use bambooseam_types::{Digest, Finding, Findings, PresetName, Revision};
 use sha2::{Digest as _, Sha256};
 
 use crate::Document;
@@ -45,11 +45,15 @@
 
     fn try_from(document: &Document) -> Result<Self, Findings> {
         let mut findings = Findings::new();
-        document.report_unknown_sections(&[Self::SECTION], &mut findings);
+        document.check_sections(&[Self::SECTION], &[], &mut findings);
         let pointer = document
             .required_section(Self::SECTION, &mut findings)
             .and_then(|mut s| {
-                let revision = s.required("revision", &mut findings);
+                let revision: Option<Revision> = s.required("revision", &mut findings);
+                if revision == Some(Revision::default()) {
+                    let place = s.place("revision");
+                    findings.push(Finding::new(place, "0", "a whole number from 1"));
+                }
                 let name = s.required("name", &mut findings);
                 let digest = s.required("digest", &mut findings);
                 s.report_unknown_keys(&mut findings);
@@ -61,7 +65,7 @@
             });
         match pointer {
             Some(pointer) => findings.into_result(pointer),
-            None => Err(findings),
+            None => Err(findings.sorted()),
         }
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,9 +4,11 @@
 //! collects all findings of a document before it reports them; nothing is taken in part. The
 //! agent and `bambooseam-ctl check` run the same checks.
 
+mod claims;
 mod document;
 mod fleet;
 mod force;
+mod lines;
 mod preset;
 mod published;
 mod settings;
--- /dev/null
+++ b/crates/config/src/lines.rs
@@ -0,0 +1,160 @@
+//! Lines of INI text: which sections and keys stand where.
+//!
+//! The library gives no lines, but keeps the order of the text. One pass over the lines and one
+//! over the parsed sections, side by side, find the line of each key.
+
+use bambooseam_types::{Finding, Findings, Place};
+use ini::Ini;
+
+use crate::document::{Entry, LINE_ALLOWED, RawSection};
+
+/// Characters that begin a comment.
+const COMMENT: [char; 2] = [';', '#'];
+
+/// Characters that end a key.
+const DELIMITER: [char; 2] = ['=', ':'];
+
+/// A line that is neither empty nor a comment.
+#[derive(Debug, Clone)]
+pub(crate) struct Line<'a> {
+    /// Counted from 1.
+    number: usize,
+    content: Content<'a>,
+}
+
+/// What stands on a line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Content<'a> {
+    /// The head of a section.
+    Head(String),
+    /// A key.
+    Key(&'a str),
+}
+
+/// Reads the lines of a document.
+///
+/// # Errors
+///
+/// A finding for each line that is neither section, key nor comment.
+pub(crate) fn scan<'a>(file: &str, text: &'a str) -> Result<Vec<Line<'a>>, Findings> {
+    let mut lines = Vec::new();
+    let mut findings = Findings::new();
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if line.is_empty() || line.starts_with(COMMENT) {
+            continue;
+        }
+        let number = index + 1;
+        match read_content(line) {
+            Some(content) => lines.push(Line { number, content }),
+            None => {
+                let place = Place::new(file, number, "");
+                findings.push(Finding::new(place, format!("{line:?}"), LINE_ALLOWED));
+            }
+        }
+    }
+    findings.into_result(lines)
+}
+
+/// Reads one line.
+fn read_content(line: &str) -> Option<Content<'_>> {
+    if let Some(rest) = line.strip_prefix('[') {
+        let (name, rest) = rest.split_once(']')?;
+        return rest.is_empty().then(|| Content::Head(normal_name(name)));
+    }
+    let (key, _) = line.split_once(DELIMITER)?;
+    Some(Content::Key(key.trim()))
+}
+
+/// A section's name with single spaces.
+fn normal_name(name: &str) -> String {
+    name.split_whitespace().collect::<Vec<_>>().join(" ")
+}
+
+/// Joins the parsed sections with the lines on which they and their keys stand.
+pub(crate) fn locate(ini: &Ini, lines: &[Line<'_>]) -> Vec<RawSection> {
+    let mut sections = Vec::new();
+    let mut rest = lines;
+    for (name, properties) in ini.iter() {
+        let name = normal_name(name.unwrap_or_default());
+        let head = match name.is_empty() {
+            true => 0,
+            false => find_head(&mut rest, &name),
+        };
+        let mut entries = Vec::new();
+        for (key, value) in properties.iter() {
+            entries.push(Entry {
+                key: key.into(),
+                value: value.into(),
+                line: find_key(&mut rest, key).unwrap_or(head),
+            });
+        }
+        if name.is_empty() && entries.is_empty() {
+            continue;
+        }
+        sections.push(RawSection {
+            name,
+            line: head,
+            entries,
+        });
+    }
+    sections
+}
+
+/// Line of the next head called `name`; `rest` is what stands behind it.
+fn find_head(rest: &mut &[Line<'_>], name: &str) -> usize {
+    for (index, line) in rest.iter().enumerate() {
+        if !matches!(&line.content, Content::Head(held) if held == name) {
+            continue;
+        }
+        let number = line.number;
+        *rest = &rest[index + 1..];
+        return number;
+    }
+    0
+}
+
+/// Line of the next `key` of this section; `rest` is what stands behind it.
+fn find_key(rest: &mut &[Line<'_>], key: &str) -> Option<usize> {
+    for (index, line) in rest.iter().enumerate() {
+        match &line.content {
+            Content::Head(_) => return None,
+            Content::Key(held) if *held != key => continue,
+            Content::Key(_) => {}
+        }
+        let number = line.number;
+        *rest = &rest[index + 1..];
+        return Some(number);
+    }
+    None
+}
+
+/// Reports sections and keys that stand twice.
+pub(crate) fn report_repeats(file: &str, sections: &[RawSection], findings: &mut Findings) {
+    let names = sections.iter().map(|raw| raw.name.as_str());
+    for index in repeats(names) {
+        let raw = &sections[index];
+        let place = Place::new(file, raw.line, raw.name.clone());
+        findings.push(Finding::new(
+            place,
+            "the section twice",
+            "each section once",
+        ));
+    }
+    for raw in sections {
+        let keys = raw.entries.iter().map(|entry| entry.key.as_str());
+        for index in repeats(keys) {
+            let entry = &raw.entries[index];
+            let place = Place::new(file, entry.line, format!("{}.{}", raw.name, entry.key));
+            findings.push(Finding::new(place, "the key twice", "each key once"));
+        }
+    }
+}
+
+/// Positions of words that stood earlier already.
+fn repeats<'a>(words: impl Iterator<Item = &'a str>) -> Vec<usize> {
+    let mut sorted: Vec<(&str, usize)> = words.enumerate().map(|(i, word)| (word, i)).collect();
+    sorted.sort_unstable();
+    let pairs = sorted.windows(2).filter(|pair| pair[0].0 == pair[1].0);
+    pairs.map(|pair| pair[1].1).collect()
+}
--- a/crates/config/src/preset.rs
+++ b/crates/config/src/preset.rs
@@ -1,12 +1,15 @@
 //! A preset: services, their limits and the rules that tell short work from long.
 
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
-use bambooseam_types::{Finding, Findings, FlowPort, PresetName, ServiceId, ServiceName};
+use bambooseam_types::{Finding, Findings, FlowPort, Place, PresetName, ServiceId, ServiceName};
 use derive_more::{Display, FromStr};
 
-use crate::Document;
+use crate::claims::Claims;
+use crate::fleet::check_address;
+use crate::{Document, Section};
 
 /// A checked preset, services and rules sorted by name.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -74,8 +77,6 @@
     Long,
 }
 
-/// Section kinds of a preset document.
-const SECTIONS: [&str; 3] = ["preset", "service", "class"];
 /// Most slots of one target.
 const SLOT_LIMIT: u64 = 10_000;
 /// Most connections of one target.
@@ -90,8 +91,14 @@
 const DEADLINE: Duration = Duration::from_secs(10);
 /// Flow idle time of a service that names none: longer than a shift.
 const FLOW_IDLE: Duration = Duration::from_secs(24 * 3600);
-/// Shortest flow idle time.
-const FLOW_IDLE_LEAST: Duration = Duration::from_secs(60);
+/// Queue limits and deadlines that are allowed.
+const WAIT_TIMES: RangeInclusive<Duration> =
+    Duration::from_millis(1)..=Duration::from_secs(24 * 3600);
+/// Flow idle times that are allowed; a silent feed loses its entry after this time.
+const IDLE_TIMES: RangeInclusive<Duration> =
+    Duration::from_secs(60)..=Duration::from_secs(30 * 24 * 3600);
+/// Ramp times that are allowed.
+const RAMP_TIMES: RangeInclusive<Duration> = Duration::ZERO..=Duration::from_secs(3600);
 /// Retries in percent for a service that names none.
 const RETRY_SHARE: u64 = 10;
 /// Ejections in percent for a service that names none.
@@ -126,14 +133,22 @@
 
     fn try_from(document: &Document) -> Result<Self, Findings> {
         let mut findings = Findings::new();
-        document.report_unknown_sections(&SECTIONS, &mut findings);
+        document.check_sections(&["preset"], &["service", "class"], &mut findings);
         let mut name = None;
         if let Some(mut section) = document.required_section("preset", &mut findings) {
             name = section.required("name", &mut findings);
             section.report_unknown_keys(&mut findings);
         }
         let mut services = read_services(document, &mut findings);
-        let mut rules = read_rules(document, &mut findings);
+        if document.sections_of("service").next().is_none() {
+            let place = Place::new(document.file(), 0, "service");
+            findings.push(Finding::new(
+                place,
+                "no service",
+                "at least one [service NAME]",
+            ));
+        }
+        let mut rules = read_rules(document, &services, &mut findings);
         services.sort_by(|a, b| a.name.cmp(&b.name));
         rules.sort_by_key(|rule| std::cmp::Reverse(rule.path_prefix.len()));
         match name {
@@ -142,7 +157,7 @@
                 services,
                 rules,
             }),
-            None => Err(findings),
+            None => Err(findings.sorted()),
         }
     }
 }
@@ -150,49 +165,71 @@
 /// Reads all services and checks them against one another.
 fn read_services(document: &Document, findings: &mut Findings) -> Vec<Service> {
     let mut services: Vec<Service> = Vec::new();
+    let mut ports = PortClaims::new();
     for (name, mut section) in document.sections_of("service") {
-        let place = section.place("vni");
-        let request_place = section.place("request-port");
-        let Some(service) = read_service(name, &mut section, findings) else {
-            section.report_unknown_keys(findings);
-            continue;
-        };
+        let service = read_service(name, &mut section, findings);
+        if let Some(service) = service {
+            ports.add(&service, &section);
+            services.push(service);
+        }
         section.report_unknown_keys(findings);
-        for other in &services {
-            if other.vni == service.vni {
-                let found = format!("{}, which is that of {}", service.vni, other.name);
-                findings.push(Finding::new(place.clone(), found, "a vni of its own"));
-            }
-            if other.request_port.is_some() && other.request_port == service.request_port {
-                let found = format!("the request-port of {}", other.name);
-                findings.push(Finding::new(
-                    request_place.clone(),
-                    found,
-                    "a port of its own",
-                ));
-            }
-            if other.address != service.address {
+    }
+    ports.report(findings);
+    services
+}
+
+/// Identifiers, addresses and ports that services claim.
+struct PortClaims {
+    vnis: Claims<ServiceId>,
+    flows: Claims<SocketAddr>,
+    requests: Claims<FlowPort>,
+    entrances: Vec<(SocketAddr, Place)>,
+}
+
+impl PortClaims {
+    fn new() -> Self {
+        Self {
+            vnis: Claims::new(),
+            flows: Claims::new(),
+            requests: Claims::new(),
+            entrances: Vec::new(),
+        }
+    }
+
+    fn add(&mut self, service: &Service, section: &Section<'_>) {
+        let name = &service.name;
+        self.vnis.add(service.vni, name, section.place("vni"));
+        for port in &service.flow_ports {
+            let address = SocketAddr::new(service.address, port.get());
+            self.flows.add(address, name, section.place("flow-ports"));
+        }
+        let Some(port) = service.request_port else {
+            return;
+        };
+        let place = section.place("request-port");
+        let address = SocketAddr::new(service.address, port.get());
+        self.requests.add(port, name, place.clone());
+        self.entrances.push((address, place));
+    }
+
+    fn report(mut self, findings: &mut Findings) {
+        self.vnis.report("a vni of its own", findings);
+        self.flows
+            .report("an address and port of its own", findings);
+        // Request ports are opened on the VM's address, where the port alone tells the service.
+        self.requests.report("a port of its own", findings);
+        for (address, place) in self.entrances {
+            let Some(holder) = self.flows.holder(&address) else {
                 continue;
-            }
-            for port in &service.flow_ports {
-                if !other.flow_ports.contains(port) {
-                    continue;
-                }
-                let found = format!("{port}, which {} has at this address", other.name);
-                findings.push(Finding::new(place.clone(), found, "a port of its own"));
-            }
+            };
+            let found = format!("{address}, which {holder} has for flows");
+            findings.push(Finding::new(place, found, "a port of its own"));
         }
-        services.push(service);
     }
-    services
 }
 
 /// Reads one service.
-fn read_service(
-    name: &str,
-    section: &mut crate::Section<'_>,
-    findings: &mut Findings,
-) -> Option<Service> {
+fn read_service(name: &str, section: &mut Section<'_>, findings: &mut Findings) -> Option<Service> {
     let parsed = name.parse::<ServiceName>();
     if let Err(error) = &parsed {
         findings.push(Finding::new(
@@ -202,7 +239,10 @@
         ));
     }
     let vni = section.required("vni", findings);
-    let address = section.required("address", findings);
+    let address: Option<IpAddr> = section.required("address", findings);
+    if let Some(address) = address {
+        check_address(address, section.place("address"), findings);
+    }
     let mut flow_ports: Vec<FlowPort> = section.list("flow-ports", findings);
     flow_ports.sort_unstable();
     flow_ports.dedup();
@@ -217,17 +257,26 @@
     }
     let slots = section.within("slots", SLOTS, 1..=SLOT_LIMIT, findings);
     let connections = section.within("connections", CONNECTIONS, 1..=CONNECTION_LIMIT, findings);
-    let queue_limit = section.duration("queue-limit", QUEUE_LIMIT, findings);
-    let deadline = section.duration("deadline", DEADLINE, findings);
-    let flow_idle = section.duration("flow-idle", FLOW_IDLE, findings);
-    if flow_idle < FLOW_IDLE_LEAST {
-        let found = format!("{}s", flow_idle.as_secs_f64());
-        let finding = Finding::new(section.place("flow-idle"), found, "60s or longer");
-        findings.push(finding.with_hint("silent feeds lose their entry after this time"));
+    if slots > connections {
+        let allowed = format!("at most the connections, {connections}");
+        findings.push(Finding::new(
+            section.place("slots"),
+            slots.to_string(),
+            allowed,
+        ));
     }
+    let queue_limit = section.duration_within("queue-limit", QUEUE_LIMIT, WAIT_TIMES, findings);
+    let deadline = section.duration_within("deadline", DEADLINE, WAIT_TIMES, findings);
+    if deadline < queue_limit {
+        let found = humantime::format_duration(deadline).to_string();
+        let queue_limit = humantime::format_duration(queue_limit);
+        let allowed = format!("at least the queue-limit, {queue_limit}");
+        findings.push(Finding::new(section.place("deadline"), found, allowed));
+    }
+    let flow_idle = section.duration_within("flow-idle", FLOW_IDLE, IDLE_TIMES, findings);
     let retry_share = section.within("retry-share", RETRY_SHARE, 0..=100, findings);
     let eject_share = section.within("eject-share", EJECT_SHARE, 0..=100, findings);
-    let ramp_time = section.duration("ramp-time", RAMP_TIME, findings);
+    let ramp_time = section.duration_within("ramp-time", RAMP_TIME, RAMP_TIMES, findings);
     Some(Service {
         name: parsed.ok()?,
         vni: vni?,
@@ -246,35 +295,29 @@
 }
 
 /// Reads all class rules.
-fn read_rules(document: &Document, findings: &mut Findings) -> Vec<ClassRule> {
+fn read_rules(
+    document: &Document,
+    services: &[Service],
+    findings: &mut Findings,
+) -> Vec<ClassRule> {
     let mut rules = Vec::new();
+    let mut claims = Claims::new();
     for (name, mut section) in document.sections_of("class") {
         let service: Option<ServiceName> = section.required("service", findings);
         let path_prefix: Option<String> = section.required("path-prefix", findings);
         let class = section.required("class", findings);
-        let place = section.place("service");
-        let prefix_place = section.place("path-prefix");
-        section.report_unknown_keys(findings);
-        if let Some(service) = &service
-            && document
-                .sections_of("service")
-                .all(|(name, _)| name != service.as_str())
-        {
-            let found = format!("{service}, which no section describes");
-            findings.push(Finding::new(place, found, "a service of this preset"));
+        if let Some(service) = &service {
+            check_rule_service(document, service, services, &section, findings);
         }
-        if let Some(prefix) = &path_prefix
-            && !prefix.starts_with('/')
-        {
-            findings.push(Finding::new(
-                prefix_place,
-                format!("{prefix:?}"),
-                "a path from '/'",
-            ));
+        if let Some(prefix) = &path_prefix {
+            check_prefix(prefix, &section, findings);
         }
+        let place = section.place("path-prefix");
+        section.report_unknown_keys(findings);
         let (Some(service), Some(path_prefix), Some(class)) = (service, path_prefix, class) else {
             continue;
         };
+        claims.add(format!("{path_prefix} of {service}"), name, place);
         rules.push(ClassRule {
             name: name.into(),
             service,
@@ -282,5 +325,45 @@
             class,
         });
     }
+    claims.report("one rule for each path of a service", findings);
     rules
 }
+
+/// Reports a rule whose service is not in the preset or takes no requests.
+fn check_rule_service(
+    document: &Document,
+    name: &ServiceName,
+    services: &[Service],
+    section: &Section<'_>,
+    findings: &mut Findings,
+) {
+    let place = || section.place("service");
+    if let Some(service) = services.iter().find(|service| service.name == *name) {
+        if service.request_port.is_none() {
+            let found = format!("{name}, which has no request-port");
+            findings.push(Finding::new(
+                place(),
+                found,
+                "a service that takes requests",
+            ));
+        }
+        return;
+    }
+    // A service whose section has findings of its own is not among the checked ones.
+    let mut sections = document.sections_of("service");
+    if sections.all(|(held, _)| held != name.as_str()) {
+        let found = format!("{name}, which no section describes");
+        findings.push(Finding::new(place(), found, "a service of this preset"));
+    }
+}
+
+/// Reports a path prefix that no path can have.
+fn check_prefix(prefix: &str, section: &Section<'_>, findings: &mut Findings) {
+    let is_bad = |c: char| c.is_whitespace() || c.is_control() || matches!(c, '?' | '#');
+    if prefix.starts_with('/') && !prefix.contains(is_bad) {
+        return;
+    }
+    let place = section.place("path-prefix");
+    let allowed = "a path from '/', without spaces, '?' and '#'";
+    findings.push(Finding::new(place, format!("{prefix:?}"), allowed));
+}
--- /dev/null
+++ b/crates/config/src/settings/read.rs
@@ -0,0 +1,313 @@
+//! Reads the sections of a settings file.
+
+use std::net::{IpAddr, SocketAddr};
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bambooseam_types::{ByteCount, ByteRate, EventRate, Finding, Findings, Place};
+
+use super::{
+    AgentSettings, ForwarderSettings, LogSettings, PlatformSettings, ProxySettings, VmSettings,
+};
+use crate::claims::Claims;
+use crate::fleet::check_address;
+use crate::{Document, Section};
+
+/// Section kinds of a settings file.
+pub(super) const SECTIONS: [&str; 7] = [
+    "vm",
+    "platform",
+    "agent",
+    "forwarder",
+    "proxy",
+    "log",
+    "trace",
+];
+/// Levels that a log may have.
+const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+/// Start of all keys when none is named.
+const PREFIX: &str = "bambooseam";
+/// Watch time when none is named.
+const WATCH_TIME: Duration = Duration::from_secs(30);
+/// Poll time when none is named.
+const POLL_TIME: Duration = Duration::from_secs(30);
+/// Control budget when none is named.
+const BUDGET: ByteRate = ByteRate::new(3_000);
+/// Exchanges when no rate is named.
+const EXCHANGES: EventRate = EventRate::new(2.0);
+/// Flow limit when none is named.
+const FLOW_LIMIT: u64 = 1_000_000;
+/// Connection limit when none is named.
+const CONNECTION_LIMIT: u64 = 20_000;
+/// Head limit when none is named.
+const HEAD_LIMIT: ByteCount = ByteCount::new(64 << 10);
+/// Head time when none is named.
+const HEAD_TIME: Duration = Duration::from_secs(10);
+/// Drain time when none is named.
+const DRAIN_TIME: Duration = Duration::from_secs(300);
+/// Watch and poll times that are allowed.
+const ASK_TIMES: RangeInclusive<Duration> = Duration::from_millis(10)..=Duration::from_secs(3600);
+/// Control budgets that are allowed.
+const BUDGETS: RangeInclusive<ByteRate> = ByteRate::new(100)..=ByteRate::new(1 << 30);
+/// Rates of exchanges that are allowed.
+const EXCHANGE_RATES: RangeInclusive<EventRate> = EventRate::new(0.01)..=EventRate::new(1_000.0);
+/// Head limits that are allowed; the HTTP library needs 8 KiB.
+const HEAD_LIMITS: RangeInclusive<ByteCount> = ByteCount::new(8 << 10)..=ByteCount::new(1 << 20);
+/// Head times that are allowed.
+const HEAD_TIMES: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_secs(600);
+/// Drain times that are allowed.
+const DRAIN_TIMES: RangeInclusive<Duration> =
+    Duration::from_millis(1)..=Duration::from_secs(24 * 3600);
+/// Default ports, on the VM's address or on loopback.
+const AGENT_PORT: u16 = 7100;
+const VIEW_PORT: u16 = 7101;
+const AGENT_ADMIN: u16 = 7110;
+const FORWARDER_ADMIN: u16 = 7111;
+const PROXY_ADMIN: u16 = 7112;
+const GENEVE_PORT: u16 = 6081;
+const PROXY_PORT: u16 = 7200;
+
+/// Reads a section that may be absent; an absent one has all defaults.
+pub(super) fn read_section<T>(
+    document: &Document,
+    name: &str,
+    findings: &mut Findings,
+    read: impl FnOnce(&mut Section<'_>, &mut Findings) -> T,
+) -> T {
+    let mut section = document
+        .section(name)
+        .unwrap_or_else(|| Section::absent(document.file()));
+    let value = read(&mut section, findings);
+    section.report_unknown_keys(findings);
+    value
+}
+
+/// Reads `[vm]`.
+pub(super) fn read_vm(document: &Document, findings: &mut Findings) -> Option<VmSettings> {
+    let mut section = document.required_section("vm", findings)?;
+    let id = section.required("id", findings);
+    let zone = section.required("zone", findings);
+    let address: Option<IpAddr> = section.required("address", findings);
+    if let Some(address) = address {
+        check_address(address, section.place("address"), findings);
+    }
+    section.report_unknown_keys(findings);
+    Some(VmSettings {
+        id: id?,
+        zone: zone?,
+        address: address?,
+    })
+}
+
+/// Reads `[platform]`.
+pub(super) fn read_platform(
+    document: &Document,
+    findings: &mut Findings,
+) -> Option<PlatformSettings> {
+    let mut section = document.required_section("platform", findings)?;
+    let addresses: Vec<SocketAddr> = section.list("addresses", findings);
+    if addresses.is_empty() {
+        let place = section.place("addresses");
+        findings.push(Finding::new(
+            place,
+            "no address",
+            "IP:PORT, separated by commas",
+        ));
+    }
+    check_remote(&addresses, "addresses", &section, findings);
+    let prefix = section.or("prefix", PREFIX.to_owned(), findings);
+    check_prefix(&prefix, &section, findings);
+    let watch_time = section.duration_within("watch-time", WATCH_TIME, ASK_TIMES, findings);
+    let poll_time = section.duration_within("poll-time", POLL_TIME, ASK_TIMES, findings);
+    section.report_unknown_keys(findings);
+    Some(PlatformSettings {
+        addresses,
+        prefix,
+        watch_time,
+        poll_time,
+    })
+}
+
+/// Reads `[agent]`.
+pub(super) fn read_agent(
+    section: &mut Section<'_>,
+    address: IpAddr,
+    findings: &mut Findings,
+) -> AgentSettings {
+    let views: SocketAddr = section.or("views", loopback(VIEW_PORT), findings);
+    if !views.ip().is_loopback() {
+        let finding = Finding::new(
+            section.place("views"),
+            views.to_string(),
+            "a loopback address",
+        );
+        findings.push(finding.with_hint("only programs of this VM get their view here"));
+    }
+    let peers: Vec<SocketAddr> = section.list("peers", findings);
+    check_remote(&peers, "peers", section, findings);
+    AgentSettings {
+        listen: section.or("listen", SocketAddr::new(address, AGENT_PORT), findings),
+        views,
+        admin: section.or("admin", loopback(AGENT_ADMIN), findings),
+        peers,
+        budget: ranged(section, "budget", BUDGET, &BUDGETS, findings),
+        exchanges: ranged(section, "exchanges", EXCHANGES, &EXCHANGE_RATES, findings),
+    }
+}
+
+/// Reads `[forwarder]`.
+pub(super) fn read_forwarder(
+    section: &mut Section<'_>,
+    address: IpAddr,
+    findings: &mut Findings,
+) -> ForwarderSettings {
+    ForwarderSettings {
+        listen: section.or("listen", SocketAddr::new(address, GENEVE_PORT), findings),
+        admin: section.or("admin", loopback(FORWARDER_ADMIN), findings),
+        flow_limit: section.within("flow-limit", FLOW_LIMIT, 1..=100_000_000, findings),
+    }
+}
+
+/// Reads `[proxy]`.
+pub(super) fn read_proxy(
+    section: &mut Section<'_>,
+    address: IpAddr,
+    findings: &mut Findings,
+) -> ProxySettings {
+    ProxySettings {
+        address: section.or("address", address, findings),
+        listen: section.or("listen", SocketAddr::new(address, PROXY_PORT), findings),
+        admin: section.or("admin", loopback(PROXY_ADMIN), findings),
+        connection_limit: section.within(
+            "connection-limit",
+            CONNECTION_LIMIT,
+            1..=10_000_000,
+            findings,
+        ),
+        head_limit: ranged(section, "head-limit", HEAD_LIMIT, &HEAD_LIMITS, findings),
+        head_time: section.duration_within("head-time", HEAD_TIME, HEAD_TIMES, findings),
+        drain_time: section.duration_within("drain-time", DRAIN_TIME, DRAIN_TIMES, findings),
+    }
+}
+
+/// Reads `[log]`.
+pub(super) fn read_log(section: &mut Section<'_>, findings: &mut Findings) -> LogSettings {
+    let level = section.or("level", "info".to_owned(), findings);
+    if !LEVELS.contains(&level.as_str()) {
+        let place = section.place("level");
+        findings.push(Finding::new(place, format!("{level:?}"), LEVELS.join(", ")));
+    }
+    LogSettings {
+        level,
+        file: read_path(section, findings),
+    }
+}
+
+/// Reads the file of `[log]` or `[trace]`.
+pub(super) fn read_path(section: &mut Section<'_>, findings: &mut Findings) -> Option<PathBuf> {
+    let path: Option<PathBuf> = section.optional("file", findings);
+    if path
+        .as_ref()
+        .is_some_and(|path| path.as_os_str().is_empty())
+    {
+        let place = section.place("file");
+        findings.push(Finding::new(
+            place,
+            "an empty path",
+            "a path, or no such key",
+        ));
+    }
+    path
+}
+
+/// Parses a quantity within `allowed`, with `default` for an absent one.
+fn ranged<T>(
+    section: &mut Section<'_>,
+    key: &'static str,
+    default: T,
+    allowed: &RangeInclusive<T>,
+    findings: &mut Findings,
+) -> T
+where
+    T: crate::Value + PartialOrd + std::fmt::Display,
+{
+    let value = section.or(key, default, findings);
+    if !allowed.contains(&value) {
+        let range = format!("from {} to {}", allowed.start(), allowed.end());
+        findings.push(Finding::new(section.place(key), value.to_string(), range));
+    }
+    value
+}
+
+/// Reports addresses that nobody can be reached at.
+fn check_remote(
+    addresses: &[SocketAddr],
+    key: &str,
+    section: &Section<'_>,
+    findings: &mut Findings,
+) {
+    for address in addresses {
+        if address.port() > 0 && !address.ip().is_unspecified() {
+            continue;
+        }
+        let allowed = "IP:PORT of one machine, the port from 1";
+        findings.push(Finding::new(
+            section.place(key),
+            address.to_string(),
+            allowed,
+        ));
+    }
+}
+
+/// Reports a prefix that makes no path of a key.
+fn check_prefix(prefix: &str, section: &Section<'_>, findings: &mut Findings) {
+    let is_part = |part: &str| {
+        let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        !part.is_empty() && part.chars().all(is_allowed)
+    };
+    if prefix.split('/').all(is_part) {
+        return;
+    }
+    let allowed = "names of letters, digits, '-', '_' and '.', with '/' between them";
+    findings.push(Finding::new(
+        section.place("prefix"),
+        format!("{prefix:?}"),
+        allowed,
+    ));
+}
+
+/// Reports listeners that share an address and port; port 0 leaves the choice to the system.
+pub(super) fn check_listeners(
+    agent: &AgentSettings,
+    forwarder: &ForwarderSettings,
+    proxy: &ProxySettings,
+    document: &Document,
+    findings: &mut Findings,
+) {
+    let listeners = [
+        ("agent", "listen", agent.listen),
+        ("agent", "views", agent.views),
+        ("agent", "admin", agent.admin),
+        ("forwarder", "admin", forwarder.admin),
+        ("proxy", "listen", proxy.listen),
+        ("proxy", "admin", proxy.admin),
+    ];
+    let mut claims = Claims::new();
+    for (name, key, address) in listeners {
+        if address.port() == 0 {
+            continue;
+        }
+        let place = match document.section(name) {
+            Some(section) => section.place(key),
+            None => Place::new(document.file(), 0, format!("{name}.{key}")),
+        };
+        claims.add(address, format!("{name}.{key}"), place);
+    }
+    claims.report("an address and port of its own", findings);
+}
+
+/// A port on loopback.
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
--- a/crates/types/src/find.rs
+++ b/crates/types/src/find.rs
@@ -117,13 +117,18 @@
         self.0.iter()
     }
 
+    /// The findings in the order of their places.
+    pub fn sorted(mut self) -> Self {
+        self.0.sort();
+        self
+    }
+
     /// Gives `value` back when nothing was found, else the findings sorted by place.
-    pub fn into_result<T>(mut self, value: T) -> Result<T, Self> {
+    pub fn into_result<T>(self, value: T) -> Result<T, Self> {
         if self.0.is_empty() {
             return Ok(value);
         }
-        self.0.sort();
-        Err(self)
+        Err(self.sorted())
     }
 }
 
--- a/tests/tests/config.rs
+++ b/tests/tests/config.rs
@@ -1,6 +1,10 @@
 //! Documents and their findings.
 
-use bambooseam_config::{Document, InForce, Preset, Settings, digest_of};
+use std::time::{Duration, Instant};
+
+use bambooseam_config::{Document, InForce, Preset, Settings, TargetList, VmList, digest_of};
+use bambooseam_standin::{DeploymentKind, Plan};
+use bambooseam_types::Findings;
 use bambooseam_view::{View, ViewSource};
 
 /// A preset with one service for flows and requests.
@@ -82,3 +86,552 @@
         .to_string();
     assert!(report.contains("in-force.digest"), "{report}");
 }
+
+/// A settings file with all keys.
+const SETTINGS: &str = "\
+[vm]
+id = vm-1
+zone = north
+address = 10.0.0.1
+[platform]
+addresses = 10.9.0.1:8500, 10.9.0.2:8500
+prefix = firms/cascade
+watch-time = 30s
+poll-time = 1m
+[agent]
+listen = 10.0.0.1:7100
+views = 127.0.0.1:7101
+admin = 127.0.0.1:7110
+peers = 10.0.0.2:7100
+budget = 3KiB/s
+exchanges = 2/s
+[forwarder]
+listen = 10.0.0.1:6081
+admin = 127.0.0.1:7111
+flow-limit = 1000
+[proxy]
+address = 10.0.0.1
+listen = 10.0.0.1:7200
+admin = 127.0.0.1:7112
+connection-limit = 100
+head-limit = 64KiB
+head-time = 10s
+drain-time = 5m
+[log]
+level = info
+file = /tmp/log
+[trace]
+file = /tmp/trace
+";
+
+/// Two services, all keys.
+const SERVICES: &str = "\
+[preset]
+name = ordinary
+[service a]
+vni = 1
+address = 10.1.0.1
+flow-ports = 7000, 7001
+request-port = 8080
+slots = 2
+connections = 2000
+queue-limit = 2s
+deadline = 10s
+flow-idle = 24h
+retry-share = 10
+eject-share = 30
+ramp-time = 10s
+[service b]
+vni = 2
+address = 10.1.0.1
+flow-ports = 7002
+[class full]
+service = a
+path-prefix = /full/
+class = long
+";
+
+/// Two VMs.
+const VMS: &str = "\
+[vm a]
+zone = north
+state = live
+address = 10.0.0.1
+agent-port = 7100
+forwarder-port = 6081
+proxy-port = 7200
+[vm b]
+zone = south
+address = 10.0.0.2
+";
+
+/// Two targets.
+const TARGETS: &str = "\
+[target a]
+service = orders
+zone = north
+state = leaving
+address = 10.2.0.1
+flow-port = 6081
+request-port = 8080
+weight = 50
+[target b]
+service = orders
+zone = south
+address = 10.2.0.2
+";
+
+/// The findings of a document after one change.
+fn findings_of<T>(base: &str, from: &str, to: &str) -> Vec<String>
+where
+    T: for<'a> TryFrom<&'a Document, Error = Findings>,
+{
+    assert!(base.contains(from), "the base has no {from:?}");
+    let text = base.replacen(from, to, 1);
+    let result = Document::parse("file", &text).and_then(|document| T::try_from(&document));
+    let findings = result.err().unwrap_or_default();
+    findings.iter().map(ToString::to_string).collect()
+}
+
+/// Each change of a good document must give one finding that starts with its place.
+fn assert_each_found<T>(base: &str, cases: &[(&str, &str, &str)])
+where
+    T: for<'a> TryFrom<&'a Document, Error = Findings>,
+{
+    assert_eq!(findings_of::<T>(base, "", ""), Vec::<String>::new());
+    for (from, to, expected) in cases {
+        let found = findings_of::<T>(base, from, to);
+        assert_eq!(found.len(), 1, "{from:?} -> {to:?}: {found:?}");
+        assert!(
+            found[0].starts_with(expected),
+            "{from:?} -> {to:?}: {found:?}"
+        );
+    }
+}
+
+#[test]
+fn each_bad_setting_is_found_at_its_line() {
+    assert_each_found::<Settings>(
+        SETTINGS,
+        &[
+            ("id = vm-1", "id = vm 1", "file:2: vm.id: found \"vm 1\""),
+            ("id = vm-1\n", "", "file:1: vm.id: found no such key"),
+            ("zone = north", "zone =", "file:3: vm.zone"),
+            (
+                "address = 10.0.0.1",
+                "address = 0.0.0.0",
+                "file:4: vm.address",
+            ),
+            ("address = 10.0.0.1", "address = here", "file:4: vm.address"),
+            (
+                "addresses = 10.9.0.1:8500, 10.9.0.2:8500",
+                "addresses = ,",
+                "file:6: platform.addresses",
+            ),
+            ("10.9.0.2:8500", "10.9.0.2:0", "file:6: platform.addresses"),
+            (
+                "10.9.0.2:8500",
+                "platform:8500",
+                "file:6: platform.addresses",
+            ),
+            ("firms/cascade", "/firms", "file:7: platform.prefix"),
+            ("firms/cascade", "", "file:7: platform.prefix"),
+            (
+                "watch-time = 30s",
+                "watch-time = 0s",
+                "file:8: platform.watch-time",
+            ),
+            (
+                "watch-time = 30s",
+                "watch-time = 30",
+                "file:8: platform.watch-time",
+            ),
+            (
+                "poll-time = 1m",
+                "poll-time = 2days",
+                "file:9: platform.poll-time",
+            ),
+            (
+                "listen = 10.0.0.1:7100",
+                "listen = 7100",
+                "file:11: agent.listen",
+            ),
+            (
+                "views = 127.0.0.1:7101",
+                "views = 10.0.0.1:7101",
+                "file:12: agent.views",
+            ),
+            (
+                "admin = 127.0.0.1:7110",
+                "admin = 127.0.0.1:7101",
+                "file:13: agent.admin",
+            ),
+            (
+                "admin = 127.0.0.1:7112",
+                "admin = 127.0.0.1:7111",
+                "file:24: proxy.admin",
+            ),
+            (
+                "peers = 10.0.0.2:7100",
+                "peers = 10.0.0.2",
+                "file:14: agent.peers",
+            ),
+            (
+                "peers = 10.0.0.2:7100",
+                "peers = 0.0.0.0:7100",
+                "file:14: agent.peers",
+            ),
+            ("budget = 3KiB/s", "budget = 0B/s", "file:15: agent.budget"),
+            ("budget = 3KiB/s", "budget = 3KiB", "file:15: agent.budget"),
+            (
+                "exchanges = 2/s",
+                "exchanges = 0/s",
+                "file:16: agent.exchanges",
+            ),
+            (
+                "exchanges = 2/s",
+                "exchanges = NaN/s",
+                "file:16: agent.exchanges",
+            ),
+            (
+                "listen = 10.0.0.1:6081",
+                "listen = x",
+                "file:18: forwarder.listen",
+            ),
+            (
+                "flow-limit = 1000",
+                "flow-limit = 0",
+                "file:20: forwarder.flow-limit",
+            ),
+            (
+                "flow-limit = 1000",
+                "flow-limit = -1",
+                "file:20: forwarder.flow-limit",
+            ),
+            (
+                "connection-limit = 100",
+                "connection-limit = 0",
+                "file:25: proxy.connection-limit",
+            ),
+            (
+                "head-limit = 64KiB",
+                "head-limit = 1KiB",
+                "file:26: proxy.head-limit",
+            ),
+            (
+                "head-limit = 64KiB",
+                "head-limit = 64kb",
+                "file:26: proxy.head-limit",
+            ),
+            (
+                "head-time = 10s",
+                "head-time = 0s",
+                "file:27: proxy.head-time",
+            ),
+            (
+                "drain-time = 5m",
+                "drain-time = 0s",
+                "file:28: proxy.drain-time",
+            ),
+            ("level = info", "level = loud", "file:30: log.level"),
+            ("file = /tmp/log", "file =", "file:31: log.file"),
+            ("file = /tmp/trace", "file =", "file:33: trace.file"),
+            (
+                "level = info",
+                "levle = info",
+                "file:30: log.levle: found an unknown key",
+            ),
+            (
+                "[trace]",
+                "[traces]",
+                "file:32: traces: found an unknown section",
+            ),
+            ("[trace]", "trace", "file:32: found \"trace\""),
+            ("[trace]", "[trace", "file:32: found \"[trace\""),
+            (
+                "[vm]",
+                "a = b\n[vm]",
+                "file:1: found a key before any section",
+            ),
+        ],
+    );
+}
+
+#[test]
+fn each_bad_value_of_a_preset_is_found_at_its_line() {
+    assert_each_found::<Preset>(
+        SERVICES,
+        &[
+            ("name = ordinary", "name = a/b", "file:2: preset.name"),
+            (
+                "[preset]\n",
+                "[preset]\nname = a\n",
+                "file:3: preset.name: found the key twice",
+            ),
+            (
+                "[service b]",
+                "[service a]",
+                "file:16: service a: found the section twice",
+            ),
+            (
+                "[service b]",
+                "[service  a]",
+                "file:16: service a: found the section twice",
+            ),
+            ("vni = 1", "vni = 16777216", "file:4: service a.vni"),
+            (
+                "vni = 2",
+                "vni = 1",
+                "file:17: service b.vni: found 1, which a has",
+            ),
+            (
+                "address = 10.1.0.1",
+                "address = 224.0.0.1",
+                "file:5: service a.address",
+            ),
+            ("7000, 7001", "7000, 0", "file:6: service a.flow-ports"),
+            (
+                "flow-ports = 7002",
+                "flow-ports = 7001",
+                "file:19: service b.flow-ports: found 10.1.0.1:7001, which a has",
+            ),
+            (
+                "flow-ports = 7002",
+                "",
+                "file:16: service b.flow-ports: found no port",
+            ),
+            (
+                "request-port = 8080",
+                "request-port = 7002",
+                "file:7: service a.request-port: found 10.1.0.1:7002, which b has",
+            ),
+            (
+                "request-port = 8080",
+                "request-port = 7000",
+                "file:7: service a.request-port: found 10.1.0.1:7000, which a has",
+            ),
+            (
+                "flow-ports = 7002",
+                "request-port = 8080",
+                "file:19: service b.request-port: found 8080, which a has",
+            ),
+            ("slots = 2", "slots = 0", "file:8: service a.slots"),
+            (
+                "slots = 2\nconnections = 2000",
+                "slots = 10001\nconnections = 20000",
+                "file:8: service a.slots",
+            ),
+            (
+                "connections = 2000",
+                "connections = 1",
+                "file:8: service a.slots: found 2, allowed: at most the connections",
+            ),
+            (
+                "connections = 2000",
+                "connections = many",
+                "file:9: service a.connections",
+            ),
+            (
+                "queue-limit = 2s",
+                "queue-limit = 0s",
+                "file:10: service a.queue-limit",
+            ),
+            (
+                "queue-limit = 2s",
+                "queue-limit = 11s",
+                "file:11: service a.deadline: found 10s, allowed: at least the queue-limit, 11s",
+            ),
+            (
+                "flow-idle = 24h",
+                "flow-idle = 59s",
+                "file:12: service a.flow-idle",
+            ),
+            (
+                "retry-share = 10",
+                "retry-share = 101",
+                "file:13: service a.retry-share",
+            ),
+            (
+                "eject-share = 30",
+                "eject-share = 101",
+                "file:14: service a.eject-share",
+            ),
+            (
+                "ramp-time = 10s",
+                "ramp-time = 2h",
+                "file:15: service a.ramp-time",
+            ),
+            (
+                "service = a",
+                "service = c",
+                "file:21: class full.service: found c, which no section",
+            ),
+            (
+                "service = a",
+                "service = b",
+                "file:21: class full.service: found b, which has no request-port",
+            ),
+            ("/full/", "full", "file:22: class full.path-prefix"),
+            ("/full/", "/full/?x", "file:22: class full.path-prefix"),
+            (
+                "class = long",
+                "class = medium",
+                "file:23: class full.class",
+            ),
+            (
+                "class = long",
+                "class = long\n[class again]\nservice = a\npath-prefix = /full/\nclass = short",
+                "file:26: class again.path-prefix: found /full/ of a, which full has",
+            ),
+            (
+                "[class full]",
+                "[class]",
+                "file:20: class: found [class], allowed: [class NAME]",
+            ),
+        ],
+    );
+    let empty = findings_of::<Preset>("[preset]\nname = empty\n", "", "");
+    assert_eq!(
+        empty,
+        ["file: service: found no service, allowed: at least one [service NAME]"]
+    );
+}
+
+#[test]
+fn each_bad_value_of_the_lists_is_found_at_its_line() {
+    assert_each_found::<VmList>(
+        VMS,
+        &[
+            ("[vm a]", "[vm a/b]", "file:1: vm a/b.name"),
+            (
+                "[vm a]",
+                "[vm]",
+                "file:1: vm: found [vm], allowed: [vm NAME]",
+            ),
+            ("zone = north\n", "", "file:1: vm a.zone: found no such key"),
+            ("state = live", "state = gone", "file:3: vm a.state"),
+            ("address = 10.0.0.1", "address = ::", "file:4: vm a.address"),
+            (
+                "agent-port = 7100",
+                "agent-port = 0",
+                "file:5: vm a.agent-port",
+            ),
+            (
+                "agent-port = 7100",
+                "agent-port = 7200",
+                "file:7: vm a.proxy-port: found 10.0.0.1:7200, which a has",
+            ),
+            (
+                "address = 10.0.0.2",
+                "address = 10.0.0.1\nagent-port = 1\nproxy-port = 2",
+                "file:8: vm b.forwarder-port: found 10.0.0.1:6081, which a has",
+            ),
+        ],
+    );
+    assert_eq!(findings_of::<VmList>(VMS, "10.0.0.2", "10.0.0.1").len(), 3);
+    assert_each_found::<TargetList>(
+        TARGETS,
+        &[
+            ("service = orders", "service =", "file:2: target a.service"),
+            (
+                "state = leaving",
+                "state = joining",
+                "file:4: target a.state",
+            ),
+            (
+                "address = 10.2.0.1",
+                "address = 255.255.255.255",
+                "file:5: target a.address",
+            ),
+            (
+                "flow-port = 6081",
+                "flow-port = 65536",
+                "file:6: target a.flow-port",
+            ),
+            ("weight = 50", "weight = 10001", "file:8: target a.weight"),
+            (
+                "address = 10.2.0.2",
+                "address = 10.2.0.1\nrequest-port = 1",
+                "file:9: target b.flow-port: found 10.2.0.1:6081 for flows of orders, which a has",
+            ),
+        ],
+    );
+    let other_service = TARGETS.replace(
+        "service = orders\nzone = south",
+        "service = charts\nzone = south",
+    );
+    let reused = findings_of::<TargetList>(&other_service, "10.2.0.2", "10.2.0.1");
+    assert_eq!(
+        reused,
+        Vec::<String>::new(),
+        "the VNI tells services at one address apart"
+    );
+}
+
+#[test]
+fn bad_pointer_is_refused() {
+    let digest = digest_of(PRESET);
+    let pointer = format!("[in-force]\nrevision = 1\nname = ordinary\ndigest = {digest}\n");
+    let hex = digest.to_string();
+    assert_each_found::<InForce>(
+        &pointer,
+        &[
+            (
+                "revision = 1",
+                "revision = 0",
+                "file:2: in-force.revision: found 0",
+            ),
+            ("revision = 1", "revision = -1", "file:2: in-force.revision"),
+            ("name = ordinary", "name =", "file:3: in-force.name"),
+            (&hex, "12", "file:4: in-force.digest"),
+            (
+                "[in-force]",
+                "; pointer\n[in-force]\nnote = x",
+                "file:3: in-force.note",
+            ),
+        ],
+    );
+}
+
+#[test]
+fn lines_are_right_behind_comments_blanks_and_repeated_keys() {
+    let text = "; zone = a\n\r\n[vm a]\r\nzone = n\n# address = 1.1.1.1\naddress: x\n\n[vm b]\nzone = n\naddress = y\n";
+    let found = findings_of::<VmList>(text, "", "");
+    assert_eq!(found.len(), 2, "{found:?}");
+    assert!(
+        found[0].starts_with("file:6: vm a.address: found \"x\""),
+        "{found:?}"
+    );
+    assert!(
+        found[1].starts_with("file:10: vm b.address: found \"y\""),
+        "{found:?}"
+    );
+}
+
+/// A megabyte must be read well within the 8 s in which a change is to be in force everywhere.
+const READ_LIMIT: Duration = Duration::from_secs(4);
+
+#[test]
+fn document_of_a_megabyte_is_read_fast_with_right_lines() {
+    let mut list = Plan::of(DeploymentKind::Cascade)
+        .with_targets(4_800, 100)
+        .build()
+        .targets;
+    for target in &mut list.0 {
+        target.id = format!("{}-{}", target.id, "x".repeat(53))
+            .parse()
+            .expect("a name");
+    }
+    let mut text = list.to_text();
+    text.push_str("[target last]\nservice = fill-charts\nzone = skagit\naddress = x\n");
+    let lines = text.lines().count();
+    assert!(text.len() > 900_000, "{} bytes", text.len());
+    let start = Instant::now();
+    let document = Document::parse("targets", &text).expect("INI");
+    let findings = TargetList::try_from(&document).expect_err("a bad address");
+    let took = start.elapsed();
+    assert_eq!(findings.len(), 1);
+    let place = &findings.iter().next().expect("a finding").place;
+    assert_eq!(place.line, lines);
+    assert!(took < READ_LIMIT, "{took:?}");
+}
