ctl explains by the forwarder's and proxy's own ranks; command lines tested

Cause: forwarders rank flows by bucket and proxies own targets by service and zone, so that ranks worked out by ctl itself would have differed. Ruled out: a copy of these ranks in ctl. Conclusion: taken; forwarders do not tell flows by target, so can-stop target answers unknown while a forwarder has any flow.

--- a/crates/ctl/src/can_stop.rs
+++ b/crates/ctl/src/can_stop.rs
@@ -181,11 +181,10 @@
 
     /// Checks what the VM's own programs have in progress.
     fn check_work(&mut self, reading: &VmReading) {
-        let requests = reading.proxy.status().and_then(counts::open_requests);
-        match requests {
+        match reading.proxy.status().and_then(counts::open_feeds) {
             Some(0) => {}
-            Some(count) => self.breaks(format!("its proxy has {count} requests in progress")),
-            None => self.unknown("its proxy does not tell of requests in progress"),
+            Some(count) => self.breaks(format!("its proxy has {count} upgraded connections")),
+            None => self.unknown("its proxy does not tell of upgraded connections"),
         }
         let left = reading.forwarder.status().and_then(counts::handover_left);
         match left {
@@ -203,16 +202,21 @@
             Some(0) => {}
             Some(count) => self.breaks(format!("{name} has {count} flows to it")),
             None => self.unknown(format!(
-                "the forwarder of {name} does not tell of its flows"
+                "the forwarder of {name} does not tell its flows to it"
             )),
         }
         if view.service(target.service).request_port.is_none() {
             return;
         }
         let requests = reading.proxy.status();
-        match requests.and_then(|status| counts::requests_of(status, target)) {
+        match requests.and_then(|status| counts::requests_beside(status, target)) {
             Some(0) => {}
-            Some(count) => self.breaks(format!("{name} runs {count} requests on it")),
+            Some(count) => {
+                let (service, zone) = (&target.entry.service, &target.entry.zone);
+                self.unknown(format!(
+                    "{name} runs {count} requests on targets of {service} in {zone}, maybe on it"
+                ));
+            }
             None => self.unknown(format!("the proxy of {name} does not tell of its requests")),
         }
     }
--- a/crates/ctl/src/can_stop/counts.rs
+++ b/crates/ctl/src/can_stop/counts.rs
@@ -5,30 +5,43 @@
 
 use crate::fleet::ProgramStatus;
 
-/// Requests that a proxy has in progress.
-pub fn open_requests(proxy: &ProgramStatus) -> Option<u64> {
-    proxy.raw["open_requests"].as_u64()
+/// Upgraded connections of a proxy, which a stop cuts; it finishes requests in progress itself.
+pub fn open_feeds(proxy: &ProgramStatus) -> Option<u64> {
+    proxy.raw["feeds"].as_u64()
 }
 
-/// Flows that a leaving forwarder has yet to hand over.
+/// Flows that a leaving forwarder has yet to hand over, at least 1 while it looks for them.
 pub fn handover_left(forwarder: &ProgramStatus) -> Option<u64> {
-    forwarder.raw["handover_left"].as_u64()
+    let waiting = forwarder.raw["handover_waiting"].as_u64()?;
+    match forwarder.raw["handed_over"].as_bool()? {
+        true => Some(waiting),
+        false => Some(waiting.max(1)),
+    }
 }
 
-/// Flows that a forwarder has to a target.
+/// Flows that a forwarder has to a target; `None` when it does not tell them by target.
 pub fn flows_of(forwarder: &ProgramStatus, target: &Target) -> Option<u64> {
-    count_of(&forwarder.raw["targets"], target, "flows")
-}
-
-/// Requests that a proxy runs on a target.
-pub fn requests_of(proxy: &ProgramStatus, target: &Target) -> Option<u64> {
-    count_of(&proxy.raw["targets"], target, "busy")
+    if forwarder.raw["flows"].as_u64() == Some(0) {
+        return Some(0);
+    }
+    let targets = forwarder.raw["targets"].as_array()?;
+    let id = target.entry.id.as_str();
+    let found = targets.iter().find(|held| held["target"] == id);
+    found.map_or(Some(0), |held| held["flows"].as_u64())
 }
 
-/// The count `key` of a target in a list; 0 when the list does not speak of it.
-fn count_of(list: &Value, target: &Target, key: &str) -> Option<u64> {
-    let list = list.as_array()?;
-    let id = target.entry.id.as_str();
-    let found = list.iter().find(|held| held["target"] == id);
-    found.map_or(Some(0), |held| held[key].as_u64())
+/// Requests that run on the targets of a service and zone, as the proxy that owns them counts.
+///
+/// A proxy that owns nothing there counts 0, so the sum over all proxies is the whole.
+pub fn requests_beside(proxy: &ProgramStatus, target: &Target) -> Option<u64> {
+    let groups = proxy.raw["owned"].as_array()?;
+    let is_own = |group: &&Value| {
+        group["service"] == target.entry.service.as_str()
+            && group["zone"] == target.entry.zone.as_str()
+    };
+    let busy = groups
+        .iter()
+        .filter(is_own)
+        .map(|group| group["busy"].as_u64());
+    busy.sum()
 }
--- a/crates/ctl/src/explain/flow.rs
+++ b/crates/ctl/src/explain/flow.rs
@@ -1,9 +1,13 @@
-//! Where the packets of a flow go.
+//! Where the packets of a flow go, by the forwarder's own ranks.
 
 use std::fmt::{self, Display, Formatter};
+use std::sync::Arc;
 
-use bambooseam_types::Flow;
-use bambooseam_view::{EntranceKind, FlowKey, Ranking, View, pick_weighted};
+use bambooseam_forwarder::Moment;
+use bambooseam_forwarder::target::TargetRegistry;
+use bambooseam_forwarder::topology::{Member, Topology};
+use bambooseam_types::{Flow, VmId, Weight};
+use bambooseam_view::{Entrance, EntranceKind, FlowKey, View, VmHealth, pick_weighted};
 use serde_json::{Value, json};
 
 use super::Answer;
@@ -27,45 +31,65 @@
 pub fn explain_flow(view: &View, flow: &Flow) -> Option<FlowAnswer> {
     let entrance = view.entrance(flow.service)?;
     let key = FlowKey::from(flow);
-    let [owner, shadow] = view.forwarders().top::<2>(key);
-    let pick = match entrance.kind {
-        EntranceKind::Flows => pick_target(view, entrance.service, key),
-        EntranceKind::Requests => first_vm(view, view.proxies(), key),
-    };
+    let owner = first_live(view, &observer(view), key);
+    let shadow = owner
+        .as_ref()
+        .and_then(|owner| first_live(view, &owner.id, key));
+    let name = |member: Member| vm_name(view, &member.id);
     Some(FlowAnswer {
         service: view.service(entrance.service).name.to_string(),
         kind: entrance.kind,
-        owner: owner.map(|index| vm_name(view, index)),
-        shadow: shadow.map(|index| vm_name(view, index)),
-        pick,
+        owner: owner.map(name),
+        shadow: shadow.map(name),
+        pick: pick(view, entrance, key),
     })
 }
 
-/// The default pick among the targets that take new work.
-fn pick_target(
-    view: &View,
-    service: bambooseam_view::ServiceIndex,
-    key: FlowKey,
-) -> Option<String> {
-    let targets = view.targets_of(service);
-    let open = targets
-        .iter()
-        .enumerate()
-        .filter(|(_, target)| target.is_open());
-    let members = open.map(|(index, target)| (index, target.hash, target.entry.weight));
-    let index = pick_weighted(key, members)?;
-    Some(targets[index].entry.id.to_string())
+/// The first live forwarder in rank that is not the one of `vm`.
+fn first_live(view: &View, vm: &VmId, key: FlowKey) -> Option<Member> {
+    let mut targets = TargetRegistry::default();
+    let view = Arc::new(view.clone());
+    let mut topology = Topology::new(view, vm, None, &mut targets, Moment::default());
+    let ranks = topology.ranks(key);
+    topology.first_other(&ranks).cloned()
 }
 
-/// The VM that ranks first.
-fn first_vm(view: &View, ranking: &Ranking, key: FlowKey) -> Option<String> {
-    ranking.first(key).map(|index| vm_name(view, index))
+/// An identifier that no VM of the view has.
+fn observer(view: &View) -> VmId {
+    let mut names = (0..).map(|number| format!("observer-{number}"));
+    names
+        .find_map(|name| name.parse().ok().filter(|id| view.vm(id).is_none()))
+        .unwrap_or_else(|| unreachable!("a view has finitely many VMs"))
 }
 
-/// Name and zone of the VM at `index`.
-fn vm_name(view: &View, index: usize) -> String {
-    let entry = &view.vms[index].entry;
-    format!("{} ({})", entry.id, entry.zone)
+/// The default pick among the targets or proxies that take new flows.
+fn pick(view: &View, entrance: Entrance, key: FlowKey) -> Option<String> {
+    match entrance.kind {
+        EntranceKind::Flows => {
+            let targets = view.targets_of(entrance.service).iter().enumerate();
+            let open = targets.filter(|(_, target)| target.is_open());
+            let members = open.map(|(at, target)| (at, target.hash, target.entry.weight));
+            let index = pick_weighted(key, members)?;
+            let target = &view.targets_of(entrance.service)[index].entry;
+            Some(format!("{} ({})", target.id, target.zone))
+        }
+        EntranceKind::Requests => {
+            let vms = view.vms.iter().enumerate();
+            let live = vms.filter(|(_, vm)| vm.health == VmHealth::Live);
+            let hash = |id: &VmId| FlowKey::of_name(id.as_str()).get();
+            let members = live.map(|(at, vm)| (at, hash(&vm.entry.id), Weight::USUAL));
+            let index = pick_weighted(key, members)?;
+            Some(vm_name(view, &view.vms[index].entry.id))
+        }
+    }
+}
+
+/// Name and zone of a VM.
+pub(super) fn vm_name(view: &View, id: &VmId) -> String {
+    match view.vm(id) {
+        Some(vm) => format!("{id} ({})", vm.entry.zone),
+        None => id.to_string(),
+    }
 }
 
 impl Display for FlowAnswer {
@@ -78,10 +102,10 @@
         writeln!(f, "  service: {}", self.service)?;
         writeln!(
             f,
-            "  owner: {}, ranks first among live forwarders",
+            "  owner: {}, first in rank among live forwarders",
             text(&self.owner)
         )?;
-        writeln!(f, "  shadow: {}, ranks second", text(&self.shadow))?;
+        writeln!(f, "  shadow: {}, second in rank", text(&self.shadow))?;
         write!(
             f,
             "  {kind}: {}, by default for a new flow",
--- a/crates/ctl/src/explain/request.rs
+++ b/crates/ctl/src/explain/request.rs
@@ -1,9 +1,12 @@
 //! Where a request goes: its class, and the proxy that owns each target's slots.
 
 use std::fmt::{self, Display, Formatter};
+use std::sync::Arc;
+use std::time::SystemTime;
 
 use bambooseam_config::WorkClass;
-use bambooseam_view::{FlowKey, Ranking, ServiceIndex, Target, View, VmHealth};
+use bambooseam_proxy::{GroupRoute, OwnerAddress, Routes};
+use bambooseam_view::{ServiceIndex, Target, View};
 use serde_json::{Value, json};
 
 use super::Answer;
@@ -38,34 +41,42 @@
 pub fn explain_request(view: &View, index: ServiceIndex, path: &str) -> RequestAnswer {
     let service = view.service(index);
     let targets = view.targets_of(index);
+    let groups = list_groups(view, index);
     RequestAnswer {
         service: service.name.to_string(),
         class: view.preset.class_of(&service.name, path),
         slots: service.slots,
         targets: targets
             .iter()
-            .map(|target| owner_of(view, target))
+            .map(|target| owner_of(view, &groups, target))
             .collect(),
     }
 }
 
-/// The owner of a target: first in rank among the live proxies of its zone, else of all zones.
-fn owner_of(view: &View, target: &Target) -> TargetOwner {
-    let key = FlowKey::from(target.hash);
+/// The groups of targets of a service with their owners, by the proxy's own ranks.
+fn list_groups(view: &View, index: ServiceIndex) -> Vec<GroupRoute> {
+    let Some(vm) = view.vms.first() else {
+        return Vec::new();
+    };
+    let (id, zone) = (vm.entry.id.clone(), vm.entry.zone.clone());
+    let routes = Routes::new(Arc::new(view.clone()), id, zone, SystemTime::UNIX_EPOCH);
+    routes.groups(index).to_vec()
+}
+
+/// The owner of a target: that of its service and zone.
+fn owner_of(view: &View, groups: &[GroupRoute], target: &Target) -> TargetOwner {
     let zone = &target.entry.zone;
-    let live = view
-        .vms
-        .iter()
-        .enumerate()
-        .filter(|(_, vm)| vm.health == VmHealth::Live);
-    let own = live.filter(|(_, vm)| vm.entry.zone == *zone);
-    let ranking = Ranking::new(own.map(|(index, vm)| (index, vm.entry.id.as_str())));
-    let first = ranking.first(key).or_else(|| view.proxies().first(key));
+    let group = groups.iter().find(|route| route.group.zone == *zone);
+    let owner = group.and_then(|route| route.owners.first());
+    let vm = owner.and_then(|owner| match owner {
+        OwnerAddress::Own => view.vms.first(),
+        OwnerAddress::Peer(address) => view.vms.iter().find(|vm| vm.entry.proxy == *address),
+    });
     TargetOwner {
         target: target.entry.id.to_string(),
         zone: zone.to_string(),
         open: target.is_open(),
-        owner: first.map(|index| view.vms[index].entry.id.to_string()),
+        owner: vm.map(|vm| vm.entry.id.to_string()),
     }
 }
 
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,3 +1,4 @@
 //! Tests of the workspace, one file per feature under `tests/`.
 
 pub mod inputs;
+pub mod programs;
--- /dev/null
+++ b/tests/tests/cli.rs
@@ -0,0 +1,281 @@
+//! Command lines of all programs, run as processes.
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use bambooseam_standin::{Deployment, DeploymentKind};
+use bambooseam_tests::programs::program;
+use serde_json::Value;
+
+/// Programs of an entry VM.
+const VM_PROGRAMS: [&str; 3] = [
+    "bambooseam-agent",
+    "bambooseam-forwarder",
+    "bambooseam-proxy",
+];
+
+/// All programs that operators run.
+const PROGRAMS: [&str; 4] = [
+    VM_PROGRAMS[0],
+    VM_PROGRAMS[1],
+    VM_PROGRAMS[2],
+    "bambooseam-ctl",
+];
+
+/// A file that is removed at the end.
+struct TestFile(PathBuf);
+
+impl TestFile {
+    fn new(name: &str, text: &str) -> Self {
+        let name = format!("bambooseam-cli-{}-{name}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        fs::write(&path, text).expect("a file");
+        Self(path)
+    }
+
+    fn settings(name: &str) -> Self {
+        let deployment = Deployment::of(DeploymentKind::Cascade);
+        let platform = ([127, 0, 0, 1], 1).into();
+        Self::new(name, &deployment.settings(&deployment.vms.0[0], platform))
+    }
+
+    fn text(&self) -> &str {
+        self.0.to_str().expect("a path of ASCII")
+    }
+}
+
+impl Drop for TestFile {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+fn run(name: &str, args: &[&str]) -> Output {
+    let mut command = Command::new(program(name));
+    command.args(args).output().expect("the program runs")
+}
+
+fn output(output: &Output) -> String {
+    let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+    text.push_str(&String::from_utf8_lossy(&output.stderr));
+    text
+}
+
+#[track_caller]
+fn assert_code(run: &Output, code: i32) {
+    assert_eq!(run.status.code(), Some(code), "{}", output(run));
+}
+
+#[test]
+fn every_program_tells_help_and_version() {
+    for name in PROGRAMS {
+        let help = run(name, &["--help"]);
+        assert_code(&help, 0);
+        for word in ["--settings", "--check", "--version", "--help"] {
+            assert!(output(&help).contains(word), "{name}: {}", output(&help));
+        }
+        let version = run(name, &["--version"]);
+        assert_code(&version, 0);
+        let expected = format!("{name} {}\n", env!("CARGO_PKG_VERSION"));
+        assert_eq!(output(&version), expected);
+        assert_code(&run(name, &["--nonsense"]), 2);
+    }
+}
+
+#[test]
+fn every_program_checks_good_settings() {
+    let settings = TestFile::settings("good");
+    for name in PROGRAMS {
+        let checked = run(name, &["--settings", settings.text(), "--check"]);
+        assert_code(&checked, 0);
+        assert!(
+            output(&checked).contains("result=good"),
+            "{}",
+            output(&checked)
+        );
+    }
+}
+
+#[test]
+fn every_program_refuses_bad_settings_with_all_findings() {
+    let text = "[vm]\nid = vm-1\nzone =\naddress = 127.0.0.1\n[platform]\nadresses = x\n";
+    let settings = TestFile::new("bad", text);
+    for name in PROGRAMS {
+        for args in [&["--check"][..], &[]] {
+            if name == "bambooseam-ctl" && args.is_empty() {
+                continue;
+            }
+            let refused = run(name, &[&["--settings", settings.text()], args].concat());
+            assert_code(&refused, 2);
+            let text = output(&refused);
+            assert!(text.contains(":3: vm.zone"), "{name}: {text}");
+            assert!(text.contains(":6: platform.adresses"), "{name}: {text}");
+            assert!(text.contains("did you mean addresses?"), "{name}: {text}");
+        }
+        assert_code(&run(name, &["--settings", "/absent", "--check"]), 2);
+    }
+}
+
+#[test]
+fn programs_need_settings() {
+    for name in VM_PROGRAMS {
+        assert_code(&run(name, &[]), 2);
+        assert_code(&run(name, &["--check"]), 2);
+    }
+    assert_code(&run("bambooseam-ctl", &[]), 2);
+    assert_code(&run("bambooseam-ctl", &["--check"]), 2);
+}
+
+#[test]
+fn ctl_ends_with_the_codes_that_the_manual_lists() {
+    let settings = TestFile::settings("codes");
+    let list = TestFile::new("list", "[vm a]\nzone = n\naddress = 127.0.0.1\n");
+    let bad = TestFile::new("bad-list", "[vm a]\nzone = n\naddress = x\n");
+    let ctl = |args: &[&str]| run("bambooseam-ctl", args);
+    assert_code(&ctl(&["check", list.text()]), 0);
+    assert_code(&ctl(&["check", bad.text()]), 2);
+    assert_code(&ctl(&["check", "--kind", "targets", list.text()]), 2);
+    assert_code(&ctl(&["check", "--kind", "nonsense", list.text()]), 2);
+    assert_code(&ctl(&["status"]), 2);
+    assert_code(&ctl(&["status", "--settings", settings.text()]), 3);
+    assert_code(&ctl(&["wait", "--vm", "127.0.0.1:1"]), 2);
+    let wait = [
+        "wait",
+        "--vm",
+        "127.0.0.1:1",
+        "--revision",
+        "1",
+        "--timeout",
+        "100ms",
+    ];
+    assert_code(&ctl(&wait), 3);
+}
+
+#[test]
+fn ctl_prints_json_for_scripts_and_progress_only_on_terminals() {
+    let bad = TestFile::new("json", "[vm a]\nzone = n\naddress = x\n");
+    let checked = run("bambooseam-ctl", &["check", "--format", "json", bad.text()]);
+    assert_code(&checked, 2);
+    let report: Value = serde_json::from_slice(&checked.stdout).expect("JSON");
+    assert_eq!(report["result"], "bad-input");
+    assert_eq!(report["findings"][0]["line"], 3);
+    assert_eq!(report["findings"][0]["allowed"], "an IP address");
+
+    let wait = [
+        "wait",
+        "--vm",
+        "127.0.0.1:1",
+        "--revision",
+        "1",
+        "--timeout",
+        "0s",
+    ];
+    let waited = run(
+        "bambooseam-ctl",
+        &[&wait[..], &["--format", "json"]].concat(),
+    );
+    assert_code(&waited, 3);
+    assert!(waited.stderr.is_empty(), "{}", output(&waited));
+    let report: Value = serde_json::from_slice(&waited.stdout).expect("JSON");
+    assert_eq!(report["programs"], 3);
+}
+
+/// Longest wait for a program to start.
+const START_LIMIT: Duration = Duration::from_secs(60);
+
+/// Time for a started program to install its signal handlers after its endpoint answers.
+const SIGNAL_TIME: Duration = Duration::from_millis(500);
+
+/// A running program; killed at the end if it still runs.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A loopback address of this process alone.
+fn own_address() -> IpAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    IpAddr::from([127, 201, high, low.clamp(1, 254)])
+}
+
+/// The answer of an admin endpoint to `GET path`; `None` while there is none.
+fn get(address: SocketAddr, path: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    Some(answer)
+}
+
+/// The answer once the program has started.
+fn get_started(running: &mut Running, address: SocketAddr, path: &str) -> String {
+    let start = Instant::now();
+    while start.elapsed() < START_LIMIT {
+        if let Some(answer) = get(address, path) {
+            return answer;
+        }
+        let ended = running.0.try_wait().expect("a status");
+        assert!(ended.is_none(), "ended by itself: {ended:?}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("{address} does not answer");
+}
+
+#[test]
+fn running_programs_tell_their_state_and_stop_as_planned() {
+    let deployment = Deployment::of(DeploymentKind::Cascade);
+    let address = own_address();
+    let mut vm = deployment.vms.0[0].clone();
+    for listener in [&mut vm.agent, &mut vm.forwarder, &mut vm.proxy] {
+        listener.set_ip(address);
+    }
+    // Nobody listens where the platform and the peers should be.
+    let text = deployment.settings(&vm, SocketAddr::new(address, 1));
+    let text = text.replace("127.1.1.", "127.202.1.");
+    let settings = TestFile::new("running", &text);
+    for (name, port) in VM_PROGRAMS.into_iter().zip(7110..) {
+        let child = Command::new(program(name))
+            .args(["--settings", settings.text()])
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the program runs");
+        let mut running = Running(child);
+        let admin = SocketAddr::new(address, port);
+        let status = get_started(&mut running, admin, "/status");
+        let body = status.split("\r\n\r\n").nth(1).unwrap_or_default();
+        let status: Value = serde_json::from_str(body).expect("JSON");
+        assert_eq!(status["program"], name.trim_start_matches("bambooseam-"));
+        assert_eq!(status["vm"], vm.id.as_str());
+        assert_eq!(status["zone"], vm.zone.as_str());
+        for key in ["view", "revision", "preset", "in_force_since_ms"] {
+            assert!(status.get(key).is_some(), "{name} tells no {key}: {status}");
+        }
+        let answer = |path| get(admin, path).unwrap_or_default();
+        assert!(answer("/healthz").starts_with("HTTP/1.1 200"), "{name}");
+        assert!(
+            answer("/readyz").starts_with("HTTP/1.1 503"),
+            "{name} knows no configuration"
+        );
+        assert!(answer("/metrics").starts_with("HTTP/1.1 200"), "{name}");
+
+        std::thread::sleep(SIGNAL_TIME);
+        // The standard library sends no signal but SIGKILL.
+        let kill = format!("kill -TERM {}", running.0.id());
+        let sent = Command::new("sh")
+            .args(["-c", &kill])
+            .status()
+            .expect("a shell");
+        assert!(sent.success());
+        let ended = running.0.wait().expect("a status");
+        assert_eq!(ended.code(), Some(0), "{name}: {ended:?}");
+    }
+}
