--- a/crates/observe/src/admin.rs
+++ b/crates/observe/src/admin.rs
@@ -120,6 +120,8 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIME)
         .max_buf_size(HEAD_LIMIT)
+        // Simple tools close their sending side behind the request.
+        .half_close(true)
         .serve_connection(TokioIo::new(stream), service)
         .await;
     if let Err(error) = result {
--- /dev/null
+++ b/tests/tests/input_requests.rs
@@ -0,0 +1,262 @@
+//! Requests in shapes that two readers might take for different ones, and bytes that are none.
+//!
+//! Each shape is refused or answered as one request, the connection ends where the framing is in
+//! doubt, and nothing that stands in a body ever runs as a request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bambooseam_measure::requests::caller::{call_once, request};
+use bambooseam_measure::requests::fleet::{Fleet, FleetPlan};
+use bambooseam_standin::deployment::ORDERS_PORT;
+use bambooseam_tests::inputs::for_each_bytes;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// One VM and a target of each service.
+const PLAN: FleetPlan = FleetPlan {
+    vms: 1,
+    orders: 1,
+    downloads: 1,
+    workers: 2,
+};
+
+/// Longest time in which a connection must end: the head time of a proxy is 10 s.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Connections that send random bytes.
+const GARBAGE: usize = 300;
+
+/// Longest random input in bytes.
+const LIMIT: usize = 2_048;
+
+/// Identifier of a request that stands where a body is.
+const SMUGGLED: &str = "smuggled";
+
+/// A request that must not run.
+fn smuggled() -> String {
+    format!("POST /b HTTP/1.1\r\nHost: x\r\nX-Request-Id: {SMUGGLED}\r\nContent-Length: 0\r\n\r\n")
+}
+
+/// Sends bytes, closes the sending side, and gives all that is answered.
+async fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    // The proxy may have closed in the middle of bad input; what it answered still counts.
+    let _ = stream.write_all(bytes).await;
+    let _ = stream.shutdown().await;
+    read_answer(&mut stream).await
+}
+
+/// All that is answered until the proxy closes.
+async fn read_answer(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    let read = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
+    // A reset is an end too.
+    let _ = read.expect("the proxy closes in time");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Status codes of all answers in a text.
+fn statuses(answer: &str) -> Vec<&str> {
+    let heads = answer.split("HTTP/1.1 ").skip(1);
+    heads.map(|head| &head[..head.len().min(3)]).collect()
+}
+
+async fn assert_serves(fleet: &Fleet, id: &str) {
+    let address = fleet.proxies[0].address(ORDERS_PORT);
+    let told = call_once(address, request("GET", "/a", id)).await;
+    assert_eq!(told.status(), Some(200), "{told:?}");
+}
+
+/// A head with these lines between the request line and its end.
+fn head(lines: &str) -> String {
+    format!("POST /a HTTP/1.1\r\nX-Request-Id: outer\r\n{lines}\r\n\r\n")
+}
+
+#[tokio::test]
+async fn heads_in_doubt_are_refused_and_end_the_connection() {
+    let fleet = Fleet::start(PLAN, str::to_owned).await;
+    let address = fleet.proxies[0].address(ORDERS_PORT);
+    let shapes = [
+        "Host: x\r\nContent-Length: 0\r\nContent-Length: 6",
+        "Host: x\r\nContent-Length: 0, 6",
+        "Host: x\r\nContent-Length: +0",
+        "Host: x\r\nContent-Length: -1",
+        "Host: x\r\nContent-Length: 0x0",
+        "Host: x\r\nContent-Length: 99999999999999999999999",
+        "Host: x\r\nTransfer-Encoding: identity",
+        "Host: x\r\nTransfer-Encoding: chunked, identity",
+        "Host: x\r\nTransfer-Encoding: xchunked",
+        "Host: x\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+        "Host: x\r\nTransfer-Encoding : chunked",
+        "Host: x\r\nX: a\r\n Transfer-Encoding: chunked",
+        "Host: x\r\nX: a\r\n\tb",
+        "Host : x",
+        "Host: x\r\nX: a\0b",
+        "Host: x\r\nX: a\rb",
+        "Host: x\r\n: empty",
+    ];
+    for shape in shapes {
+        let bytes = format!("{}0\r\n\r\n{}", head(shape), smuggled());
+        let answer = exchange(address, bytes.as_bytes()).await;
+        let found = statuses(&answer);
+        assert!(matches!(found[..], [] | ["400"]), "{shape:?}: {answer}");
+    }
+    let lines = [
+        "POST /a HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST http://y/a HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n",
+        "CONNECT x:1 HTTP/1.1\r\nHost: x:1\r\n\r\n",
+        "POST /a HTTP/9.9\r\nHost: x\r\n\r\n",
+        "POST  /a HTTP/1.1\r\nHost: x\r\n\r\n",
+        "PO ST /a HTTP/1.1\r\nHost: x\r\n\r\n",
+        "POST /a\r\nHost: x\r\n\r\n",
+    ];
+    for line in lines {
+        let answer = exchange(address, format!("{line}{}", smuggled()).as_bytes()).await;
+        let found = statuses(&answer);
+        assert!(!answer.contains("200 OK"), "{line:?}: {answer}");
+        assert!(matches!(found[..], [] | ["400"]), "{line:?}: {answer}");
+    }
+    // These leave no doubt of where the request ends, so the connection may go on.
+    for hosts in [
+        "Host: x\r\nHost: y",
+        "X: no host",
+        "Host: x\r\nIdempotency-Key: a b",
+    ] {
+        let lines = format!("{hosts}\r\nConnection: close");
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        stream
+            .write_all(head(&lines).as_bytes())
+            .await
+            .expect("a request");
+        let answer = read_answer(&mut stream).await;
+        assert_eq!(statuses(&answer), ["400"], "{hosts:?}: {answer}");
+        assert!(answer.contains("bambooseam-outcome: not-run"), "{answer}");
+    }
+    assert_eq!(fleet.log.total(), 0);
+    assert_serves(&fleet, "last").await;
+}
+
+#[tokio::test]
+async fn both_framings_are_read_as_chunked_and_end_the_connection() {
+    let fleet = Fleet::start(PLAN, str::to_owned).await;
+    let address = fleet.proxies[0].address(ORDERS_PORT);
+    let shapes = [
+        "Host: x\r\nContent-Length: 6\r\nTransfer-Encoding: chunked",
+        "Host: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 6",
+    ];
+    for (runs, shape) in shapes.into_iter().enumerate() {
+        let bytes = format!("{}0\r\n\r\n{}", head(shape), smuggled());
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        stream.write_all(bytes.as_bytes()).await.expect("a request");
+        let answer = read_answer(&mut stream).await;
+        match statuses(&answer)[..] {
+            [] | ["400"] => {}
+            // Chunked is what the standard has go first, if the connection ends with the answer.
+            ["200"] => assert!(answer.contains("connection: close"), "{answer}"),
+            _ => panic!("{shape:?}: {answer}"),
+        }
+        assert!(fleet.log.runs("outer") <= 1 + runs as u32);
+    }
+    assert_eq!(fleet.log.runs(SMUGGLED), 0);
+}
+
+#[tokio::test]
+async fn bodies_in_doubt_are_cut_and_nothing_in_them_runs() {
+    let fleet = Fleet::start(PLAN, str::to_owned).await;
+    let address = fleet.proxies[0].address(ORDERS_PORT);
+    let chunks = [
+        "zz\r\n",
+        "-1\r\nx\r\n0\r\n\r\n",
+        "+1\r\nx\r\n0\r\n\r\n",
+        "0x1\r\nx\r\n0\r\n\r\n",
+        "FFFFFFFFFFFFFFFFF\r\nx\r\n",
+        "1\r\nxy\r\n0\r\n\r\n",
+        "1\r\nx\r\n0\r\nX: a\0b\r\n\r\n",
+        "\r\n\r\n",
+        "5\r\nx",
+    ];
+    for chunk in chunks {
+        let bytes = format!(
+            "{}{chunk}{}",
+            head("Host: x\r\nTransfer-Encoding: chunked"),
+            smuggled()
+        );
+        let answer = exchange(address, bytes.as_bytes()).await;
+        assert!(statuses(&answer).len() <= 1, "{chunk:?}: {answer}");
+        assert!(!answer.contains("HTTP/1.1 200"), "{chunk:?}: {answer}");
+    }
+    let body = smuggled();
+    let framing = format!(
+        "Host: x\r\nConnection: close\r\nContent-Length: {}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let whole = format!("{}{body}", head(&framing));
+    stream.write_all(whole.as_bytes()).await.expect("a request");
+    let answer = read_answer(&mut stream).await;
+    assert_eq!(statuses(&answer), ["200"], "{answer}");
+    assert_eq!(fleet.log.runs(SMUGGLED), 0);
+    assert_serves(&fleet, "last").await;
+}
+
+#[tokio::test]
+async fn pipelined_requests_each_get_their_own_answer() {
+    let fleet = Fleet::start(PLAN, str::to_owned).await;
+    let address = fleet.proxies[0].address(ORDERS_PORT);
+    let mut bytes = String::new();
+    for id in ["one", "two", "three"] {
+        let close = if id == "three" {
+            "Connection: close\r\n"
+        } else {
+            ""
+        };
+        bytes.push_str(&format!(
+            "GET /a HTTP/1.1\r\nHost: x\r\n{close}X-Request-Id: {id}\r\n\r\n"
+        ));
+    }
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream
+        .write_all(bytes.as_bytes())
+        .await
+        .expect("the requests");
+    let answer = read_answer(&mut stream).await;
+    assert_eq!(statuses(&answer), ["200", "200", "200"], "{answer}");
+    let place = |id: &str| answer.find(&format!("id={id} ")).expect("an answer");
+    assert!(place("one") < place("two") && place("two") < place("three"));
+}
+
+#[tokio::test]
+async fn huge_slow_and_senseless_callers_leave_others_served() {
+    let fleet = Fleet::start(PLAN, str::to_owned).await;
+    let address = fleet.proxies[0].address(ORDERS_PORT);
+    let huge = head(&format!("Host: x\r\nX: {}", "x".repeat(4 << 20)));
+    let answer = exchange(address, huge.as_bytes()).await;
+    assert!(matches!(statuses(&answer)[..], [] | ["431"]), "{answer}");
+
+    let mut slow = TcpStream::connect(address).await.expect("a connection");
+    slow.write_all(b"GET /a HTTP/1.1\r\nHost: x\r\nX: ")
+        .await
+        .expect("a part");
+    let mut idle = TcpStream::connect(address).await.expect("a connection");
+    let mut preface = TcpStream::connect(address).await.expect("a connection");
+    let frames = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\x01\x04\0\0\0\x01garbage";
+    preface.write_all(frames).await.expect("a part");
+
+    let mut inputs = Vec::new();
+    for_each_bytes(LIMIT, |bytes| {
+        if inputs.len() < GARBAGE {
+            inputs.push(bytes.to_vec());
+        }
+    });
+    for input in inputs {
+        let answer = exchange(address, &input).await;
+        assert!(!answer.contains("HTTP/1.1 200"), "{answer}");
+    }
+    assert_serves(&fleet, "between").await;
+    for stream in [&mut slow, &mut idle, &mut preface] {
+        let answer = read_answer(stream).await;
+        assert!(!answer.contains("HTTP/1.1 200"), "{answer}");
+    }
+    assert_serves(&fleet, "last").await;
+}
