--- /dev/null
+++ b/tests/tests/docs.rs
@@ -0,0 +1,159 @@
+//! Pages that list what the programs know must list all of it.
+
+use std::fs;
+use std::path::PathBuf;
+
+use bambooseam_config::{Document, Settings};
+use bambooseam_forwarder::DropCause;
+
+/// Keys of settings and documents.
+const KEYS: [&str; 49] = [
+    "id",
+    "zone",
+    "address",
+    "addresses",
+    "prefix",
+    "watch-time",
+    "poll-time",
+    "listen",
+    "views",
+    "admin",
+    "peers",
+    "budget",
+    "exchanges",
+    "flow-limit",
+    "connection-limit",
+    "head-limit",
+    "head-time",
+    "drain-time",
+    "level",
+    "file",
+    "name",
+    "vni",
+    "flow-ports",
+    "request-port",
+    "slots",
+    "connections",
+    "queue-limit",
+    "deadline",
+    "flow-idle",
+    "retry-share",
+    "eject-share",
+    "ramp-time",
+    "service",
+    "path-prefix",
+    "class",
+    "state",
+    "agent-port",
+    "forwarder-port",
+    "proxy-port",
+    "flow-port",
+    "weight",
+    "vm",
+    "platform",
+    "agent",
+    "forwarder",
+    "proxy",
+    "log",
+    "trace",
+    "preset",
+];
+
+/// Causes of drops that have a name of their own.
+const CAUSES: [DropCause; 12] = [
+    DropCause::NoView,
+    DropCause::NoEntrance,
+    DropCause::ForeignVni,
+    DropCause::ServiceMismatch,
+    DropCause::Looping,
+    DropCause::NoTarget,
+    DropCause::TableFull,
+    DropCause::Held,
+    DropCause::Recheck,
+    DropCause::UnknownSender,
+    DropCause::SynData,
+    DropCause::SendFailed,
+];
+
+fn root() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("..")
+}
+
+fn page(name: &str) -> String {
+    fs::read_to_string(root().join(name)).expect("a page")
+}
+
+#[test]
+fn manual_lists_every_key() {
+    let manual = page("docs/OPERATING.md");
+    for key in KEYS {
+        let is_listed = [format!("`{key}`"), format!("`{key} NAME`")]
+            .iter()
+            .any(|word| manual.contains(word));
+        assert!(is_listed, "docs/OPERATING.md does not list {key}");
+    }
+}
+
+#[test]
+fn keys_of_the_settings_are_all_in_the_list() {
+    // Unknown keys are answered with the known ones.
+    let text = "[vm]\nx = 1\n[platform]\nx = 1\n[agent]\nx = 1\n[forwarder]\nx = 1\n\
+                [proxy]\nx = 1\n[log]\nx = 1\n[trace]\nx = 1\n";
+    let document = Document::parse("settings", text).expect("INI");
+    let findings = Settings::try_from(&document).expect_err("unknown keys");
+    let unknown = findings
+        .iter()
+        .filter(|finding| finding.found == "an unknown key");
+    let mut sections = 0;
+    for finding in unknown {
+        sections += 1;
+        for key in finding.allowed.split(", ") {
+            assert!(KEYS.contains(&key), "{key} of {}", finding.place);
+        }
+    }
+    assert_eq!(sections, 7);
+}
+
+#[test]
+fn manual_lists_every_cause_of_a_drop_and_every_event() {
+    let manual = page("docs/OPERATING.md");
+    for cause in CAUSES {
+        assert!(manual.contains(&format!("| `{cause}` |")), "{cause}");
+    }
+    let events = page("crates/agent/src/event.rs");
+    let names = events.lines().filter_map(|line| {
+        let rest = line.trim().strip_prefix("#[display(\"")?;
+        rest.strip_suffix("\")]")
+    });
+    let mut count = 0;
+    for name in names {
+        count += 1;
+        assert!(
+            manual.contains(&format!("`{name}`")),
+            "docs/OPERATING.md lacks {name}"
+        );
+    }
+    assert!(count > 10, "no event found");
+}
+
+#[test]
+fn settings_example_of_the_manual_is_good() {
+    let manual = page("docs/OPERATING.md");
+    let start = manual.find("       [vm]\n").expect("an example");
+    let example: String = manual[start..]
+        .lines()
+        .take_while(|line| line.is_empty() || line.starts_with("       "))
+        .map(|line| format!("{}\n", line.trim()))
+        .collect();
+    let document = Document::parse("manual", &example).expect("INI");
+    let settings = Settings::try_from(&document).expect("good settings");
+    assert_eq!(settings.vm.id.as_str(), "vm-001");
+}
+
+#[test]
+fn commands_of_the_readme_exist() {
+    let readme = page("README.md");
+    assert!(readme.contains("cargo test --workspace"));
+    assert!(readme.contains("scripts/demo.sh"));
+    assert!(root().join("scripts/demo.sh").is_file());
+}
