Test ctl before a fleet of real programs

Cause: ctl had been tried against fake endpoints only. Ruled out: the demonstration as the place for it: it measures, this judges. Change: test admin: platform stand-in, three VMs with three programs each; check, wait, status, explain and can-stop through a change of preset and the death of an agent.

--- /dev/null
+++ b/tests/tests/admin.rs
@@ -0,0 +1,210 @@
+//! Operators before a small fleet of real programs: what `bambooseam-ctl` tells of it.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use bambooseam_measure::requests::network::Network;
+use bambooseam_standin::deployment::FEED_PORT;
+use bambooseam_standin::settings::{AGENT_ADMIN, FORWARDER_ADMIN, PROXY_ADMIN, VIEW_PORT};
+use bambooseam_standin::{Deployment, DeploymentKind, Plan, Platform};
+use bambooseam_tests::programs::program;
+use bambooseam_view::View;
+use serde_json::Value;
+
+/// Entry VMs of the fleet, each in a zone of its own.
+const VMS: usize = 3;
+
+/// Time in which a change must be in force everywhere, by the target size of the project.
+const FORCE_LIMIT: &str = "8s";
+
+/// Time for programs to start, also on a busy machine.
+const START_LIMIT: &str = "60s";
+
+/// Longest wait for agents to agree.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Programs of a VM.
+const PROGRAMS: [&str; 3] = [
+    "bambooseam-agent",
+    "bambooseam-forwarder",
+    "bambooseam-proxy",
+];
+
+/// A platform and the programs of all VMs.
+struct Fleet {
+    deployment: Deployment,
+    platform: Platform,
+    programs: Vec<Child>,
+    directory: PathBuf,
+    _network: Network,
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let network = Network::take();
+        let deployment = Plan::of(DeploymentKind::Cascade)
+            .with_vms(VMS)
+            .with_network(network.prefix())
+            .build();
+        let listen = SocketAddr::from(([127, network.prefix()[1], 4, 1], 8500));
+        let platform = Platform::start(listen).await.expect("a platform");
+        platform.publish(Plan::PREFIX, &deployment);
+        let name = format!("bambooseam-admin-{}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        fs::create_dir_all(directory.join("presets")).expect("a directory");
+        let mut fleet = Self {
+            deployment,
+            platform,
+            programs: Vec::new(),
+            directory,
+            _network: network,
+        };
+        fleet.write_documents();
+        fleet.start_programs();
+        fleet
+    }
+
+    fn write(&self, name: &str, text: &str) {
+        fs::write(self.directory.join(name), text).expect("a file");
+    }
+
+    fn write_documents(&self) {
+        let deployment = &self.deployment;
+        self.write("preset-in-force", &deployment.pointer.to_text());
+        self.write("vms", &deployment.vms.to_text());
+        self.write("targets", &deployment.targets.to_text());
+        for (name, text) in &deployment.presets {
+            self.write(&format!("presets/{name}"), text);
+        }
+    }
+
+    /// Starts the programs and writes the fleet file.
+    fn start_programs(&mut self) {
+        let mut list = String::new();
+        for vm in self.deployment.vms.0.clone() {
+            let settings = format!("{}.ini", vm.id);
+            let text = self.deployment.settings(&vm, self.platform.address());
+            self.write(&settings, &text);
+            for name in PROGRAMS {
+                let child = Command::new(program(name))
+                    .arg("--settings")
+                    .arg(self.directory.join(&settings))
+                    .stdout(Stdio::null())
+                    .spawn()
+                    .expect("the program runs");
+                self.programs.push(child);
+            }
+            let admin = |port| SocketAddr::new(vm.agent.ip(), port);
+            list.push_str(&format!(
+                "[vm {}]\nagent = {}\nforwarder = {}\nproxy = {}\n",
+                vm.id,
+                admin(AGENT_ADMIN),
+                admin(FORWARDER_ADMIN),
+                admin(PROXY_ADMIN)
+            ));
+        }
+        self.write("fleet.ini", &list);
+    }
+
+    /// Runs `bambooseam-ctl`; `DIR` and `FLEET` stand for the files of this fleet.
+    fn ctl(&self, line: &str) -> Output {
+        let directory = self.directory.display().to_string();
+        let fleet = self.directory.join("fleet.ini").display().to_string();
+        let line = line.replace("DIR", &directory).replace("FLEET", &fleet);
+        let mut command = Command::new(program("bambooseam-ctl"));
+        command.args(line.split(' ')).output().expect("ctl runs")
+    }
+
+    /// Asks until the answer has this code: agents hear of one another at different times.
+    #[track_caller]
+    fn eventually(&self, code: i32, line: &str) -> Value {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE && self.ctl(line).status.code() != Some(code) {
+            std::thread::sleep(Duration::from_millis(200));
+        }
+        self.expect(code, line)
+    }
+
+    #[track_caller]
+    fn expect(&self, code: i32, line: &str) -> Value {
+        let output = self.ctl(&format!("{line} --format json"));
+        let text = String::from_utf8_lossy(&output.stdout);
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(code), "{line}: {text}{errors}");
+        serde_json::from_str(&text).unwrap_or(Value::Null)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for child in &mut self.programs {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn operators_follow_a_change_and_a_failure() {
+    let mut fleet = Fleet::start().await;
+    fleet.expect(0, "check DIR");
+    fleet.expect(
+        0,
+        &format!("wait --revision 1 --timeout {START_LIMIT} --fleet FLEET"),
+    );
+    let status = fleet.eventually(0, "status --fleet FLEET");
+    assert_eq!(status["newest_revision"], 1);
+    assert_eq!(status["vms"].as_array().map(Vec::len), Some(VMS));
+    for vm in status["vms"].as_array().expect("VMs") {
+        assert_eq!(vm["preset"], "ordinary");
+        for program in ["agent", "forwarder", "proxy"] {
+            assert_eq!(vm["revisions"][program], 1, "{vm}");
+        }
+    }
+
+    let peak = "peak-season".parse().expect("a name");
+    assert!(fleet.deployment.switch(&peak));
+    fleet.write_documents();
+    fleet.expect(0, "check DIR");
+    fleet.platform.publish(Plan::PREFIX, &fleet.deployment);
+    fleet.expect(
+        0,
+        &format!("wait --revision 2 --timeout {FORCE_LIMIT} --fleet FLEET"),
+    );
+    let status = fleet.eventually(0, "status --fleet FLEET");
+    assert_eq!(status["vms"][0]["preset"], "peak-season");
+
+    let view = View::build(&fleet.deployment.source(1)).expect("a checked view");
+    let orders = view.service_index(&"fill-orders".parse().expect("a name"));
+    let service = SocketAddr::new(view.service(orders.expect("a service")).address, FEED_PORT);
+    let views = SocketAddr::new(fleet.deployment.vms.0[0].agent.ip(), VIEW_PORT);
+    let flow = format!("explain flow --from 10.0.0.1:999 --to {service}");
+    let by_agent = fleet.expect(0, &format!("{flow} --views {views}"));
+    let by_all = fleet.eventually(0, &format!("{flow} --documents DIR --fleet FLEET"));
+    assert_eq!(by_all["views"].as_array().map(Vec::len), Some(VMS + 1));
+    for view in by_all["views"].as_array().expect("views") {
+        assert_eq!(view["answer"], by_agent["views"][0]["answer"]);
+        assert_eq!(view["revision"], 2);
+    }
+    let request = "explain request --service fill-orders --path /a --documents DIR --fleet FLEET";
+    fleet.eventually(0, request);
+    let stop = fleet.expect(1, "can-stop vm vm-001 --documents DIR --fleet FLEET");
+    assert_eq!(stop["can_stop"], "no");
+    fleet.expect(1, "can-stop target bay-0001 --documents DIR --fleet FLEET");
+
+    let agent = &mut fleet.programs[0];
+    agent.kill().expect("a kill");
+    agent.wait().expect("an end");
+    // The others may differ for a while on what became of it, which would end with 1.
+    let status = fleet.eventually(3, "status --fleet FLEET");
+    assert_eq!(status["vms"][0]["reached"], false);
+    assert_eq!(
+        status["vms"][0]["revisions"]["forwarder"], 2,
+        "it goes on with its view"
+    );
+    assert_eq!(status["vms"][1]["reached"], true);
+}
