ctl check compares the revision with the fleet's; names of dots refused

Cause: agents ignore a pointer whose revision is not above the one in force, so an operator who forgot to raise it learned of it only by waiting; a preset called '..' would have been read at another key. Ruled out: refusing names that begin with other signs: request ids of callers may be base64url.

--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -3,15 +3,17 @@
 use std::fmt::{self, Display, Formatter};
 use std::path::{Path, PathBuf};
 
-use bambooseam_config::{Preset, TargetList, VmList, check_published};
-use bambooseam_types::{Findings, PresetName};
+use bambooseam_config::{InForce, Preset, TargetList, VmList, check_published};
+use bambooseam_types::{Finding, Findings, Place, PresetName};
 use bambooseam_view::View;
 use clap::ArgMatches;
 use serde_json::{Value, json};
 
 use crate::Outcome;
 use crate::documents::{InputFile, Kind, Published};
+use crate::fleet::{ProgramStatus, VmReading, ask_all, read_fleet};
 use crate::report::{Report, findings_json, print};
+use crate::status::patience;
 
 /// What the check found.
 #[derive(Debug, Default)]
@@ -20,13 +22,32 @@
     pub files: Vec<String>,
     /// All findings, sorted by place.
     pub findings: Findings,
+    /// Pointers that are good by themselves.
+    pointers: Vec<NamedPointer>,
+    /// VMs that could not be asked.
+    unreachable: Vec<String>,
+}
+
+/// A pointer and the file that holds it.
+#[derive(Debug)]
+struct NamedPointer {
+    file: String,
+    pointer: InForce,
 }
 
 /// Runs the subcommand.
-pub fn run(matches: &ArgMatches) -> Outcome {
+pub async fn run(matches: &ArgMatches) -> Outcome {
     let paths = matches.get_many::<PathBuf>("files").unwrap_or_default();
     let kind = matches.get_one::<Kind>("kind").copied();
-    print(matches, &check_paths(paths, kind))
+    let mut report = check_paths(paths, kind);
+    match read_fleet(matches) {
+        Ok(vms) => {
+            let readings = ask_all(&vms, patience(matches)).await;
+            report.check_revision(&readings);
+        }
+        Err(findings) => report.findings.append(findings),
+    }
+    print(matches, &report)
 }
 
 /// Checks the settings that the command line names.
@@ -48,7 +69,7 @@
         }
         report.files.push(path.display().to_string());
         match InputFile::read(path, kind) {
-            Ok(file) => report.findings.append(file.check()),
+            Ok(file) => report.check_file(&file),
             Err(found) => report.findings.append(found),
         }
     }
@@ -56,21 +77,64 @@
 }
 
 impl CheckReport {
+    /// Compares the pointers with the newest revision that the fleet has in force.
+    pub fn check_revision(&mut self, fleet: &[VmReading]) {
+        let mut newest: Option<&ProgramStatus> = None;
+        for reading in fleet {
+            let Some(agent) = reading.agent.status() else {
+                self.unreachable.push(reading.vm().to_owned());
+                continue;
+            };
+            if newest.is_none_or(|newest| agent.revision > newest.revision) {
+                newest = Some(agent);
+            }
+        }
+        let Some((revision, digest)) = newest.and_then(|newest| {
+            let digest = newest.digest.clone();
+            Some((newest.revision?, digest))
+        }) else {
+            return;
+        };
+        for NamedPointer { file, pointer } in &self.pointers {
+            let is_same = digest == Some(pointer.digest.to_string());
+            if pointer.revision > revision || (pointer.revision == revision && is_same) {
+                continue;
+            }
+            let place = Place::new(file, 0, "in-force.revision");
+            let allowed = format!("above {revision}, which the fleet has in force");
+            let finding = Finding::new(place, pointer.revision.to_string(), allowed);
+            self.findings
+                .push(finding.with_hint(format!("revision = {}", revision.next())));
+        }
+    }
+
+    /// Checks one file.
+    fn check_file(&mut self, file: &InputFile) {
+        self.findings.append(file.check());
+        if file.kind != Kind::Pointer {
+            return;
+        }
+        if let Ok(pointer) = file.parse() {
+            let file = file.name.clone();
+            self.pointers.push(NamedPointer { file, pointer });
+        }
+    }
+
     /// Checks a directory as one published configuration.
     fn check_directory(&mut self, directory: &Path) {
         let published = match Published::read(directory) {
             Ok(published) => published,
             Err(found) => return self.findings.append(found),
         };
-        let mut findings = Findings::new();
+        let before = self.findings.len();
         for file in published.files() {
             self.files.push(file.name.clone());
-            findings.append(file.check());
+            self.check_file(file);
         }
-        if findings.is_empty() {
-            findings.append(check_together(&published).err().unwrap_or_default());
+        if self.findings.len() == before {
+            let found = check_together(&published).err();
+            self.findings.append(found.unwrap_or_default());
         }
-        self.findings.append(findings);
     }
 }
 
@@ -91,7 +155,7 @@
 
 /// Name of the preset in force.
 fn in_force_name(published: &Published) -> Result<PresetName, Findings> {
-    let pointer: bambooseam_config::InForce = published.pointer.parse()?;
+    let pointer: InForce = published.pointer.parse()?;
     Ok(pointer.name)
 }
 
@@ -100,6 +164,9 @@
         for finding in &self.findings {
             writeln!(f, "{finding}")?;
         }
+        for vm in &self.unreachable {
+            writeln!(f, "vm={vm} unreachable=true")?;
+        }
         let (files, findings) = (self.files.len(), self.findings.len());
         write!(
             f,
@@ -114,13 +181,17 @@
         json!({
             "files": self.files,
             "findings": findings_json(&self.findings),
+            "unreachable": self.unreachable,
         })
     }
 
     fn outcome(&self) -> Outcome {
-        match self.findings.is_empty() {
+        if !self.findings.is_empty() {
+            return Outcome::BadInput;
+        }
+        match self.unreachable.is_empty() {
             true => Outcome::Good,
-            false => Outcome::BadInput,
+            false => Outcome::Unknown,
         }
     }
 }
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -54,8 +54,12 @@
 }
 
 fn check() -> Command {
-    Command::new("check")
+    with_fleet(Command::new("check"))
         .about("Checks a settings file, documents, or a directory of all documents")
+        .long_about(
+            "Checks a settings file, documents, or a directory of all documents. With --vm or \
+             --fleet, the pointer is also compared with what the fleet has in force.",
+        )
         .arg(
             Arg::new("files")
                 .value_name("FILE")
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -24,7 +24,7 @@
 /// Runs the subcommand that the command line names.
 pub async fn run(matches: &ArgMatches) -> Outcome {
     match matches.subcommand() {
-        Some(("check", matches)) => check::run(matches),
+        Some(("check", matches)) => check::run(matches).await,
         Some(("status", matches)) => status::run(matches).await,
         Some(("wait", matches)) => wait::run(matches).await,
         Some(("explain", matches)) => explain::run(matches).await,
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -241,6 +241,7 @@
                 "ZONE",
                 "PRESET",
                 "SINCE",
+                "PLATFORM",
                 "AGENT",
                 "FORWARDER",
                 "PROXY",
@@ -284,6 +285,8 @@
                 .and_then(|agent| agent.since_ms)
                 .map_or("?".into(), age),
         ];
+        let platform = agent.and_then(|agent| agent.raw["platform"].as_str());
+        cells.push(platform.unwrap_or("?").to_owned());
         for program in PROGRAMS {
             let revision = self.reading.revision_of(program);
             cells.push(revision.map_or("?".into(), |revision| revision.to_string()));
@@ -324,6 +327,7 @@
             "reached": agent.is_some(),
             "zone": agent.and_then(|agent| agent.zone.as_deref()),
             "preset": agent.and_then(|agent| agent.preset.as_deref()),
+            "platform": agent.map_or(&Value::Null, |agent| &agent.raw["platform"]),
             "in_force_since_ms": agent.and_then(|agent| agent.since_ms),
             "differs": marks,
         });
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -177,7 +177,7 @@
 /// What a digest may be.
 const DIGEST_ALLOWED: &str = "64 hexadecimal digits";
 /// What a name may be.
-const NAME_ALLOWED: &str = "1 to 63 letters, digits, '-', '_' or '.'";
+const NAME_ALLOWED: &str = "1 to 63 letters, digits, '-', '_' or '.', not dots alone";
 
 impl Revision {
     /// The number.
@@ -276,7 +276,9 @@
 /// Checks a name's length and characters.
 fn check_name(text: &str) -> Result<Box<str>, ParseIdError> {
     let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    if text.is_empty() || text.len() > NAME_LIMIT || !text.chars().all(is_allowed) {
+    // Dots alone would mean another place where a name is part of a path.
+    let is_dots = text.chars().all(|c| c == '.');
+    if is_dots || text.len() > NAME_LIMIT || !text.chars().all(is_allowed) {
         return Err(ParseIdError {
             found: text.into(),
             allowed: NAME_ALLOWED,
--- a/tests/tests/config.rs
+++ b/tests/tests/config.rs
@@ -363,6 +363,7 @@
         SERVICES,
         &[
             ("name = ordinary", "name = a/b", "file:2: preset.name"),
+            ("name = ordinary", "name = ..", "file:2: preset.name"),
             (
                 "[preset]\n",
                 "[preset]\nname = a\n",
--- a/tests/tests/ctl.rs
+++ b/tests/tests/ctl.rs
@@ -238,6 +238,43 @@
     assert!(json["findings"][0]["line"].is_u64());
 }
 
+#[test]
+fn pointer_must_be_above_what_the_fleet_has_in_force() {
+    let (mut deployment, _) = cascade();
+    let digest = deployment.pointer.digest.to_string();
+    let mut same = agent("vm-001", 1, 7);
+    same["digest"] = digest.into();
+    let check = |deployment: &Deployment, fleet: &[VmReading]| {
+        let mut report = Directory::of(deployment).check();
+        report.check_revision(fleet);
+        report
+    };
+    let again = check(&deployment, &[reading(same.clone())]);
+    assert_eq!(again.outcome(), Outcome::Good, "{again}");
+    let partly = check(&deployment, &[reading(same.clone()), unreachable()]);
+    assert_eq!(partly.outcome(), Outcome::Unknown, "{partly}");
+
+    let other = check(
+        &deployment,
+        &[reading(agent("vm-001", 1, 7)), reading(same.clone())],
+    );
+    assert_eq!(other.outcome(), Outcome::BadInput);
+    let older = check(
+        &deployment,
+        &[reading(same.clone()), reading(agent("vm-002", 4, 7))],
+    );
+    let found = older.to_string();
+    assert!(
+        found.contains("in-force.revision: found 1, allowed: above 4"),
+        "{found}"
+    );
+    assert!(found.contains("hint: revision = 5"), "{found}");
+
+    assert!(deployment.switch(&"peak-season".parse().expect("a name")));
+    let next = check(&deployment, &[reading(same)]);
+    assert_eq!(next.outcome(), Outcome::Good, "{next}");
+}
+
 #[test]
 fn status_of_a_fleet_that_agrees_is_good() {
     let readings = vec![
