Log lines of all programs are key=value pairs; blanks as the library knows them

Cause: a test of the log that three running programs write found the cause of view_feed_lost unquoted, five lines a second while the agent is away; a section head behind a no-break space was reported without its line. Ruled out: LogLimit in the peer crate, which does not link observe. Change: the cause is quoted and logged once until it or the view changes; the line scan trims the blanks that the library trims.

--- a/crates/config/src/lines.rs
+++ b/crates/config/src/lines.rs
@@ -11,6 +11,9 @@
 /// Characters that begin a comment.
 const COMMENT: [char; 2] = [';', '#'];
 
+/// Characters that may surround what stands on a line; the library knows no other blanks.
+const BLANK: [char; 3] = [' ', '\t', '\r'];
+
 /// Characters that end a key.
 const DELIMITER: [char; 2] = ['=', ':'];
 
@@ -40,7 +43,7 @@
     let mut lines = Vec::new();
     let mut findings = Findings::new();
     for (index, line) in text.lines().enumerate() {
-        let line = line.trim();
+        let line = line.trim_matches(BLANK);
         if line.is_empty() || line.starts_with(COMMENT) {
             continue;
         }
@@ -63,7 +66,7 @@
         return rest.is_empty().then(|| Content::Head(normal_name(name)));
     }
     let (key, _) = line.split_once(DELIMITER)?;
-    Some(Content::Key(key.trim()))
+    Some(Content::Key(key.trim_matches(BLANK)))
 }
 
 /// A section's name with single spaces.
--- a/crates/peer/src/feed.rs
+++ b/crates/peer/src/feed.rs
@@ -47,9 +47,19 @@
 pub fn subscribe(address: SocketAddr, program: &'static str) -> std::io::Result<ViewReceiver> {
     let (sender, receiver) = watch::channel(None);
     local_thread("view-feed", move || async move {
+        let mut logged = None;
         while !sender.is_closed() {
             if let Err(error) = follow(address, program, &sender).await {
-                log::warn!("event=view_feed_lost agent={address} cause={error:?}");
+                let held = sender.borrow().as_ref().map(|view| view.number);
+                let loss = Some((error.to_string(), held));
+                // Retries go on while an agent is away; only a new cause or view is news.
+                if loss != logged {
+                    log::warn!(
+                        "event=view_feed_lost agent={address} cause={:?}",
+                        error.to_string()
+                    );
+                    logged = loss;
+                }
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         }
--- a/tests/tests/cli.rs
+++ b/tests/tests/cli.rs
@@ -241,6 +241,8 @@
     // Nobody listens where the platform and the peers should be.
     let text = deployment.settings(&vm, SocketAddr::new(address, 1));
     let text = text.replace("127.1.1.", "127.202.1.");
+    let log = TestFile::new("log", "");
+    let text = format!("{text}\n[log]\nfile = {}\n", log.text());
     let settings = TestFile::new("running", &text);
     for (name, port) in VM_PROGRAMS.into_iter().zip(7110..) {
         let child = Command::new(program(name))
@@ -278,4 +280,45 @@
         let ended = running.0.wait().expect("a status");
         assert_eq!(ended.code(), Some(0), "{name}: {ended:?}");
     }
+    let log = fs::read_to_string(&log.0).expect("the log");
+    assert!(log.lines().count() >= VM_PROGRAMS.len(), "{log}");
+    for line in log.lines() {
+        let keys = keys_of(line).unwrap_or_else(|| panic!("not key=value pairs: {line}"));
+        assert_eq!(keys[..4], ["time", "level", "from", "event"], "{line}");
+    }
+}
+
+/// Keys of a line of key=value pairs; a value is a word or stands in quotes.
+fn keys_of(line: &str) -> Option<Vec<&str>> {
+    let mut keys = Vec::new();
+    let mut rest = line;
+    while !rest.is_empty() {
+        let (key, value) = rest.split_once('=')?;
+        let is_key = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '_';
+        if key.is_empty() || !key.chars().all(is_key) {
+            return None;
+        }
+        keys.push(key);
+        rest = match value.strip_prefix('"') {
+            Some(quoted) => after_quote(quoted)?,
+            None => value.find(' ').map_or("", |at| &value[at..]),
+        };
+        if !rest.is_empty() {
+            rest = rest.strip_prefix(' ')?;
+        }
+    }
+    Some(keys)
+}
+
+/// What follows the quote that ends a value; quotes behind a backslash are part of it.
+fn after_quote(text: &str) -> Option<&str> {
+    let mut is_escaped = false;
+    for (at, c) in text.char_indices() {
+        match c {
+            '"' if !is_escaped => return Some(&text[at + 1..]),
+            '\\' => is_escaped = !is_escaped,
+            _ => is_escaped = false,
+        }
+    }
+    None
 }
--- a/tests/tests/config.rs
+++ b/tests/tests/config.rs
@@ -610,7 +610,12 @@
 }
 
 #[test]
-fn text_that_ends_within_a_value_is_found_at_its_last_line() {
+fn text_that_is_not_ini_is_found_at_a_line_of_its_own() {
+    for mark in ["\u{feff}", "\u{a0}"] {
+        let found = findings_of::<VmList>(VMS, "[vm a]", &format!("{mark}[vm a]"));
+        assert_eq!(found.len(), 1, "{found:?}");
+        assert!(found[0].starts_with("file:1: found"), "{found:?}");
+    }
     for text in ["[vm a]\nzone = \"north\n", "[vm a]\n\0:\r\0\n"] {
         let findings = Document::parse("file", text).expect_err("no whole value");
         let line = findings.iter().map(|finding| finding.place.line).max();
