Proxies write the span of each hop to the trace file

Cause: the proxy parsed traceparent by itself (and took '+' for a digit), and its spans had another shape than the writer of trace files takes, so that the file stayed empty. Ruled out: a writer that takes spans of any shape: it would write those of libraries too. Change: the proxy's Trace is a Hop of bambooseam_observe; status, outcome and cause are noted at its end.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -95,15 +95,12 @@
     let state = proxy.service_state(&setting.name);
     state.budget.deposit(setting.retry_share);
     let deadline = arrived + head.timeout.unwrap_or(setting.deadline);
-    let span = tracing::info_span!(
-        "request",
-        hop = "proxy",
-        trace_id = %head.trace.id,
-        span_id = format_args!("{:016x}", head.trace.span),
-        service = %setting.name,
-        request = %head.id,
-        target = tracing::field::Empty,
-    );
+    let trace = head.trace.clone();
+    trace
+        .hop()
+        .note("service", &setting.name)
+        .note("request", &head.id);
+    let span = trace.hop().span().clone();
     let on_upgrade = head.is_upgrade.then(|| hyper::upgrade::on(&mut request));
     let (parts, body) = request.into_parts();
     let (body, fault) = RequestBody::new(body);
@@ -123,6 +120,7 @@
     };
     let request = Request::from_parts(parts, body);
     let answered = exchange.run(request, on_upgrade).instrument(span).await;
+    trace.end(&answered);
     answered.unwrap_or_else(|own| own.into_response(Some(&id)))
 }
 
@@ -188,7 +186,7 @@
         let mut is_fresh = false;
         for _ in 0..TRY_LIMIT {
             let (lease, target) = self.find().await?;
-            tracing::Span::current().record("target", target.entry.id.as_str());
+            self.head.trace.hop().note("target", &target.entry.id);
             self.stamp(&mut request);
             self.check_once();
             let limits = TryLimits {
--- a/crates/proxy/src/trace.rs
+++ b/crates/proxy/src/trace.rs
@@ -1,62 +1,57 @@
-//! W3C trace context of one hop.
+//! The hop of one request in its W3C trace.
 
-use derive_more::Display;
+use bambooseam_observe::trace::{Hop, TraceParent};
 use hyper::header::HeaderMap;
+use hyper::{Response, StatusCode};
 
-use crate::answer::insert_text;
+use crate::answer::{OwnAnswer, insert_text};
 use crate::head::TRACEPARENT;
 
-/// Length of a version 00 `traceparent`.
-const LENGTH: usize = 55;
-
-/// Identifier of a trace: 16 bytes, not all zero.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-#[display("{_0:032x}")]
-pub struct TraceId(u128);
-
-/// Trace of a request and the span of this hop.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Trace {
-    /// The trace, kept from caller to target.
-    pub id: TraceId,
-    /// The span of this hop.
-    pub span: u64,
-    flags: u8,
-}
+/// Name of the hop's span.
+const SPAN: &str = "request";
+
+/// The hop of this proxy in the trace of a request.
+#[derive(Debug, Clone)]
+pub struct Trace(Hop);
 
 impl Trace {
     /// Goes on with the trace of a request, or begins one.
     pub fn of(headers: &HeaderMap) -> Self {
-        let given = headers.get(TRACEPARENT).and_then(|v| v.to_str().ok());
-        let (id, flags) = given
-            .and_then(parse)
-            .unwrap_or_else(|| (TraceId(rand::random_range(1..=u128::MAX)), 1));
-        Self {
-            id,
-            span: rand::random_range(1..=u64::MAX),
-            flags,
-        }
+        Self(Hop::begin(SPAN, caller_of(headers)))
     }
 
     /// Names this hop's span as the parent of the next one.
     pub fn pass_on(&self, headers: &mut HeaderMap) {
-        let text = format!("00-{}-{:016x}-{:02x}", self.id, self.span, self.flags);
-        insert_text(headers, TRACEPARENT, &text);
+        insert_text(headers, TRACEPARENT, &self.0.context().to_string());
     }
-}
 
-/// Trace and flags of a `traceparent`; later versions may be longer.
-fn parse(text: &str) -> Option<(TraceId, u8)> {
-    if !text.is_ascii() || text.len() < LENGTH {
-        return None;
+    /// The hop, to note values in.
+    pub fn hop(&self) -> &Hop {
+        &self.0
+    }
+
+    /// Notes how the request ended.
+    pub fn end<B>(&self, answered: &Result<Response<B>, OwnAnswer>) {
+        match answered {
+            Ok(response) => self.note_status(response.status()),
+            Err(own) => {
+                self.0.note("outcome", own.outcome);
+                self.0.note("cause", &own.cause);
+            }
+        }
+    }
+
+    fn note_status(&self, status: StatusCode) {
+        self.0.note("status", status.as_u16());
     }
-    let mut parts = text.split('-');
-    let version = parts.next()?;
-    let (trace, span, flags) = (parts.next()?, parts.next()?, parts.next()?);
-    if version.len() != 2 || trace.len() != 32 || span.len() != 16 || flags.len() != 2 {
+}
+
+/// The context that the caller gave; a bad one, or one of several, counts as none.
+fn caller_of(headers: &HeaderMap) -> Option<TraceParent> {
+    let mut values = headers.get_all(TRACEPARENT).iter();
+    let value = values.next()?;
+    if values.next().is_some() {
         return None;
     }
-    let id = u128::from_str_radix(trace, 16).ok().filter(|id| *id != 0)?;
-    u64::from_str_radix(span, 16).ok().filter(|id| *id != 0)?;
-    Some((TraceId(id), u8::from_str_radix(flags, 16).ok()?))
+    value.to_str().ok()?.parse().ok()
 }
