--- a/crates/measure/src/requests/schedule.rs
+++ b/crates/measure/src/requests/schedule.rs
@@ -153,7 +153,7 @@
     Guesses {
         targets: Vec<Arc<SlotOwner>>,
         outstanding: RefCell<Vec<Vec<u32>>>,
-        random: RefCell<StdRng>,
+        random: Box<RefCell<StdRng>>,
         is_two: bool,
     },
 }
@@ -198,7 +198,7 @@
                     .map(|t| owner(Rule::Fifo, targets, t..t + 1))
                     .collect(),
                 outstanding: RefCell::new(vec![vec![0; targets]; VMS]),
-                random: RefCell::new(StdRng::seed_from_u64(1)),
+                random: Box::new(RefCell::new(StdRng::seed_from_u64(1))),
                 is_two: way == Way::TwoChoices,
             };
         }
--- a/tests/tests/input_flows.rs
+++ b/tests/tests/input_flows.rs
@@ -52,7 +52,13 @@
         let sent = Sent::default();
         let vm = view.vms[0].entry.id.clone();
         let output = Kept(Rc::clone(&sent));
-        let mut forwarder = Forwarder::new(vm, 10_000, output, SystemClock::new(), BoundedPick);
+        let mut forwarder = Forwarder::new(
+            vm,
+            10_000,
+            output,
+            SystemClock::new(),
+            BoundedPick::default(),
+        );
         assert!(forwarder.set_view(Arc::clone(&view)));
         Self {
             forwarder,
@@ -77,7 +83,7 @@
             let kind = mark.kind;
             matches!(
                 kind,
-                MarkKind::Known(_) | MarkKind::Learn(_) | MarkKind::Correct(_)
+                MarkKind::Known(_) | MarkKind::Learn { .. } | MarkKind::Correct(_)
             )
         });
         let is_strict = !self.trusts_members && !names_target;
@@ -174,7 +180,10 @@
         MarkKind::Ask { rank },
         MarkKind::Known(recalled),
         MarkKind::Unknown { rank },
-        MarkKind::Learn(recalled),
+        MarkKind::Learn {
+            recalled,
+            is_final: choose(2) == 1,
+        },
         MarkKind::Correct(recalled),
     ];
     let mark = Mark {
