--- a/tests/tests/input_flows.rs
+++ b/tests/tests/input_flows.rs
@@ -52,7 +52,8 @@
         let sent = Sent::default();
         let vm = view.vms[0].entry.id.clone();
         let output = Kept(Rc::clone(&sent));
-        let mut forwarder = Forwarder::new(vm, 10_000, output, SystemClock::new(), BoundedPick);
+        let pick = Default::default();
+        let mut forwarder = Forwarder::new(vm, 10_000, output, SystemClock::new(), pick);
         assert!(forwarder.set_view(Arc::clone(&view)));
         Self {
             forwarder,
