--- a/crates/measure/src/flows/fleet.rs
+++ b/crates/measure/src/flows/fleet.rs
@@ -16,7 +16,7 @@
 use bambooseam_forwarder::{Clock, Forwarder, Moment, Output, Tracking, packet};
 use bambooseam_standin::deployment::{DOWNLOADS_PORT, FEED_PORT};
 use bambooseam_standin::{Deployment, Plan};
-use bambooseam_types::VmId;
+use bambooseam_types::{VmId, Weight};
 use bambooseam_view::View;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -44,6 +44,8 @@
     pub seed: u64,
     /// Packets in a thousand that are duplicated, and as many that are late.
     pub stray: u32,
+    /// Weights that targets have in turn; all usual when empty.
+    pub weights: Vec<u32>,
 }
 
 /// Forwarders, targets and callers.
@@ -72,12 +74,16 @@
 #[derive(Debug, Clone, Default)]
 pub struct FakeClock(Rc<Cell<u64>>);
 
-/// A datagram and where it goes.
-type Datagram = (SocketAddr, Vec<u8>);
-
 /// Datagrams that a forwarder has sent.
 #[derive(Debug, Clone, Default)]
-pub struct Wire(Rc<RefCell<Vec<Datagram>>>);
+pub struct Wire(Rc<RefCell<Vec<Sent>>>);
+
+/// A datagram on its way.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Sent {
+    to: SocketAddr,
+    bytes: Vec<u8>,
+}
 
 /// A forwarder and its state.
 struct Node<P> {
@@ -158,7 +164,7 @@
 impl Output for Wire {
     fn send(&mut self, to: SocketAddr, head: &Head, payload: &[u8]) {
         let bytes = geneve::encode(head, payload);
-        self.0.borrow_mut().push((to, bytes));
+        self.0.borrow_mut().push(Sent { to, bytes });
     }
 }
 
@@ -167,6 +173,7 @@
     pub fn new(setup: Setup, pick: P) -> Self {
         let mut deployment = setup.plan.build();
         open_second_entrance(&mut deployment);
+        set_weights(&mut deployment, &setup.weights);
         let mut fleet = Self {
             deployment,
             tally: Tally::default(),
@@ -253,6 +260,11 @@
         self.nodes.len()
     }
 
+    /// Last part of an address that no target has had.
+    pub fn next_host(&self) -> u8 {
+        u8::try_from(self.hosts.len() + 1).expect("at most 254 targets")
+    }
+
     /// Position of the forwarder that runs on a VM.
     pub fn node_of(&self, vm: &VmId) -> Option<usize> {
         let runs = |node: &Node<P>| node.id == *vm && !node.is_dead;
@@ -350,6 +362,14 @@
         }
     }
 
+    /// Part of the remembered flows whose target is not that of the default pick.
+    pub fn exceptions(&self) -> f64 {
+        let running = || self.nodes.iter().filter(|node| !node.is_dead);
+        let flows: usize = running().map(|node| node.forwarder.table().len()).sum();
+        let exceptions: usize = running().map(|node| node.forwarder.exceptions()).sum();
+        exceptions as f64 / flows.max(1) as f64
+    }
+
     /// Sets what the platform says of a VM.
     pub fn set_vm_state(&mut self, vm: &VmId, state: VmState) {
         for entry in &mut self.deployment.vms.0 {
@@ -443,7 +463,14 @@
                 if let Some(wait) = self.frozen_for(node) {
                     return self.schedule(wait, EventKind::View { node, view });
                 }
-                self.nodes[node].forwarder.set_view(view);
+                let forwarder = &mut self.nodes[node].forwarder;
+                // An agent never goes back to an earlier view.
+                if forwarder
+                    .view()
+                    .is_none_or(|held| held.number < view.number)
+                {
+                    forwarder.set_view(view);
+                }
             }
             EventKind::Tick { node } => {
                 if self.nodes[node].is_dead {
@@ -601,7 +628,7 @@
     /// Takes what a forwarder has sent.
     fn collect(&mut self, node: usize) {
         let wire = self.nodes[node].wire.clone();
-        for (to, bytes) in wire.0.borrow_mut().drain(..) {
+        for Sent { to, bytes } in wire.0.borrow_mut().drain(..) {
             let from = Some(node);
             self.schedule(HOP, EventKind::Datagram { from, to, bytes });
         }
@@ -619,3 +646,11 @@
         }
     }
 }
+
+/// Gives targets weights in turn.
+fn set_weights(deployment: &mut Deployment, weights: &[u32]) {
+    let targets = deployment.targets.0.iter_mut();
+    for (target, weight) in targets.zip(weights.iter().cycle()) {
+        target.weight = Weight::try_from(*weight).expect("a valid weight");
+    }
+}
