Forwarders keep no target that only an outsider names; agents read any document

Change: what an unknown sender names is remembered if it is a target of the packet's own entrance under the view; else it is good for one packet, as before. Parts of a document end behind their first character. Test input_agents; the test of outsiders has a name that fits, its checks are unchanged.

--- a/crates/forwarder/src/forwarder.rs
+++ b/crates/forwarder/src/forwarder.rs
@@ -560,6 +560,12 @@
         Tick::from(self.latest).since(entry.seen()) < recalled.age
     }
 
+    /// Whether the view in force has a target where a packet goes.
+    fn is_listed(&self, route: &Route, number: TargetNumber) -> bool {
+        let topology = self.topology.as_ref();
+        topology.is_some_and(|topology| topology.group(route.group).has(number))
+    }
+
     /// Remembers what another forwarder said; the entry is good for this packet in any case.
     fn learn(
         &mut self,
@@ -583,9 +589,11 @@
             Phase::Last => EntryState::Closing,
         };
         let entry = Entry::new(number, state, Tick::from(self.latest)).with_tcp(packet.is_tcp());
-        // A forwarder that joined may be in the views of others before it is in this one.
-        self.counters.unknown_senders += u64::from(!self.is_member(source));
-        if self.remember(packet.key, entry) {
+        // A forwarder that joined may be in the views of others before it is in this one. What it
+        // says is kept if the view has the target too; else it is good for this packet only.
+        let is_member = self.is_member(source);
+        self.counters.unknown_senders += u64::from(!is_member);
+        if (is_member || self.is_listed(route, number)) && self.remember(packet.key, entry) {
             self.counters.flows_learned += 1;
         }
         entry
--- a/crates/peer/src/agent/patch.rs
+++ b/crates/peer/src/agent/patch.rs
@@ -133,7 +133,11 @@
     let mut start = 0;
     std::iter::from_fn(move || {
         let rest = text.get(start..).filter(|rest| !rest.is_empty())?;
-        let length = rest[1..].find("\n[").map_or(rest.len(), |at| at + 2);
+        // The head that starts this part does not end it.
+        let first = rest.chars().next().map_or(0, char::len_utf8);
+        let length = rest[first..]
+            .find("\n[")
+            .map_or(rest.len(), |at| first + at + 1);
         let part = (start, &rest[..length]);
         start += length;
         Some(part)
--- /dev/null
+++ b/tests/tests/input_agents.rs
@@ -0,0 +1,216 @@
+//! Messages between agents that are well-formed and make no sense.
+
+use std::sync::Arc;
+
+use bambooseam_agent::{Agent, Shared};
+use bambooseam_peer::agent::{
+    Beat, ConfigUpdate, DocumentVersion, ListUpdate, Patch, PeerLink, Rumour, Step, Summary, Update,
+};
+use bambooseam_standin::{Deployment, DeploymentKind};
+use bambooseam_tests::inputs::{for_each_bytes, for_each_input};
+use bambooseam_types::{Incarnation, Revision, VmId};
+use bolero::generator::produce;
+use fake::{Fake, revision, settings, wait_until};
+use tokio::task::{LocalSet, spawn_local};
+
+#[path = "control/fake.rs"]
+#[allow(dead_code)]
+mod fake;
+
+/// Messages that are sent to one agent.
+const MESSAGES: usize = 400;
+
+/// Longest input in bytes.
+const LIMIT: usize = 256;
+
+/// Numbers at the edges of what a field holds.
+const NUMBERS: [u64; 8] = [0, 1, 2, 77, 1 << 31, 1 << 32, u64::MAX - 1, u64::MAX];
+
+/// Words of documents, some of them cut or wrong.
+const WORDS: [&str; 12] = [
+    "[in-force]\n",
+    "revision = 2\n",
+    "revision = 18446744073709551615\n",
+    "name = ordinary\n",
+    "digest = 00\n",
+    "[preset]\n",
+    "[vm vm-001]\n",
+    "zone = skagit\n",
+    "address = 10.0.0.1\n",
+    "[target a]\n",
+    "service = fill-orders\n",
+    "é\0",
+];
+
+/// Takes numbers and words from random bytes.
+struct Choices<'a>(std::slice::Iter<'a, u8>);
+
+impl Choices<'_> {
+    fn choose(&mut self, limit: usize) -> usize {
+        usize::from(self.0.next().copied().unwrap_or_default()) % limit
+    }
+
+    fn number(&mut self) -> u64 {
+        NUMBERS[self.choose(NUMBERS.len())]
+    }
+
+    fn text(&mut self) -> String {
+        let count = self.choose(5);
+        (0..count)
+            .map(|_| WORDS[self.choose(WORDS.len())])
+            .collect()
+    }
+
+    fn vm(&mut self) -> VmId {
+        let names = ["vm-001", "vm-002", "vm-003", "vm-999", "x"];
+        names[self.choose(names.len())].parse().expect("a name")
+    }
+
+    fn beat(&mut self) -> Beat {
+        Beat {
+            incarnation: Incarnation::from(self.number()),
+            second: self.number(),
+        }
+    }
+
+    fn version(&mut self) -> DocumentVersion {
+        DocumentVersion {
+            rank: Revision::from(self.number()),
+            index: self.number(),
+            mark: self.number(),
+        }
+    }
+
+    fn patch(&mut self) -> Patch {
+        let count = self.choose(4);
+        let step = |choices: &mut Self| Step {
+            start: choices.number() as u32,
+            count: choices.number() as u32,
+            text: choices.text(),
+        };
+        Patch {
+            base: self.number(),
+            steps: (0..count).map(|_| step(self)).collect(),
+        }
+    }
+
+    fn list(&mut self) -> Option<ListUpdate> {
+        let update = ListUpdate {
+            version: self.version(),
+            patch: self.patch(),
+        };
+        (self.choose(2) == 0).then_some(update)
+    }
+
+    fn update(&mut self) -> Update {
+        let config = ConfigUpdate {
+            pointer: self.text(),
+            era: Revision::from(self.number()),
+            index: self.number(),
+            preset: self.patch(),
+        };
+        Update {
+            config: (self.choose(2) == 0).then_some(config),
+            vms: self.list(),
+            targets: self.list(),
+        }
+    }
+
+    fn summary(&mut self) -> Summary {
+        let rumours = self.choose(5);
+        let rumour = |choices: &mut Self| Rumour {
+            vm: choices.vm(),
+            beat: choices.beat(),
+            observer: Some(choices.vm()).filter(|_| choices.choose(2) == 0),
+        };
+        Summary {
+            vm: self.vm(),
+            beat: self.beat(),
+            known: Incarnation::from(self.number()),
+            config: self.version(),
+            era: Revision::from(self.number()),
+            index: self.number(),
+            vms: self.version(),
+            targets: self.version(),
+            rumours: (0..rumours).map(|_| rumour(self)).collect(),
+            wants: self.choose(2) == 0,
+        }
+    }
+}
+
+/// An agent that serves, and a connection to it as a peer has one.
+async fn start(fake: &Fake) -> (Arc<Shared>, PeerLink) {
+    let mut settings = settings("vm-001", "skagit", &[]);
+    let bind = || tokio::net::TcpListener::bind("127.0.0.1:0");
+    let peers = bind().await.expect("bound");
+    let views = bind().await.expect("bound");
+    settings.agent.listen = peers.local_addr().expect("an address");
+    let listen = settings.agent.listen;
+    let agent = Agent::new(settings, peers, views);
+    let shared = agent.shared();
+    spawn_local(agent.run(fake.clone()));
+    let link = PeerLink::connect(listen, listen.ip(), Arc::default()).await;
+    wait_until(&shared, "serving", |shared| revision(shared) == 1).await;
+    (shared, link.expect("connected"))
+}
+
+#[test]
+fn senseless_messages_change_no_document() {
+    let mut inputs = Vec::new();
+    for_each_bytes(LIMIT, |bytes| {
+        if inputs.len() < MESSAGES {
+            inputs.push(bytes.to_vec());
+        }
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let mut published = Deployment::of(DeploymentKind::Cascade);
+        let fake = Fake::new(&published);
+        let (shared, link) = start(&fake).await;
+        let before = shared.sources().borrow().clone();
+        for bytes in &inputs {
+            let mut choices = Choices(bytes.iter());
+            // An answer of any kind is good; the agent's invariants judge what it did.
+            let _ = link.exchange(&choices.summary()).await;
+            let _ = link.deliver(&choices.vm(), &choices.update()).await;
+        }
+        let after = shared.sources().borrow().clone();
+        assert_eq!(after.pointer, before.pointer);
+        assert_eq!(after.preset, before.preset);
+        assert_eq!(after.vms, before.vms);
+        assert_eq!(after.targets, before.targets);
+        // What the platform publishes then is still taken.
+        published.switch(&"peak-season".parse().expect("a name"));
+        fake.edit(|store| store.publish(&published));
+        wait_until(&shared, "the next revision", |shared| revision(shared) == 2).await;
+    });
+}
+
+#[test]
+fn differences_of_any_texts_give_the_text_back() {
+    let texts = produce::<(Vec<u8>, Vec<u8>)>();
+    for_each_input(&texts, |(base, text)| {
+        let join = |choices: &[u8]| -> String {
+            let words = choices.iter().map(|c| WORDS[usize::from(*c) % WORDS.len()]);
+            words.collect()
+        };
+        let (base, text) = (join(base), join(text));
+        let patch = Patch::between(7, &base, &text);
+        assert_eq!(patch.apply(&base).as_deref(), Ok(text.as_str()));
+    });
+}
+
+#[test]
+fn differences_that_do_not_fit_are_refused() {
+    for_each_bytes(LIMIT, |bytes| {
+        let mut choices = Choices(bytes.iter());
+        let base = choices.text();
+        let patch = choices.patch();
+        if let Ok(text) = patch.apply(&base) {
+            assert!(text.len() <= 1 << 20);
+        }
+    });
+}
--- a/tests/tests/input_flows.rs
+++ b/tests/tests/input_flows.rs
@@ -75,7 +75,7 @@
         assert_eq!(self.forwarder.counters().received, before + 1);
         assert_eq!(self.forwarder.counters().violations, 0);
         // A forwarder that the view lacks may be new, so the target that it names is taken for
-        // this one packet. What members name is remembered as well.
+        // this one packet, and remembered if the view has it too. Members are believed.
         let mark = geneve::decode(bytes)
             .ok()
             .and_then(|datagram| datagram.mark);
@@ -233,7 +233,7 @@
 }
 
 #[test]
-fn marked_datagrams_of_outsiders_teach_nothing() {
+fn marked_datagrams_of_outsiders_teach_no_wrong_place() {
     receive_changed(&mut Bench::new(), |_, _| ([10, 9, 9, 9], 6081).into());
 }
 
