--- a/crates/forwarder/src/forwarder/peers.rs
+++ b/crates/forwarder/src/forwarder/peers.rs
@@ -10,7 +10,7 @@
 use crate::packet::{Packet, Phase};
 use crate::pick::Pick;
 use crate::table::{Entry, EntryState, Tick};
-use crate::target::{Identity, Standing};
+use crate::target::{Identity, Standing, TargetNumber};
 
 /// How the shadow is told of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -190,6 +190,12 @@
         Tick::from(self.latest).since(entry.seen()) <= recalled.age
     }
 
+    /// Whether the view in force has a target where a packet goes.
+    fn is_listed(&self, route: &Route, number: TargetNumber) -> bool {
+        let topology = self.topology.as_ref();
+        topology.is_some_and(|topology| topology.group(route.group).has(number))
+    }
+
     /// Remembers what another forwarder said; the entry is good for this packet in any case.
     pub(super) fn learn(
         &mut self,
@@ -211,10 +217,14 @@
             Phase::Last => EntryState::Closing,
         };
         let entry = Entry::new(number, state, Tick::from(self.latest)).with_tcp(packet.is_tcp());
-        // A forwarder that joined may be in the views of others before it is in this one.
-        self.counters.unknown_senders += u64::from(!self.is_member(source));
+        // A forwarder that joined may be in the views of others before it is in this one. What it
+        // says is kept if the view has the target too; else it is good for this packet only.
+        let is_member = self.is_member(source);
+        self.counters.unknown_senders += u64::from(!is_member);
+        let is_believed = is_member || self.is_listed(route, number);
         // Forwarders that kept a lost target for one another would keep it for ever.
-        if self.targets.get(number).is_usable() && self.remember(packet.key, entry) {
+        let is_usable = self.targets.get(number).is_usable();
+        if is_believed && is_usable && self.remember(packet.key, entry) {
             self.counters.flows_learned += 1;
         }
         entry
