Agent: keep large documents from filling the budget

Ruled out: a longer watch for all keys, by which a lost platform would be noticed late; the pointer keeps the short one. Change: watches and polls of a document are rarer the larger it is; an agent says when it keeps a preset from earlier, and then only the pointer is sent.

--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -134,6 +134,7 @@
             targets: self.list_version(ListKind::Targets),
             rumours: self.members.news(fleet),
             wants,
+            keeps: false,
         }
     }
 
@@ -199,6 +200,7 @@
             targets: self.list_version(ListKind::Targets),
             rumours: Vec::new(),
             wants: false,
+            keeps: false,
         }
     }
 
@@ -208,7 +210,10 @@
         if let Some(config) = self.store.config()
             && summary.config < self.config_version()
         {
-            let preset = self.patch(summary.config.mark, &config.preset_text);
+            let preset = match summary.keeps {
+                true => Patch::copy(self.config_version().mark, &config.preset_text),
+                false => self.patch(summary.config.mark, &config.preset_text),
+            };
             update.config = Some(ConfigUpdate {
                 pointer: config.pointer_text.as_ref().to_owned(),
                 era: config.origin.era,
@@ -294,7 +299,10 @@
         if !summary.wants {
             return (Update::default(), is_lacking);
         }
-        (state.update_for(summary), is_lacking)
+        let mut summary = summary.clone();
+        // The answer speaks of the configuration that was sent, which may be replaced by now.
+        summary.keeps &= sent.config == state.config_version();
+        (state.update_for(&summary), is_lacking)
     }
 
     /// Notes that a peer now holds what this agent holds.
@@ -439,7 +447,8 @@
         }
         self.shared.settle(&mut state);
         let wants = state.versions(me).lacks(&summary) && state.peers.try_lease(Instant::now());
-        let answer = state.summary(me, Some(&summary.vm), wants);
+        let mut answer = state.summary(me, Some(&summary.vm), wants);
+        answer.keeps = state.store.text_of_mark(summary.config.mark).is_some();
         let update = match summary.wants {
             true => state.update_for(&summary),
             false => Update::default(),
--- a/crates/agent/src/reader.rs
+++ b/crates/agent/src/reader.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bambooseam_types::{Finding, Findings, Place, PresetName};
+use bambooseam_types::{ByteRate, Finding, Findings, Place, PresetName};
 use tokio::time::sleep;
 
 use crate::backoff::{Backoff, jitter};
@@ -30,6 +30,16 @@
 /// How often a polling agent looks whether it should watch.
 const ROLE_TIME: Duration = Duration::from_secs(1);
 
+/// Rate at which a watch that brings no news may use up received bytes: each one that ends brings
+/// the whole document.
+const WATCH_RATE: ByteRate = ByteRate::new(1_000);
+
+/// Longest wait that platforms grant.
+const WATCH_MOST: Duration = Duration::from_secs(600);
+
+/// Rate at which polls may use up received bytes.
+const POLL_RATE: ByteRate = ByteRate::new(100);
+
 /// Key of the pointer.
 const POINTER: &str = "preset-in-force";
 
@@ -49,6 +59,7 @@
     shared: Arc<Shared>,
     followed: Followed,
     seen: Option<u64>,
+    size: usize,
     backoff: Backoff,
 }
 
@@ -60,6 +71,7 @@
             shared,
             followed,
             seen: None,
+            size: 0,
             backoff: Backoff::new(RETRY_LEAST, RETRY_MOST),
         }
     }
@@ -114,7 +126,8 @@
         if !self.shared.is_watcher(self.key()) {
             return None;
         }
-        let time = self.shared.settings().platform.watch_time;
+        let least = self.shared.settings().platform.watch_time;
+        let time = time_at(self.size, WATCH_RATE).min(WATCH_MOST).max(least);
         self.seen.map(|index| Wait { index, time })
     }
 
@@ -123,7 +136,8 @@
         if self.shared.is_watcher(self.key()) {
             return sleep(jitter(WATCH_PAUSE)).await;
         }
-        let mut left = jitter(self.shared.poll_time());
+        let least = time_at(self.size, POLL_RATE);
+        let mut left = jitter(self.shared.poll_time().max(least));
         while !left.is_zero() && !self.shared.is_watcher(self.key()) {
             let slice = left.min(ROLE_TIME);
             sleep(slice).await;
@@ -134,6 +148,7 @@
     /// Takes what was read; false when the document should be read again soon.
     async fn take(&mut self, reading: Reading) -> Result<bool, PlatformError> {
         self.seen = Some(reading.index);
+        self.size = reading.text.len();
         match self.followed {
             Followed::Config => self.take_pointer(reading).await,
             Followed::List(kind) => {
@@ -222,3 +237,8 @@
         state.record(EventKind::DocumentRefused, cause);
     }
 }
+
+/// Time in which so many bytes pass at a rate.
+fn time_at(size: usize, rate: ByteRate) -> Duration {
+    Duration::from_secs_f64(size as f64 / rate.get() as f64)
+}
--- a/crates/peer/schema/agent.capnp
+++ b/crates/peer/schema/agent.capnp
@@ -35,6 +35,8 @@
   rumours @10 :List(Rumour);
   # Whether the sender may be sent what it lacks now.
   wants @11 :Bool;
+  # Whether the sender keeps the preset of the receiver's configuration from earlier.
+  keeps @12 :Bool;
 }
 
 struct Step {
--- a/crates/peer/src/agent/codec.rs
+++ b/crates/peer/src/agent/codec.rs
@@ -22,6 +22,7 @@
     builder.set_era(value.era.get());
     builder.set_index(value.index);
     builder.set_wants(value.wants);
+    builder.set_keeps(value.keeps);
     write_version(value.vms, builder.reborrow().init_vms());
     write_version(value.targets, builder.reborrow().init_targets());
     let count = RUMOUR_LIMIT.min(value.rumours.len() as u32);
@@ -55,6 +56,7 @@
         targets: read_version(reader.get_targets()?),
         rumours,
         wants: reader.get_wants(),
+        keeps: reader.get_keeps(),
     })
 }
 
--- a/crates/peer/src/agent/message.rs
+++ b/crates/peer/src/agent/message.rs
@@ -58,6 +58,8 @@
     pub rumours: Vec<Rumour>,
     /// Whether the sender may be sent what it lacks.
     pub wants: bool,
+    /// Whether the sender keeps the preset of the receiver's configuration from earlier.
+    pub keeps: bool,
 }
 
 /// A pointer and the difference that makes its preset.
--- a/crates/peer/src/agent/patch.rs
+++ b/crates/peer/src/agent/patch.rs
@@ -57,6 +57,13 @@
         }
     }
 
+    /// A patch that takes the text with mark `mark` as it is.
+    pub fn copy(mark: u64, text: &str) -> Self {
+        let mut steps = Vec::new();
+        copy(&mut steps, 0, text.len());
+        Self { base: mark, steps }
+    }
+
     /// The difference from `base`, whose mark is `mark`, to `text`.
     pub fn between(mark: u64, base: &str, text: &str) -> Self {
         let mut places: HashMap<&str, usize> = HashMap::new();
--- a/tests/tests/control_peers.rs
+++ b/tests/tests/control_peers.rs
@@ -80,6 +80,7 @@
         targets: DocumentVersion::default(),
         rumours: Vec::new(),
         wants: true,
+        keeps: false,
     }
 }
 
@@ -118,6 +119,40 @@
     });
 }
 
+#[test]
+fn preset_that_a_peer_keeps_is_not_sent_again() {
+    run(async {
+        let mut published = deployment();
+        let fake = Fake::new(&published);
+        let (shared, link) = start(&fake).await;
+        for (preset, expected) in [("peak-season", 2), ("ordinary", 3)] {
+            published.switch(&name(preset));
+            fake.edit(|store| store.publish(&published));
+            wait_until(&shared, "switched", |shared| revision(shared) == expected).await;
+        }
+        let text = published.preset_text(&name("ordinary")).expect("a preset");
+        let mut behind = summary("vm-002", now_ms(), 1);
+        behind.config.rank = Revision::from(2);
+        let (_, whole) = link.exchange(&behind).await.expect("an answer");
+        assert!(whole.config.expect("a configuration").preset.size() >= text.len());
+        behind.keeps = true;
+        behind.beat.second = 2;
+        let (theirs, copied) = link.exchange(&behind).await.expect("an answer");
+        let patch = copied.config.expect("a configuration").preset;
+        assert!(patch.size() < 100);
+        assert_eq!(patch.base, theirs.config.mark);
+        assert_eq!(patch.apply(text).as_deref(), Ok(text));
+        // The agent itself keeps presets that were in force before.
+        let mut newer = summary("vm-003", now_ms(), 1);
+        let peak = published
+            .preset_text(&name("peak-season"))
+            .expect("a preset");
+        newer.config.mark = mark_of(&digest_of(peak));
+        let (theirs, _) = link.exchange(&newer).await.expect("an answer");
+        assert!(theirs.keeps);
+    });
+}
+
 #[test]
 fn sender_of_an_earlier_start_is_told_and_changes_nothing() {
     run(async {
