--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -29,6 +29,8 @@
 pub(crate) struct PeerTable {
     held: Vec<Held>,
     newest: DocumentVersion,
+    newest_vms: DocumentVersion,
+    newest_targets: DocumentVersion,
     lease: Option<Instant>,
 }
 
@@ -68,6 +70,8 @@
             Err(index) => self.held.insert(index, held),
         }
         self.newest = self.newest.max(summary.config);
+        self.newest_vms = self.newest_vms.max(summary.vms);
+        self.newest_targets = self.newest_targets.max(summary.targets);
     }
 
     /// What a peer was last known to hold.
@@ -115,6 +119,15 @@
         self.config_version() < self.peers.newest
     }
 
+    /// Whether a peer holds a newer list.
+    pub(crate) fn is_list_behind(&self, kind: ListKind) -> bool {
+        let newest = match kind {
+            ListKind::Vms => self.peers.newest_vms,
+            ListKind::Targets => self.peers.newest_targets,
+        };
+        self.list_version(kind) < newest
+    }
+
     /// The summary for a peer.
     pub(crate) fn summary(&mut self, me: &VmId, peer: Option<&VmId>, wants: bool) -> Summary {
         let fleet = self.store.vm_list().0.len();
@@ -134,6 +147,7 @@
             targets: self.list_version(ListKind::Targets),
             rumours: self.members.news(fleet),
             wants,
+            keeps: false,
         }
     }
 
@@ -199,6 +213,7 @@
             targets: self.list_version(ListKind::Targets),
             rumours: Vec::new(),
             wants: false,
+            keeps: false,
         }
     }
 
@@ -208,7 +223,10 @@
         if let Some(config) = self.store.config()
             && summary.config < self.config_version()
         {
-            let preset = self.patch(summary.config.mark, &config.preset_text);
+            let preset = match summary.keeps {
+                true => Patch::copy(self.config_version().mark, &config.preset_text),
+                false => self.patch(summary.config.mark, &config.preset_text),
+            };
             update.config = Some(ConfigUpdate {
                 pointer: config.pointer_text.as_ref().to_owned(),
                 era: config.origin.era,
@@ -294,7 +312,10 @@
         if !summary.wants {
             return (Update::default(), is_lacking);
         }
-        (state.update_for(summary), is_lacking)
+        let mut summary = summary.clone();
+        // The answer speaks of the configuration that was sent, which may be replaced by now.
+        summary.keeps &= sent.config == state.config_version();
+        (state.update_for(&summary), is_lacking)
     }
 
     /// Notes that a peer now holds what this agent holds.
@@ -439,7 +460,8 @@
         }
         self.shared.settle(&mut state);
         let wants = state.versions(me).lacks(&summary) && state.peers.try_lease(Instant::now());
-        let answer = state.summary(me, Some(&summary.vm), wants);
+        let mut answer = state.summary(me, Some(&summary.vm), wants);
+        answer.keeps = state.store.text_of_mark(summary.config.mark).is_some();
         let update = match summary.wants {
             true => state.update_for(&summary),
             false => Update::default(),
