--- a/crates/forwarder/src/table.rs
+++ b/crates/forwarder/src/table.rs
@@ -12,6 +12,7 @@
 use std::hash::{BuildHasherDefault, Hasher};
 use std::time::Duration;
 
+use bambooseam_types::ByteCount;
 use bambooseam_view::FlowKey;
 
 use crate::Moment;
@@ -20,6 +21,12 @@
 /// Number of shards.
 pub const SHARDS: usize = 256;
 
+/// Bit of an entry that is set for TCP.
+const TCP_BIT: u32 = 1 << 31;
+
+/// Bytes of one place: key, entry and a byte of the hash table's own.
+const PLACE_BYTES: usize = size_of::<(u64, Entry)>() + 1;
+
 /// Milliseconds in a tick, the unit in which entries hold time.
 const TICK_MS: u64 = 100;
 
@@ -27,7 +34,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Entry {
     seen: u32,
-    /// Target in the low 24 bits, state in the high 8.
+    /// Target in the low 24 bits, then the state, then whether the flow is TCP.
     packed: u32,
 }
 
@@ -102,7 +109,7 @@
 }
 
 impl Entry {
-    /// Creates an entry.
+    /// Creates an entry of a UDP flow.
     pub fn new(target: TargetNumber, state: EntryState, seen: Tick) -> Self {
         Self {
             seen: seen.0,
@@ -110,6 +117,20 @@
         }
     }
 
+    /// Sets whether the flow is TCP.
+    pub fn with_tcp(mut self, is_tcp: bool) -> Self {
+        self.packed &= !TCP_BIT;
+        if is_tcp {
+            self.packed |= TCP_BIT;
+        }
+        self
+    }
+
+    /// Whether the flow is TCP.
+    pub fn is_tcp(&self) -> bool {
+        self.packed & TCP_BIT != 0
+    }
+
     /// Target of the flow.
     pub fn target(&self) -> TargetNumber {
         TargetNumber::from(self.packed)
@@ -117,13 +138,18 @@
 
     /// How sure the entry is.
     pub fn state(&self) -> EntryState {
-        match self.packed >> 24 {
+        match (self.packed & !TCP_BIT) >> 24 {
             0 => EntryState::Open,
             1 => EntryState::Closing,
             _ => EntryState::Guessed,
         }
     }
 
+    /// Sets when a packet of the flow was last seen.
+    pub fn set_seen(&mut self, seen: Tick) {
+        self.seen = seen.0;
+    }
+
     /// When a packet of the flow was last seen.
     pub fn seen(&self) -> Tick {
         Tick(self.seen)
@@ -151,24 +177,34 @@
         self.len == 0
     }
 
+    /// Memory that the shards hold, free places included.
+    pub fn memory(&self) -> ByteCount {
+        let places: usize = self.shards.iter().map(|s| places_of(s.capacity())).sum();
+        ByteCount::new((places * PLACE_BYTES) as u64)
+    }
+
     /// Whether no further flow fits.
     pub fn is_full(&self) -> bool {
         self.len >= self.limit
     }
 
     /// The entry of a flow.
+    #[inline]
     pub fn get(&self, key: FlowKey) -> Option<Entry> {
         self.shards[shard_of(key)].get(&key.get()).copied()
     }
 
-    /// Replaces the entry of a flow that is remembered already.
-    pub fn update(&mut self, key: FlowKey, entry: Entry) {
-        if let Some(held) = self.shards[shard_of(key)].get_mut(&key.get()) {
-            *held = entry;
-        }
+    /// The entry of a flow, for changes.
+    #[inline]
+    pub fn get_mut(&mut self, key: FlowKey) -> Option<&mut Entry> {
+        self.shards[shard_of(key)].get_mut(&key.get())
     }
 
-    /// Remembers a flow and gives back the entry it had; false if the table is full.
+    /// Remembers a flow and gives back the entry it had.
+    ///
+    /// # Errors
+    ///
+    /// [`TableFull`] when a further flow does not fit.
     pub fn insert(&mut self, key: FlowKey, entry: Entry) -> Result<Option<Entry>, TableFull> {
         let is_full = self.is_full();
         match self.shards[shard_of(key)].entry(key.get()) {
@@ -214,6 +250,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TableFull;
 
+/// Places that a hash table of this capacity has: a power of two, at most seven eighths full.
+fn places_of(capacity: usize) -> usize {
+    match capacity {
+        0 => 0,
+        _ => (capacity * 8 / 7).next_power_of_two(),
+    }
+}
+
 /// Shard of a key; the bits are neither those of the hash table nor those of the ranks.
 fn shard_of(key: FlowKey) -> usize {
     (key.get() >> 36) as usize % SHARDS
