--- a/tests/tests/input_agents.rs
+++ b/tests/tests/input_agents.rs
@@ -134,6 +134,7 @@
             targets: self.version(),
             rumours: (0..rumours).map(|_| rumour(self)).collect(),
             wants: self.choose(2) == 0,
+            keeps: self.choose(2) == 0,
         }
     }
 }
