Give the VMs of a control test addresses of their own

Cause: the check of VM lists now refuses two VMs at one address, so the test's list was refused as it must be (findings in the status that the failure printed). Ruled out: a fault in the polling agent; the test's checks are unchanged.

--- a/tests/tests/control_peers.rs
+++ b/tests/tests/control_peers.rs
@@ -164,6 +164,8 @@
             .map(|number| VmEntry {
                 id: format!("vm-{number:03}").parse().expect("a name"),
                 agent: ([127, 0, 0, 1], number).into(),
+                forwarder: ([127, 0, 0, 1], 100 + number).into(),
+                proxy: ([127, 0, 0, 1], 200 + number).into(),
                 ..pattern.clone()
             })
             .collect();
