--- a/crates/measure/src/demo/step.rs
+++ b/crates/measure/src/demo/step.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::check::{Faults, sum_of, value_of};
-use super::cost::{Cost, imbalance};
+use super::cost::{Cost, imbalance, longest_open};
 use super::progress;
 use super::stage::Stage;
 use super::traffic::{Traffic, TrafficPlan};
@@ -23,6 +23,8 @@
 /// Time that a fault is watched before and after the platform drops the VM from its list; longer
 /// than the silence after which a feed counts as broken.
 const FAULT_TIME: Duration = Duration::from_secs(8);
+/// Longest time in which a feed opens while nothing fails.
+const OPEN_TIME: Duration = Duration::from_secs(5);
 /// Time between two renewals of feeds.
 const RENEW_PERIOD: Duration = Duration::from_secs(1);
 /// Share of the feeds that each renewal replaces.
@@ -36,6 +38,7 @@
     plan: TrafficPlan,
     period: Duration,
     random: StdRng,
+    began: Instant,
     broken: usize,
     calls: Vec<Call>,
     failures: Vec<String>,
@@ -68,6 +71,7 @@
             plan,
             period,
             random: StdRng::seed_from_u64(plan.seed),
+            began: Instant::now(),
             broken: 0,
             calls: Vec::new(),
             failures: Vec::new(),
@@ -211,11 +215,13 @@
         let cost = Cost {
             step,
             broken: broken.len() - self.broken,
+            open_time: longest_open(&reports, self.began),
             calls: self.traffic.take_calls(),
             imbalance: imbalance(&open, self.stage.deployment(), service),
             figures,
         };
         self.broken = broken.len();
+        self.began = Instant::now();
         println!("{cost}");
         self.judge(&cost, kind);
         self.calls.extend(cost.calls);
@@ -242,6 +248,11 @@
             self.failures
                 .push(format!("cause=broken_flows step={step} count={broken}"));
         }
+        if kind == Kind::Planned && cost.open_time > OPEN_TIME {
+            let time = cost.open_time.as_secs_f64();
+            self.failures
+                .push(format!("cause=late_open step={step} time_s={time:.3}"));
+        }
         for call in cost.calls.iter().filter(|call| failed(&call.outcome)) {
             eprintln!(
                 "event=request_failed step={step} request={} outcome={} vm={} long={} time_ms={}",
