Ride the crest: admission by probe, near work first, returns by turn

Change: a request asks owners in turn without waiting, and waits at all of them only when one expects a slot in 0.4 of the limit; crowded owners serve near work first, then the newest far work; refused callers are told their turn at half the measured drain rate; long work that has waited half the queue limit may hold a third of the slots.

--- a/crates/measure/src/requests.rs
+++ b/crates/measure/src/requests.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod comparison;
+pub mod crest;
 pub mod fleet;
 pub mod network;
 pub mod schedule;
@@ -29,6 +30,7 @@
     println!("seed={seed}");
     let mut is_met = true;
     is_met &= comparison::print(seed);
+    is_met &= crest::print(seed);
     if is_met {
         ExitCode::SUCCESS
     } else {
--- a/crates/measure/src/requests/schedule.rs
+++ b/crates/measure/src/requests/schedule.rs
@@ -17,7 +17,7 @@
 use bambooseam_types::TargetId;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -34,13 +34,13 @@
 pub const LONG_PART: f64 = 0.05;
 
 /// One-way time between proxies of different zones.
-const ZONE_DELAY: Duration = Duration::from_micros(1_500);
+pub const ZONE_DELAY: Duration = Duration::from_micros(1_500);
 
 /// Zones.
-const ZONES: usize = 3;
+pub const ZONES: usize = 3;
 
 /// Entry VMs.
-const VMS: usize = 5;
+pub const VMS: usize = 5;
 
 /// Time between looks of owners at states that change as time passes.
 const TICK: Duration = Duration::from_secs(1);
@@ -172,14 +172,19 @@
 
 /// An owner behind a network.
 #[derive(Debug, Clone)]
-struct Delayed {
-    owner: Arc<SlotOwner>,
+pub struct Delayed {
+    owner: OwnerPlace,
     delay: Duration,
     messages: Arc<AtomicU64>,
 }
 
+/// Where an owner is found; empty while there is none.
+#[derive(Debug, Clone)]
+pub struct OwnerPlace(watch::Sender<Option<Arc<SlotOwner>>>);
+
 /// A grant whose release travels as long as its request did.
-struct DelayedLease {
+#[derive(Debug)]
+pub struct DelayedLease {
     grant: Option<Grant>,
     delay: Duration,
     messages: Arc<AtomicU64>,
@@ -225,7 +230,7 @@
                 let is_near = *at == zone || matches!(way, Way::Central(_));
                 let delay = if is_near { Duration::ZERO } else { ZONE_DELAY };
                 let source = Delayed {
-                    owner: Arc::clone(owner),
+                    owner: OwnerPlace::new(Arc::clone(owner)),
                     delay,
                     messages: Arc::clone(messages),
                 };
@@ -310,7 +315,7 @@
                 short_part,
                 ..ask(work.class)
             };
-            let Ok(lease) = finder.find(ask).await else {
+            let Ok(lease) = finder.find(ask, NO_LIMIT).await else {
                 return;
             };
             sleep(work.time).await;
@@ -360,13 +365,56 @@
     Ask {
         class,
         waited: Duration::ZERO,
-        limit: NO_LIMIT,
+        may_wait: true,
+        is_far: false,
+        time: Duration::ZERO,
         owners: 1,
         avoid: Vec::new(),
         short_part: None,
     }
 }
 
+impl OwnerPlace {
+    /// Puts an owner in place.
+    pub fn new(owner: Arc<SlotOwner>) -> Self {
+        Self(watch::Sender::new(Some(owner)))
+    }
+
+    /// The owner that is there now.
+    pub fn get(&self) -> Option<Arc<SlotOwner>> {
+        self.0.borrow().clone()
+    }
+
+    /// Changes the owner; those who wait at the one before are refused.
+    pub fn set(&self, owner: Option<Arc<SlotOwner>>) {
+        self.0.send_replace(owner);
+    }
+
+    async fn acquire(&self, ask: Ask) -> Result<Grant, Refusal> {
+        let refusal = Refusal { wait: UNIT };
+        let mut changes = self.0.subscribe();
+        let Some(owner) = self.get() else {
+            return Err(refusal);
+        };
+        tokio::select! {
+            biased;
+            asked = owner.acquire(ask) => asked,
+            _ = changes.changed() => Err(refusal),
+        }
+    }
+}
+
+impl Delayed {
+    /// An owner that is `delay` away.
+    pub fn new(owner: &OwnerPlace, delay: Duration) -> Self {
+        Self {
+            owner: owner.clone(),
+            delay,
+            messages: Arc::default(),
+        }
+    }
+}
+
 impl SlotSource for Delayed {
     type Lease = DelayedLease;
 
@@ -436,12 +484,16 @@
         let Some(grant) = self.grant.take() else {
             return;
         };
+        // Work that is left over at the end of a run is dropped without a runtime.
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
         if self.delay.is_zero() {
             return;
         }
         self.messages.fetch_add(1, Ordering::Relaxed);
         let delay = self.delay;
-        tokio::spawn(async move {
+        runtime.spawn(async move {
             sleep(delay).await;
             drop(grant);
         });
@@ -480,6 +532,6 @@
 }
 
 /// An exponential variate of mean 1.
-fn exponential(random: &mut StdRng) -> f64 {
+pub fn exponential(random: &mut StdRng) -> f64 {
     -(1.0 - random.random::<f64>()).ln()
 }
--- a/crates/peer/schema/slot.capnp
+++ b/crates/peer/schema/slot.capnp
@@ -20,11 +20,14 @@
   zone @1 :Text;
   class @2 :WorkClass;
   waitedMs @3 :UInt32;
-  limitMs @4 :UInt32;
+  mayWait @4 :Bool;
   owners @5 :UInt32;
   avoid @6 :List(Text);
   # Part of the service's work that is short, in thousandths; 0 when unknown.
   shortPart @7 :UInt16;
+  isFar @8 :Bool;
+  # Expected service time in milliseconds; 0 when unknown.
+  timeMs @9 :UInt32;
 }
 
 interface Slot {
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -8,16 +8,13 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
-use rand::Rng;
 
 use crate::body::AnswerBody;
 use crate::head::{OUTCOME, REQUEST_ID};
+use crate::slots::jittered;
 
-/// Least time before a refused caller may come back.
-const LEAST_BACKOFF: Duration = Duration::from_secs(1);
-
-/// Longest time over which refused callers come back.
-const MOST_BACKOFF: Duration = Duration::from_secs(60);
+/// Time over which callers come back when nothing was measured.
+const USUAL_BACKOFF: Duration = Duration::from_secs(1);
 
 /// Whether a request that gets no answer of a target ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -113,7 +110,7 @@
         Self {
             cause,
             outcome: Outcome::NotRun,
-            backoff: LEAST_BACKOFF,
+            backoff: USUAL_BACKOFF,
         }
     }
 
@@ -122,7 +119,7 @@
         Self {
             cause,
             outcome: Outcome::Unknown,
-            backoff: LEAST_BACKOFF,
+            backoff: USUAL_BACKOFF,
         }
     }
 
@@ -147,7 +144,8 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         headers.insert(OUTCOME, HeaderValue::from_static(outcome));
         if self.cause.is_temporary() {
-            headers.insert(RETRY_AFTER, HeaderValue::from(jittered(self.backoff)));
+            let after = HeaderValue::from(jittered(&mut rand::rng(), self.backoff));
+            headers.insert(RETRY_AFTER, after);
         }
         if let Some(id) = id {
             insert_text(headers, REQUEST_ID, id.as_str());
@@ -156,12 +154,6 @@
     }
 }
 
-/// Seconds after which one caller should come back, spread evenly over the backoff.
-fn jittered(backoff: Duration) -> u64 {
-    let most = backoff.clamp(LEAST_BACKOFF, MOST_BACKOFF).as_secs() + 1;
-    rand::rng().random_range(1..=most)
-}
-
 /// Inserts a header whose text was checked before.
 pub fn insert_text(headers: &mut hyper::HeaderMap, name: HeaderName, text: &str) {
     if let Ok(value) = HeaderValue::from_str(text) {
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -10,7 +10,7 @@
 use hyper::http::request::Parts;
 use hyper::upgrade::OnUpgrade;
 use hyper::{Method, Request, Response, StatusCode};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 use tracing::Instrument;
 
 use crate::answer::{Cause, Outcome, OwnAnswer, insert_text};
@@ -22,7 +22,7 @@
 use crate::pool::Connection;
 use crate::proxy::{Proxy, ServiceState};
 use crate::routes::{OwnerAddress, Routes};
-use crate::slots::{Ask, Lease, Refusal, Report, SlotFinder};
+use crate::slots::{Ask, Lease, Report, SlotFinder};
 use crate::source::{SlotLease, Source};
 use crate::upgrade;
 
@@ -32,9 +32,6 @@
 /// Most grants of targets that this proxy's view does not open.
 const STALE_GRANT_LIMIT: usize = 3;
 
-/// Wait that is reported when no owner answered in time.
-const UNKNOWN_WAIT: Duration = Duration::from_secs(1);
-
 /// Work that runs on a target until its answer has ended.
 #[derive(Debug)]
 pub struct Running {
@@ -271,19 +268,19 @@
                 class: self.class,
                 short_part: self.short_part,
                 waited: now.saturating_duration_since(self.arrived),
-                limit: until.saturating_duration_since(now),
+                may_wait: true,
+                is_far: false,
+                time: self.state.mean(self.class),
                 owners: 1,
                 avoid: self.tried.clone(),
             };
-            if ask.limit.is_zero() {
-                return Err(self.refused(UNKNOWN_WAIT));
+            let limit = until.saturating_duration_since(now);
+            if limit.is_zero() {
+                return Err(self.refused(Duration::ZERO));
             }
-            let found = timeout_at(until, finder.find(ask)).await;
-            let lease = match found {
-                Ok(Ok(lease)) => lease,
-                Ok(Err(Refusal { wait })) => return Err(self.refused(wait)),
-                Err(_) => return Err(self.refused(UNKNOWN_WAIT)),
-            };
+            let found = finder.find(ask, limit).await;
+            drop(finder);
+            let lease = found.map_err(|refusal| self.refused(refusal.wait))?;
             if let Some(routes) = self.proxy.routes() {
                 self.follow(routes)?;
             }
@@ -311,13 +308,15 @@
         Ok(())
     }
 
-    fn sources(&self) -> Vec<Source> {
+    fn sources(&self) -> Vec<Source<'_>> {
         let groups = self.routes.groups(self.service).iter();
-        groups
-            .filter_map(|route| {
-                Source::of(route, &self.routes, &self.proxy.owners, &self.proxy.peers)
-            })
-            .collect()
+        let sources = groups.map(|route| Source {
+            route,
+            view: &self.routes.view,
+            owners: &self.proxy.owners,
+            peers: &self.proxy.peers,
+        });
+        sources.collect()
     }
 
     fn setting(&self) -> &Service {
@@ -361,7 +360,7 @@
         } else {
             OwnAnswer::not_run(cause)
         };
-        own.with_backoff(self.state.backoff(Duration::ZERO))
+        own.with_backoff(self.state.backoff(self.class, Duration::ZERO))
     }
 
     fn refused(&self, wait: Duration) -> OwnAnswer {
@@ -370,7 +369,8 @@
         } else {
             Cause::Overload
         };
-        self.own(cause).with_backoff(self.state.backoff(wait))
+        self.own(cause)
+            .with_backoff(self.state.backoff(self.class, wait))
     }
 
     fn running(&self, lease: SlotLease, connection: Connection, began: Instant) -> Running {
--- a/crates/proxy/src/peers/ask.rs
+++ b/crates/proxy/src/peers/ask.rs
@@ -272,7 +272,9 @@
     builder.set_zone(group.zone.as_str());
     builder.set_class(class_code(ask.class));
     builder.set_waited_ms(milliseconds(ask.waited));
-    builder.set_limit_ms(milliseconds(ask.limit));
+    builder.set_may_wait(ask.may_wait);
+    builder.set_is_far(ask.is_far);
+    builder.set_time_ms(milliseconds(ask.time));
     builder.set_owners(ask.owners);
     let part = ask.short_part.map_or(0, |part| (part * THOUSAND) as u16);
     builder.set_short_part(part);
@@ -282,8 +284,13 @@
         avoid.set(index, target.as_str());
     }
     let promise = request.send().promise;
-    let answer = timeout(ask.limit + ANSWER_TIME, promise).await;
-    let answer = answer.map_err(|_| lost(std::io::ErrorKind::TimedOut))?;
+    let answer = if ask.may_wait {
+        // Bounded by the request, which drops the call when its time is over.
+        promise.await
+    } else {
+        let answer = timeout(ANSWER_TIME, promise).await;
+        answer.map_err(|_| lost(std::io::ErrorKind::TimedOut))?
+    };
     let answer = answer.map_err(failed)?;
     let answer = answer.get().and_then(|results| results.get_answer());
     read_answer(answer.map_err(failed)?).map_err(failed)?
--- a/crates/proxy/src/peers/serve.rs
+++ b/crates/proxy/src/peers/serve.rs
@@ -128,7 +128,9 @@
         short_part: (part > 0).then(|| f64::from(part) / THOUSAND),
         class,
         waited: Duration::from_millis(ask.get_waited_ms().into()),
-        limit: Duration::from_millis(ask.get_limit_ms().into()),
+        may_wait: ask.get_may_wait(),
+        is_far: ask.get_is_far(),
+        time: Duration::from_millis(ask.get_time_ms().into()),
         owners: ask.get_owners(),
         avoid,
     };
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -277,16 +277,22 @@
         mix.short_part()
     }
 
+    /// Mean service time of a class; zero until one is known.
+    pub fn mean(&self, class: WorkClass) -> Duration {
+        lock(&self.mix).mean(class)
+    }
+
     /// Notes a whole answer and its service time.
     pub fn serve(&self, path: &str, class: WorkClass, time: Duration) {
         lock(&self.learner).note(path, time);
         lock(&self.mix).serve(class, time);
-        lock(&self.drain).serve();
+        lock(&self.drain).serve(time);
     }
 
     /// Notes a refusal; returns the time over which refused callers should come back.
-    pub fn backoff(&self, wait: Duration) -> Duration {
-        lock(&self.drain).refuse(wait)
+    pub fn backoff(&self, class: WorkClass, wait: Duration) -> Duration {
+        let time = self.mean(class);
+        lock(&self.drain).refuse(wait, time)
     }
 }
 
--- a/crates/proxy/src/routes.rs
+++ b/crates/proxy/src/routes.rs
@@ -162,6 +162,7 @@
     let policy = Policy {
         ramp_time: service.ramp_time,
         eject_share: service.eject_share,
+        patience: service.queue_limit / 2,
         share: Share { before, total },
         ..Policy::USUAL
     };
--- a/crates/proxy/src/slots.rs
+++ b/crates/proxy/src/slots.rs
@@ -15,7 +15,7 @@
 mod queue;
 
 pub use class::ClassLearner;
-pub use drain::DrainMeter;
+pub use drain::{DrainMeter, jittered};
 pub use finder::{Lease, SlotFinder, SlotSource};
 pub use health::{Health, Report};
 pub use load::Load;
--- a/crates/proxy/src/slots/finder.rs
+++ b/crates/proxy/src/slots/finder.rs
@@ -6,9 +6,20 @@
 use bambooseam_types::TargetId;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use tokio::time::{Instant, sleep, timeout};
 
 use super::{Ask, Grant, Refusal, Report, SlotOwner};
 
+/// Part of the time limit up to which the expected wait may grow; the rest is for errors of the
+/// estimate, so that admitted work seldom waits in vain.
+const ADMIT_PART: f64 = 0.4;
+
+/// Expected wait without an owner.
+const NO_OWNER_WAIT: Duration = Duration::from_secs(5);
+
+/// Pause before an owner that was lost, or whoever took over, is asked again.
+const LOST_PAUSE: Duration = Duration::from_millis(20);
+
 /// A slot in use; dropping it frees the slot.
 pub trait Lease: Send + 'static {
     /// The target that the work may run on.
@@ -23,7 +34,7 @@
     /// What a grant is.
     type Lease: Lease;
 
-    /// Waits for a slot; dropping the future gives the place in the queue up.
+    /// Takes a slot or waits for one; dropping the future gives the place in the queue up.
     fn acquire(&self, ask: Ask) -> impl Future<Output = Result<Self::Lease, Refusal>> + Send;
 }
 
@@ -57,48 +68,74 @@
         Self { sources }
     }
 
-    /// Waits for a slot: at the nearest owner, then at all owners at once. The first grant counts.
+    /// Waits for a slot for at most `limit`.
+    ///
+    /// Owners are asked in turn for a free slot until one expects to have one in time. Then the
+    /// request waits at all owners at once, and the first grant counts.
     ///
     /// # Errors
     ///
-    /// A refusal when no owner expects a slot within the limit; the shortest wait of them.
-    pub async fn find(&self, ask: Ask) -> Result<S::Lease, Refusal> {
-        let Some((nearest, others)) = self.sources.split_first() else {
-            return Err(Refusal {
-                wait: Duration::from_secs(5),
-            });
+    /// A refusal at once when no owner expects a slot in time, with the shortest wait expected;
+    /// a refusal at the limit otherwise.
+    pub async fn find(&self, ask: Ask, limit: Duration) -> Result<S::Lease, Refusal> {
+        let mut least = Refusal {
+            wait: NO_OWNER_WAIT,
         };
-        if others.is_empty() {
-            return nearest.acquire(ask).await;
+        for (index, source) in self.sources.iter().enumerate() {
+            let probe = Ask {
+                may_wait: false,
+                is_far: index > 0,
+                ..ask.clone()
+            };
+            match source.acquire(probe).await {
+                Ok(lease) => return Ok(lease),
+                Err(refusal) => least.wait = least.wait.min(refusal.wait),
+            }
+            if least.wait <= limit.mul_f64(ADMIT_PART) {
+                let waiting = timeout(limit, self.wait(ask));
+                return waiting.await.unwrap_or(Err(least));
+            }
         }
-        // With no time to wait, an owner either grants a free slot or refuses.
-        let at_once = Ask {
-            limit: Duration::ZERO,
-            ..ask.clone()
+        Err(least)
+    }
+
+    /// Waits at all owners; the first grant counts.
+    async fn wait(&self, ask: Ask) -> Result<S::Lease, Refusal> {
+        let owners = u32::try_from(self.sources.len()).unwrap_or(u32::MAX);
+        let ask = Ask {
+            owners,
+            may_wait: true,
+            ..ask
         };
-        if let Ok(lease) = nearest.acquire(at_once).await {
-            return Ok(lease);
+        let asked = self.sources.iter().enumerate().map(|(index, source)| {
+            let is_far = index > 0;
+            insist(
+                source,
+                Ask {
+                    is_far,
+                    ..ask.clone()
+                },
+            )
+        });
+        let mut asked: FuturesUnordered<_> = asked.collect();
+        match asked.next().await {
+            Some(lease) => Ok(lease),
+            None => Err(Refusal {
+                wait: NO_OWNER_WAIT,
+            }),
         }
-        let owners = u32::try_from(self.sources.len()).unwrap_or(u32::MAX);
-        let ask = Ask { owners, ..ask };
-        let mut asked: FuturesUnordered<_> = self
-            .sources
-            .iter()
-            .map(|source| source.acquire(ask.clone()))
-            .collect();
-        let mut least: Option<Refusal> = None;
-        while let Some(answer) = asked.next().await {
-            match answer {
-                Ok(lease) => return Ok(lease),
-                Err(refusal) => {
-                    least = Some(least.map_or(refusal, |held| Refusal {
-                        wait: held.wait.min(refusal.wait),
-                    }));
-                }
-            }
+    }
+}
+
+/// Asks an owner, and whoever takes over when it is lost, until a slot is granted.
+async fn insist<S: SlotSource>(source: &S, mut ask: Ask) -> S::Lease {
+    let began = Instant::now();
+    let waited = ask.waited;
+    loop {
+        match source.acquire(ask.clone()).await {
+            Ok(lease) => return lease,
+            Err(_) => sleep(LOST_PAUSE).await,
         }
-        Err(least.unwrap_or(Refusal {
-            wait: Duration::ZERO,
-        }))
+        ask.waited = waited + began.elapsed();
     }
 }
--- a/crates/proxy/src/slots/load.rs
+++ b/crates/proxy/src/slots/load.rs
@@ -15,6 +15,8 @@
     at: Instant,
     busy: [u32; 2],
     average: [f64; 2],
+    /// Short arrivals within the window, fading.
+    arrivals: f64,
     means: [Mean; 2],
 }
 
@@ -42,6 +44,7 @@
             at: Instant::now(),
             busy: [0; 2],
             average: [0.0; 2],
+            arrivals: 0.0,
             means: [Mean::default(); 2],
         }
     }
@@ -61,6 +64,27 @@
         Duration::from_secs_f64(self.means[slot_of(class)].value)
     }
 
+    /// Takes a proxy's word for the service time of a class, until work of it has ended here.
+    pub fn expect(&mut self, class: WorkClass, time: Duration) {
+        let mean = &mut self.means[slot_of(class)];
+        if mean.count == 0 {
+            mean.value = time.as_secs_f64();
+        }
+    }
+
+    /// Slots that short work needs as it arrives now, whether it is served or not.
+    pub fn short_demand(&self) -> f64 {
+        let rate = self.arrivals / self.window.as_secs_f64();
+        let needed = rate * self.mean(WorkClass::Short).as_secs_f64();
+        needed.max(self.average(WorkClass::Short))
+    }
+
+    /// Notes the arrival of short work.
+    pub fn arrive_short(&mut self) {
+        self.advance();
+        self.arrivals += 1.0;
+    }
+
     /// Notes the start of work.
     pub fn start(&mut self, class: WorkClass) {
         self.advance();
@@ -83,6 +107,7 @@
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = now;
         let weight = 1.0 - (-passed / self.window.as_secs_f64()).exp();
+        self.arrivals -= self.arrivals * weight;
         for (average, busy) in self.average.iter_mut().zip(self.busy) {
             *average += (f64::from(busy) - *average) * weight;
         }
--- a/crates/proxy/src/slots/mix.rs
+++ b/crates/proxy/src/slots/mix.rs
@@ -41,6 +41,15 @@
         self.class(class).time.add(time.as_secs_f64(), TIME_WEIGHT);
     }
 
+    /// Mean service time of a class; zero until one is known.
+    pub fn mean(&self, class: WorkClass) -> Duration {
+        let work = match class {
+            WorkClass::Short => &self.short,
+            WorkClass::Long => &self.long,
+        };
+        Duration::from_secs_f64(work.time.value)
+    }
+
     /// Part of the offered work that is short; `None` until service times are known.
     pub fn short_part(&self) -> Option<f64> {
         let (short, long) = (self.short.work(), self.long.work());
--- a/crates/proxy/src/slots/owner.rs
+++ b/crates/proxy/src/slots/owner.rs
@@ -12,13 +12,21 @@
 use super::queue::{Queue, Waiter};
 use super::{Health, Load, Policy, Report, Rule};
 
-/// Part of the time limit up to which the expected wait may grow; the rest is for errors of the
-/// estimate, so that admitted work seldom waits in vain.
-const ADMIT_PART: f64 = 0.5;
+/// Time over which busy slots are averaged; short enough to follow a swing.
+const LOAD_WINDOW: Duration = Duration::from_secs(1);
 
 /// Long work that has waited this many times its mean service time may take reserved slots.
 const LONG_PATIENCE: u32 = 4;
 
+/// Time that far work must have waited longer than near work to go first.
+const FAR_HANDICAP: Duration = Duration::from_millis(30);
+
+/// The same under overload.
+const OVERLOAD_HANDICAP: Duration = Duration::from_secs(2);
+
+/// Waiting requests of a class, for each slot, that count as overload.
+const OVERLOAD_FACTOR: f64 = 2.0;
+
 /// Weight of one proxy's word in the part of work that is short.
 const PART_WEIGHT: f64 = 1.0 / 64.0;
 
@@ -32,12 +40,16 @@
     pub class: WorkClass,
     /// Time since the request arrived.
     pub waited: Duration,
-    /// Longest further wait.
-    pub limit: Duration,
+    /// Whether to wait in the queue when no slot is free.
+    pub may_wait: bool,
     /// Owners that are asked at the same time.
     pub owners: u32,
+    /// Whether the proxy that asks is in another zone.
+    pub is_far: bool,
     /// Targets that were tried before.
     pub avoid: Vec<TargetId>,
+    /// Expected service time; zero when the proxy does not know it.
+    pub time: Duration,
     /// Part of the service's work that is short, if the proxy knows it.
     pub short_part: Option<f64>,
 }
@@ -118,7 +130,7 @@
         let state = State {
             policy,
             targets: Vec::new(),
-            load: Load::new(policy.window),
+            load: Load::new(LOAD_WINDOW),
             short_part: 0.0,
             short: Queue::default(),
             long: Queue::default(),
@@ -163,23 +175,35 @@
         self.dispatch(&mut state);
     }
 
-    /// Waits for a slot; dropping the future gives the place in the queue up.
+    /// Takes a free slot, or waits for one if the ask says so; dropping the future gives the place
+    /// in the queue up.
     ///
     /// # Errors
     ///
-    /// A refusal at once when the expected wait exceeds the limit.
+    /// A refusal with the expected wait when no slot is free and the ask may not wait.
     pub async fn acquire(self: &Arc<Self>, ask: Ask) -> Result<Grant, Refusal> {
         let waiting = {
             let mut state = self.lock();
             let (sender, receiver) = oneshot::channel();
             let arrived = Instant::now();
+            let handicap = if ask.is_far {
+                state.far_handicap(ask.class)
+            } else {
+                Duration::ZERO
+            };
             let waiter = Waiter {
-                arrived: arrived.checked_sub(ask.waited).unwrap_or(arrived),
+                arrived: arrived.checked_sub(ask.waited).unwrap_or(arrived) + handicap,
+                is_far: ask.is_far,
                 part: 1.0 / f64::from(ask.owners.max(1)),
                 avoid: ask.avoid,
                 sender,
             };
             state.learn(ask.short_part);
+            state.load.expect(ask.class, ask.time);
+            // Each request asks the owner in its zone first, without waiting.
+            if ask.class == WorkClass::Short && !ask.may_wait && !ask.is_far {
+                state.load.arrive_short();
+            }
             let wait = state.expected_wait(ask.class);
             state.queue(ask.class).push(waiter);
             self.dispatch(&mut state);
@@ -187,7 +211,7 @@
             if let Ok(grant) = receiver.try_recv() {
                 return Ok(grant);
             }
-            if ask.limit.is_zero() || wait > ask.limit.mul_f64(ADMIT_PART) {
+            if !ask.may_wait {
                 return Err(Refusal { wait });
             }
             receiver
@@ -219,7 +243,8 @@
     /// Grants free slots to waiting work in the order of the policy.
     fn dispatch(self: &Arc<Self>, state: &mut State) {
         while let Some(class) = state.next_class() {
-            let Some(waiter) = state.queue(class).pop() else {
+            let is_crowded = state.is_crowded(class);
+            let Some(waiter) = state.queue(class).pop(is_crowded) else {
                 return;
             };
             let Some(index) = state.pick(&waiter.avoid) else {
@@ -297,6 +322,22 @@
         self.policy.reserve(self.slots(), self.short_part)
     }
 
+    /// Time that work from another zone must have waited longer than near work to go first.
+    ///
+    /// A slot idles while its grant and release travel. Under overload, when all zones have work
+    /// of their own, that idle time would be lost to useful work.
+    fn far_handicap(&mut self, class: WorkClass) -> Duration {
+        if self.is_crowded(class) {
+            return OVERLOAD_HANDICAP;
+        }
+        FAR_HANDICAP
+    }
+
+    fn is_crowded(&mut self, class: WorkClass) -> bool {
+        let crowd = f64::from(self.slots()) * OVERLOAD_FACTOR;
+        self.queue(class).len() > crowd
+    }
+
     /// Averages what proxies tell of the service's work.
     fn learn(&mut self, short_part: Option<f64>) {
         let Some(part) = short_part.filter(|part| (0.0..=1.0).contains(part)) else {
@@ -335,7 +376,7 @@
         let is_long = match self.policy.rule {
             Rule::Fifo => is_older,
             // Long work keeps a few slots however much short work arrives, so neither starves.
-            _ => is_older && busy < self.policy.long_floor(slots),
+            _ => is_older && busy < self.policy.floor_after(long.elapsed(), slots),
         };
         Some(if is_long {
             WorkClass::Long
@@ -409,10 +450,15 @@
             }
             WorkClass::Long => {
                 let floor = self.policy.long_floor(slots).max(1);
-                let short = self.load.average(WorkClass::Short);
+                let short = self.load.short_demand();
                 let cap = f64::from(slots.saturating_sub(self.reserve()).max(floor));
                 let servers = (f64::from(slots) - short).clamp(f64::from(floor), cap);
-                (self.long.len(), self.load.mean(class), servers)
+                // Short work that waits goes first.
+                let mean_short = self.load.mean(WorkClass::Short).as_secs_f64();
+                let mean = self.load.mean(class);
+                let ratio = mean_short / mean.as_secs_f64().max(mean_short).max(f64::MIN_POSITIVE);
+                let before = self.short.len() * ratio;
+                (self.long.len() + before, mean, servers)
             }
         };
         mean.mul_f64(ahead / servers)
--- a/crates/proxy/src/slots/policy.rs
+++ b/crates/proxy/src/slots/policy.rs
@@ -20,12 +20,12 @@
 pub struct Policy {
     /// Order of work.
     pub rule: Rule,
-    /// Time over which load is averaged.
-    pub window: Duration,
     /// Time over which a cold target reaches its full share.
     pub ramp_time: Duration,
     /// Targets that may be ejected, in percent.
     pub eject_share: u8,
+    /// Wait after which long work goes before short work on some slots.
+    pub patience: Duration,
     /// The owner's part of the service's slots.
     pub share: Share,
 }
@@ -42,13 +42,16 @@
 /// One slot in this many may always run long work.
 const LONG_FLOOR: u32 = 8;
 
+/// One slot in this many may run long work that has waited out its patience.
+const PATIENT_FLOOR: u32 = 3;
+
 impl Policy {
     /// The usual policy of a service.
     pub const USUAL: Self = Self {
         rule: Rule::AdaptiveReserve,
-        window: Duration::from_secs(20),
         ramp_time: Duration::from_secs(10),
         eject_share: 30,
+        patience: Duration::from_secs(1),
         share: Share {
             before: 0,
             total: 0,
@@ -82,6 +85,14 @@
     pub fn long_floor(&self, slots: u32) -> u32 {
         self.share.of_part(1.0 / f64::from(LONG_FLOOR), slots)
     }
+
+    /// The same for long work that has waited for `waited`.
+    pub fn floor_after(&self, waited: Duration, slots: u32) -> u32 {
+        if waited <= self.patience {
+            return self.long_floor(slots);
+        }
+        self.share.of_part(1.0 / f64::from(PATIENT_FLOOR), slots)
+    }
 }
 
 impl Share {
--- a/crates/proxy/src/slots/queue.rs
+++ b/crates/proxy/src/slots/queue.rs
@@ -15,6 +15,8 @@
     pub arrived: Instant,
     /// Part of this request that counts here; it waits at several owners.
     pub part: f64,
+    /// Whether it arrived in another zone.
+    pub is_far: bool,
     /// Targets that it has tried.
     pub avoid: Vec<TargetId>,
     /// Takes the grant.
@@ -44,14 +46,28 @@
         self.waiters.front().map(|waiter| waiter.arrived)
     }
 
-    /// Takes the first request.
-    pub fn pop(&mut self) -> Option<Waiter> {
-        self.waiters.pop_front()
+    /// Takes the request that starts next.
+    ///
+    /// In a crowded queue without near work it is the newest: the oldest far ones are about to be
+    /// granted in their own zones, and a second grant would only idle a slot while it travels.
+    pub fn pop(&mut self, is_crowded: bool) -> Option<Waiter> {
+        if !is_crowded || !self.waiters.front()?.is_far {
+            return self.waiters.pop_front();
+        }
+        while self.waiters.back()?.sender.is_closed() {
+            self.waiters.pop_back();
+        }
+        self.waiters.pop_back()
     }
 
     /// Requests that still wait, those at several owners counted in part.
     pub fn len(&self) -> f64 {
-        let waiting = self.waiters.iter().filter(|w| !w.sender.is_closed());
-        waiting.map(|waiter| waiter.part).sum()
+        self.waiting().map(|waiter| waiter.part).sum()
+    }
+
+    fn waiting(&self) -> impl Iterator<Item = &Waiter> {
+        self.waiters
+            .iter()
+            .filter(|waiter| !waiter.sender.is_closed())
     }
 }
--- a/crates/proxy/src/source.rs
+++ b/crates/proxy/src/source.rs
@@ -1,28 +1,29 @@
 //! Owners as one proxy sees them: its own and those of peers.
 
-use std::sync::Arc;
+use std::time::Duration;
 
 use bambooseam_types::TargetId;
+use bambooseam_view::View;
 
 use crate::owners::Owners;
 use crate::peers::{PeerLease, Peers};
-use crate::routes::{Group, GroupRoute, OwnerAddress, Routes};
-use crate::slots::{Ask, Grant, Lease, Refusal, Report, SlotOwner, SlotSource};
+use crate::routes::{GroupRoute, OwnerAddress};
+use crate::slots::{Ask, Grant, Lease, Refusal, Report, SlotSource};
 
-/// An owner that can be asked for a slot.
+/// Expected wait for a service that the view lacks.
+const NO_SERVICE_WAIT: Duration = Duration::from_secs(5);
+
+/// The owner of one group, whoever that is when it is asked.
 #[derive(Debug)]
-pub enum Source {
-    /// In this process.
-    Own(Arc<SlotOwner>),
-    /// Another proxy.
-    Peer {
-        /// The thread that asks.
-        peers: Arc<Peers>,
-        /// Where the owner listens.
-        address: std::net::SocketAddr,
-        /// The group that it owns.
-        group: Group,
-    },
+pub struct Source<'a> {
+    /// The group and its owners in rank order.
+    pub route: &'a GroupRoute,
+    /// The view that ranked them.
+    pub view: &'a View,
+    /// Owners in this process.
+    pub owners: &'a Owners,
+    /// Other proxies.
+    pub peers: &'a Peers,
 }
 
 /// A slot of either kind of owner.
@@ -34,43 +35,33 @@
     Peer(PeerLease),
 }
 
-impl Source {
-    /// The first owner in rank that answers; this proxy itself when none does.
-    pub fn of(
-        route: &GroupRoute,
-        routes: &Routes,
-        owners: &Owners,
-        peers: &Arc<Peers>,
-    ) -> Option<Self> {
-        for owner in &route.owners {
-            match *owner {
-                OwnerAddress::Own => break,
-                OwnerAddress::Peer(address) if peers.is_down(address) => continue,
-                OwnerAddress::Peer(address) => {
-                    return Some(Self::Peer {
-                        peers: Arc::clone(peers),
-                        address,
-                        group: route.group.clone(),
-                    });
-                }
-            }
-        }
-        owners.get(&route.group, &routes.view).map(Self::Own)
+impl Source<'_> {
+    /// The first owner in rank that was not lost a short time ago; this proxy when all were.
+    fn owner(&self) -> OwnerAddress {
+        let is_up = |owner: &&OwnerAddress| match owner {
+            OwnerAddress::Own => true,
+            OwnerAddress::Peer(address) => !self.peers.is_down(*address),
+        };
+        let up = self.route.owners.iter().find(is_up);
+        up.copied().unwrap_or(OwnerAddress::Own)
     }
 }
 
-impl SlotSource for Source {
+impl SlotSource for Source<'_> {
     type Lease = SlotLease;
 
     async fn acquire(&self, ask: Ask) -> Result<SlotLease, Refusal> {
-        match self {
-            Self::Own(owner) => SlotOwner::acquire(owner, ask).await.map(SlotLease::Own),
-            Self::Peer {
-                peers,
-                address,
-                group,
-            } => {
-                let lease = peers.acquire(*address, group.clone(), ask).await;
+        match self.owner() {
+            OwnerAddress::Own => {
+                let owner = self.owners.get(&self.route.group, self.view);
+                let owner = owner.ok_or(Refusal {
+                    wait: NO_SERVICE_WAIT,
+                })?;
+                owner.acquire(ask).await.map(SlotLease::Own)
+            }
+            OwnerAddress::Peer(address) => {
+                let group = self.route.group.clone();
+                let lease = self.peers.acquire(address, group, ask).await;
                 lease.map(SlotLease::Peer)
             }
         }
