--- a/crates/measure/src/requests.rs
+++ b/crates/measure/src/requests.rs
@@ -7,11 +7,19 @@
 pub mod network;
 pub mod schedule;
 pub mod target;
+pub mod truth;
 
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
+/// Parts of the measurement, in the order in which they run.
+const PARTS: [(&str, fn(u64) -> bool); 3] = [
+    ("schedule", comparison::print),
+    ("crest", crest::print),
+    ("truth", truth::print),
+];
+
 /// Command line of this measurement.
 pub fn command() -> Command {
     let seed = Arg::new("seed")
@@ -19,18 +27,29 @@
         .value_parser(value_parser!(u64))
         .default_value("1")
         .help("Seed of all random draws");
+    let part = Arg::new("part")
+        .long("part")
+        .value_name("NAME")
+        .value_parser(PARTS.map(|(name, _)| name))
+        .help("Run one part only");
     Command::new("requests")
         .about("Measures queues, slots, the crest of a swing and the truth of outcomes")
         .arg(seed)
+        .arg(part)
 }
 
-/// Runs the measurement.
+/// Runs the measurement; fails when a bound is missed.
 pub fn run(matches: &ArgMatches) -> ExitCode {
     let seed = matches.get_one::<u64>("seed").copied().unwrap_or(1);
+    let only = matches.get_one::<String>("part");
     println!("seed={seed}");
     let mut is_met = true;
-    is_met &= comparison::print(seed);
-    is_met &= crest::print(seed);
+    for (name, print) in PARTS {
+        if only.is_some_and(|only| only != name) {
+            continue;
+        }
+        is_met &= print(seed);
+    }
     if is_met {
         ExitCode::SUCCESS
     } else {
--- a/crates/measure/src/requests/crest.rs
+++ b/crates/measure/src/requests/crest.rs
@@ -550,7 +550,7 @@
 }
 
 const fn is_cold_number(target: usize) -> bool {
-    target % 3 == 0
+    target.is_multiple_of(3)
 }
 
 /// Prints all runs and bounds; returns whether all bounds are met.
--- a/crates/measure/src/requests/fleet.rs
+++ b/crates/measure/src/requests/fleet.rs
@@ -121,10 +121,17 @@
 
     /// Tells all proxies of the deployment as it is now.
     pub fn publish(&mut self) {
+        self.publish_to(|_| true);
+    }
+
+    /// Tells some proxies, by position, of the deployment as it is now.
+    pub fn publish_to(&mut self, mut is_told: impl FnMut(usize) -> bool) {
         self.number += 1;
         let view = self.view();
-        for vm in &self.proxies {
-            vm.views.send_replace(Some(Arc::clone(&view)));
+        for (index, vm) in self.proxies.iter().enumerate() {
+            if is_told(index) {
+                vm.views.send_replace(Some(Arc::clone(&view)));
+            }
         }
     }
 
@@ -147,13 +154,21 @@
             .enable_all()
             .build()
             .expect("a runtime");
+        let began = std::time::Instant::now();
         let settings = self.settings.clone();
         let views = self.views.subscribe();
-        let started = runtime.spawn({
-            let views = views.clone();
-            async move { Proxy::start(&settings, views).await }
-        });
-        let proxy = started.await.expect("no panic").expect("a started proxy");
+        let proxy = loop {
+            let (settings, views) = (settings.clone(), views.clone());
+            let started = runtime.spawn(async move { Proxy::start(&settings, views).await });
+            match started.await.expect("no panic") {
+                Ok(proxy) => break proxy,
+                // The desk of the one before may still be closing.
+                Err(_) if began.elapsed() < START_TIME => {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+                Err(error) => panic!("the proxy did not start: {error}"),
+            }
+        };
         let (stop, stopped) = oneshot::channel();
         let (end, ended) = watch::channel(false);
         runtime.spawn({
@@ -191,6 +206,13 @@
         self.running.as_ref().map(|running| &running.proxy)
     }
 
+    /// Whether it was killed or asked to stop.
+    pub fn is_stopped(&self) -> bool {
+        self.running
+            .as_ref()
+            .is_none_or(|running| running.stop.is_none())
+    }
+
     /// Asks for a planned stop.
     pub fn stop(&mut self) {
         if let Some(running) = &mut self.running {
--- a/crates/measure/src/requests/schedule.rs
+++ b/crates/measure/src/requests/schedule.rs
@@ -1,7 +1,7 @@
 //! Ways to give out slots, compared in virtual time on the code that the proxy runs.
 //!
 //! All ways see the same arrivals and service times. Time is tokio's paused clock, so a run takes
-//! as long as its events, and a seed always gives the same figures.
+//! as long as its events.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -145,6 +145,7 @@
 }
 
 /// Where the work of each VM asks.
+#[allow(clippy::large_enum_variant)]
 enum Places {
     Finders(
         Vec<(SlotFinder<Delayed>, RefCell<WorkMix>)>,
--- a/crates/measure/src/requests/target.rs
+++ b/crates/measure/src/requests/target.rs
@@ -28,7 +28,7 @@
 type Answer = UnsyncBoxBody<Bytes, Infallible>;
 
 /// Bytes of one frame of a long answer.
-const FRAME: usize = 16 << 10;
+pub const FRAME: usize = 16 << 10;
 
 /// What a target does with requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -131,17 +131,29 @@
     }
 
     /// Closes listener and connections at once.
-    pub fn kill(&self) {
-        *lock(&self.serving) = None;
+    pub async fn kill(&self) {
+        let serving = lock(&self.serving).take();
+        if let Some(mut serving) = serving {
+            serving.shutdown().await;
+        }
     }
 
     /// Listens again.
     ///
     /// # Panics
     ///
-    /// When the address is taken.
+    /// When the address can't be used.
     pub async fn revive(&self) {
-        let listener = listen(self.shared.address).expect("the target's address is free");
+        let listener = loop {
+            match listen(self.shared.address) {
+                Ok(listener) => break listener,
+                // Connections of the listener before may still be closing.
+                Err(error) if error.kind() == io::ErrorKind::AddrInUse => {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+                Err(error) => panic!("the target does not listen: {error}"),
+            }
+        };
         let shared = Arc::clone(&self.shared);
         let mut serving = JoinSet::new();
         serving.spawn(accept(listener, shared));
