--- /dev/null
+++ b/crates/proxy/src/source.rs
@@ -0,0 +1,85 @@
+//! Owners as one proxy sees them: its own and those of peers.
+
+use std::time::Duration;
+
+use bambooseam_types::TargetId;
+use bambooseam_view::View;
+
+use crate::owners::Owners;
+use crate::peers::{PeerLease, Peers};
+use crate::routes::{GroupRoute, OwnerAddress};
+use crate::slots::{Ask, Grant, Lease, Refusal, Report, SlotSource};
+
+/// Expected wait for a service that the view lacks.
+const NO_SERVICE_WAIT: Duration = Duration::from_secs(5);
+
+/// The owner of one group, whoever that is when it is asked.
+#[derive(Debug)]
+pub struct Source<'a> {
+    /// The group and its owners in rank order.
+    pub route: &'a GroupRoute,
+    /// The view that ranked them.
+    pub view: &'a View,
+    /// Owners in this process.
+    pub owners: &'a Owners,
+    /// Other proxies.
+    pub peers: &'a Peers,
+}
+
+/// A slot of either kind of owner.
+#[derive(Debug)]
+pub enum SlotLease {
+    /// Of an owner in this process.
+    Own(Grant),
+    /// Of another proxy.
+    Peer(PeerLease),
+}
+
+impl Source<'_> {
+    /// The first owner in rank that was not lost a short time ago; this proxy when all were.
+    fn owner(&self) -> OwnerAddress {
+        let is_up = |owner: &&OwnerAddress| match owner {
+            OwnerAddress::Own => true,
+            OwnerAddress::Peer(address) => !self.peers.is_down(*address),
+        };
+        let up = self.route.owners.iter().find(is_up);
+        up.copied().unwrap_or(OwnerAddress::Own)
+    }
+}
+
+impl SlotSource for Source<'_> {
+    type Lease = SlotLease;
+
+    async fn acquire(&self, ask: Ask) -> Result<SlotLease, Refusal> {
+        match self.owner() {
+            OwnerAddress::Own => {
+                let owner = self.owners.get(&self.route.group, self.view);
+                let owner = owner.ok_or(Refusal {
+                    wait: NO_SERVICE_WAIT,
+                })?;
+                owner.acquire(ask).await.map(SlotLease::Own)
+            }
+            OwnerAddress::Peer(address) => {
+                let group = self.route.group.clone();
+                let lease = self.peers.acquire(address, group, ask).await;
+                lease.map(SlotLease::Peer)
+            }
+        }
+    }
+}
+
+impl Lease for SlotLease {
+    fn target(&self) -> &TargetId {
+        match self {
+            Self::Own(grant) => grant.target(),
+            Self::Peer(lease) => lease.target(),
+        }
+    }
+
+    fn finish(self, report: Report) {
+        match self {
+            Self::Own(grant) => grant.finish(report),
+            Self::Peer(lease) => lease.finish(report),
+        }
+    }
+}
