Test failures of requests; leave failing targets to the last beyond the cap

Ruled out: ejecting one target in each zone (three of four could go). Change: beyond the ejection cap a failing target is a last resort: probes pass it over, and it is tried only when no owner has another free slot. Queue lengths are kept as sums, swept now and then (the swing test took 65 s in the dev profile before).

--- a/crates/measure/src/requests/crest.rs
+++ b/crates/measure/src/requests/crest.rs
@@ -371,9 +371,7 @@
             self.note_served(began, arrived, order.class, ended.is_ok());
             return Ok(());
         }
-        Err(Refusal {
-            wait: Duration::from_secs(1),
-        })
+        Err(Refusal::new(Duration::from_secs(1)))
     }
 
     async fn find(
--- a/crates/measure/src/requests/fleet.rs
+++ b/crates/measure/src/requests/fleet.rs
@@ -59,6 +59,8 @@
     pub orders: usize,
     /// Targets of the service with downloads.
     pub downloads: usize,
+    /// Slots of each target.
+    pub slots: u32,
     /// Worker threads of each proxy.
     pub workers: usize,
 }
@@ -77,13 +79,14 @@
             .with_network(network.prefix())
             .build();
         let text = edit(&deployment.presets[0].1);
+        let text = text.replace("slots = 2", &format!("slots = {}", plan.slots));
         deployment.pointer.digest = bambooseam_config::digest_of(&text);
         deployment.presets[0].1 = text;
         let log = Arc::new(RunLog::default());
         let mut targets = Vec::new();
         for entry in &deployment.targets.0 {
             let id = entry.id.as_str();
-            targets.push(TestTarget::start(id, entry.requests, 2, Arc::clone(&log)).await);
+            targets.push(TestTarget::start(id, entry.requests, plan.slots, Arc::clone(&log)).await);
         }
         let mut fleet = Self {
             proxies: Vec::new(),
--- a/crates/measure/src/requests/schedule.rs
+++ b/crates/measure/src/requests/schedule.rs
@@ -392,7 +392,7 @@
     }
 
     async fn acquire(&self, ask: Ask) -> Result<Grant, Refusal> {
-        let refusal = Refusal { wait: UNIT };
+        let refusal = Refusal::new(UNIT);
         let mut changes = self.0.subscribe();
         let Some(owner) = self.get() else {
             return Err(refusal);
@@ -451,7 +451,7 @@
             // A lease that came too late travels back when it is dropped.
             let _ = reply.send(lease);
         });
-        answer.await.unwrap_or(Err(Refusal { wait: NO_LIMIT }))
+        answer.await.unwrap_or(Err(Refusal::new(NO_LIMIT)))
     }
 }
 
--- a/crates/measure/src/requests/target.rs
+++ b/crates/measure/src/requests/target.rs
@@ -77,6 +77,8 @@
     limit: u32,
     running: AtomicU32,
     most: Arc<AtomicU32>,
+    /// Connections accepted before the last silence.
+    epoch: AtomicU32,
 }
 
 impl RunLog {
@@ -113,6 +115,7 @@
             slots: Arc::new(Semaphore::new(limit as usize)),
             limit,
             running: AtomicU32::new(0),
+            epoch: AtomicU32::new(0),
             most: Arc::clone(&most),
         });
         let target = Self {
@@ -130,6 +133,11 @@
         *lock(&self.mode) = mode;
     }
 
+    /// Lets all present connections go silent; new ones work.
+    pub fn silence(&self) {
+        self.shared.epoch.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Closes listener and connections at once.
     pub async fn kill(&self) {
         let serving = lock(&self.serving).take();
@@ -199,9 +207,15 @@
         read,
         write,
     };
+    let epoch = shared.epoch.load(Ordering::Relaxed);
     let service = service_fn(move |request| {
         let shared = Arc::clone(&shared);
-        async move { shared.answer(request).await }
+        async move {
+            if shared.epoch.load(Ordering::Relaxed) > epoch {
+                std::future::pending::<()>().await;
+            }
+            shared.answer(request).await
+        }
     });
     let _ = hyper::server::conn::http1::Builder::new()
         .serve_connection(TokioIo::new(stream), service)
--- a/crates/measure/src/requests/truth.rs
+++ b/crates/measure/src/requests/truth.rs
@@ -17,6 +17,9 @@
 use super::target::{FRAME, Mode, RunLog};
 use super::{Bound, print_bound};
 
+/// Pieces of work of the measurement.
+const COUNT: u64 = 20_000;
+
 /// Requests that callers make at a time.
 const CALLERS: usize = 48;
 
@@ -37,6 +40,7 @@
     vms: 5,
     orders: 9,
     downloads: 3,
+    slots: 2,
     workers: 1,
 };
 
@@ -311,7 +315,7 @@
         .enable_all()
         .build()
         .expect("a runtime");
-    let found = runtime.block_on(run(seed, 4_000));
+    let found = runtime.block_on(run(seed, COUNT));
     println!(
         "attempts={} served={} not_run={} unknown={} broken={}",
         found.attempts, found.served, found.not_run, found.unknown, found.broken
--- a/crates/peer/schema/slot.capnp
+++ b/crates/peer/schema/slot.capnp
@@ -47,6 +47,8 @@
     refusal @1 :UInt32;
   }
   target @2 :Text;
+  # Whether a slot is free on a target that has failed lately.
+  isDoubtful @3 :Bool;
 }
 
 interface Desk {
--- a/crates/proxy/src/peers/ask.rs
+++ b/crates/proxy/src/peers/ask.rs
@@ -127,16 +127,16 @@
         };
         metrics::counter!("peer_messages", "kind" => "acquire").increment(1);
         if self.calls.try_send(call).is_err() {
-            return Err(Refusal { wait: LOST_WAIT });
+            return Err(Refusal::new(LOST_WAIT));
         }
         match answer.await {
             Ok(Ok(lease)) => Ok(lease),
             Ok(Err(AcquireError::Refused(refusal))) => Err(refusal),
             Ok(Err(AcquireError::Lost(error))) => {
                 self.mark_down(to, &error);
-                Err(Refusal { wait: LOST_WAIT })
+                Err(Refusal::new(LOST_WAIT))
             }
-            Err(_) => Err(Refusal { wait: LOST_WAIT }),
+            Err(_) => Err(Refusal::new(LOST_WAIT)),
         }
     }
 
@@ -303,7 +303,8 @@
     match answer.which()? {
         slot_capnp::answer::Refusal(wait) => {
             let wait = Duration::from_millis(wait.into());
-            Ok(Err(AcquireError::Refused(Refusal { wait })))
+            let is_doubtful = answer.get_is_doubtful();
+            Ok(Err(AcquireError::Refused(Refusal { wait, is_doubtful })))
         }
         slot_capnp::answer::Slot(slot) => {
             let target = answer.get_target()?.to_str()?.parse();
--- a/crates/proxy/src/peers/serve.rs
+++ b/crates/proxy/src/peers/serve.rs
@@ -61,6 +61,7 @@
             Err(refusal) => {
                 let wait = u32::try_from(refusal.wait.as_millis()).unwrap_or(u32::MAX);
                 builder.set_refusal(wait);
+                builder.set_is_doubtful(refusal.is_doubtful);
             }
         }
         Ok(())
--- a/crates/proxy/src/slots/finder.rs
+++ b/crates/proxy/src/slots/finder.rs
@@ -78,9 +78,7 @@
     /// A refusal at once when no owner expects a slot in time, with the shortest wait expected;
     /// a refusal at the limit otherwise.
     pub async fn find(&self, ask: Ask, limit: Duration) -> Result<S::Lease, Refusal> {
-        let mut least = Refusal {
-            wait: NO_OWNER_WAIT,
-        };
+        let mut least = Refusal::new(NO_OWNER_WAIT);
         for (index, source) in self.sources.iter().enumerate() {
             let probe = Ask {
                 may_wait: false,
@@ -89,14 +87,19 @@
             };
             match source.acquire(probe).await {
                 Ok(lease) => return Ok(lease),
+                Err(refusal) if refusal.is_doubtful => least.is_doubtful = true,
                 Err(refusal) => least.wait = least.wait.min(refusal.wait),
             }
             if least.wait <= limit.mul_f64(ADMIT_PART) {
-                let waiting = timeout(limit, self.wait(ask));
-                return waiting.await.unwrap_or(Err(least));
+                break;
             }
         }
-        Err(least)
+        // Where only targets that have failed lately are free, trying one beats refusing.
+        if least.wait > limit.mul_f64(ADMIT_PART) && !least.is_doubtful {
+            return Err(least);
+        }
+        let waiting = timeout(limit, self.wait(ask));
+        waiting.await.unwrap_or(Err(least))
     }
 
     /// Waits at all owners; the first grant counts.
@@ -120,9 +123,7 @@
         let mut asked: FuturesUnordered<_> = asked.collect();
         match asked.next().await {
             Some(lease) => Ok(lease),
-            None => Err(Refusal {
-                wait: NO_OWNER_WAIT,
-            }),
+            None => Err(Refusal::new(NO_OWNER_WAIT)),
         }
     }
 }
--- a/crates/proxy/src/slots/health.rs
+++ b/crates/proxy/src/slots/health.rs
@@ -42,6 +42,7 @@
     sheds: u32,
     shed_until: Instant,
     ejected_until: Option<Instant>,
+    suspect_until: Option<Instant>,
     warm_since: Instant,
     ramp_time: Duration,
 }
@@ -56,6 +57,7 @@
             sheds: 0,
             shed_until: now,
             ejected_until: None,
+            suspect_until: None,
             warm_since: now,
             ramp_time,
         }
@@ -73,6 +75,7 @@
                 self.failures = 0;
                 self.ejections = 0;
                 self.ejected_until = None;
+                self.suspect_until = None;
                 self.sheds = 0;
             }
             Report::Shed => {
@@ -91,12 +94,18 @@
     }
 
     /// Takes the target out of service for a while; it then returns in steps.
-    pub fn eject(&mut self, ramp_time: Duration) {
+    ///
+    /// Beyond the cap on ejections it stays as a last resort.
+    pub fn eject(&mut self, ramp_time: Duration, is_capped: bool) {
         let time = EJECT_TIME.saturating_mul(1 << self.ejections.min(5));
         let until = Instant::now() + time.min(EJECT_LIMIT);
         self.ejections += 1;
         // One more failure after the return ejects again.
         self.failures = FAILURE_LIMIT - 1;
+        if is_capped {
+            self.suspect_until = Some(until);
+            return;
+        }
         self.ejected_until = Some(until);
         self.warm_since = until;
         self.ramp_time = ramp_time;
@@ -108,6 +117,12 @@
             .is_some_and(|until| Instant::now() < until)
     }
 
+    /// Whether the target should be a last resort now.
+    pub fn is_suspect(&self) -> bool {
+        self.suspect_until
+            .is_some_and(|until| Instant::now() < until)
+    }
+
     /// Whether failures have been seen that no served work has cleared.
     pub fn is_doubtful(&self) -> bool {
         self.failures > 0
--- a/crates/proxy/src/slots/owner.rs
+++ b/crates/proxy/src/slots/owner.rs
@@ -60,6 +60,18 @@
 pub struct Refusal {
     /// Expected wait.
     pub wait: Duration,
+    /// Whether a slot is free on a target that has failed lately.
+    pub is_doubtful: bool,
+}
+
+impl Refusal {
+    /// A refusal without a slot to fall back on.
+    pub const fn new(wait: Duration) -> Self {
+        Self {
+            wait,
+            is_doubtful: false,
+        }
+    }
 }
 
 /// A target and its limit, as the view has them.
@@ -194,6 +206,7 @@
             let waiter = Waiter {
                 arrived: arrived.checked_sub(ask.waited).unwrap_or(arrived) + handicap,
                 is_far: ask.is_far,
+                is_probe: !ask.may_wait,
                 part: 1.0 / f64::from(ask.owners.max(1)),
                 avoid: ask.avoid,
                 sender,
@@ -212,13 +225,14 @@
                 return Ok(grant);
             }
             if !ask.may_wait {
-                return Err(Refusal { wait });
+                // The probe leaves the queue; it may have held others up.
+                drop(receiver);
+                self.dispatch(&mut state);
+                return Err(state.refuse(wait));
             }
             receiver
         };
-        waiting.await.map_err(|_| Refusal {
-            wait: NO_TARGET_WAIT,
-        })
+        waiting.await.map_err(|_| Refusal::new(NO_TARGET_WAIT))
     }
 
     /// Starts what may start now, for targets that became usable as time passed.
@@ -247,7 +261,7 @@
             let Some(waiter) = state.queue(class).pop(is_crowded) else {
                 return;
             };
-            let Some(index) = state.pick(&waiter.avoid) else {
+            let Some(index) = state.pick(&waiter) else {
                 state.queue(class).push(waiter);
                 return;
             };
@@ -335,7 +349,14 @@
 
     fn is_crowded(&mut self, class: WorkClass) -> bool {
         let crowd = f64::from(self.slots()) * OVERLOAD_FACTOR;
-        self.queue(class).len() > crowd
+        self.queue(class).is_above(crowd)
+    }
+
+    /// A refusal of work that would wait for `wait`.
+    fn refuse(&self, wait: Duration) -> Refusal {
+        let mut free = self.targets.iter().filter(|target| target.free() > 0);
+        let is_doubtful = free.any(|target| target.health.is_suspect());
+        Refusal { wait, is_doubtful }
     }
 
     /// Averages what proxies tell of the service's work.
@@ -386,16 +407,21 @@
     }
 
     /// The target with the smallest part of its slots in use; tried ones come last.
-    fn pick(&self, avoid: &[TargetId]) -> Option<usize> {
-        let free = self
-            .targets
-            .iter()
-            .enumerate()
-            .filter(|(_, t)| t.free() > 0);
+    fn pick(&self, waiter: &Waiter) -> Option<usize> {
+        let is_sound = |target: &TargetState| !waiter.is_probe || !target.health.is_suspect();
+        let targets = self.targets.iter().enumerate();
+        let free = targets.filter(|(_, target)| target.free() > 0 && is_sound(target));
         let order = |target: &TargetState| {
             let part = u64::from(target.busy) * 1_000 / u64::from(target.slots.limit.max(1));
-            let tried = avoid.contains(&target.slots.id);
-            (tried, target.health.is_doubtful(), part, target.last)
+            let tried = waiter.avoid.contains(&target.slots.id);
+            let health = &target.health;
+            (
+                tried,
+                health.is_suspect(),
+                health.is_doubtful(),
+                part,
+                target.last,
+            )
         };
         free.min_by_key(|(_, target)| order(target))
             .map(|(index, _)| index)
@@ -426,10 +452,11 @@
         let ramp_time = self.policy.ramp_time;
         let target = &mut self.targets[index];
         target.busy = target.busy.saturating_sub(1);
-        if target.health.note(report) && ejected < most {
-            target.health.eject(ramp_time);
+        if target.health.note(report) {
+            let is_capped = ejected >= most;
+            target.health.eject(ramp_time, is_capped);
             metrics::counter!("targets_ejected").increment(1);
-            log::warn!("event=target_ejected target={id} cause=failures");
+            log::warn!("event=target_ejected target={id} capped={is_capped} cause=failures");
         }
         if !target.slots.is_open && target.busy == 0 {
             self.targets.remove(index);
--- a/crates/proxy/src/slots/queue.rs
+++ b/crates/proxy/src/slots/queue.rs
@@ -17,6 +17,8 @@
     pub part: f64,
     /// Whether it arrived in another zone.
     pub is_far: bool,
+    /// Whether it takes only what is free and sound now.
+    pub is_probe: bool,
     /// Targets that it has tried.
     pub avoid: Vec<TargetId>,
     /// Takes the grant.
@@ -27,21 +29,33 @@
 #[derive(Debug, Default)]
 pub struct Queue {
     waiters: VecDeque<Waiter>,
+    /// Sum of the parts of all waiters.
+    parts: f64,
+    /// Waiters added since those that have left were last removed.
+    added: u32,
 }
 
+/// Waiters added between two removals of those that have left.
+const SWEEP_AFTER: u32 = 16;
+
 impl Queue {
     /// Adds a request at its place by arrival.
     pub fn push(&mut self, waiter: Waiter) {
         let at = self
             .waiters
             .partition_point(|held| held.arrived <= waiter.arrived);
+        self.parts += waiter.part;
         self.waiters.insert(at, waiter);
+        self.added += 1;
+        if self.added >= SWEEP_AFTER {
+            self.sweep();
+        }
     }
 
     /// Arrival of the first request that still waits.
     pub fn front(&mut self) -> Option<Instant> {
         while self.waiters.front()?.sender.is_closed() {
-            self.waiters.pop_front();
+            self.pop_front();
         }
         self.waiters.front().map(|waiter| waiter.arrived)
     }
@@ -52,22 +66,42 @@
     /// granted in their own zones, and a second grant would only idle a slot while it travels.
     pub fn pop(&mut self, is_crowded: bool) -> Option<Waiter> {
         if !is_crowded || !self.waiters.front()?.is_far {
-            return self.waiters.pop_front();
+            return self.pop_front();
         }
-        while self.waiters.back()?.sender.is_closed() {
-            self.waiters.pop_back();
+        loop {
+            let waiter = self.waiters.pop_back()?;
+            self.parts -= waiter.part;
+            if !waiter.sender.is_closed() {
+                return Some(waiter);
+            }
         }
-        self.waiters.pop_back()
     }
 
-    /// Requests that still wait, those at several owners counted in part.
+    /// Requests that wait, those at several owners counted in part.
+    ///
+    /// A few that have left may still be counted.
     pub fn len(&self) -> f64 {
-        self.waiting().map(|waiter| waiter.part).sum()
+        self.parts.max(0.0)
+    }
+
+    /// Whether more than `count` requests wait.
+    pub fn is_above(&mut self, count: f64) -> bool {
+        // Far above the count, those that have left make no difference.
+        if self.parts > count && self.parts < 2.0 * count {
+            self.sweep();
+        }
+        self.parts > count
+    }
+
+    fn pop_front(&mut self) -> Option<Waiter> {
+        let waiter = self.waiters.pop_front()?;
+        self.parts -= waiter.part;
+        Some(waiter)
     }
 
-    fn waiting(&self) -> impl Iterator<Item = &Waiter> {
-        self.waiters
-            .iter()
-            .filter(|waiter| !waiter.sender.is_closed())
+    fn sweep(&mut self) {
+        self.added = 0;
+        self.waiters.retain(|waiter| !waiter.sender.is_closed());
+        self.parts = self.waiters.iter().map(|waiter| waiter.part).sum();
     }
 }
--- a/crates/proxy/src/source.rs
+++ b/crates/proxy/src/source.rs
@@ -54,9 +54,7 @@
         match self.owner() {
             OwnerAddress::Own => {
                 let owner = self.owners.get(&self.route.group, self.view);
-                let owner = owner.ok_or(Refusal {
-                    wait: NO_SERVICE_WAIT,
-                })?;
+                let owner = owner.ok_or(Refusal::new(NO_SERVICE_WAIT))?;
                 owner.acquire(ask).await.map(SlotLease::Own)
             }
             OwnerAddress::Peer(address) => {
--- /dev/null
+++ b/tests/tests/requests_schedule.rs
@@ -0,0 +1,157 @@
+//! Slots, queues and the crest of a swing, in virtual time.
+
+use std::thread;
+use std::time::Duration;
+
+use bambooseam_config::WorkClass;
+use bambooseam_measure::requests::comparison::Comparison;
+use bambooseam_measure::requests::crest::{Trouble, run, run_naive};
+use bambooseam_proxy::RetryBudget;
+use bambooseam_proxy::slots::{
+    Ask, ClassLearner, DrainMeter, Health, Policy, Report, SlotOwner, TargetSlots,
+};
+use tokio::time::{advance, timeout};
+
+fn ask(class: WorkClass) -> Ask {
+    Ask {
+        class,
+        waited: Duration::ZERO,
+        may_wait: false,
+        owners: 1,
+        is_far: false,
+        avoid: Vec::new(),
+        time: Duration::ZERO,
+        short_part: None,
+    }
+}
+
+fn targets(count: usize) -> Vec<TargetSlots> {
+    let target = |n| TargetSlots {
+        id: format!("t{n}").parse().expect("a name"),
+        limit: 2,
+        is_open: true,
+    };
+    (0..count).map(target).collect()
+}
+
+#[test]
+fn short_work_hardly_notices_long_work() {
+    for (targets, limit) in [(15, 1.5), (4, 2.0)] {
+        let found = Comparison::run(2, targets, 30_000);
+        assert!(found.short_ratio() <= limit, "{}", found.short_ratio());
+        assert!(found.over_ideal() <= 1.25, "{}", found.over_ideal());
+        assert!(found.long_ratio() <= 1.3, "{}", found.long_ratio());
+        // The naive ways miss the bound.
+        for way in ["central_fifo", "least_outstanding", "two_choices"] {
+            let ratio = found.of(way).short_p99 / found.base.short_p99;
+            assert!(ratio > limit, "{way} {ratio}");
+        }
+    }
+}
+
+#[test]
+fn swing_is_ridden_with_useful_answers() {
+    assert!(run_naive(1).goodput < 0.95);
+    let troubles = [Trouble::None, Trouble::Cold, Trouble::LostVm];
+    let runs = troubles.map(|trouble| (trouble, thread::spawn(move || run(1, trouble))));
+    for (trouble, running) in runs {
+        let crest = running.join().expect("no panic");
+        if trouble == Trouble::None {
+            assert!(crest.refusal_p99_ms <= 50.0, "{crest:?}");
+        }
+        assert!(crest.goodput >= 0.95, "{trouble:?} {crest:?}");
+        assert!(crest.recovery_s <= 5.0, "{trouble:?} {crest:?}");
+        assert!(crest.retries <= 0.1, "{trouble:?} {crest:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn dropped_waiter_and_dropped_grant_free_their_places() {
+    let owner = SlotOwner::new(Policy::USUAL);
+    owner.update(Policy::USUAL, targets(1), Health::warm);
+    let first = owner.acquire(ask(WorkClass::Short)).await.expect("a slot");
+    let second = owner.acquire(ask(WorkClass::Short)).await.expect("a slot");
+    assert!(owner.acquire(ask(WorkClass::Short)).await.is_err());
+    let waiting = Ask {
+        may_wait: true,
+        ..ask(WorkClass::Short)
+    };
+    let left = timeout(Duration::from_secs(1), owner.acquire(waiting)).await;
+    assert!(left.is_err());
+    drop(first);
+    assert_eq!(owner.status().busy, 1);
+    drop(second);
+    assert_eq!(owner.status().busy, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn failing_target_is_ejected_within_the_cap_and_returns_in_steps() {
+    let owner = SlotOwner::new(Policy::USUAL);
+    owner.update(Policy::USUAL, targets(4), Health::warm);
+    // All targets fail; no more than 30 percent of 4 may go.
+    let waiting = Ask {
+        may_wait: true,
+        ..ask(WorkClass::Short)
+    };
+    for _ in 0..40 {
+        let grant = owner.acquire(waiting.clone()).await.expect("a slot");
+        grant.finish(Report::Failed);
+    }
+    assert_eq!(owner.status().ejected, 1);
+    advance(Duration::from_secs(3)).await;
+    let status = owner.status();
+    assert_eq!(status.ejected, 0);
+    assert_eq!(
+        status.slots, 4,
+        "one slot of each target that has to prove itself"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn cold_target_ramps_up() {
+    let owner = SlotOwner::new(Policy::USUAL);
+    let ramp = Duration::from_secs(10);
+    owner.update(Policy::USUAL, targets(1), || Health::cold(ramp));
+    assert_eq!(owner.status().slots, 1);
+    advance(ramp).await;
+    assert_eq!(owner.status().slots, 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn refused_callers_are_told_their_turn() {
+    let mut meter = DrainMeter::new();
+    for _ in 0..100 {
+        meter.serve(Duration::from_millis(100));
+    }
+    let second = Duration::from_millis(100);
+    let first = meter.refuse(Duration::ZERO, second);
+    let mut last = first;
+    for _ in 0..100 {
+        last = meter.refuse(Duration::ZERO, second);
+    }
+    assert!(last > first + Duration::from_secs(5), "{first:?} {last:?}");
+}
+
+#[test]
+fn retries_keep_to_their_share() {
+    let budget = RetryBudget::new();
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.deposit(10);
+        retries += u32::from(budget.withdraw());
+    }
+    assert!((99..=100).contains(&retries), "{retries}");
+}
+
+#[test]
+fn long_paths_are_learned() {
+    let mut learner = ClassLearner::new();
+    for n in 0..200 {
+        learner.note(&format!("/thumb/{n}"), Duration::from_millis(10));
+        if n % 20 == 0 {
+            learner.note(&format!("/full/{n}"), Duration::from_millis(500));
+        }
+    }
+    assert_eq!(learner.class_of("/thumb/new"), WorkClass::Short);
+    assert_eq!(learner.class_of("/full/new"), WorkClass::Long);
+}
--- /dev/null
+++ b/tests/tests/requests_truth.rs
@@ -0,0 +1,75 @@
+//! The truth of outcomes in randomised runs, and the checker that judges them.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use bambooseam_measure::requests::caller::Told;
+use bambooseam_measure::requests::target::RunLog;
+use bambooseam_measure::requests::truth::{Attempt, check, run};
+use hyper::{HeaderMap, StatusCode};
+
+/// Panics of any task.
+static PANICS: AtomicU32 = AtomicU32::new(0);
+
+fn attempt(work: u64, id: &str, status: u16, outcome: &str, body: &str) -> Attempt {
+    let mut headers = HeaderMap::new();
+    if !outcome.is_empty() {
+        headers.insert("bambooseam-outcome", outcome.parse().expect("a value"));
+        headers.insert("retry-after", "1".parse().expect("a value"));
+    }
+    Attempt {
+        work,
+        id: id.into(),
+        is_once: true,
+        frames: 4,
+        told: Told::Whole {
+            status: StatusCode::from_u16(status).expect("a status"),
+            headers,
+            body: body.to_owned().into(),
+        },
+    }
+}
+
+#[test]
+fn checker_finds_each_lie() {
+    let log = RunLog::default();
+    log.note("a-1");
+    log.note("a-2");
+    log.note("b-1");
+    let attempts = [
+        attempt(1, "a-1", 502, "unknown", ""),
+        attempt(1, "a-2", 200, "", "id=a-2 \nxxxx"),
+        attempt(2, "b-1", 503, "not-run", ""),
+        attempt(3, "c-1", 200, "", "id=d-1 \nxxxx"),
+        attempt(4, "d-1", 200, "", "id=d-1 \nxxx"),
+        attempt(5, "e-1", 500, "", ""),
+    ];
+    let found = check(&attempts, &log);
+    assert_eq!(found.doubled, 1);
+    assert_eq!(found.false_not_run, 1);
+    assert_eq!(found.crossed, 1);
+    assert_eq!(found.cut_as_whole, 1);
+    assert_eq!(found.bare_refusals, 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn outcomes_are_true_while_things_fail() {
+    let count = std::env::var("REQUESTS_WORKS").ok();
+    let count = count.and_then(|text| text.parse().ok()).unwrap_or(2_000);
+    let usual = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        PANICS.fetch_add(1, Ordering::Relaxed);
+        usual(info);
+    }));
+    for seed in [11, 12] {
+        let found = run(seed, count).await;
+        println!("seed={seed} found={found:?}");
+        assert!(found.served > 0);
+        assert_eq!(found.doubled, 0, "seed {seed}");
+        assert_eq!(found.false_not_run, 0, "seed {seed}");
+        assert_eq!(found.crossed, 0, "seed {seed}");
+        assert_eq!(found.cut_as_whole, 0, "seed {seed}");
+        assert_eq!(found.bare_refusals, 0, "seed {seed}");
+    }
+    // Invariants inside the programs panic in this profile.
+    assert_eq!(PANICS.load(Ordering::Relaxed), 0);
+}
