--- a/crates/measure/src/requests.rs
+++ b/crates/measure/src/requests.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod network;
 pub mod schedule;
+pub mod speed;
 pub mod target;
 pub mod truth;
 
@@ -13,11 +14,15 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
+/// Prints a part for a seed; tells whether its bounds are met.
+type Part = fn(u64) -> bool;
+
 /// Parts of the measurement, in the order in which they run.
-const PARTS: [(&str, fn(u64) -> bool); 3] = [
+const PARTS: [(&str, Part); 4] = [
     ("schedule", comparison::print),
     ("crest", crest::print),
     ("truth", truth::print),
+    ("speed", speed::print),
 ];
 
 /// Command line of this measurement.
--- a/crates/measure/src/requests/target.rs
+++ b/crates/measure/src/requests/target.rs
@@ -256,7 +256,10 @@
         let count = query(&uri, "bytes");
         // A caller whose body stops has still run the request.
         let _ = request.into_body().collect().await;
-        tokio::time::sleep(Duration::from_millis(time)).await;
+        // Even no time at all would wait for the timer's next tick.
+        if time > 0 {
+            tokio::time::sleep(Duration::from_millis(time)).await;
+        }
         let head = format!(
             "id={id} target={} timeout={timeout} trace={trace}\n",
             self.name
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -20,8 +20,8 @@
 /// Age after which a connection is not used again.
 const AGE_LIMIT: Duration = Duration::from_secs(60);
 
-/// Most idle connections to one target.
-const IDLE_LIMIT: usize = 4;
+/// Most idle connections to one target; its slots bound them before.
+const IDLE_LIMIT: usize = 64;
 
 /// Time in which a connection must be made.
 const CONNECT_TIME: Duration = Duration::from_secs(1);
