--- /dev/null
+++ b/crates/agent/src/agent.rs
@@ -0,0 +1,141 @@
+//! The tasks of an agent and how they are started.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use bambooseam_config::Settings;
+use bambooseam_peer::agent::serve_peers;
+use bambooseam_peer::feed::serve_views;
+use bambooseam_types::Incarnation;
+use bambooseam_view::ViewNumber;
+use derive_more::{Display, Error, From};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::event::unix_ms;
+use crate::exchange::Answerer;
+use crate::peering::Peering;
+use crate::platform::Platform;
+use crate::reader::{Followed, Reader};
+use crate::shared::Shared;
+use crate::version::ListKind;
+
+/// How often the gate is tried.
+const TICK: Duration = Duration::from_millis(100);
+
+/// How often the health of VMs is judged.
+const JUDGE_TIME: Duration = Duration::from_millis(500);
+
+/// Gap between two ticks that counts as a pause.
+const PAUSE_LEAST: Duration = Duration::from_secs(2);
+
+/// Why an agent could not start.
+#[derive(Debug, Display, Error, From)]
+pub enum AgentError {
+    /// An address can't be bound.
+    #[display("agent: {_0}")]
+    Bind(io::Error),
+}
+
+/// An agent whose addresses are bound.
+#[derive(Debug)]
+pub struct Agent {
+    shared: Arc<Shared>,
+    peers: TcpListener,
+    views: TcpListener,
+}
+
+impl Agent {
+    /// Binds the addresses of the settings.
+    ///
+    /// # Errors
+    ///
+    /// An error when an address is taken.
+    pub async fn bind(settings: Settings) -> Result<Self, AgentError> {
+        let peers = TcpListener::bind(settings.agent.listen).await?;
+        let views = TcpListener::bind(settings.agent.views).await?;
+        Ok(Self::new(settings, peers, views))
+    }
+
+    /// Creates an agent that serves on these listeners.
+    pub fn new(settings: Settings, peers: TcpListener, views: TcpListener) -> Self {
+        let count = settings.agent.peers.len();
+        let incarnation = Incarnation::from(unix_ms());
+        let shared = Arc::new(Shared::new(settings, incarnation, count));
+        Self {
+            shared,
+            peers,
+            views,
+        }
+    }
+
+    /// State of this agent, for status and tests.
+    pub fn shared(&self) -> Arc<Shared> {
+        Arc::clone(&self.shared)
+    }
+
+    /// Where the programs of this VM get their view.
+    ///
+    /// # Errors
+    ///
+    /// An error when the system does not tell.
+    pub fn views(&self) -> io::Result<SocketAddr> {
+        self.views.local_addr()
+    }
+
+    /// Runs until dropped; must run in a `LocalSet`.
+    pub async fn run<P: Platform>(self, platform: P) {
+        let Self {
+            shared,
+            peers,
+            views,
+        } = self;
+        let mut tasks = JoinSet::new();
+        let all = ListKind::ALL.map(Followed::List);
+        for followed in [Followed::Config].into_iter().chain(all) {
+            let reader = Reader::new(platform.clone(), Arc::clone(&shared), followed);
+            tasks.spawn_local(reader.run());
+        }
+        let noting = Arc::clone(&shared);
+        let note = move |program: &str, number: ViewNumber| noting.note_program(program, number);
+        tasks.spawn_local(serve_views(views, shared.sources(), note));
+        let meter = Arc::clone(shared.meter());
+        let answerer = Answerer {
+            shared: Arc::clone(&shared),
+        };
+        tasks.spawn_local(serve_peers(peers, meter, answerer));
+        tasks.spawn_local(Peering::new(Arc::clone(&shared)).run());
+        tasks.spawn_local(tick(shared));
+        while let Some(result) = tasks.join_next().await {
+            if let Err(error) = result {
+                log::error!("event=agent_task_failed cause={:?}", error.to_string());
+                std::panic::resume_unwind(error.into_panic());
+            }
+        }
+    }
+}
+
+/// Opens the gate in time, judges the VMs, and finds pauses of this process.
+async fn tick(shared: Arc<Shared>) {
+    let mut time = Instant::now();
+    let mut wall = SystemTime::now();
+    let mut judged = time;
+    loop {
+        sleep(TICK).await;
+        // A stopped process misses time on the one clock, a stopped VM on the other.
+        let wall_passed = wall.elapsed().unwrap_or_default();
+        let passed = time.elapsed().max(wall_passed);
+        (time, wall) = (Instant::now(), SystemTime::now());
+        if passed >= PAUSE_LEAST {
+            shared.note_pause(passed);
+        }
+        shared.try_open();
+        if judged.elapsed() >= JUDGE_TIME {
+            shared.judge();
+            judged = time;
+        }
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,10 +4,13 @@
 //! collects all findings of a document before it reports them; nothing is taken in part. The
 //! agent and `bambooseam-ctl check` run the same checks.
 
+mod claims;
 mod document;
 mod fleet;
 mod force;
+mod lines;
 mod preset;
+mod published;
 mod settings;
 mod value;
 
@@ -15,6 +18,7 @@
 pub use fleet::{TargetEntry, TargetList, TargetState, VmEntry, VmList, VmState};
 pub use force::{InForce, digest_of};
 pub use preset::{ClassRule, Preset, Service, WorkClass};
+pub use published::check_published;
 pub use settings::{
     AgentSettings, ForwarderSettings, LogSettings, PlatformSettings, ProxySettings, Settings,
     TraceSettings, VmSettings,
--- /dev/null
+++ b/crates/forwarder/src/forwarder.rs
@@ -0,0 +1,333 @@
+//! The path of a packet: service, owner, target.
+//!
+//! Any forwarder may receive any packet. It relays to the flow's *owner*, the first live
+//! forwarder in rank. The owner picks the target of a new flow and sends the first packet by way
+//! of the *shadow*, the second in rank, so that both know the target before it sees the flow. An
+//! owner that does not know a flow asks down the rank, with the packet itself; former owners are
+//! there, since a rank only shifts when members come and go. Only when every forwarder that can
+//! be reached says "unknown" does the default pick decide.
+//!
+//! After a change of membership the next packet of each flow goes by way of the shadow again, so
+//! a new shadow learns without messages of its own.
+
+mod memory;
+mod owner;
+mod peers;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bambooseam_types::{ByteRate, Revision, ServiceId, VmId};
+use bambooseam_view::View;
+
+use crate::counters::{Counters, DropCause};
+use crate::geneve::{self, Head, Payload};
+use crate::handover::Handover;
+use crate::mark::MarkKind;
+use crate::packet::{self, Phase};
+use crate::pick::Pick;
+use crate::table::FlowTable;
+use crate::target::{TargetNumber, TargetRegistry};
+use crate::topology::{Group, GroupIndex, Ranks, Topology};
+use crate::{Clock, Moment};
+
+/// Times that a packet may be relayed before its holder acts as owner.
+const RELAY_LIMIT: u8 = 3;
+/// Times that a packet may be passed on in all.
+const HOP_LIMIT: u8 = 24;
+/// Groups of earlier views that are kept for default picks.
+const HISTORY_LIMIT: usize = 16;
+/// Gap between two events after which this process takes itself for paused.
+const PAUSE_TIME: Duration = Duration::from_secs(2);
+/// Time that a view may take to arrive after a pause.
+const RECHECK_TIME: Duration = Duration::from_secs(15);
+/// Time for which a target that only other forwarders name is kept.
+const FOREIGN_TIME: Duration = Duration::from_secs(60);
+/// Time after a pause in which first packets may have waited for long and are dropped.
+const STALE_TIME: Duration = Duration::from_millis(200);
+
+/// Where packets go.
+pub trait Output {
+    /// Sends one datagram; a loss is like one of the network.
+    fn send(&mut self, to: SocketAddr, head: &Head, payload: &[u8]);
+}
+
+/// What is remembered of flows; all but [`Tracking::OwnerShadow`] serve comparison.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Tracking {
+    /// Nothing: each packet goes to the pick of the hash under the view in force.
+    Stateless,
+    /// The owner remembers.
+    Owner,
+    /// The owner and the next in rank remember.
+    OwnerShadow,
+}
+
+/// The packet program, over its ports.
+#[derive(Debug)]
+pub struct Forwarder<O, C, P> {
+    pub(crate) output: O,
+    clock: C,
+    pick: P,
+    pub(crate) tracking: Tracking,
+    vm: VmId,
+    pub(crate) table: FlowTable,
+    pub(crate) targets: TargetRegistry,
+    pub(crate) topology: Option<Topology>,
+    pub(crate) history: Vec<Vec<Group>>,
+    pub(crate) handover: Handover,
+    pub(crate) counters: Counters,
+    /// When members last changed, or this process last slept.
+    changed: Moment,
+    /// No new flow is placed before this moment.
+    recheck_until: Moment,
+    /// First packets that arrive before this moment may have waited for long.
+    stale_until: Moment,
+    latest: Moment,
+    sweep: usize,
+    pub(crate) is_stopping: bool,
+}
+
+/// Where a packet belongs under the view in force.
+#[derive(Debug, Clone, Copy)]
+struct Route {
+    group: GroupIndex,
+    vni: ServiceId,
+    ranks: Ranks,
+    hops: u8,
+}
+
+impl<O: Output, C: Clock, P: Pick> Forwarder<O, C, P> {
+    /// Creates the forwarder of `vm` with room for `flow_limit` flows.
+    pub fn new(vm: VmId, flow_limit: usize, output: O, clock: C, pick: P) -> Self {
+        let latest = clock.now();
+        Self {
+            output,
+            clock,
+            pick,
+            tracking: Tracking::OwnerShadow,
+            vm,
+            table: FlowTable::new(flow_limit),
+            targets: TargetRegistry::default(),
+            topology: None,
+            history: Vec::new(),
+            handover: Handover::default(),
+            counters: Counters::default(),
+            changed: latest,
+            recheck_until: latest,
+            stale_until: latest,
+            latest,
+            sweep: 0,
+            is_stopping: false,
+        }
+    }
+
+    /// Sets what is remembered of flows.
+    pub fn with_tracking(mut self, tracking: Tracking) -> Self {
+        self.tracking = tracking;
+        self
+    }
+
+    /// Sets the budget of handovers in bytes per second.
+    pub fn with_handover_budget(mut self, budget: ByteRate) -> Self {
+        self.handover = Handover::new(budget);
+        self
+    }
+
+    /// What was counted.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// The flows that are remembered.
+    pub fn table(&self) -> &FlowTable {
+        &self.table
+    }
+
+    /// The targets that were met.
+    pub fn targets(&self) -> &TargetRegistry {
+        &self.targets
+    }
+
+    /// The view in force.
+    pub fn view(&self) -> Option<&Arc<View>> {
+        self.topology.as_ref().map(Topology::view)
+    }
+
+    /// Where packets go.
+    pub fn output(&mut self) -> &mut O {
+        &mut self.output
+    }
+
+    /// Flows that are still to be handed over.
+    pub fn handover_waiting(&self) -> usize {
+        self.handover.waiting()
+    }
+
+    /// Whether nothing is left to hand over since the last change of membership.
+    pub fn is_handed_over(&self) -> bool {
+        self.handover.is_done()
+    }
+
+    /// Puts a view in force; false when its revision is below the one in force.
+    pub fn set_view(&mut self, view: Arc<View>) -> bool {
+        let now = self.note_time();
+        let held = self.view().map(|view| view.revision());
+        if held.is_some_and(|held| view.revision() < held) {
+            self.counters.views_refused += 1;
+            log::warn!(
+                "event=view_refused cause=lower_revision revision={}",
+                view.revision()
+            );
+            return false;
+        }
+        let known = self.targets.records().len();
+        let earlier = self.topology.take();
+        self.targets.clear_standings(now, FOREIGN_TIME);
+        let topology = Topology::new(view, &self.vm, earlier.as_ref(), &mut self.targets, now);
+        if let Some(earlier) = earlier {
+            for number in known..self.targets.records().len() {
+                self.targets
+                    .set_opened(TargetNumber::from(number as u32), now);
+            }
+            self.replace(earlier, &topology, now);
+        } else {
+            self.changed = now;
+        }
+        self.topology = Some(topology);
+        self.counters.views += 1;
+        self.check(held <= self.revision(), "revision_fell");
+        true
+    }
+
+    /// Keeps what an earlier view is still needed for.
+    fn replace(&mut self, earlier: Topology, topology: &Topology, now: Moment) {
+        if !topology.is_same_membership(&earlier) {
+            self.changed = now;
+            self.handover.begin();
+        }
+        if topology.groups() == earlier.groups() {
+            return;
+        }
+        if self.history.len() == HISTORY_LIMIT {
+            self.history.remove(0);
+        }
+        self.history.push(earlier.into_groups());
+    }
+
+    /// Takes one datagram from the fabric or another forwarder.
+    pub fn receive(&mut self, source: SocketAddr, bytes: &[u8]) {
+        self.note_time();
+        self.counters.received += 1;
+        if let Err(cause) = self.take(source, bytes) {
+            self.counters.drop_packet(cause, self.latest);
+        }
+    }
+
+    /// Does the regular work; to be called ten times a second.
+    pub fn tick(&mut self) {
+        let now = self.note_time();
+        self.targets.expire_foreign(now, FOREIGN_TIME);
+        self.sweep(now);
+        self.step_handover(now);
+    }
+
+    fn take(&mut self, source: SocketAddr, bytes: &[u8]) -> Result<(), DropCause> {
+        let datagram = geneve::decode(bytes).map_err(DropCause::Malformed)?;
+        let bytes = match (datagram.payload, datagram.mark) {
+            (Payload::Packet(bytes), _) => bytes,
+            (Payload::Keys(keys), Some(mark)) => {
+                return self.take_handover(source, datagram.vni, mark, keys);
+            }
+            (Payload::Keys(_), None) => return Err(DropCause::UnknownSender),
+        };
+        if datagram.mark.is_none() && datagram.vni != 0 {
+            return Err(DropCause::ForeignVni);
+        }
+        let packet = packet::decode(bytes).map_err(DropCause::Malformed)?;
+        let topology = self.topology.as_mut().ok_or(DropCause::NoView)?;
+        let group = topology
+            .find_group(packet.flow.service)
+            .ok_or(DropCause::NoEntrance)?;
+        let vni = topology.group(group).vni;
+        let hops = datagram.mark.map_or(0, |mark| mark.hops);
+        let route = Route {
+            group,
+            vni,
+            ranks: topology.ranks(packet.key),
+            hops,
+        };
+        if self.tracking == Tracking::Stateless {
+            return self.place_stateless(&packet, &route);
+        }
+        if hops > HOP_LIMIT {
+            return Err(DropCause::Looping);
+        }
+        if packet.phase == Phase::First && self.latest < self.stale_until {
+            return Err(DropCause::Stale);
+        }
+        let kind = datagram.mark.map_or(MarkKind::Relay, |mark| mark.kind);
+        let names_target = matches!(
+            kind,
+            MarkKind::Known(_) | MarkKind::Learn { .. } | MarkKind::Correct(_)
+        );
+        if names_target && datagram.vni != vni.get() {
+            return Err(DropCause::ServiceMismatch);
+        }
+        match kind {
+            MarkKind::Relay => self.arrive(&packet, &route),
+            MarkKind::Ask { rank } => {
+                self.answer(source, &packet, &route, rank);
+                Ok(())
+            }
+            MarkKind::Known(recalled) => self.take_known(source, &packet, &route, recalled),
+            MarkKind::Unknown { rank } => self.walk(&packet, &route, usize::from(rank) + 1),
+            MarkKind::Learn { recalled, is_final } => {
+                self.take_learn(source, &packet, &route, recalled, is_final)
+            }
+            MarkKind::Correct(recalled) => self.take_correct(source, &packet, &route, recalled),
+            MarkKind::Handover { .. } | MarkKind::HandoverDone { .. } => {
+                Err(DropCause::Malformed(geneve::PacketError::BadMark))
+            }
+        }
+    }
+
+    /// Whether an address is that of a forwarder in the view.
+    pub(crate) fn is_member(&self, address: SocketAddr) -> bool {
+        let topology = self.topology.as_ref();
+        topology.is_some_and(|topology| topology.is_member(address))
+    }
+
+    /// Revision of the view in force.
+    pub(crate) fn revision(&self) -> Option<Revision> {
+        self.view().map(|view| view.revision())
+    }
+
+    /// Notes the time; a gap since the last event means that this process was paused.
+    pub(crate) fn note_time(&mut self) -> Moment {
+        let now = self.clock.now();
+        if now.since(self.latest) >= PAUSE_TIME {
+            self.counters.pauses += 1;
+            self.changed = now;
+            self.recheck_until = now.after(RECHECK_TIME);
+            self.stale_until = now.after(STALE_TIME);
+            log::warn!(
+                "event=process_paused time_ms={}",
+                now.since(self.latest).as_millis()
+            );
+        }
+        self.latest = self.latest.max(now);
+        self.latest
+    }
+
+    /// Reports a broken invariant: counted, logged, and a panic while debugging.
+    fn check(&mut self, holds: bool, invariant: &'static str) {
+        if holds {
+            return;
+        }
+        self.counters.violations += 1;
+        log::error!("event=invariant_broken invariant={invariant} place=forwarder");
+        debug_assert!(holds, "invariant broken: {invariant}");
+    }
+}
