Split the agent's larger modules

Change: the locked state, the table of peers, the taking of updates and the record of one VM are modules of their own; the unused outcome of a comparison is a bool. Conclusion: no change of behaviour.

--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -1,22 +1,23 @@
 //! Comparing with peers: summaries, what each side lacks, and updates that are taken.
 
-use std::time::{Duration, Instant};
+mod table;
+mod update;
+
+use std::sync::Arc;
+use std::time::Instant;
 
 use bambooseam_peer::agent::{
     Beat, ConfigUpdate, DocumentVersion, ListUpdate, Patch, PeerService, Rumour, Summary, Update,
     mark_of,
 };
 use bambooseam_types::{Incarnation, Revision, VmId};
-use std::sync::Arc;
 
 use crate::event::{EventKind, unix_ms};
 use crate::member::Heard;
-use crate::shared::{From, Shared, State};
-use crate::store::Offer;
-use crate::version::{List, ListKind, Origin};
+use crate::shared::{Shared, State};
+use crate::version::{List, ListKind};
 
-/// Time for which one peer alone may send what is lacking here.
-const LEASE_TIME: Duration = Duration::from_millis(500);
+pub(crate) use table::PeerTable;
 
 /// Milliseconds by which a peer's clock may be ahead.
 const CLOCK_AHEAD_MS: u64 = 24 * 3600 * 1000;
@@ -24,77 +25,6 @@
 /// Longest time that an agent may have run, in seconds.
 const AGE_LIMIT: u64 = 10 * 365 * 24 * 3600;
 
-/// What peers were last known to hold, and who may send what is lacking here.
-#[derive(Debug, Default)]
-pub(crate) struct PeerTable {
-    held: Vec<Held>,
-    newest: DocumentVersion,
-    newest_vms: DocumentVersion,
-    newest_targets: DocumentVersion,
-    lease: Option<Instant>,
-}
-
-/// Versions that a peer holds.
-#[derive(Debug)]
-struct Held {
-    vm: VmId,
-    config: DocumentVersion,
-    vms: DocumentVersion,
-    targets: DocumentVersion,
-}
-
-/// What a compared summary asks for.
-#[derive(Debug)]
-pub(crate) enum Compared {
-    /// It came from an earlier start or is not plausible; nothing of it was taken.
-    Refused,
-    /// Both sides hold the same.
-    Same,
-    /// The peer lacks something.
-    PeerLacks,
-    /// Something is lacking here.
-    Lacking,
-}
-
-impl PeerTable {
-    /// Notes what a peer holds.
-    fn note(&mut self, summary: &Summary) {
-        let held = Held {
-            vm: summary.vm.clone(),
-            config: summary.config,
-            vms: summary.vms,
-            targets: summary.targets,
-        };
-        match self.held.binary_search_by(|held| held.vm.cmp(&summary.vm)) {
-            Ok(index) => self.held[index] = held,
-            Err(index) => self.held.insert(index, held),
-        }
-        self.newest = self.newest.max(summary.config);
-        self.newest_vms = self.newest_vms.max(summary.vms);
-        self.newest_targets = self.newest_targets.max(summary.targets);
-    }
-
-    /// What a peer was last known to hold.
-    fn get(&self, vm: &VmId) -> Option<&Held> {
-        let index = self.held.binary_search_by(|held| held.vm.cmp(vm)).ok()?;
-        self.held.get(index)
-    }
-
-    /// Keeps only peers for which `is_kept` holds.
-    pub(crate) fn retain(&mut self, is_kept: impl Fn(&VmId) -> bool) {
-        self.held.retain(|held| is_kept(&held.vm));
-    }
-
-    /// Takes the lease unless another peer has it.
-    fn try_lease(&mut self, now: Instant) -> bool {
-        if self.lease.is_some_and(|end| now < end) {
-            return false;
-        }
-        self.lease = Some(now + LEASE_TIME);
-        true
-    }
-}
-
 impl State {
     /// Version of the configuration held, as summaries show it.
     fn config_version(&self) -> DocumentVersion {
@@ -151,20 +81,21 @@
         }
     }
 
-    /// Takes what a summary tells of its sender and of others.
-    pub(crate) fn compare(&mut self, me: &VmId, summary: &Summary) -> Compared {
+    /// Takes what a summary tells of its sender and of others; false when it is refused, because it
+    /// is not plausible or comes from an earlier start.
+    pub(crate) fn note_summary(&mut self, me: &VmId, summary: &Summary) -> bool {
         let now = Instant::now();
         if !is_plausible(summary.beat) {
             let cause = format!("{} sent an impossible sign of life", summary.vm);
             self.record_once(EventKind::PeerRefused, cause);
-            return Compared::Refused;
+            return false;
         }
         if summary.vm == *me {
             if summary.beat.incarnation != self.incarnation {
                 let cause = format!("another agent calls itself {me}");
                 self.record_once(EventKind::PeerRefused, cause);
             }
-            return Compared::Refused;
+            return false;
         }
         let list = self.store.vm_list();
         if self.members.hear(&summary.vm, summary.beat, list, now) == Heard::Late {
@@ -173,7 +104,7 @@
                 summary.vm, summary.beat.incarnation
             );
             self.record_once(EventKind::PeerRefused, cause);
-            return Compared::Refused;
+            return false;
         }
         if summary.known > self.incarnation && is_plausible_start(summary.known) {
             self.incarnation = summary.known.next();
@@ -182,14 +113,7 @@
             self.take_rumour(rumour, now);
         }
         self.peers.note(summary);
-        let mine = self.versions(me);
-        if mine.lacks(summary) {
-            return Compared::Lacking;
-        }
-        match summary.lacks(&mine) {
-            true => Compared::PeerLacks,
-            false => Compared::Same,
-        }
+        true
     }
 
     fn take_rumour(&mut self, rumour: &Rumour, now: Instant) {
@@ -290,16 +214,16 @@
         update: &Update,
     ) -> (Update, bool) {
         let me = &self.settings().vm.id;
-        let compared = {
+        let is_taken = {
             let mut state = self.lock();
             if sent.wants {
                 state.peers.lease = None;
             }
-            let compared = state.compare(me, summary);
+            let is_taken = state.note_summary(me, summary);
             state.members.note_answer(&summary.vm);
-            compared
+            is_taken
         };
-        if matches!(compared, Compared::Refused) {
+        if !is_taken {
             return (Update::default(), false);
         }
         self.take_update(&summary.vm, update);
@@ -357,88 +281,6 @@
     fn settle(&self, state: &mut State) {
         state.budget.settle(Instant::now(), self.sent());
     }
-
-    /// Takes the documents of an update, each on its own, if they are newer and good.
-    fn take_update(&self, peer: &VmId, update: &Update) {
-        let from = From::Peer(peer.to_string());
-        if let Some(config) = &update.config {
-            self.take_config_update(config, &from);
-        }
-        let lists = [
-            (ListKind::Vms, &update.vms),
-            (ListKind::Targets, &update.targets),
-        ];
-        for (kind, list) in lists {
-            let Some(list) = list else { continue };
-            self.take_list_update(kind, list, &from);
-        }
-    }
-
-    fn take_config_update(&self, update: &ConfigUpdate, from: &From) {
-        let Some(preset) = self.apply("preset", &update.preset, from) else {
-            return;
-        };
-        let origin = Origin {
-            era: update.era,
-            index: update.index,
-        };
-        if let Ok(pointer) = crate::store::read_pointer(&update.pointer) {
-            let found = crate::version::ConfigVersion {
-                revision: pointer.revision,
-                digest: pointer.digest,
-            };
-            self.lock().note_conflict(found, from);
-        }
-        let offer = self.take_config(&update.pointer, &preset, origin, from);
-        self.note_refusal(&offer, from);
-    }
-
-    fn take_list_update(&self, kind: ListKind, update: &ListUpdate, from: &From) {
-        let Some(text) = self.apply(kind.key(), &update.patch, from) else {
-            return;
-        };
-        if mark_of(&bambooseam_config::digest_of(&text)) != update.version.mark {
-            self.refuse_peer(from, format!("{kind} differs from its digest"));
-            return;
-        }
-        let origin = Origin {
-            era: update.version.rank,
-            index: update.version.index,
-        };
-        let offer = self.take_list(kind, &text, origin, from);
-        self.note_refusal(&offer, from);
-    }
-
-    /// Makes the text of a patch.
-    fn apply(&self, name: &str, patch: &Patch, from: &From) -> Option<String> {
-        let base = match patch.base {
-            0 => Some(Arc::from("")),
-            mark => self.lock().store.text_of_mark(mark),
-        };
-        let Some(base) = base else {
-            self.refuse_peer(from, format!("{name}: the base is not held"));
-            return None;
-        };
-        match patch.apply(&base) {
-            Ok(text) => Some(text),
-            Err(error) => {
-                self.refuse_peer(from, format!("{name}: {error}"));
-                None
-            }
-        }
-    }
-
-    fn note_refusal(&self, offer: &Offer, from: &From) {
-        if let Offer::Refused(findings) = offer {
-            self.refuse_peer(from, findings.to_string());
-        }
-    }
-
-    fn refuse_peer(&self, from: &From, cause: String) {
-        metrics::counter!("peer_messages_refused").increment(1);
-        let cause = format!("{from}: {cause}");
-        self.lock().record_once(EventKind::PeerRefused, cause);
-    }
 }
 
 /// Answers the exchanges that peers begin.
@@ -451,8 +293,7 @@
     fn exchange(&self, summary: Summary) -> (Summary, Update) {
         let me = &self.shared.settings().vm.id;
         let mut state = self.shared.lock();
-        let compared = state.compare(me, &summary);
-        if matches!(compared, Compared::Refused) {
+        if !state.note_summary(me, &summary) {
             return (
                 state.summary(me, Some(&summary.vm), false),
                 Update::default(),
--- /dev/null
+++ b/crates/agent/src/exchange/table.rs
@@ -0,0 +1,67 @@
+//! What peers are known to hold.
+
+use std::time::{Duration, Instant};
+
+use bambooseam_peer::agent::{DocumentVersion, Summary};
+use bambooseam_types::VmId;
+
+/// Time for which one peer alone may send what is lacking here.
+const LEASE_TIME: Duration = Duration::from_millis(500);
+
+/// What peers were last known to hold, and who may send what is lacking here.
+#[derive(Debug, Default)]
+pub(crate) struct PeerTable {
+    pub(super) held: Vec<Held>,
+    pub(super) newest: DocumentVersion,
+    pub(super) newest_vms: DocumentVersion,
+    pub(super) newest_targets: DocumentVersion,
+    pub(super) lease: Option<Instant>,
+}
+
+/// Versions that a peer holds.
+#[derive(Debug)]
+pub(super) struct Held {
+    pub(super) vm: VmId,
+    pub(super) config: DocumentVersion,
+    pub(super) vms: DocumentVersion,
+    pub(super) targets: DocumentVersion,
+}
+
+impl PeerTable {
+    /// Notes what a peer holds.
+    pub(super) fn note(&mut self, summary: &Summary) {
+        let held = Held {
+            vm: summary.vm.clone(),
+            config: summary.config,
+            vms: summary.vms,
+            targets: summary.targets,
+        };
+        match self.held.binary_search_by(|held| held.vm.cmp(&summary.vm)) {
+            Ok(index) => self.held[index] = held,
+            Err(index) => self.held.insert(index, held),
+        }
+        self.newest = self.newest.max(summary.config);
+        self.newest_vms = self.newest_vms.max(summary.vms);
+        self.newest_targets = self.newest_targets.max(summary.targets);
+    }
+
+    /// What a peer was last known to hold.
+    pub(super) fn get(&self, vm: &VmId) -> Option<&Held> {
+        let index = self.held.binary_search_by(|held| held.vm.cmp(vm)).ok()?;
+        self.held.get(index)
+    }
+
+    /// Keeps only peers for which `is_kept` holds.
+    pub(crate) fn retain(&mut self, is_kept: impl Fn(&VmId) -> bool) {
+        self.held.retain(|held| is_kept(&held.vm));
+    }
+
+    /// Takes the lease unless another peer has it.
+    pub(super) fn try_lease(&mut self, now: Instant) -> bool {
+        if self.lease.is_some_and(|end| now < end) {
+            return false;
+        }
+        self.lease = Some(now + LEASE_TIME);
+        true
+    }
+}
--- a/crates/agent/src/member.rs
+++ b/crates/agent/src/member.rs
@@ -6,6 +6,8 @@
 //! zone. A zone that is cut off as a whole is seen by observers outside it only, and so nobody in
 //! it is suspected.
 
+mod record;
+
 use std::time::{Duration, Instant};
 
 use bambooseam_config::{VmEntry, VmList, VmState};
@@ -14,6 +16,7 @@
 use derive_more::Display;
 
 use crate::rumour::RumourQueue;
+use record::Member;
 
 /// Failed exchanges in a row after which an observer reports a VM silent.
 const MISSES: u32 = 2;
@@ -21,15 +24,9 @@
 /// Observers that a suspicion needs where there are that many.
 const OBSERVERS: usize = 2;
 
-/// Seconds by which a report may lag behind the last sign of life: peers hear at different times.
-const BEAT_SLACK: u64 = 10;
-
 /// Time after a direct sign of life in which reports of others do not count.
 const DIRECT_TIME: Duration = Duration::from_secs(5);
 
-/// Time after which a report that led to nothing is dropped.
-const REPORT_TIME: Duration = Duration::from_secs(60);
-
 /// Time after which a suspected VM counts as dead.
 const DEAD_TIME: Duration = Duration::from_secs(30);
 
@@ -91,26 +88,6 @@
     ZoneHeard(ZoneId),
 }
 
-/// What is known of one VM.
-#[derive(Debug)]
-struct Member {
-    vm: VmId,
-    last: Beat,
-    heard: Option<Instant>,
-    misses: u32,
-    reports: Vec<Report>,
-    suspected: Option<Instant>,
-    is_dead: bool,
-}
-
-/// An observer's word that a VM is silent.
-#[derive(Debug)]
-struct Report {
-    observer: VmId,
-    beat: Beat,
-    time: Instant,
-}
-
 /// What is known of all VMs.
 #[derive(Debug)]
 pub struct Members {
@@ -425,76 +402,3 @@
         }
     }
 }
-
-impl Member {
-    fn new(vm: VmId) -> Self {
-        Self {
-            vm,
-            last: Beat::default(),
-            heard: None,
-            misses: 0,
-            reports: Vec::new(),
-            suspected: None,
-            is_dead: false,
-        }
-    }
-
-    /// Keeps a report unless a newer sign of life refutes it; true when it is news.
-    fn report(&mut self, observer: VmId, beat: Beat, now: Instant) -> bool {
-        if self.refutes(beat) {
-            return false;
-        }
-        let report = Report {
-            observer,
-            beat,
-            time: now,
-        };
-        let found = self
-            .reports
-            .iter_mut()
-            .find(|held| held.observer == report.observer);
-        match found {
-            Some(held) if held.beat >= report.beat => {
-                held.time = now;
-                false
-            }
-            Some(held) => {
-                *held = report;
-                true
-            }
-            None => {
-                let is_news = self.reports.len() <= OBSERVERS;
-                self.reports.push(report);
-                is_news
-            }
-        }
-    }
-
-    /// Whether a later sign of life is known than the one that a report rests on.
-    fn refutes(&self, beat: Beat) -> bool {
-        let last = self.last;
-        beat.incarnation < last.incarnation
-            || (beat.incarnation == last.incarnation && beat.second + BEAT_SLACK < last.second)
-    }
-
-    fn drop_refuted(&mut self) {
-        let reports = std::mem::take(&mut self.reports);
-        let held = reports.into_iter().filter(|r| !self.refutes(r.beat));
-        self.reports = held.collect();
-    }
-
-    fn drop_old(&mut self, now: Instant) {
-        self.reports
-            .retain(|report| now.saturating_duration_since(report.time) < REPORT_TIME);
-    }
-
-    fn is_fresh(&self, now: Instant) -> bool {
-        self.heard
-            .is_some_and(|heard| now.saturating_duration_since(heard) < REPORT_TIME)
-    }
-
-    fn cause(&self) -> String {
-        let names: Vec<&str> = self.reports.iter().map(|r| r.observer.as_str()).collect();
-        format!("silent towards {}", names.join(", "))
-    }
-}
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -3,26 +3,27 @@
 //! Each task takes the lock for one decision and never across an await. Views leave through
 //! [`Shared::publish`] only, which asserts that nothing falls.
 
+mod state;
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bambooseam_config::{Settings, VmSettings};
 use bambooseam_peer::Meter;
-use bambooseam_types::{ByteCount, Incarnation, Revision, VmId};
+use bambooseam_types::{ByteCount, Incarnation, VmId};
 use bambooseam_view::{FlowKey, Ranking, ViewNumber, ViewSource};
 use derive_more::Display;
 use tokio::sync::watch;
 
-use crate::budget::Budget;
-use crate::event::{EventKind, EventLog, unix_ms};
-use crate::exchange::PeerTable;
-use crate::gate::Gate;
+use crate::event::{EventKind, unix_ms};
 use crate::invariant;
-use crate::member::{Change, Members};
+use crate::member::Change;
 use crate::platform::PlatformError;
-use crate::store::{Offer, Store};
+use crate::store::Offer;
 use crate::version::{ConfigVersion, ListKind, Origin};
 
+pub(crate) use state::{PlatformState, ProgramView, State};
+
 /// Failures in a row after which the platform counts as lost.
 const LOST_AFTER: u32 = 3;
 
@@ -45,51 +46,6 @@
     platform_meter: Arc<Meter>,
 }
 
-/// What the lock guards.
-#[derive(Debug)]
-pub(crate) struct State {
-    pub(crate) store: Store,
-    pub(crate) events: EventLog,
-    pub(crate) gate: Gate,
-    pub(crate) programs: Vec<ProgramView>,
-    pub(crate) platform: PlatformState,
-    pub(crate) members: Members,
-    pub(crate) budget: Budget,
-    pub(crate) peers: PeerTable,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) started: Instant,
-    pub(crate) number: ViewNumber,
-    pub(crate) served: Option<ConfigVersion>,
-    pub(crate) since_ms: u64,
-    failures: u32,
-    noted: Vec<Noted>,
-}
-
-/// The view that a program acts on.
-#[derive(Debug, Clone)]
-pub(crate) struct ProgramView {
-    pub(crate) name: String,
-    pub(crate) number: ViewNumber,
-    pub(crate) time_ms: u64,
-}
-
-/// What the last reads of the platform met.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub(crate) enum PlatformState {
-    /// Not read yet.
-    #[display("unknown")]
-    Unknown,
-    /// It answers.
-    #[display("reachable")]
-    Reachable,
-    /// It does not answer.
-    #[display("lost")]
-    Lost,
-    /// It refuses by rate.
-    #[display("refusing")]
-    Refusing,
-}
-
 /// Where a document came from.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum From {
@@ -101,38 +57,10 @@
     Peer(String),
 }
 
-/// A decision that is recorded once, not at each repetition.
-#[derive(Debug, PartialEq, Eq)]
-struct Noted {
-    kind: EventKind,
-    cause: String,
-}
-
 impl Shared {
     /// Creates the state of an agent that starts now and has `peers` peers to ask.
     pub fn new(settings: Settings, incarnation: Incarnation, peers: usize) -> Self {
-        let now = Instant::now();
-        let mut events = EventLog::default();
-        let cause = format!("incarnation {incarnation}");
-        events.record(EventKind::AgentStarted, cause, Revision::default());
-        let state = State {
-            store: Store::default(),
-            events,
-            gate: Gate::new(now, peers),
-            programs: Vec::new(),
-            platform: PlatformState::Unknown,
-            members: Members::new(settings.vm.id.clone(), settings.vm.zone.clone()),
-            budget: Budget::new(settings.agent.budget, now),
-            peers: PeerTable::default(),
-            incarnation,
-            started: now,
-            // Numbers rise across restarts, so that a program takes no old number for a new view.
-            number: ViewNumber::from(unix_ms()),
-            served: None,
-            since_ms: 0,
-            failures: 0,
-            noted: Vec::new(),
-        };
+        let state = State::new(&settings, incarnation, peers);
         Self {
             settings,
             state: Mutex::new(state),
@@ -426,72 +354,3 @@
         }
     }
 }
-
-impl State {
-    /// Records a decision under the revision held.
-    pub(crate) fn record(&mut self, kind: EventKind, cause: impl Into<String>) {
-        let revision = self.store.revision();
-        self.events.record(kind, cause, revision);
-    }
-
-    /// Records a decision unless the last one of its kind had the same cause.
-    pub(crate) fn record_once(&mut self, kind: EventKind, cause: String) {
-        let noted = Noted { kind, cause };
-        if self.noted.contains(&noted) {
-            return;
-        }
-        self.record(kind, noted.cause.clone());
-        self.noted.retain(|held| held.kind != kind);
-        self.noted.push(noted);
-    }
-
-    /// Records what was refused or stale about an offer.
-    fn note_offer(&mut self, key: &str, offer: &Offer, from: &From) {
-        match offer {
-            Offer::Taken | Offer::Same => {}
-            Offer::Older if *from == From::Platform => {
-                let revision = self.store.revision();
-                let cause = format!("{key} from {from} is older than what is held at {revision}");
-                self.record_once(EventKind::PlatformStale, cause);
-            }
-            Offer::Older => {}
-            Offer::Refused(findings) => {
-                let cause = format!("{key} from {from}: {findings}");
-                self.record_once(EventKind::DocumentRefused, cause);
-            }
-        }
-    }
-
-    /// Records a configuration that was taken.
-    fn note_taken(&mut self, before: Option<ConfigVersion>, from: &From) {
-        let Some(config) = self.store.config() else {
-            return;
-        };
-        let cause = format!(
-            "preset {} digest {} from {from}",
-            config.pointer.name, config.pointer.digest
-        );
-        self.record(EventKind::PresetSwitched, cause);
-        if before.is_some() && *from != From::Platform && self.platform != PlatformState::Reachable
-        {
-            let cause = format!("platform {}, taken from {from}", self.platform);
-            self.record(EventKind::FallbackTaken, cause);
-        }
-    }
-
-    /// Records two presets under one revision; which of them counts is the same everywhere.
-    pub(crate) fn note_conflict(&mut self, found: ConfigVersion, from: &From) {
-        let Some(held) = self.store.version() else {
-            return;
-        };
-        if held.revision != found.revision || held.digest == found.digest {
-            return;
-        }
-        let in_force = held.digest.max(found.digest);
-        let cause = format!(
-            "revision {} has two digests, {} and {} ({from}); {in_force} counts, the larger",
-            found.revision, held.digest, found.digest
-        );
-        self.record_once(EventKind::RevisionConflict, cause);
-    }
-}
--- a/tests/tests/control_peers.rs
+++ b/tests/tests/control_peers.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, Instant};
 
 use bambooseam_agent::{Agent, HttpPlatform, Shared};
-use bambooseam_config::{VmEntry, digest_of};
+use bambooseam_config::digest_of;
 use bambooseam_peer::agent::{
     Beat, ConfigUpdate, DocumentVersion, ListUpdate, Patch, PeerLink, Summary, Update, mark_of,
 };
-use bambooseam_standin::{Deployment, DeploymentKind, Mode as PlatformMode, Platform};
+use bambooseam_standin::{Deployment, DeploymentKind, Mode as PlatformMode, Plan, Platform};
 use bambooseam_types::{Incarnation, PresetName, Revision, VmId};
 use bambooseam_view::{FlowKey, Ranking};
 use fake::{Fake, Mode, has_event, revision, settings, wait_until};
@@ -158,15 +158,9 @@
 fn polling_agent_reads_at_once_when_a_peer_holds_something_newer() {
     run(async {
         // Nine VMs of one zone; the one under test is not among the two that watch a key.
-        let mut published = deployment();
-        let pattern = published.vms.0[0].clone();
-        published.vms.0 = (1..=9)
-            .map(|number| VmEntry {
-                id: format!("vm-{number:03}").parse().expect("a name"),
-                agent: ([127, 0, 0, 1], number).into(),
-                ..pattern.clone()
-            })
-            .collect();
+        let mut plan = Plan::of(DeploymentKind::Cascade);
+        plan.zones = vec!["skagit"];
+        let mut published = plan.with_vms(9).with_network([127, 69]).build();
         let names = published.vms.0.iter().map(|vm| vm.id.as_str()).enumerate();
         let ranking = Ranking::new(names);
         let watches = |index: usize| {
