--- a/crates/measure/src/control.rs
+++ b/crates/measure/src/control.rs
@@ -34,6 +34,8 @@
     pub(crate) freezes: usize,
     pub(crate) freeze: u64,
     pub(crate) cuts: usize,
+    pub(crate) regions: usize,
+    pub(crate) racks: usize,
     pub(crate) log: String,
 }
 
@@ -84,6 +86,16 @@
             "0",
             "Times that a zone is cut off meanwhile",
         ))
+        .arg(number(
+            "regions",
+            "0",
+            "Times that half of the zones are cut off meanwhile",
+        ))
+        .arg(number(
+            "racks",
+            "0",
+            "Times that half of a zone is killed and started again",
+        ))
         .arg(
             Arg::new("log")
                 .long("log")
@@ -153,6 +165,8 @@
             freezes: count("freezes"),
             freeze: number("freeze"),
             cuts: count("cuts"),
+            regions: count("regions"),
+            racks: count("racks"),
             log: matches.get_one("log").cloned().unwrap_or_default(),
         }
     }
--- a/crates/measure/src/control/faults.rs
+++ b/crates/measure/src/control/faults.rs
@@ -11,9 +11,12 @@
 /// For how long a killed agent stays away.
 const AWAY_TIME: Duration = Duration::from_secs(3);
 
-/// For how long a zone is cut off.
+/// For how long a zone or region is cut off.
 const CUT_TIME: Duration = Duration::from_secs(12);
 
+/// For how long a rack stays away.
+const RACK_TIME: Duration = Duration::from_secs(20);
+
 /// What is done to agents.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -23,6 +26,10 @@
     Freeze(usize),
     /// A zone cut off from the others.
     Cut(usize),
+    /// The first half of the zones cut off from the others.
+    Region,
+    /// Every second VM of a zone killed and started again.
+    Rack(usize),
 }
 
 /// A fault that is under way or over.
@@ -64,6 +71,10 @@
         add(options.cuts, CUT_TIME, &mut |rng| {
             Fault::Cut(rng.random_range(0..zones))
         });
+        add(options.regions, CUT_TIME, &mut |_| Fault::Region);
+        add(options.racks, RACK_TIME, &mut |rng| {
+            Fault::Rack(rng.random_range(0..zones))
+        });
         planned.sort_by_key(|planned| planned.0);
         Self {
             planned,
@@ -112,22 +123,22 @@
             let is_touched = match spell.fault {
                 Fault::Kill(index) | Fault::Freeze(index) => index == agent,
                 Fault::Cut(zone) => fleet.agents[agent].zone == zone,
+                Fault::Region => fleet.is_first_region(agent),
+                Fault::Rack(zone) => fleet.rack(zone).contains(&agent),
             };
             is_touched && spell.start <= to && from <= spell.end
         })
     }
 
-    /// Whether another fault of the same agent, or another cut, is under way.
+    /// Whether another fault that can't go on beside this one is under way.
     fn is_busy(&self, fault: Fault) -> bool {
-        self.spells.iter().any(|spell| {
-            !spell.is_over
-                && match (spell.fault, fault) {
-                    (Fault::Cut(_), Fault::Cut(_)) => true,
-                    (Fault::Cut(_), _) | (_, Fault::Cut(_)) => false,
-                    (Fault::Kill(a) | Fault::Freeze(a), Fault::Kill(b) | Fault::Freeze(b)) => {
-                        a == b
-                    }
-                }
+        use Fault::{Cut, Freeze, Kill, Rack, Region};
+        let mut under_way = self.spells.iter().filter(|spell| !spell.is_over);
+        under_way.any(|spell| match (spell.fault, fault) {
+            (Cut(_) | Region, Cut(_) | Region) => true,
+            (Cut(_) | Region, _) | (_, Cut(_) | Region) => false,
+            (Rack(_), _) | (_, Rack(_)) => true,
+            (Kill(one) | Freeze(one), Kill(other) | Freeze(other)) => one == other,
         })
     }
 }
@@ -144,6 +155,17 @@
             fleet.cuts.cut(&inside, &outside);
             Ok(())
         }
+        Fault::Region => {
+            let (inside, outside) = fleet.regions();
+            fleet.cuts.cut(&inside, &outside);
+            Ok(())
+        }
+        Fault::Rack(zone) => {
+            for index in fleet.rack(zone) {
+                fleet.agents[index].kill();
+            }
+            Ok(())
+        }
     }
 }
 
@@ -151,9 +173,15 @@
     match fault {
         Fault::Kill(index) => fleet.agents[index].start(),
         Fault::Freeze(index) => fleet.agents[index].signal("CONT"),
-        Fault::Cut(_) => {
+        Fault::Cut(_) | Fault::Region => {
             fleet.cuts.heal();
             Ok(())
         }
+        Fault::Rack(zone) => {
+            for index in fleet.rack(zone) {
+                fleet.agents[index].start()?;
+            }
+            Ok(())
+        }
     }
 }
--- a/crates/measure/src/control/fleet.rs
+++ b/crates/measure/src/control/fleet.rs
@@ -48,6 +48,7 @@
     pub(crate) deployment: Deployment,
     pub(crate) agents: Vec<Agent>,
     pub(crate) cuts: Cuts,
+    zones: usize,
     folder: PathBuf,
     _relays: Vec<Relay>,
 }
@@ -91,6 +92,7 @@
             deployment,
             agents: Vec::new(),
             cuts,
+            zones: options.zones,
             folder,
             _relays: Vec::new(),
         };
@@ -116,7 +118,7 @@
             false => NO_PLATFORM.into(),
         };
         let ip = vm.agent.ip();
-        let listen = match options.cuts {
+        let listen = match options.cuts + options.regions {
             0 => vm.agent,
             _ => SocketAddr::new(ip, AGENT_PORT),
         };
@@ -137,7 +139,7 @@
         }
         let settings = self.folder.join(format!("{}.ini", vm.id));
         fs::write(&settings, text)?;
-        if options.cuts > 0 {
+        if options.cuts + options.regions > 0 {
             let relay = Relay::start(vm.agent, listen, self.cuts.clone()).await?;
             self._relays.push(relay);
         }
@@ -170,6 +172,25 @@
         all
     }
 
+    /// Every second agent of a zone.
+    pub(crate) fn rack(&self, zone: usize) -> Vec<usize> {
+        let mates = (0..self.agents.len()).filter(|index| self.agents[*index].zone == zone);
+        mates.step_by(2).collect()
+    }
+
+    /// Whether an agent is in the first half of the zones.
+    pub(crate) fn is_first_region(&self, agent: usize) -> bool {
+        self.agents[agent].zone < self.zones.div_ceil(2)
+    }
+
+    /// Addresses of the agents in the first half of the zones and of the others.
+    pub(crate) fn regions(&self) -> (Vec<IpAddr>, Vec<IpAddr>) {
+        let all = 0..self.agents.len();
+        let (first, other): (Vec<usize>, Vec<usize>) = all.partition(|a| self.is_first_region(*a));
+        let ips = |side: Vec<usize>| side.into_iter().map(|a| self.agents[a].ip).collect();
+        (ips(first), ips(other))
+    }
+
     /// Addresses of the agents in a zone and of those outside it.
     pub(crate) fn sides(&self, zone: usize) -> (Vec<IpAddr>, Vec<IpAddr>) {
         let (inside, outside): (Vec<&Agent>, Vec<&Agent>) =
--- a/crates/measure/src/control/run.rs
+++ b/crates/measure/src/control/run.rs
@@ -107,7 +107,7 @@
                 let newest = newest_at(changes, spell.end);
                 (&mut pauses, feeds.current_since(agent, spell.end, newest))
             }
-            Fault::Cut(_) => continue,
+            Fault::Cut(_) | Fault::Region | Fault::Rack(_) => continue,
         };
         match found {
             Some(time) => times.push(time.saturating_duration_since(spell.end)),
@@ -310,10 +310,12 @@
     let count =
         |is_it: &dyn Fn(Fault) -> bool| faults.spells.iter().filter(|s| is_it(s.fault)).count();
     println!(
-        "kills={} freezes={} cuts={}",
+        "kills={} freezes={} cuts={} regions={} racks={}",
         count(&|fault| matches!(fault, Fault::Kill(_))),
         count(&|fault| matches!(fault, Fault::Freeze(_))),
         count(&|fault| matches!(fault, Fault::Cut(_))),
+        count(&|fault| matches!(fault, Fault::Region)),
+        count(&|fault| matches!(fault, Fault::Rack(_))),
     );
 }
 
