--- a/crates/measure/src/control/run.rs
+++ b/crates/measure/src/control/run.rs
@@ -298,15 +298,20 @@
     }
     println!("reverts={reverts} two_presets={conflicts} invariants_broken={broken}");
     let mut suspected = 0;
+    let mut suspicions = 0;
+    let mut silences = 0;
     for agent in &fleet.agents {
         let status = agent.status().await.unwrap_or_default();
-        let vms = status["vms"].as_array().cloned().unwrap_or_default();
-        suspected += vms
-            .iter()
-            .filter(|vm| vm["health"] == "suspected" || vm["health"] == "dead")
-            .count();
+        let with = |list: &str, key: &str, values: &[&str]| {
+            let all = status[list].as_array().cloned().unwrap_or_default();
+            let found = all.iter().filter_map(|item| item[key].as_str());
+            found.filter(|value| values.contains(value)).count()
+        };
+        suspected += with("vms", "health", &["suspected", "dead"]);
+        suspicions += with("events", "kind", &["vm_suspected"]);
+        silences += with("events", "kind", &["zone_silent"]);
     }
-    println!("suspected_at_end={suspected}");
+    println!("suspected_at_end={suspected} suspicions={suspicions} zones_silent={silences}");
     let count =
         |is_it: &dyn Fn(Fault) -> bool| faults.spells.iter().filter(|s| is_it(s.fault)).count();
     println!(
