ctl takes a program that its agent no longer hears for unknown

Cause: an agent goes on telling the last view of a program that died, so that wait and status counted it as in force. Ruled out: a shorter limit than a minute: programs speak every 10 s, and clocks of VMs differ. Change: ProgramView with its time in place of a tuple.

--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -6,4 +6,6 @@
 
 pub use ask::{AskError, ask, ask_all};
 pub use listed::{ListedVm, Programs, read_fleet};
-pub use reading::{Decision, Health, ProgramStatus, Reading, StatusError, VmReading};
+pub use reading::{
+    Decision, Health, ProgramStatus, ProgramView, Reading, StatusError, VmReading, since_epoch,
+};
--- a/crates/ctl/src/fleet/reading.rs
+++ b/crates/ctl/src/fleet/reading.rs
@@ -1,5 +1,7 @@
 //! What programs tell of themselves, checked.
 
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
 use bambooseam_types::Revision;
 use bambooseam_view::ViewNumber;
 use derive_more::{Display, Error};
@@ -7,6 +9,10 @@
 
 use super::AskError;
 
+/// Silence after which a program counts as gone; it speaks to its agent every 10 s, and clocks of
+/// VMs differ.
+const SILENCE_LIMIT: Duration = Duration::from_secs(60);
+
 /// A body that is no status.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum StatusError {
@@ -61,8 +67,8 @@
     pub digest: Option<String>,
     /// Since when, in milliseconds since 1970.
     pub since_ms: Option<u64>,
-    /// View that each program of the VM has in force; agents tell it.
-    pub programs: Vec<(String, ViewNumber)>,
+    /// What the programs beside it have in force; agents tell it.
+    pub programs: Vec<ProgramView>,
     /// Health of VMs as this agent sees it, sorted by VM.
     pub health: Vec<Health>,
     /// Findings of refused documents.
@@ -73,6 +79,17 @@
     pub raw: Value,
 }
 
+/// The view that a program beside an agent has in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProgramView {
+    /// The program.
+    pub program: String,
+    /// Number of the view.
+    pub view: ViewNumber,
+    /// When the program last said so, in milliseconds since 1970.
+    pub time_ms: u64,
+}
+
 /// Health of a VM as an agent sees it.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Health {
@@ -154,11 +171,12 @@
 }
 
 impl ProgramStatus {
-    /// The view that `program` of the same VM has in force, as an agent tells.
+    /// The view that `program` of the same VM has in force, unless it has been silent for long.
     pub fn view_of(&self, program: &str) -> Option<ViewNumber> {
-        let mut all = self.programs.iter();
-        let found = all.find(|(name, _)| name == program);
-        found.map(|(_, view)| *view)
+        let mut programs = self.programs.iter();
+        let held = programs.find(|held| held.program == program)?;
+        let age = since_epoch().saturating_sub(Duration::from_millis(held.time_ms));
+        (age < SILENCE_LIMIT).then_some(held.view)
     }
 }
 
@@ -188,6 +206,13 @@
     }
 }
 
+/// Time since 1970 by the clock of this machine.
+pub fn since_epoch() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
 /// Items of a JSON array; none for anything else.
 fn items(value: &Value) -> impl Iterator<Item = &Value> {
     value.as_array().into_iter().flatten()
@@ -203,13 +228,17 @@
 }
 
 /// Reads `programs`.
-fn read_programs(value: &Value) -> Vec<(String, ViewNumber)> {
+fn read_programs(value: &Value) -> Vec<ProgramView> {
     let mut programs = Vec::new();
     for held in items(value) {
-        let (Some(name), Some(view)) = (held["program"].as_str(), held["view"].as_u64()) else {
+        let (Some(program), Some(view)) = (held["program"].as_str(), held["view"].as_u64()) else {
             continue;
         };
-        programs.push((name.to_owned(), ViewNumber::from(view)));
+        programs.push(ProgramView {
+            program: program.to_owned(),
+            view: ViewNumber::from(view),
+            time_ms: held["time_ms"].as_u64().unwrap_or_default(),
+        });
     }
     programs
 }
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -1,7 +1,7 @@
 //! `status`: what each VM has in force, side by side, with marks on those that differ.
 
 use std::fmt::{self, Display, Formatter};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bambooseam_types::Revision;
 use clap::ArgMatches;
@@ -9,7 +9,7 @@
 
 use crate::Outcome;
 use crate::documents::single;
-use crate::fleet::{Health, ProgramStatus, Reading, VmReading, ask_all, read_fleet};
+use crate::fleet::{Health, ProgramStatus, Reading, VmReading, ask_all, read_fleet, since_epoch};
 use crate::report::{BadInput, Report, columns, print};
 
 /// Programs of a VM, in the order they are shown.
@@ -344,10 +344,7 @@
 
 /// Time since `time_ms`, in whole seconds.
 fn age(time_ms: u64) -> String {
-    let now = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let age = now.saturating_sub(Duration::from_millis(time_ms));
+    let age = since_epoch().saturating_sub(Duration::from_millis(time_ms));
     humantime::format_duration(Duration::from_secs(age.as_secs())).to_string()
 }
 
--- a/tests/tests/ctl.rs
+++ b/tests/tests/ctl.rs
@@ -120,14 +120,19 @@
     }
 }
 
+fn now_ms() -> u64 {
+    let now = bambooseam_ctl::fleet::since_epoch();
+    u64::try_from(now.as_millis()).expect("a time")
+}
+
 /// Status of an agent whose programs are at `programs`, its own view being 7.
 fn agent(vm: &str, revision: u64, programs: u64) -> Value {
     json!({
         "program": "agent", "vm": vm, "zone": "skagit", "view": 7, "revision": revision,
         "preset": "ordinary", "digest": "d1", "in_force_since_ms": 1,
         "programs": [
-            { "program": "forwarder", "view": programs },
-            { "program": "proxy", "view": programs },
+            { "program": "forwarder", "view": programs, "time_ms": now_ms() },
+            { "program": "proxy", "view": programs, "time_ms": now_ms() },
         ],
         "vms": [
             { "vm": "vm-001", "health": "live", "cause": "platform" },
@@ -331,6 +336,15 @@
     assert_eq!(json["vms"][1]["revisions"]["proxy"], 3);
 }
 
+#[test]
+fn program_that_fell_silent_has_nothing_in_force() {
+    let mut dead = agent("vm-001", 3, 7);
+    dead["programs"][1]["time_ms"] = (now_ms() - 120_000).into();
+    let reading = reading(dead);
+    assert_eq!(reading.revision_of("forwarder"), Some(Revision::from(3)));
+    assert_eq!(reading.revision_of("proxy"), None);
+}
+
 #[test]
 fn agent_without_configuration_is_no_revision() {
     let mut starting = agent("vm-001", 0, 0);
