Take a target's Target-Shed for not run; keep the plan of test fleets as it was

Cause: the target stand-in says with Target-Shed: 1 that nothing ran; a new field in FleetPlan broke tests of others. Ruled out: taking any 503 for not run, since a target may give up on work that it has begun. Change: 503 with Target-Shed: 1 or Bambooseam-Outcome: not-run is a shed; wide targets have a constructor of their own.

--- a/crates/measure/src/requests/fleet.rs
+++ b/crates/measure/src/requests/fleet.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{oneshot, watch};
 
 use super::network::Network;
+use super::schedule::SLOTS;
 use super::target::{RunLog, TestTarget};
 
 /// Longest time that a proxy may take to open its ports.
@@ -59,8 +60,6 @@
     pub orders: usize,
     /// Targets of the service with downloads.
     pub downloads: usize,
-    /// Slots of each target.
-    pub slots: u32,
     /// Worker threads of each proxy.
     pub workers: usize,
 }
@@ -72,6 +71,15 @@
     ///
     /// When an address is taken or the documents fail their check.
     pub async fn start(plan: FleetPlan, edit: impl Fn(&str) -> String) -> Self {
+        Self::start_wide(plan, SLOTS, edit).await
+    }
+
+    /// The same with `slots` slots on each target.
+    ///
+    /// # Panics
+    ///
+    /// When an address is taken or the documents fail their check.
+    pub async fn start_wide(plan: FleetPlan, slots: u32, edit: impl Fn(&str) -> String) -> Self {
         let network = Network::take();
         let mut deployment = Plan::of(DeploymentKind::Cascade)
             .with_vms(plan.vms)
@@ -79,14 +87,14 @@
             .with_network(network.prefix())
             .build();
         let text = edit(&deployment.presets[0].1);
-        let text = text.replace("slots = 2", &format!("slots = {}", plan.slots));
+        let text = text.replace("slots = 2", &format!("slots = {slots}"));
         deployment.pointer.digest = bambooseam_config::digest_of(&text);
         deployment.presets[0].1 = text;
         let log = Arc::new(RunLog::default());
         let mut targets = Vec::new();
         for entry in &deployment.targets.0 {
             let id = entry.id.as_str();
-            targets.push(TestTarget::start(id, entry.requests, plan.slots, Arc::clone(&log)).await);
+            targets.push(TestTarget::start(id, entry.requests, slots, Arc::clone(&log)).await);
         }
         let mut fleet = Self {
             proxies: Vec::new(),
--- a/crates/measure/src/requests/speed.rs
+++ b/crates/measure/src/requests/speed.rs
@@ -38,12 +38,14 @@
 /// Worker threads of the callers and targets.
 const WORKERS: usize = 4;
 
-/// One proxy on one worker, one target with a slot for each connection.
+/// Slots of the target, one for each connection and more.
+const SLOTS: u32 = 64;
+
+/// One proxy on one worker.
 const PLAN: FleetPlan = FleetPlan {
     vms: 1,
     orders: 1,
     downloads: 1,
-    slots: 64,
     workers: 1,
 };
 
@@ -52,7 +54,7 @@
     let callers = runtime(WORKERS);
     let bare = runtime(1);
     callers.block_on(async {
-        let fleet = Fleet::start(PLAN, str::to_owned).await;
+        let fleet = Fleet::start_wide(PLAN, SLOTS, str::to_owned).await;
         let target = fleet.deployment.targets.0[0].requests;
         let proxy = fleet.proxies[0].address(ORDERS_PORT);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/crates/measure/src/requests/truth.rs
+++ b/crates/measure/src/requests/truth.rs
@@ -40,7 +40,6 @@
     vms: 5,
     orders: 9,
     downloads: 3,
-    slots: 2,
     workers: 1,
 };
 
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -4,12 +4,12 @@
 
 use bambooseam_view::Target;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::time::{Instant, timeout_at};
 
 use crate::body::RequestBody;
-use crate::head::OUTCOME;
+use crate::head::{OUTCOME, TARGET_SHED};
 use crate::pool::{Connection, Pool};
 
 /// Idle time up to which a connection may carry a request that must not run twice.
@@ -102,10 +102,13 @@
 }
 
 /// Whether the target said that it did not run the request.
+///
+/// A bare 503 does not say so: a target may give up on work that it has begun.
 fn is_shed(response: &Response<Incoming>) -> bool {
-    let outcome = response.headers().get(OUTCOME);
+    let headers = response.headers();
+    let says = |name: &HeaderName, value| headers.get(name).is_some_and(|held| held == value);
     response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && outcome.is_some_and(|outcome| outcome == "not-run")
+        && (says(&OUTCOME, "not-run") || says(&TARGET_SHED, "1"))
 }
 
 /// A pooled connection, else a new one.
--- a/crates/proxy/src/head.rs
+++ b/crates/proxy/src/head.rs
@@ -24,6 +24,8 @@
 pub const REQUEST_TIMEOUT: HeaderName = HeaderName::from_static("request-timeout-ms");
 /// Whether a request without a target's answer ran.
 pub const OUTCOME: HeaderName = HeaderName::from_static("bambooseam-outcome");
+/// On a target's 503: the target did not run the request.
+pub const TARGET_SHED: HeaderName = HeaderName::from_static("target-shed");
 /// W3C trace context.
 pub const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
 
--- a/tests/tests/requests.rs
+++ b/tests/tests/requests.rs
@@ -20,10 +20,12 @@
     vms: 3,
     orders: 3,
     downloads: 3,
-    slots: 2,
     workers: 1,
 };
 
+/// Slots of each target.
+const SLOTS: u32 = 2;
+
 /// Longest time that any step may take on a busy machine.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -142,7 +144,7 @@
         assert!(told.is_served(), "{told:?}");
     }
     for target in &fleet.targets[..PLAN.orders] {
-        assert!(target.most.load(Ordering::Relaxed) <= PLAN.slots);
+        assert!(target.most.load(Ordering::Relaxed) <= SLOTS);
     }
 }
 
@@ -367,8 +369,7 @@
 
 #[tokio::test]
 async fn planned_stop_cuts_no_request_in_progress() {
-    let plan = FleetPlan { slots: 400, ..PLAN };
-    let mut fleet = Fleet::start(plan, str::to_owned).await;
+    let mut fleet = Fleet::start_wide(PLAN, 400, str::to_owned).await;
     let address = fleet.proxies[0].address(ORDERS_PORT);
     let mut calls = JoinSet::new();
     for n in 0..1_050 {
