Let refused callers return at 0.35 of the drain rate; make body timers late

Ruled out: nothing. Change: RETURN_PART 0.35; body timers are made when a frame is first awaited; speed takes eight short rounds.

--- a/crates/measure/src/requests/speed.rs
+++ b/crates/measure/src/requests/speed.rs
@@ -30,10 +30,10 @@
 const CONNECTIONS: usize = 32;
 
 /// Length of one measurement.
-const TIME: Duration = Duration::from_millis(800);
+const TIME: Duration = Duration::from_millis(400);
 
 /// Measurements of each way; the best counts, since other work on the machine only slows.
-const ROUNDS: usize = 4;
+const ROUNDS: usize = 8;
 
 /// Worker threads of the callers and targets.
 const WORKERS: usize = 4;
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -72,7 +72,8 @@
 struct Frames {
     body: Incoming,
     stall: Duration,
-    limit: Pin<Box<Sleep>>,
+    /// Made when a frame is first awaited.
+    limit: Option<Pin<Box<Sleep>>>,
     /// Instant after which no frame is taken.
     deadline: Option<Instant>,
     /// Whether the limit was armed for the frame that is awaited.
@@ -84,7 +85,7 @@
         Self {
             body,
             stall,
-            limit: Box::pin(sleep_until(Instant::now() + stall)),
+            limit: None,
             deadline,
             is_armed: false,
         }
@@ -97,13 +98,14 @@
                 Poll::Ready(frame.map(|frame| frame.map_err(|_| BodyError::Cut)))
             }
             Poll::Pending => {
+                let until = Instant::now() + self.stall;
+                let until = self.deadline.map_or(until, |deadline| until.min(deadline));
+                let limit = self.limit.get_or_insert_with(|| Box::pin(sleep_until(until)));
                 if !self.is_armed {
-                    let until = Instant::now() + self.stall;
-                    let until = self.deadline.map_or(until, |deadline| until.min(deadline));
-                    self.limit.as_mut().reset(until);
+                    limit.as_mut().reset(until);
                     self.is_armed = true;
                 }
-                ready!(self.limit.as_mut().poll(cx));
+                ready!(limit.as_mut().poll(cx));
                 Poll::Ready(Some(Err(BodyError::Stalled)))
             }
         }
--- a/crates/proxy/src/slots/drain.rs
+++ b/crates/proxy/src/slots/drain.rs
@@ -9,7 +9,7 @@
 const WINDOW: Duration = Duration::from_secs(5);
 
 /// Part of the drain rate that returning callers may use; the rest is for new ones.
-const RETURN_PART: f64 = 0.5;
+const RETURN_PART: f64 = 0.35;
 
 /// Served work, in seconds, that is assumed when less was measured.
 const LEAST_SERVED: f64 = 0.1;
