Agent: choose random peers as soon as the list of VMs is known

Cause: an agent that learned the list after its first choice of peers had no random ones for about a minute, and peers that do not answer were replaced each second, as were all others with them. Ruled out: choosing anew at each change of the list, which would close good connections. Change: a missing choice is made at once, one with silent peers every 5 s or so; the suspect that is tried stands apart. /status names the peers.

--- a/crates/agent/src/neighbour.rs
+++ b/crates/agent/src/neighbour.rs
@@ -25,7 +25,7 @@
 const OUTSIDE_RANDOM: usize = 2;
 
 /// Fleet up to which every agent talks to every other.
-const SMALL_FLEET: usize = 8;
+pub(crate) const SMALL_FLEET: usize = 8;
 
 /// A peer to talk to.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/agent/src/peering.rs
+++ b/crates/agent/src/peering.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::backoff::{Backoff, jitter};
-use crate::neighbour::{Neighbour, random_neighbours, ring_neighbours};
+use crate::neighbour::{Neighbour, SMALL_FLEET, random_neighbours, ring_neighbours};
 use crate::shared::Shared;
 
 /// Time in which an exchange must be answered.
@@ -25,6 +25,9 @@
 /// Mean time after which random peers are changed.
 const SHUFFLE_TIME: Duration = Duration::from_secs(60);
 
+/// Mean time after which random peers are changed when some do not answer.
+const REPAIR_TIME: Duration = Duration::from_secs(5);
+
 /// Shortest and longest pause after a failed exchange.
 const RETRY_LEAST: Duration = Duration::from_millis(400);
 const RETRY_MOST: Duration = Duration::from_secs(10);
@@ -50,6 +53,8 @@
     shared: Arc<Shared>,
     random: Vec<Neighbour>,
     shuffle: Instant,
+    repair: Instant,
+    tried: Option<Neighbour>,
     seeds: Vec<SocketAddr>,
     running: Vec<Running>,
     tasks: JoinSet<()>,
@@ -78,6 +83,8 @@
             shared,
             random: Vec::new(),
             shuffle: Instant::now(),
+            repair: Instant::now(),
+            tried: None,
             running: Vec::new(),
             tasks: JoinSet::new(),
             count: watch::Sender::new(1),
@@ -109,22 +116,26 @@
         let is_avoided = |vm: &VmId| state.members.is_missed(vm);
         let is_listed =
             |peer: &Neighbour| peer.vm.as_ref().is_some_and(|vm| list.get(vm).is_some());
+        let is_missing = self.random.is_empty() && list.0.len() > SMALL_FLEET;
         let is_poor = self
             .random
             .iter()
             .any(|peer| !is_listed(peer) || peer.vm.as_ref().is_some_and(is_avoided));
-        if is_poor || Instant::now() >= self.shuffle {
+        let now = Instant::now();
+        if is_missing || now >= self.shuffle || (is_poor && now >= self.repair) {
             let mut rng = rand::rng();
             self.random = random_neighbours(list, me, zone, is_avoided, &mut rng);
+            self.shuffle = now + jitter(SHUFFLE_TIME);
+            self.repair = now + jitter(REPAIR_TIME);
             // Suspected VMs are tried from time to time, so that no suspicion outlives its cause.
             let suspects = state.members.suspects();
             let tried = suspects.choose(&mut rng).and_then(|vm| list.get(vm));
-            self.random.extend(tried.map(|vm| Neighbour {
+            self.tried = tried.map(|vm| Neighbour {
                 vm: Some(vm.id.clone()),
                 address: vm.agent,
-            }));
-            self.shuffle = Instant::now() + jitter(SHUFFLE_TIME);
+            });
         }
+        wanted.extend(self.tried.iter().cloned());
         wanted.extend(self.random.iter().cloned());
         if wanted.len() < FEW_PEERS {
             let seeds = self.seeds.iter().map(|address| Neighbour {
@@ -148,6 +159,8 @@
             is_kept
         });
         let _ = self.count.send_replace(wanted.len().max(1));
+        let names = wanted.iter().filter_map(|peer| peer.vm.clone());
+        self.shared.lock().talking = names.collect();
         for neighbour in wanted {
             if self.running.iter().any(|held| held.neighbour == neighbour) {
                 continue;
--- a/crates/agent/src/shared/state.rs
+++ b/crates/agent/src/shared/state.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use bambooseam_config::Settings;
-use bambooseam_types::{Incarnation, Revision};
+use bambooseam_types::{Incarnation, Revision, VmId};
 use bambooseam_view::ViewNumber;
 use derive_more::Display;
 
@@ -27,6 +27,7 @@
     pub(crate) members: Members,
     pub(crate) budget: Budget,
     pub(crate) peers: PeerTable,
+    pub(crate) talking: Vec<VmId>,
     pub(crate) incarnation: Incarnation,
     pub(crate) started: Instant,
     pub(crate) number: ViewNumber,
@@ -84,6 +85,7 @@
             members: Members::new(settings.vm.id.clone(), settings.vm.zone.clone()),
             budget: Budget::new(settings.agent.budget, now),
             peers: PeerTable::default(),
+            talking: Vec::new(),
             incarnation,
             started: now,
             // Numbers rise across restarts, so that a program takes no old number for a new view.
--- a/crates/agent/src/status.rs
+++ b/crates/agent/src/status.rs
@@ -28,6 +28,7 @@
             "held_revision": state.store.revision().get(),
             "incarnation": state.incarnation.get(),
             "platform": state.platform.to_string(),
+            "peers": state.talking.iter().map(|vm| vm.as_str()).collect::<Vec<_>>(),
             "sent_bytes": self.sent().get(),
             "received_bytes": self.received().get(),
             "programs": state.programs.iter().map(program_json).collect::<Vec<_>>(),
--- a/tests/tests/control_fleet.rs
+++ b/tests/tests/control_fleet.rs
@@ -107,6 +107,34 @@
     });
 }
 
+#[test]
+fn every_agent_soon_talks_to_two_other_zones() {
+    run(async {
+        // All but one learn the list of VMs from peers, after they have chosen their first ones.
+        let fleet = Fleet::start([127, 59], 12, Mode::Down).await;
+        sleep(Duration::from_millis(200)).await;
+        fleet.nodes[0].platform.set(Mode::Good);
+        fleet.wait_for(1).await;
+        for node in &fleet.nodes {
+            let vms = &fleet.deployment.vms;
+            let zone = vms.get(&node.vm).expect("listed").zone.clone();
+            wait_until(&node.shared, "talking to two other zones", |shared| {
+                let status = shared.status();
+                let peers = status["peers"].as_array().cloned().unwrap_or_default();
+                let peers = peers.iter().filter_map(|peer| peer.as_str()?.parse().ok());
+                let mut zones: Vec<_> = peers
+                    .filter_map(|vm| vms.get(&vm).map(|vm| vm.zone.clone()))
+                    .filter(|other| *other != zone)
+                    .collect();
+                zones.sort();
+                zones.dedup();
+                zones.len() == 2
+            })
+            .await;
+        }
+    });
+}
+
 #[test]
 fn dead_vm_is_suspected_everywhere_and_returns_when_it_restarts() {
     run(async {
