Give each demonstration a free loopback network

Ruled out: a program left behind by an earlier run; the addresses belonged to a running measurement. Conclusion: runs side by side no longer meet.

--- a/crates/measure/src/demo.rs
+++ b/crates/measure/src/demo.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use bambooseam_observe::stop_signal;
-use bambooseam_standin::DeploymentKind;
+use bambooseam_standin::{DeploymentKind, Network};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use stage::{Stage, StagePlan};
@@ -27,6 +27,7 @@
 #[derive(Debug)]
 struct Demo {
     stage: StagePlan,
+    network: Option<u8>,
     traffic: TrafficPlan,
     period: Duration,
     is_short: bool,
@@ -55,8 +56,11 @@
         )
         .arg(number("seed", "1", "Seed of all choices").value_parser(value_parser!(u64)))
         .arg(
-            number("network", "1", "Second byte of all addresses: 127.N")
-                .value_parser(value_parser!(u8)),
+            Arg::new("network")
+                .long("network")
+                .value_name("N")
+                .value_parser(value_parser!(u8))
+                .help("Second byte of all addresses, 127.N; a free one when absent"),
         )
         .arg(number("vms", "5", "Number of entry VMs").value_parser(value_parser!(u8)))
         .arg(number("feeds", "450", "Open feeds").value_parser(value_parser!(usize)))
@@ -98,10 +102,10 @@
         Ok(Self {
             stage: StagePlan {
                 kind: *matches.get_one("deployment").expect("has a default"),
-                network: *matches.get_one("network").expect("has a default"),
                 vms: *matches.get_one("vms").expect("has a default"),
                 binaries: binaries.into(),
             },
+            network: matches.get_one("network").copied(),
             traffic: TrafficPlan {
                 feeds: *matches.get_one("feeds").expect("has a default"),
                 callers: *matches.get_one("callers").expect("has a default"),
@@ -120,7 +124,10 @@
             Ok(directory) => directory,
             Err(error) => return failed(&error),
         };
-        let mut stage = Stage::new(&self.stage, &directory);
+        let network = self.network.is_none().then(Network::take);
+        let number = network.as_ref().map(|network| network.prefix()[1]);
+        let number = self.network.or(number).unwrap_or_default();
+        let mut stage = Stage::new(&self.stage, number, &directory);
         let result = tokio::select! {
             result = self.drive(&mut stage) => result,
             _ = stop_signal() => Err(io::ErrorKind::Interrupted.into()),
--- a/crates/measure/src/demo/stage.rs
+++ b/crates/measure/src/demo/stage.rs
@@ -43,8 +43,6 @@
 pub struct StagePlan {
     /// Which of the users' places.
     pub kind: DeploymentKind,
-    /// Second byte of all addresses.
-    pub network: u8,
     /// Number of entry VMs.
     pub vms: u8,
     /// Directory of the programs.
@@ -65,9 +63,9 @@
 }
 
 impl Stage {
-    /// Creates the stage; nothing runs yet. Settings and logs go to `directory`.
-    pub fn new(plan: &StagePlan, directory: &Path) -> Self {
-        let network = plan.network;
+    /// Creates the stage on addresses `127.network`; nothing runs yet. Settings and logs go to
+    /// `directory`.
+    pub fn new(plan: &StagePlan, network: u8, directory: &Path) -> Self {
         let places = Plan::of(plan.kind)
             .with_network([127, network])
             .with_vms(plan.vms.into());
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -63,7 +63,7 @@
 /// Port of Geneve.
 const GENEVE_PORT: u16 = 6081;
 /// Port of an agent.
-const AGENT_PORT: u16 = 7100;
+pub const AGENT_PORT: u16 = 7100;
 /// Port of a proxy towards other proxies.
 const PROXY_PORT: u16 = 7200;
 /// Port of a target's requests.
