Forwarders and proxies keep their decisions; ctl status shows all three

Cause: an ejected target is a decision of the control side, but only a log line of one proxy told of it; DecisionLog stood unused. Ruled out: handing a log through every constructor down to the owner of slots: one log for each process is enough, kept as a static of bambooseam_observe. Change: decisions(), note_preset; preset_switched, target_ejected and pause_found with the revision in force, as events of /status; ctl status merges the events of a VM's programs by time; status split into report and marks.

--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -1,5 +1,9 @@
 //! `status`: what each VM has in force, side by side, with marks on those that differ.
 
+mod mark;
+
+pub use mark::Mark;
+
 use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
 
@@ -9,8 +13,9 @@
 
 use crate::Outcome;
 use crate::documents::single;
-use crate::fleet::{Health, ProgramStatus, Reading, VmReading, ask_all, read_fleet, since_epoch};
+use crate::fleet::{Decision, VmReading, ask_all, read_fleet, since_epoch};
 use crate::report::{BadInput, Report, columns, print};
+use mark::Common;
 
 /// Programs of a VM, in the order they are shown.
 const PROGRAMS: [&str; 3] = ["agent", "forwarder", "proxy"];
@@ -34,19 +39,10 @@
     pub marks: Vec<Mark>,
 }
 
-/// How a VM differs from the rest of the fleet.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Mark {
-    /// A program can't be reached.
-    Unreachable(&'static str, String),
-    /// A program has an older revision than the newest, or none.
-    Behind(&'static str, Option<Revision>),
-    /// Another document than most agents have under the same revision.
-    Document(String),
-    /// Sees a VM's health otherwise than most agents.
-    Health(Health),
-    /// Has refused documents.
-    Refused(usize),
+/// A decision and who made it.
+struct ProgramEvent<'a> {
+    program: &'static str,
+    event: &'a Decision,
 }
 
 /// Runs the subcommand.
@@ -109,130 +105,6 @@
     }
 }
 
-/// What most agents tell.
-struct Common {
-    newest: Option<Revision>,
-    document: Option<String>,
-    health: Vec<Health>,
-}
-
-impl Common {
-    fn of(readings: &[VmReading], newest: Option<Revision>) -> Self {
-        let agents: Vec<&ProgramStatus> =
-            readings.iter().filter_map(|r| r.agent.status()).collect();
-        let current = agents.iter().filter(|agent| agent.revision == newest);
-        let held: Vec<String> = current.filter_map(|agent| document_of(agent)).collect();
-        let held: Vec<&str> = held.iter().map(String::as_str).collect();
-        let mut health = Vec::new();
-        for vm in seen_vms(&agents) {
-            let views = agents.iter().filter_map(|agent| health_of(agent, &vm));
-            let states: Vec<&str> = views.map(|view| view.health.as_str()).collect();
-            health.push(Health {
-                health: most_common(&states).unwrap_or_default().into(),
-                cause: String::new(),
-                vm,
-            });
-        }
-        Self {
-            newest,
-            document: most_common(&held).map(str::to_owned),
-            health,
-        }
-    }
-
-    /// How one VM differs.
-    fn marks(&self, reading: &VmReading) -> Vec<Mark> {
-        let mut marks = Vec::new();
-        let answers = [&reading.agent, &reading.forwarder, &reading.proxy];
-        for (program, answer) in PROGRAMS.into_iter().zip(answers) {
-            if let Some(error) = answer.error() {
-                marks.push(Mark::Unreachable(program, error.to_string()));
-                continue;
-            }
-            let revision = reading.revision_of(program);
-            let is_told = matches!(answer, Reading::Known(_)) || revision.is_some();
-            if is_told && revision < self.newest {
-                marks.push(Mark::Behind(program, revision));
-            }
-        }
-        let Some(agent) = reading.agent.status() else {
-            return marks;
-        };
-        let document = document_of(agent);
-        if agent.revision == self.newest && document != self.document {
-            marks.push(Mark::Document(document.unwrap_or_default()));
-        }
-        for usual in &self.health {
-            let Some(own) = health_of(agent, &usual.vm) else {
-                continue;
-            };
-            if own.health != usual.health {
-                marks.push(Mark::Health(own.clone()));
-            }
-        }
-        if !agent.refused.is_empty() {
-            marks.push(Mark::Refused(agent.refused.len()));
-        }
-        marks
-    }
-}
-
-/// Preset and digest that an agent has in force.
-fn document_of(agent: &ProgramStatus) -> Option<String> {
-    let preset = agent.preset.as_deref()?;
-    let digest = agent.digest.as_deref().unwrap_or("no digest");
-    Some(format!("{preset}, {digest}"))
-}
-
-/// All VMs that any agent speaks of, sorted.
-fn seen_vms(agents: &[&ProgramStatus]) -> Vec<String> {
-    let all = agents.iter().flat_map(|agent| &agent.health);
-    let mut vms: Vec<String> = all.map(|held| held.vm.clone()).collect();
-    vms.sort();
-    vms.dedup();
-    vms
-}
-
-fn health_of<'a>(agent: &'a ProgramStatus, vm: &str) -> Option<&'a Health> {
-    agent.health.iter().find(|held| held.vm == vm)
-}
-
-/// The value that stands most often; the first in order among equals.
-fn most_common<'a>(values: &[&'a str]) -> Option<&'a str> {
-    let mut sorted = values.to_vec();
-    sorted.sort_unstable();
-    let mut best = None;
-    let mut most = 0;
-    for run in sorted.chunk_by(|a, b| a == b) {
-        if run.len() > most {
-            most = run.len();
-            best = run.first().copied();
-        }
-    }
-    best
-}
-
-impl Display for Mark {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Unreachable(program, cause) => write!(f, "{program} unreachable ({cause})"),
-            Self::Behind(program, Some(revision)) => {
-                write!(f, "{program} behind at revision {revision}")
-            }
-            Self::Behind(program, None) => write!(f, "{program} has no configuration"),
-            Self::Document(held) => write!(f, "another document under this revision ({held})"),
-            Self::Health(held) => {
-                write!(f, "sees {} as {}", held.vm, held.health)?;
-                match held.cause.is_empty() {
-                    true => Ok(()),
-                    false => write!(f, " ({})", held.cause),
-                }
-            }
-            Self::Refused(count) => write!(f, "{count} findings in refused documents"),
-        }
-    }
-}
-
 impl Display for StatusReport {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         let mut rows = vec![
@@ -272,6 +144,18 @@
     }
 }
 
+impl ProgramEvent<'_> {
+    fn to_json(&self) -> Value {
+        json!({
+            "program": self.program,
+            "time_ms": self.event.time_ms,
+            "kind": self.event.kind,
+            "cause": self.event.cause,
+            "revision": self.event.revision.get(),
+        })
+    }
+}
+
 impl VmRow {
     /// The VM as a row of the table.
     fn cells(&self) -> Vec<String> {
@@ -296,8 +180,25 @@
         cells
     }
 
-    /// Writes refused documents and the latest decisions.
-    fn write_details(&self, f: &mut Formatter<'_>, events: usize) -> fmt::Result {
+    /// Decisions of the VM's programs, oldest first.
+    fn events(&self) -> Vec<ProgramEvent<'_>> {
+        let reading = &self.reading;
+        let answers = [&reading.agent, &reading.forwarder, &reading.proxy];
+        let mut events = Vec::new();
+        for (program, answer) in PROGRAMS.into_iter().zip(answers) {
+            let Some(status) = answer.status() else {
+                continue;
+            };
+            for event in &status.events {
+                events.push(ProgramEvent { program, event });
+            }
+        }
+        events.sort_by_key(|held| held.event.time_ms);
+        events
+    }
+
+    /// Writes refused documents and the `count` latest decisions.
+    fn write_details(&self, f: &mut Formatter<'_>, count: usize) -> fmt::Result {
         let Some(agent) = self.reading.agent.status() else {
             return Ok(());
         };
@@ -305,11 +206,11 @@
         for line in &agent.refused {
             writeln!(f, "vm={vm} refused={line:?}")?;
         }
-        let skip = agent.events.len().saturating_sub(events);
-        for event in &agent.events[skip..] {
+        let events = self.events();
+        for ProgramEvent { program, event } in &events[events.len().saturating_sub(count)..] {
             writeln!(
                 f,
-                "vm={vm} event={} ago={} revision={} cause={:?}",
+                "vm={vm} program={program} event={} ago={} revision={} cause={:?}",
                 event.kind,
                 age(event.time_ms),
                 event.revision,
@@ -335,9 +236,10 @@
             let revision = self.reading.revision_of(program);
             value["revisions"][program] = revision.map(Revision::get).into();
         }
-        for key in ["vms", "refused", "events"] {
+        for key in ["vms", "refused"] {
             value[key] = agent.map_or(Value::Null, |agent| agent.raw[key].clone());
         }
+        value["events"] = self.events().iter().map(ProgramEvent::to_json).collect();
         value
     }
 }
--- a/crates/forwarder/src/forwarder.rs
+++ b/crates/forwarder/src/forwarder.rs
@@ -18,6 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bambooseam_observe::decisions;
 use bambooseam_types::{ByteRate, Revision, ServiceId, VmId};
 use bambooseam_view::View;
 
@@ -312,9 +313,10 @@
             self.changed = now;
             self.recheck_until = now.after(RECHECK_TIME);
             self.stale_until = now.after(STALE_TIME);
-            log::warn!(
-                "event=process_paused time_ms={}",
-                now.since(self.latest).as_millis()
+            let time = now.since(self.latest);
+            decisions().push(
+                "pause_found",
+                format!("{} ms without work", time.as_millis()),
             );
         }
         self.latest = self.latest.max(now);
--- a/crates/forwarder/src/run.rs
+++ b/crates/forwarder/src/run.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bambooseam_config::Settings;
-use bambooseam_observe::{Admin, AdminError, stop_signal};
+use bambooseam_observe::{Admin, AdminError, decisions, stop_signal};
 use bambooseam_peer::feed::{self, ViewReceiver};
 use bambooseam_types::{ByteRate, Revision};
 use derive_more::{Display, Error, From};
@@ -85,7 +85,11 @@
     let status = Arc::clone(&runner.status);
     let answer = move || {
         let held = status.lock().unwrap_or_else(PoisonError::into_inner);
-        held.clone()
+        let mut status = held.clone();
+        if status.is_object() {
+            status["events"] = decisions().to_json();
+        }
+        status
     };
     tokio::spawn(admin.serve(is_ready, answer));
     runner.serve().await
@@ -155,6 +159,9 @@
         if self.in_force.0 != revision {
             self.in_force = (revision, unix_millis());
         }
+        if let Some(view) = self.forwarder.view() {
+            decisions().note_preset(&view.preset.name, revision);
+        }
         self.ready.send_replace(true);
         self.publish();
     }
--- a/crates/observe/src/decisions.rs
+++ b/crates/observe/src/decisions.rs
@@ -1,13 +1,14 @@
 //! The decision log: what a program decided lately, with cause and revision.
 
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use bambooseam_types::Revision;
+use bambooseam_types::{PresetName, Revision};
 use serde_json::{Value, json};
 
-/// Decisions that are kept unless another number is given.
+/// Decisions of a process that are kept.
 const CAPACITY: usize = 300;
 
 /// One decision.
@@ -27,26 +28,40 @@
 #[derive(Debug)]
 pub struct DecisionLog {
     capacity: usize,
+    revision: AtomicU64,
     held: Mutex<VecDeque<Decision>>,
 }
 
-impl DecisionLog {
-    /// Creates a log of the last 300 decisions.
-    pub fn new() -> Self {
-        Self::with_capacity(CAPACITY)
-    }
+/// Decisions of this process.
+static DECISIONS: DecisionLog = DecisionLog::with_capacity(CAPACITY);
+
+/// The last 300 decisions of this process.
+pub fn decisions() -> &'static DecisionLog {
+    &DECISIONS
+}
 
+impl DecisionLog {
     /// Creates a log of the last `capacity` decisions.
-    pub fn with_capacity(capacity: usize) -> Self {
+    pub const fn with_capacity(capacity: usize) -> Self {
         Self {
             capacity,
-            held: Mutex::new(VecDeque::with_capacity(capacity)),
+            revision: AtomicU64::new(0),
+            held: Mutex::new(VecDeque::new()),
         }
     }
 
-    /// Keeps a decision and writes it to the log.
-    pub fn push(&self, kind: &'static str, cause: impl Into<String>, revision: Revision) {
+    /// Notes which preset is in force; another revision is a decision of its own.
+    pub fn note_preset(&self, preset: &PresetName, revision: Revision) {
+        let before = self.revision.swap(revision.get(), Ordering::Relaxed);
+        if before != revision.get() {
+            self.push("preset_switched", format!("preset {preset}"));
+        }
+    }
+
+    /// Keeps a decision under the revision in force and writes it to the log.
+    pub fn push(&self, kind: &'static str, cause: impl Into<String>) {
         let cause = cause.into();
+        let revision = Revision::from(self.revision.load(Ordering::Relaxed));
         log::info!("event={kind} cause={cause:?} revision={revision}");
         let decision = Decision {
             time_ms: now_ms(),
@@ -76,12 +91,6 @@
     }
 }
 
-impl Default for DecisionLog {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl Decision {
     /// The decision as an object of `/status`.
     pub fn to_json(&self) -> Value {
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod trace;
 
 pub use admin::{Admin, AdminError};
-pub use decisions::{Decision, DecisionLog};
+pub use decisions::{Decision, DecisionLog, decisions};
 pub use limit::LogLimit;
 pub use logs::{LogError, init_logs};
 pub use program::{EXIT_BAD_INPUT, EXIT_FAILED, Program, Start};
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, SystemTime};
 
 use bambooseam_config::{ProxySettings, Settings, VmSettings, WorkClass};
+use bambooseam_observe::decisions;
 use bambooseam_peer::feed::ViewReceiver;
 use bambooseam_peer::local_thread;
 use bambooseam_types::ServiceName;
@@ -220,6 +221,7 @@
         let Some(view) = views.borrow().clone() else {
             return;
         };
+        decisions().note_preset(&view.preset.name, view.revision());
         self.owners.update(&view);
         self.pool.clean(Some(&view));
         let held = self.routes();
--- a/crates/proxy/src/slots/owner.rs
+++ b/crates/proxy/src/slots/owner.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bambooseam_config::WorkClass;
+use bambooseam_observe::decisions;
 use bambooseam_types::TargetId;
 use derive_more::{Display, Error};
 use tokio::sync::oneshot;
@@ -429,7 +430,7 @@
         if target.health.note(report) && ejected < most {
             target.health.eject(ramp_time);
             metrics::counter!("targets_ejected").increment(1);
-            log::warn!("event=target_ejected target={id} cause=failures");
+            decisions().push("target_ejected", format!("target {id}: failures in a row"));
         }
         if !target.slots.is_open && target.busy == 0 {
             self.targets.remove(index);
--- a/crates/proxy/src/status.rs
+++ b/crates/proxy/src/status.rs
@@ -2,6 +2,7 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use bambooseam_observe::decisions;
 use serde_json::{Value, json};
 
 use crate::proxy::Proxy;
@@ -24,6 +25,7 @@
             "ports": *self.ports().borrow(),
             "feeds": self.feeds.len(),
             "owned": owners,
+            "events": decisions().to_json(),
         })
     }
 }
--- a/tests/tests/admin.rs
+++ b/tests/tests/admin.rs
@@ -178,6 +178,18 @@
     );
     let status = fleet.eventually(0, "status --fleet FLEET");
     assert_eq!(status["vms"][0]["preset"], "peak-season");
+    for program in ["agent", "forwarder", "proxy"] {
+        let events = status["vms"][0]["events"].as_array().expect("events");
+        let is_switch = |event: &&Value| {
+            event["program"] == program
+                && event["kind"] == "preset_switched"
+                && event["revision"] == 2
+        };
+        assert!(
+            events.iter().any(|event| is_switch(&event)),
+            "{program}: {events:?}"
+        );
+    }
 
     let view = View::build(&fleet.deployment.source(1)).expect("a checked view");
     let orders = view.service_index(&"fill-orders".parse().expect("a name"));
--- a/tests/tests/logs.rs
+++ b/tests/tests/logs.rs
@@ -21,18 +21,17 @@
 #[test]
 fn decision_log_keeps_the_last_ones() {
     let log = DecisionLog::with_capacity(3);
-    for number in 0..5 {
-        log.push(
-            "preset_switched",
-            format!("try {number}"),
-            Revision::from(number),
-        );
+    let preset = "peak-season".parse().expect("a name");
+    for number in [1, 2, 2, 3] {
+        log.note_preset(&preset, Revision::from(number));
     }
+    log.push("target_ejected", "target a: failures");
     let revisions: Vec<_> = log.list().iter().map(|held| held.revision.get()).collect();
-    assert_eq!(revisions, [2, 3, 4]);
+    assert_eq!(revisions, [2, 3, 3]);
     let events = log.to_json();
-    assert_eq!(events[2]["kind"], "preset_switched");
-    assert_eq!(events[2]["cause"], "try 4");
-    assert_eq!(events[2]["revision"], 4);
+    assert_eq!(events[1]["kind"], "preset_switched");
+    assert_eq!(events[1]["cause"], "preset peak-season");
+    assert_eq!(events[2]["kind"], "target_ejected");
+    assert_eq!(events[2]["revision"], 3);
     assert!(events[2]["time_ms"].is_u64());
 }
