--- a/crates/proxy/src/slots/owner.rs
+++ b/crates/proxy/src/slots/owner.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bambooseam_config::WorkClass;
+use bambooseam_observe::decisions;
 use bambooseam_types::TargetId;
 use derive_more::{Display, Error};
 use tokio::sync::oneshot;
@@ -456,7 +457,8 @@
             let is_capped = ejected >= most;
             target.health.eject(ramp_time, is_capped);
             metrics::counter!("targets_ejected").increment(1);
-            log::warn!("event=target_ejected target={id} capped={is_capped} cause=failures");
+            let cause = format!("target {id}: failures in a row, capped={is_capped}");
+            decisions().push("target_ejected", cause);
         }
         if !target.slots.is_open && target.busy == 0 {
             self.targets.remove(index);
