--- a/tests/tests/input_requests.rs
+++ b/tests/tests/input_requests.rs
@@ -18,7 +18,6 @@
     vms: 1,
     orders: 1,
     downloads: 1,
-    slots: 2,
     workers: 2,
 };
 
--- a/tests/tests/trace_path.rs
+++ b/tests/tests/trace_path.rs
@@ -12,7 +12,6 @@
     vms: 2,
     orders: 2,
     downloads: 1,
-    slots: 2,
     workers: 1,
 };
 
