--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -100,7 +100,9 @@
             Poll::Pending => {
                 let until = Instant::now() + self.stall;
                 let until = self.deadline.map_or(until, |deadline| until.min(deadline));
-                let limit = self.limit.get_or_insert_with(|| Box::pin(sleep_until(until)));
+                let limit = self
+                    .limit
+                    .get_or_insert_with(|| Box::pin(sleep_until(until)));
                 if !self.is_armed {
                     limit.as_mut().reset(until);
                     self.is_armed = true;
--- a/crates/proxy/src/slots/health.rs
+++ b/crates/proxy/src/slots/health.rs
@@ -32,7 +32,7 @@
 const EJECT_LIMIT: Duration = Duration::from_secs(60);
 
 /// Time for which a target that sheds gets one slot less.
-const SHED_TIME: Duration = Duration::from_millis(500);
+const SHED_TIME: Duration = Duration::from_millis(100);
 
 /// Own observations of one target.
 #[derive(Debug, Clone)]
@@ -142,7 +142,7 @@
         if !self.ramp_time.is_zero() {
             let passed = now.saturating_duration_since(self.warm_since).as_secs_f64();
             let part = (passed / self.ramp_time.as_secs_f64()).min(1.0);
-            allowed = ((f64::from(limit) * part) as u32).clamp(1, limit);
+            allowed = ((f64::from(limit) * part).ceil() as u32).clamp(1, limit);
         }
         if now < self.shed_until {
             allowed = allowed.saturating_sub(self.sheds).max(1);
--- a/crates/proxy/src/slots/load.rs
+++ b/crates/proxy/src/slots/load.rs
@@ -8,10 +8,14 @@
 /// Weight of one service time in the mean.
 const MEAN_WEIGHT: f64 = 1.0 / 32.0;
 
+/// Windows that must pass before averages tell anything.
+const YOUNG_WINDOWS: u32 = 2;
+
 /// Moving averages of one owner.
 #[derive(Debug, Clone)]
 pub struct Load {
     window: Duration,
+    since: Instant,
     at: Instant,
     busy: [u32; 2],
     average: [f64; 2],
@@ -39,9 +43,11 @@
 impl Load {
     /// Creates an idle load.
     pub fn new(window: Duration) -> Self {
+        let now = Instant::now();
         Self {
             window,
-            at: Instant::now(),
+            since: now,
+            at: now,
             busy: [0; 2],
             average: [0.0; 2],
             arrivals: 0.0,
@@ -49,6 +55,11 @@
         }
     }
 
+    /// Whether too little time has passed for averages to tell anything.
+    pub fn is_young(&self) -> bool {
+        self.since.elapsed() < self.window * YOUNG_WINDOWS
+    }
+
     /// Slots that run work of a class now.
     pub fn busy(&self, class: WorkClass) -> u32 {
         self.busy[slot_of(class)]
--- a/crates/proxy/src/slots/owner.rs
+++ b/crates/proxy/src/slots/owner.rs
@@ -479,7 +479,11 @@
                 let floor = self.policy.long_floor(slots).max(1);
                 let short = self.load.short_demand();
                 let cap = f64::from(slots.saturating_sub(self.reserve()).max(floor));
-                let servers = (f64::from(slots) - short).clamp(f64::from(floor), cap);
+                let mut servers = (f64::from(slots) - short).clamp(f64::from(floor), cap);
+                if self.load.is_young() {
+                    // An owner that has just taken over can't tell how much short work comes.
+                    servers = f64::from(floor);
+                }
                 // Short work that waits goes first.
                 let mean_short = self.load.mean(WorkClass::Short).as_secs_f64();
                 let mean = self.load.mean(class);
