Give the forwarder a default port that the kernel's Geneve does not use

Cause: forwarder and the VM's kernel, which takes requests out of Geneve for the proxy, had the same default port 6081; both can't have it, so the defaults did not run on one VM (reported by the reader of the manual). Ruled out: another port for the kernel's device, since targets and proxies are reached alike. Change: the default is 6082, in settings and in the list of VMs. Test config names the new default; test input_flows now tells a VM's kernel from its forwarder, and so is stricter.

--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -81,6 +81,8 @@
 
 /// Port of the agent when a VM names none.
 const AGENT_PORT: u16 = 7100;
+/// Port of the forwarder when a VM names none; not that of Geneve, which the VM's kernel has.
+const FORWARDER_PORT: u16 = 6082;
 /// Port of Geneve.
 const GENEVE_PORT: u16 = 6081;
 /// Port of the proxy towards other proxies when a VM names none.
@@ -126,7 +128,12 @@
             let state = section.or("state", VmState::Live, &mut findings);
             let address: Option<IpAddr> = section.required("address", &mut findings);
             let agent = port(&mut section, "agent-port", AGENT_PORT, &mut findings);
-            let forwarder = port(&mut section, "forwarder-port", GENEVE_PORT, &mut findings);
+            let forwarder = port(
+                &mut section,
+                "forwarder-port",
+                FORWARDER_PORT,
+                &mut findings,
+            );
             let proxy = port(&mut section, "proxy-port", PROXY_PORT, &mut findings);
             if let Some(address) = address {
                 check_address(address, section.place("address"), &mut findings);
--- a/crates/config/src/settings/read.rs
+++ b/crates/config/src/settings/read.rs
@@ -65,7 +65,7 @@
 const AGENT_ADMIN: u16 = 7110;
 const FORWARDER_ADMIN: u16 = 7111;
 const PROXY_ADMIN: u16 = 7112;
-const GENEVE_PORT: u16 = 6081;
+const FORWARDER_PORT: u16 = 6082;
 const PROXY_PORT: u16 = 7200;
 
 /// Reads a section that may be absent; an absent one has all defaults.
@@ -163,7 +163,7 @@
     findings: &mut Findings,
 ) -> ForwarderSettings {
     ForwarderSettings {
-        listen: section.or("listen", SocketAddr::new(address, GENEVE_PORT), findings),
+        listen: section.or("listen", SocketAddr::new(address, FORWARDER_PORT), findings),
         admin: section.or("admin", loopback(FORWARDER_ADMIN), findings),
         flow_limit: section.within("flow-limit", FLOW_LIMIT, 1..=100_000_000, findings),
     }
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -62,6 +62,8 @@
 pub const DOWNLOADS_PORT: u16 = 8082;
 /// Port of Geneve.
 const GENEVE_PORT: u16 = 6081;
+/// Port of a forwarder.
+const FORWARDER_PORT: u16 = 6082;
 /// Port of an agent.
 pub const AGENT_PORT: u16 = 7100;
 /// Port of a proxy towards other proxies.
@@ -152,7 +154,7 @@
             zone: name(self.zones[index % self.zones.len()]),
             state: VmState::Live,
             agent: SocketAddr::new(address, AGENT_PORT),
-            forwarder: SocketAddr::new(address, GENEVE_PORT),
+            forwarder: SocketAddr::new(address, FORWARDER_PORT),
             proxy: SocketAddr::new(address, PROXY_PORT),
         }
     }
--- a/tests/tests/config.rs
+++ b/tests/tests/config.rs
@@ -158,7 +158,7 @@
 state = live
 address = 10.0.0.1
 agent-port = 7100
-forwarder-port = 6081
+forwarder-port = 6082
 proxy-port = 7200
 [vm b]
 zone = south
@@ -525,7 +525,7 @@
             (
                 "address = 10.0.0.2",
                 "address = 10.0.0.1\nagent-port = 1\nproxy-port = 2",
-                "file:8: vm b.forwarder-port: found 10.0.0.1:6081, which a has",
+                "file:8: vm b.forwarder-port: found 10.0.0.1:6082, which a has",
             ),
         ],
     );
--- a/tests/tests/input_flows.rs
+++ b/tests/tests/input_flows.rs
@@ -31,6 +31,9 @@
     }
 }
 
+/// Port on which the kernel of a VM takes packets for its proxy.
+const GENEVE_PORT: u16 = 6081;
+
 /// A forwarder with a view, what it sent, and the view.
 struct Bench {
     forwarder: Forwarder<Kept, SystemClock, BoundedPick>,
@@ -137,7 +140,10 @@
         let mut targets = view.targets_of(entrance.service).iter();
         let is_right = match entrance.kind {
             EntranceKind::Flows => targets.any(|target| target.entry.flows == to),
-            EntranceKind::Requests => view.vms.iter().any(|vm| vm.entry.forwarder == to),
+            EntranceKind::Requests => {
+                let mut kernels = view.vms.iter().map(|vm| vm.entry.forwarder.ip());
+                kernels.any(|ip| SocketAddr::new(ip, GENEVE_PORT) == to)
+            }
         };
         if is_right {
             Self::Service
