Pause before a target that has just shed

Change: after a shed an owner grants no slot of the target for 10 to 30 ms, doubling with each shed in a row; leaving callers are tested through a proxy that is not the owner as well.

--- a/crates/proxy/src/slots/health.rs
+++ b/crates/proxy/src/slots/health.rs
@@ -34,7 +34,10 @@
 /// Time for which a target that sheds gets one slot less; it doubles with each shed in a row.
 const SHED_TIME: Duration = Duration::from_millis(100);
 
-/// Most doublings of that time.
+/// Mean pause after a shed, in which its slots are left to whoever else uses them; it doubles too.
+const SHED_PAUSE: Duration = Duration::from_millis(20);
+
+/// Most doublings of both times.
 const SHED_DOUBLINGS: u32 = 4;
 
 /// Time without a shed after which the next one counts as the first.
@@ -47,6 +50,7 @@
     ejections: u32,
     sheds: u32,
     shed_until: Instant,
+    paused_until: Instant,
     ejected_until: Option<Instant>,
     suspect_until: Option<Instant>,
     warm_since: Instant,
@@ -62,6 +66,7 @@
             ejections: 0,
             sheds: 0,
             shed_until: now,
+            paused_until: now,
             ejected_until: None,
             suspect_until: None,
             warm_since: now,
@@ -89,6 +94,8 @@
                     self.sheds = 0;
                 }
                 self.shed_until = now + SHED_TIME * (1 << self.sheds.min(SHED_DOUBLINGS));
+                let pause = SHED_PAUSE * (1 << self.sheds.min(SHED_DOUBLINGS));
+                self.paused_until = now + pause.mul_f64(rand::random_range(0.5..1.5));
                 self.sheds += 1;
             }
             Report::Failed => self.failures += 1,
@@ -126,6 +133,11 @@
             .is_some_and(|until| Instant::now() < until)
     }
 
+    /// Whether the target has just shed, so that more work would be shed as well.
+    pub fn is_paused(&self) -> bool {
+        Instant::now() < self.paused_until
+    }
+
     /// Whether the target should be a last resort now.
     pub fn is_suspect(&self) -> bool {
         self.suspect_until
--- a/crates/proxy/src/slots/owner.rs
+++ b/crates/proxy/src/slots/owner.rs
@@ -507,6 +507,9 @@
     }
 
     fn free(&self) -> u32 {
+        if self.health.is_paused() {
+            return 0;
+        }
         self.allowed().saturating_sub(self.busy)
     }
 }
--- a/tests/tests/requests.rs
+++ b/tests/tests/requests.rs
@@ -188,18 +188,21 @@
 #[tokio::test]
 async fn caller_that_leaves_frees_its_slot() {
     let plan = FleetPlan {
-        vms: 1,
+        vms: 2,
         orders: 1,
         ..PLAN
     };
     let fleet = Fleet::start(plan, str::to_owned).await;
-    for n in 0..4 {
-        let id = format!("left-{n}");
-        let left = call(&fleet, 0, "POST", "/a?ms=60000", &id);
-        let _ = timeout(Duration::from_millis(100), left).await;
+    // The first proxy owns the slots; the second asks it.
+    for vm in [0, 1] {
+        for n in 0..4 {
+            let id = format!("left-{vm}-{n}");
+            let left = call(&fleet, vm, "POST", "/a?ms=60000", &id);
+            let _ = timeout(Duration::from_millis(100), left).await;
+        }
+        let told = call(&fleet, vm, "GET", "/a", &format!("after-{vm}")).await;
+        assert!(told.is_served(), "{told:?}");
     }
-    let told = call(&fleet, 0, "GET", "/a", "after").await;
-    assert!(told.is_served(), "{told:?}");
 }
 
 #[tokio::test]
