--- a/crates/proxy/src/slots/health.rs
+++ b/crates/proxy/src/slots/health.rs
@@ -31,9 +31,18 @@
 /// Longest time out of service.
 const EJECT_LIMIT: Duration = Duration::from_secs(60);
 
-/// Time for which a target that sheds gets one slot less.
+/// Time for which a target that sheds gets one slot less; it doubles with each shed in a row.
 const SHED_TIME: Duration = Duration::from_millis(100);
 
+/// Mean pause after a shed, in which its slots are left to whoever else uses them; it doubles too.
+const SHED_PAUSE: Duration = Duration::from_millis(20);
+
+/// Most doublings of both times.
+const SHED_DOUBLINGS: u32 = 4;
+
+/// Time without a shed after which the next one counts as the first.
+const SHED_MEMORY: Duration = Duration::from_secs(1);
+
 /// Own observations of one target.
 #[derive(Debug, Clone)]
 pub struct Health {
@@ -41,6 +50,7 @@
     ejections: u32,
     sheds: u32,
     shed_until: Instant,
+    paused_until: Instant,
     ejected_until: Option<Instant>,
     suspect_until: Option<Instant>,
     warm_since: Instant,
@@ -56,6 +66,7 @@
             ejections: 0,
             sheds: 0,
             shed_until: now,
+            paused_until: now,
             ejected_until: None,
             suspect_until: None,
             warm_since: now,
@@ -76,11 +87,16 @@
                 self.ejections = 0;
                 self.ejected_until = None;
                 self.suspect_until = None;
-                self.sheds = 0;
             }
             Report::Shed => {
+                let now = Instant::now();
+                if now > self.shed_until + SHED_MEMORY {
+                    self.sheds = 0;
+                }
+                self.shed_until = now + SHED_TIME * (1 << self.sheds.min(SHED_DOUBLINGS));
+                let pause = SHED_PAUSE * (1 << self.sheds.min(SHED_DOUBLINGS));
+                self.paused_until = now + pause.mul_f64(rand::random_range(0.5..1.5));
                 self.sheds += 1;
-                self.shed_until = Instant::now() + SHED_TIME;
             }
             Report::Failed => self.failures += 1,
             Report::Unreachable => {
@@ -117,6 +133,11 @@
             .is_some_and(|until| Instant::now() < until)
     }
 
+    /// Whether the target has just shed, so that more work would be shed as well.
+    pub fn is_paused(&self) -> bool {
+        Instant::now() < self.paused_until
+    }
+
     /// Whether the target should be a last resort now.
     pub fn is_suspect(&self) -> bool {
         self.suspect_until
@@ -145,7 +166,7 @@
             allowed = ((f64::from(limit) * part).ceil() as u32).clamp(1, limit);
         }
         if now < self.shed_until {
-            allowed = allowed.saturating_sub(self.sheds).max(1);
+            allowed = allowed.saturating_sub(1).max(1);
         }
         allowed
     }
