Agent: let restarts be, and let no silent peer hold up the others

Each judgement also built the whole source to compare it. Ruled out: a shorter lease, which a slow but good peer would outlast. Change: only an agent that lacks whole documents takes the lease to ask; a VM is reported after 4 s without an answer; a source is built when a version or a suspect has changed.

--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -201,7 +201,13 @@
     /// The summary that begins an exchange with a peer.
     pub(crate) fn begin_exchange(&self, peer: Option<&VmId>) -> Summary {
         let mut state = self.lock();
-        let wants = state.peers.try_lease(Instant::now());
+        let now = Instant::now();
+        // Only an agent that lacks whole documents takes the lease: a peer that does not answer
+        // would hold up the others.
+        let wants = match state.store.is_complete() {
+            true => !state.peers.is_leased(now),
+            false => state.peers.try_lease(now),
+        };
         state.summary(&self.settings().vm.id, peer, wants)
     }
 
--- a/crates/agent/src/exchange/table.rs
+++ b/crates/agent/src/exchange/table.rs
@@ -58,10 +58,15 @@
 
     /// Takes the lease unless another peer has it.
     pub(super) fn try_lease(&mut self, now: Instant) -> bool {
-        if self.lease.is_some_and(|end| now < end) {
+        if self.is_leased(now) {
             return false;
         }
         self.lease = Some(now + LEASE_TIME);
         true
     }
+
+    /// Whether a peer has the lease.
+    pub(super) fn is_leased(&self, now: Instant) -> bool {
+        self.lease.is_some_and(|end| now < end)
+    }
 }
--- a/crates/agent/src/member.rs
+++ b/crates/agent/src/member.rs
@@ -18,9 +18,13 @@
 use crate::rumour::RumourQueue;
 use record::Member;
 
-/// Failed exchanges in a row after which an observer reports a VM silent.
+/// Failed exchanges in a row after which a VM counts as one that does not answer.
 const MISSES: u32 = 2;
 
+/// Time without an answer before an observer reports a VM silent: an agent that restarts is back
+/// by then.
+const SILENT_TIME: Duration = Duration::from_secs(4);
+
 /// Observers that a suspicion needs where there are that many.
 const OBSERVERS: usize = 2;
 
@@ -36,7 +40,7 @@
 /// Zones of fewer VMs need observers from outside.
 const SMALL_ZONE: usize = 3;
 
-/// Failed exchanges after which an observer reports again.
+/// Failed exchanges, one report in so many is repeated.
 const REPORT_EVERY: u32 = 16;
 
 /// VMs kept that the platform does not list.
@@ -126,7 +130,7 @@
         }
         member.last = beat;
         member.heard = Some(now);
-        member.misses = 0;
+        member.clear_misses();
         let was_reported = !member.reports.is_empty();
         member.drop_refuted();
         let me = self.me.clone();
@@ -147,7 +151,7 @@
     /// Notes an answer to an exchange that this agent began.
     pub fn note_answer(&mut self, vm: &VmId) {
         if let Some(member) = self.member_mut(vm) {
-            member.misses = 0;
+            member.clear_misses();
         }
     }
 
@@ -158,7 +162,11 @@
             return;
         };
         member.misses = member.misses.saturating_add(1);
-        if member.misses < MISSES || !(member.misses - MISSES).is_multiple_of(REPORT_EVERY) {
+        let since = *member.missed.get_or_insert(now);
+        let is_long = now.saturating_duration_since(since) >= SILENT_TIME;
+        let is_reported = member.reports.iter().any(|report| report.observer == me);
+        let is_due = !is_reported || member.misses.is_multiple_of(REPORT_EVERY);
+        if member.misses < MISSES || !is_long || !is_due {
             return;
         }
         let beat = member.last;
@@ -238,7 +246,7 @@
     pub fn forgive(&mut self) {
         let me = self.me.clone();
         for member in &mut self.members {
-            member.misses = 0;
+            member.clear_misses();
             member.reports.retain(|report| report.observer != me);
         }
     }
--- a/crates/agent/src/member/record.rs
+++ b/crates/agent/src/member/record.rs
@@ -20,6 +20,7 @@
     pub(super) last: Beat,
     pub(super) heard: Option<Instant>,
     pub(super) misses: u32,
+    pub(super) missed: Option<Instant>,
     pub(super) reports: Vec<Report>,
     pub(super) suspected: Option<Instant>,
     pub(super) is_dead: bool,
@@ -41,12 +42,19 @@
             last: Beat::default(),
             heard: None,
             misses: 0,
+            missed: None,
             reports: Vec::new(),
             suspected: None,
             is_dead: false,
         }
     }
 
+    /// Notes that the VM answers.
+    pub(super) fn clear_misses(&mut self) {
+        self.misses = 0;
+        self.missed = None;
+    }
+
     /// Keeps a report unless a newer sign of life refutes it; true when it is news.
     pub(super) fn report(&mut self, observer: VmId, beat: Beat, now: Instant) -> bool {
         if self.refutes(beat) {
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -270,7 +270,7 @@
             let cause = format!("checked {} ms after the pause", opened.time.as_millis());
             state.record(EventKind::PauseChecked, cause);
         }
-        if state.store.source(ViewNumber::default()).is_none() {
+        if !state.store.is_complete() {
             let cause = format!(
                 "nothing is known: platform {}, no peer knew",
                 state.platform
@@ -327,14 +327,13 @@
         if !state.gate.is_open() {
             return;
         }
-        let Some(mut source) = state.store.source(state.number) else {
-            return;
-        };
-        source.suspects = state.members.suspects();
-        if *self.sources.borrow().as_ref() == source {
+        let lists = state.store.list_versions();
+        let suspects = state.members.suspects();
+        let version = state.store.version();
+        let is_same = version == state.served && lists == state.lists;
+        if !state.store.is_complete() || (is_same && suspects == state.suspects) {
             return;
         }
-        let version = state.store.version();
         invariant::check(
             version >= state.served,
             "served_revision_never_falls",
@@ -345,8 +344,13 @@
             state.since_ms = unix_ms();
         }
         state.served = version;
+        state.lists = lists;
+        state.suspects.clone_from(&suspects);
         state.number = state.number.next();
-        source.number = state.number;
+        let Some(mut source) = state.store.source(state.number) else {
+            return;
+        };
+        source.suspects = suspects;
         self.sources.send_replace(Arc::new(source));
         self.ready.send_replace(true);
         if is_first {
--- a/crates/agent/src/shared/state.rs
+++ b/crates/agent/src/shared/state.rs
@@ -14,7 +14,7 @@
 use crate::gate::Gate;
 use crate::member::Members;
 use crate::store::{Offer, Store};
-use crate::version::ConfigVersion;
+use crate::version::{ConfigVersion, ListVersion};
 
 /// What the lock guards.
 #[derive(Debug)]
@@ -32,6 +32,8 @@
     pub(crate) started: Instant,
     pub(crate) number: ViewNumber,
     pub(crate) served: Option<ConfigVersion>,
+    pub(super) lists: [Option<ListVersion>; 2],
+    pub(super) suspects: Vec<VmId>,
     pub(crate) since_ms: u64,
     pub(super) failures: u32,
     noted: Vec<Noted>,
@@ -91,6 +93,8 @@
             // Numbers rise across restarts, so that a program takes no old number for a new view.
             number: ViewNumber::from(unix_ms()),
             served: None,
+            lists: [None; 2],
+            suspects: Vec::new(),
             since_ms: 0,
             failures: 0,
             noted: Vec::new(),
--- a/crates/agent/src/store.rs
+++ b/crates/agent/src/store.rs
@@ -216,6 +216,16 @@
         &self.refusals
     }
 
+    /// Whether all documents are held.
+    pub fn is_complete(&self) -> bool {
+        self.config.is_some() && self.vms.is_some() && self.targets.is_some()
+    }
+
+    /// Versions of the two lists.
+    pub fn list_versions(&self) -> [Option<ListVersion>; 2] {
+        ListKind::ALL.map(|kind| self.list(kind).map(|list| list.version))
+    }
+
     /// What to serve as view `number`; `None` while a document is missing.
     pub fn source(&self, number: ViewNumber) -> Option<ViewSource> {
         let config = self.config.as_ref()?;
--- a/tests/tests/control_members.rs
+++ b/tests/tests/control_members.rs
@@ -66,6 +66,24 @@
     assert_eq!(members.health(&list.0[3]).0, Health::Dead);
 }
 
+#[test]
+fn agent_that_restarts_soon_is_not_reported() {
+    let (list, start) = (list(), Instant::now());
+    let mut members = members();
+    members.hear(&vm(4), beat(100, 5), &list, start);
+    for second in 0..4 {
+        members.note_miss(&vm(4), &list, after(start, second));
+    }
+    assert!(members.is_missed(&vm(4)));
+    assert!(members.news(12).is_empty());
+    members.note_miss(&vm(4), &list, after(start, 5));
+    assert_eq!(members.news(12).len(), 1);
+    // The next ones are not news again.
+    while !members.news(12).is_empty() {}
+    members.note_miss(&vm(4), &list, after(start, 6));
+    assert!(members.news(12).is_empty());
+}
+
 #[test]
 fn observers_outside_the_zone_alone_eject_nobody() {
     let (list, start) = (list(), Instant::now());
