--- a/crates/agent/src/reader.rs
+++ b/crates/agent/src/reader.rs
@@ -28,7 +28,7 @@
 const WATCH_PAUSE: Duration = Duration::from_millis(50);
 
 /// How often a polling agent looks whether it should watch, or has something newer to fetch.
-const ROLE_TIME: Duration = Duration::from_millis(600);
+const ROLE_TIME: Duration = Duration::from_millis(300);
 
 /// Rate at which a watch that brings no news may use up received bytes: each one that ends brings
 /// the whole document.
