Test the crest with a lost VM on seeds 1 to 5

Ruled out: keeping the one seed; a wider bound. Change: the lost VM has a test of its own with seeds 1 to 5, which also checks the time to a refusal; the bound stays.

--- a/tests/tests/requests_schedule.rs
+++ b/tests/tests/requests_schedule.rs
@@ -49,24 +49,35 @@
     }
 }
 
+/// Rides the crest once for each seed, side by side, and checks the bounds.
+fn assert_ridden(seeds: &[u64], trouble: Trouble) {
+    let start = |seed: &u64| {
+        let seed = *seed;
+        (seed, thread::spawn(move || run(seed, trouble)))
+    };
+    let runs: Vec<_> = seeds.iter().map(start).collect();
+    for (seed, running) in runs {
+        let crest = running.join().expect("no panic");
+        assert!(crest.goodput >= 0.95, "seed {seed} {trouble:?} {crest:?}");
+        assert!(
+            crest.refusal_p99_ms <= 50.0,
+            "seed {seed} {trouble:?} {crest:?}"
+        );
+        assert!(crest.recovery_s <= 5.0, "seed {seed} {trouble:?} {crest:?}");
+        assert!(crest.retries <= 0.1, "seed {seed} {trouble:?} {crest:?}");
+    }
+}
+
 #[test]
 fn swing_is_ridden_with_useful_answers() {
     assert!(run_naive(1).goodput < 0.95);
-    let troubles = [
-        (1, Trouble::None),
-        (1, Trouble::Cold),
-        (14, Trouble::LostVm),
-    ];
-    let runs = troubles.map(|(seed, trouble)| (trouble, thread::spawn(move || run(seed, trouble))));
-    for (trouble, running) in runs {
-        let crest = running.join().expect("no panic");
-        if trouble == Trouble::None {
-            assert!(crest.refusal_p99_ms <= 50.0, "{crest:?}");
-        }
-        assert!(crest.goodput >= 0.95, "{trouble:?} {crest:?}");
-        assert!(crest.recovery_s <= 5.0, "{trouble:?} {crest:?}");
-        assert!(crest.retries <= 0.1, "{trouble:?} {crest:?}");
-    }
+    assert_ridden(&[1], Trouble::None);
+    assert_ridden(&[1], Trouble::Cold);
+}
+
+#[test]
+fn swing_is_ridden_though_a_vm_is_lost() {
+    assert_ridden(&[1, 2, 3, 4, 5], Trouble::LostVm);
 }
 
 #[tokio::test(start_paused = true)]
