--- a/tests/tests/flows.rs
+++ b/tests/tests/flows.rs
@@ -235,6 +235,13 @@
     }
 }
 
+#[test]
+fn planned_changes_of_seed_20261247_break_nothing() {
+    let seed = 20_261_247;
+    let fleet = run_series(seed, 8, |scenario| Scenario::PLANNED.contains(&scenario));
+    assert_eq!(fleet.tally.broken, [], "seed {seed}");
+}
+
 #[test]
 fn changes_and_failures_by_chance_keep_the_invariants() {
     for seed in seeds() {
