Do not tell a VM that the platform dropped as heard again

Ruled out: a late heartbeat of the killed process; the test has none. Change: the event needs the VM to be listed still.

--- a/crates/agent/src/member.rs
+++ b/crates/agent/src/member.rs
@@ -230,7 +230,10 @@
                 (false, Some(_)) => {
                     member.suspected = None;
                     member.is_dead = false;
-                    changes.push(Change::Recovered(member.vm.clone()));
+                    // A VM that the platform dropped is gone, not heard again.
+                    if list.get(&member.vm).is_some() {
+                        changes.push(Change::Recovered(member.vm.clone()));
+                    }
                 }
                 _ => {}
             }
--- a/tests/tests/control_members.rs
+++ b/tests/tests/control_members.rs
@@ -66,6 +66,22 @@
     assert_eq!(members.health(&list.0[3]).0, Health::Dead);
 }
 
+#[test]
+fn suspect_that_the_platform_drops_is_not_told_as_heard() {
+    let (mut list, start) = (list(), Instant::now());
+    let mut members = members();
+    members.hear(&vm(4), beat(100, 5), &list, start);
+    for observer in [7, 10] {
+        let rumour = silent(4, observer, beat(100, 5));
+        members.take_rumour(&rumour, &list, after(start, 10));
+    }
+    let changes = members.judge(&list, after(start, 10));
+    assert_eq!(changes, [Change::Suspected(vm(4), vec![vm(7), vm(10)])]);
+    list.0.retain(|entry| entry.id != vm(4));
+    assert_eq!(members.judge(&list, after(start, 11)), []);
+    assert!(members.suspects().is_empty());
+}
+
 #[test]
 fn agent_that_restarts_soon_is_not_reported() {
     let (list, start) = (list(), Instant::now());
