Report broken invariants in one way

Cause: agent, proxy and forwarder counted them under three names, and each logged its own form. Ruled out: keeping the forwarder's own metric beside its counter in /status. Change: bambooseam_observe::check_invariant (counter invariants_broken by name, log line with place and detail, panic with debug assertions) serves all three.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -11,7 +11,6 @@
 mod event;
 mod exchange;
 mod gate;
-mod invariant;
 mod member;
 mod neighbour;
 mod peering;
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bambooseam_config::{Settings, VmSettings};
+use bambooseam_observe::check_invariant;
 use bambooseam_peer::Meter;
 use bambooseam_types::{ByteCount, Incarnation, VmId};
 use bambooseam_view::{FlowKey, Ranking, ViewNumber, ViewSource};
@@ -16,7 +17,6 @@
 use tokio::sync::watch;
 
 use crate::event::{EventKind, unix_ms};
-use crate::invariant;
 use crate::member::Change;
 use crate::platform::PlatformError;
 use crate::store::Offer;
@@ -129,7 +129,7 @@
         let before = state.store.version();
         let offer = state.store.offer_config(pointer, preset, origin);
         let after = state.store.version();
-        invariant::check(after >= before, "revision_never_falls", || {
+        check_invariant(after >= before, "revision_never_falls", || {
             format!("{before:?} then {after:?}")
         });
         state.note_offer("preset-in-force", &offer, from);
@@ -147,7 +147,7 @@
         let before = state.store.list(kind).map(|list| list.version);
         let offer = state.store.offer_list(kind, text, origin);
         let after = state.store.list(kind).map(|list| list.version);
-        invariant::check(after >= before, "list_never_falls", || {
+        check_invariant(after >= before, "list_never_falls", || {
             format!("{kind}: {before:?} then {after:?}")
         });
         state.note_offer(kind.key(), &offer, from);
@@ -334,7 +334,7 @@
         if !state.store.is_complete() || (is_same && suspects == state.suspects) {
             return;
         }
-        invariant::check(
+        check_invariant(
             version >= state.served,
             "served_revision_never_falls",
             || format!("{:?} then {version:?}", state.served),
--- a/crates/forwarder/src/forwarder.rs
+++ b/crates/forwarder/src/forwarder.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bambooseam_observe::decisions;
+use bambooseam_observe::{check_invariant, decisions};
 use bambooseam_types::{ByteRate, Revision, ServiceId, VmId};
 use bambooseam_view::View;
 
@@ -335,7 +335,6 @@
             return;
         }
         self.counters.violations += 1;
-        log::error!("event=invariant_broken invariant={invariant} place=forwarder");
-        debug_assert!(holds, "invariant broken: {invariant}");
+        check_invariant(holds, invariant, || format!("forwarder of {}", self.vm));
     }
 }
--- a/crates/forwarder/src/run.rs
+++ b/crates/forwarder/src/run.rs
@@ -187,7 +187,6 @@
         metrics::counter!("forwarder_flows_new").absolute(counters.flows_new);
         metrics::counter!("forwarder_flows_guessed").absolute(counters.flows_guessed);
         metrics::counter!("forwarder_control_bytes").absolute(counters.control_bytes);
-        metrics::counter!("forwarder_violations").absolute(counters.violations);
         metrics::gauge!("forwarder_flows").set(self.forwarder.table().len() as f64);
         for (cause, count) in counters.drops() {
             let cause = cause.to_string();
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod decisions;
+mod invariant;
 mod limit;
 mod logs;
 mod program;
@@ -10,6 +11,7 @@
 
 pub use admin::{Admin, AdminError};
 pub use decisions::{Decision, DecisionLog, decisions};
+pub use invariant::check_invariant;
 pub use limit::LogLimit;
 pub use logs::{LogError, init_logs};
 pub use program::{EXIT_BAD_INPUT, EXIT_FAILED, Program, Start};
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bambooseam_config::{Service, WorkClass};
+use bambooseam_observe::check_invariant;
 use bambooseam_types::TargetId;
 use bambooseam_view::{FlowKey, ServiceIndex, Target, View};
 use hyper::body::Incoming;
@@ -330,13 +331,10 @@
 
     /// Invariant: work that must not run twice is not sent again once bytes may have been sent.
     fn check_once(&self) {
-        if !self.is_sent || self.head.is_idempotent {
-            return;
-        }
-        let id = &self.head.id;
-        metrics::counter!("invariant_broken", "name" => "once").increment(1);
-        log::error!("event=invariant_broken name=once request={id}");
-        debug_assert!(false, "request {id} would be sent twice");
+        let is_held = !self.is_sent || self.head.is_idempotent;
+        check_invariant(is_held, "once", || {
+            format!("request {} would be sent twice", self.head.id)
+        });
     }
 
     fn may_retry(&self, cause: Cause) -> Result<(), OwnAnswer> {
--- a/crates/proxy/src/slots/owner.rs
+++ b/crates/proxy/src/slots/owner.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bambooseam_config::WorkClass;
-use bambooseam_observe::decisions;
+use bambooseam_observe::{check_invariant, decisions};
 use bambooseam_types::TargetId;
 use derive_more::{Display, Error};
 use tokio::sync::oneshot;
@@ -434,16 +434,10 @@
         let target = &mut self.targets[index];
         target.busy += 1;
         target.last = self.picks;
-        if target.busy <= target.slots.limit && target.slots.is_open {
-            return;
-        }
-        let id = &target.slots.id;
-        metrics::counter!("invariant_broken", "name" => "slots").increment(1);
-        log::error!(
-            "event=invariant_broken name=slots target={id} busy={}",
-            target.busy
-        );
-        debug_assert!(false, "slots in use above the limit of {id}");
+        let is_held = target.busy <= target.slots.limit && target.slots.is_open;
+        check_invariant(is_held, "slots", || {
+            format!("{} slots of {} are in use", target.busy, target.slots.id)
+        });
     }
 
     fn free(&mut self, id: &TargetId, report: Report) {
