Begin no flow at a target that only an unknown forwarder names

The owner was the only one to know the flow, and under the late view nobody asks the owner. Ruled out: believing outsiders again (input_flows). Change: the shadow drops such a first packet (cause unknown_sender), and such a packet of UDP; the caller sends again, and the view follows.

--- a/crates/forwarder/src/forwarder/peers.rs
+++ b/crates/forwarder/src/forwarder/peers.rs
@@ -10,7 +10,7 @@
 use crate::packet::{Packet, Phase};
 use crate::pick::Pick;
 use crate::table::{Entry, EntryState, Tick};
-use crate::target::{Identity, Standing, TargetNumber};
+use crate::target::{Identity, Standing};
 
 /// How the shadow is told of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -114,6 +114,12 @@
         if packet.phase == Phase::First && self.is_closed(route, recalled) {
             return self.overrule(source, packet, route);
         }
+        // A flow must not begin at a target that only the sender would know: where its next packet
+        // goes, nobody may ask the sender. The caller sends again, and the view follows.
+        let is_new = packet.phase == Phase::First || !packet.is_tcp();
+        if is_new && !self.is_believed(source, route, recalled) {
+            return Err(DropCause::UnknownSender);
+        }
         let entry = self.learn(source, packet, route, recalled);
         self.deliver(packet, route.vni, entry.target())
     }
@@ -190,10 +196,25 @@
         Tick::from(self.latest).since(entry.seen()) <= recalled.age
     }
 
+    /// Whether a target that another forwarder names may be remembered.
+    ///
+    /// A forwarder that joined may be in the views of others before it is in this one. What it says
+    /// is kept if the view has the target too.
+    fn is_believed(&self, source: SocketAddr, route: &Route, recalled: Recalled) -> bool {
+        self.is_member(source) || self.is_listed(route, recalled)
+    }
+
     /// Whether the view in force has a target where a packet goes.
-    fn is_listed(&self, route: &Route, number: TargetNumber) -> bool {
-        let topology = self.topology.as_ref();
-        topology.is_some_and(|topology| topology.group(route.group).has(number))
+    fn is_listed(&self, route: &Route, recalled: Recalled) -> bool {
+        let identity = Identity {
+            vni: route.vni,
+            address: recalled.target,
+        };
+        let Some(topology) = self.topology.as_ref() else {
+            return false;
+        };
+        let number = self.targets.find(identity);
+        number.is_some_and(|number| topology.group(route.group).has(number))
     }
 
     /// Remembers what another forwarder said; the entry is good for this packet in any case.
@@ -217,11 +238,8 @@
             Phase::Last => EntryState::Closing,
         };
         let entry = Entry::new(number, state, Tick::from(self.latest)).with_tcp(packet.is_tcp());
-        // A forwarder that joined may be in the views of others before it is in this one. What it
-        // says is kept if the view has the target too; else it is good for this packet only.
-        let is_member = self.is_member(source);
-        self.counters.unknown_senders += u64::from(!is_member);
-        let is_believed = is_member || self.is_listed(route, number);
+        self.counters.unknown_senders += u64::from(!self.is_member(source));
+        let is_believed = self.is_believed(source, route, recalled);
         // Forwarders that kept a lost target for one another would keep it for ever.
         let is_usable = self.targets.get(number).is_usable();
         if is_believed && is_usable && self.remember(packet.key, entry) {
