Hold unknown flows while the view is shown to be late

Cause: after the change before reset a flow: the caller's second first packet went straight to the target, and a forwarder with a late view, which was not told, took itself for the owner and guessed. Ruled out: waiting for the shadow at a second first packet, which a dead shadow would stall. Change: a mark from a forwarder that the view lacks shows that the view is late; for 10 s packets of flows that nobody known knows are dropped rather than sent to the default pick.

--- a/crates/forwarder/src/forwarder.rs
+++ b/crates/forwarder/src/forwarder.rs
@@ -83,6 +83,8 @@
     changed: Moment,
     /// No new flow is placed before this moment.
     recheck_until: Moment,
+    /// Forwarders that the view lacks may know flows until this moment.
+    late_until: Moment,
     /// First packets that arrive before this moment may have waited for long.
     stale_until: Moment,
     latest: Moment,
@@ -117,6 +119,7 @@
             counters: Counters::default(),
             changed: latest,
             recheck_until: latest,
+            late_until: latest,
             stale_until: latest,
             latest,
             sweep: 0,
--- a/crates/forwarder/src/forwarder/owner.rs
+++ b/crates/forwarder/src/forwarder/owner.rs
@@ -19,8 +19,8 @@
 use crate::target::TargetNumber;
 use crate::topology::{Group, GroupIndex, Member, Role};
 
-/// Time for which packets are dropped while a dead forwarder may know their flow.
-const HOLD_TIME: Duration = Duration::from_secs(10);
+/// Time for which packets are dropped while a forwarder that can't be asked may know their flow.
+pub(super) const HOLD_TIME: Duration = Duration::from_secs(10);
 /// The same for TCP while a zone is cut off: callers of TCP send again for minutes.
 const CUT_HOLD_TIME: Duration = Duration::from_secs(120);
 
@@ -122,7 +122,8 @@
         let now = self.latest;
         let is_recent = |member: &Member| now.since(member.since) < HOLD_TIME;
         let is_cut = |member: &Member| now.since(member.since) < CUT_HOLD_TIME;
-        let is_held = topology.has_lost_rank(&route.ranks, is_recent)
+        let is_held = now < self.late_until
+            || topology.has_lost_rank(&route.ranks, is_recent)
             || (packet.is_tcp() && topology.has_lost_zone(is_cut));
         if is_held {
             return Err(DropCause::Held);
--- a/crates/forwarder/src/forwarder/peers.rs
+++ b/crates/forwarder/src/forwarder/peers.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::owner::HOLD_TIME;
 use super::{Forwarder, Output, Route, Tracking};
 use crate::Clock;
 use crate::counters::DropCause;
@@ -74,6 +75,7 @@
         route: &Route,
         recalled: Recalled,
     ) -> Result<(), DropCause> {
+        self.note_sender(source);
         if let Some(entry) = self.known(packet.key, route) {
             return self.pass(packet, route, entry);
         }
@@ -101,6 +103,7 @@
         recalled: Recalled,
         is_final: bool,
     ) -> Result<(), DropCause> {
+        self.note_sender(source);
         let held = self.known(packet.key, route).filter(|_| !is_final);
         let other = held.filter(|entry| self.address_of(*entry) != recalled.target);
         if let Some(entry) = other
@@ -180,6 +183,7 @@
         route: &Route,
         recalled: Recalled,
     ) -> Result<(), DropCause> {
+        self.note_sender(source);
         self.learn(source, packet, route, recalled);
         Ok(())
     }
@@ -196,6 +200,15 @@
         Tick::from(self.latest).since(entry.seen()) <= recalled.age
     }
 
+    /// Notes a sender that the view lacks: the view may be late, and others know more flows.
+    fn note_sender(&mut self, source: SocketAddr) {
+        if self.is_member(source) {
+            return;
+        }
+        self.counters.unknown_senders += 1;
+        self.late_until = self.latest.after(HOLD_TIME);
+    }
+
     /// Whether a target that another forwarder names may be remembered.
     ///
     /// A forwarder that joined may be in the views of others before it is in this one. What it says
@@ -238,7 +251,6 @@
             Phase::Last => EntryState::Closing,
         };
         let entry = Entry::new(number, state, Tick::from(self.latest)).with_tcp(packet.is_tcp());
-        self.counters.unknown_senders += u64::from(!self.is_member(source));
         let is_believed = self.is_believed(source, route, recalled);
         // Forwarders that kept a lost target for one another would keep it for ever.
         let is_usable = self.targets.get(number).is_usable();
