--- a/tests/src/inputs.rs
+++ b/tests/src/inputs.rs
@@ -30,8 +30,13 @@
 }
 
 /// Runs `test` on byte strings of at most `limit` bytes, short ones as often as long ones.
-pub fn for_each_bytes(limit: usize, mut test: impl FnMut(&[u8])) {
-    for index in 0..iterations() {
+pub fn for_each_bytes(limit: usize, test: impl FnMut(&[u8])) {
+    for_many_bytes(iterations(), limit, test);
+}
+
+/// Runs `test` on `count` byte strings, as [`for_each_bytes`] does.
+pub fn for_many_bytes(count: u64, limit: usize, mut test: impl FnMut(&[u8])) {
+    for index in 0..count {
         let most = limit >> (2 * (index % 4));
         let generator = produce::<Vec<u8>>().with().len(0..=most);
         run(&generator, SEED + index, &mut |bytes: &Vec<u8>| test(bytes));
--- a/tests/tests/control_members.rs
+++ b/tests/tests/control_members.rs
@@ -6,10 +6,9 @@
 use bambooseam_config::VmList;
 use bambooseam_peer::agent::{Beat, Patch, Rumour};
 use bambooseam_standin::{DeploymentKind, Plan};
+use bambooseam_tests::inputs::for_each_input;
 use bambooseam_types::{ByteCount, ByteRate, Incarnation, VmId};
-
-/// Bounded cases of the property test.
-const CASES: usize = 500;
+use bolero::generator::produce;
 
 /// Twelve VMs in three zones; `vm-001`, `vm-004`, `vm-007` and `vm-010` are in the first.
 fn list() -> VmList {
@@ -267,19 +266,17 @@
 
 #[test]
 fn differences_make_the_same_text() {
-    bolero::check!()
-        .with_iterations(CASES)
-        .with_type::<(Vec<(u8, u8)>, Vec<(u8, u8)>)>()
-        .for_each(|(base, text)| {
-            let write = |sections: &[(u8, u8)]| -> String {
-                let line = |(name, value): &(u8, u8)| format!("[s {name}]\nv = {value}\n");
-                sections.iter().map(line).collect()
-            };
-            let (base, text) = (write(base), write(text));
-            let patch = Patch::between(7, &base, &text);
-            assert_eq!(patch.apply(&base).as_deref(), Ok(text.as_str()));
-            assert_eq!(Patch::whole(&text).apply("").as_deref(), Ok(text.as_str()));
-        });
+    let texts = produce::<(Vec<(u8, u8)>, Vec<(u8, u8)>)>();
+    for_each_input(&texts, |(base, text)| {
+        let write = |sections: &[(u8, u8)]| -> String {
+            let line = |(name, value): &(u8, u8)| format!("[s {name}]\nv = {value}\n");
+            sections.iter().map(line).collect()
+        };
+        let (base, text) = (write(base), write(text));
+        let patch = Patch::between(7, &base, &text);
+        assert_eq!(patch.apply(&base).as_deref(), Ok(text.as_str()));
+        assert_eq!(Patch::whole(&text).apply("").as_deref(), Ok(text.as_str()));
+    });
 }
 
 #[test]
--- a/tests/tests/flows_wire.rs
+++ b/tests/tests/flows_wire.rs
@@ -5,8 +5,8 @@
 use bambooseam_forwarder::geneve::{self, Head, PacketError, Payload};
 use bambooseam_forwarder::packet::{self, Phase};
 use bambooseam_forwarder::{Mark, MarkKind, Recalled};
+use bambooseam_tests::inputs::for_many_bytes;
 use bambooseam_types::Revision;
-use bolero::check;
 use etherparse::PacketBuilder;
 
 /// An IPv4 TCP packet.
@@ -127,7 +127,7 @@
 
 #[test]
 fn decoders_take_any_bytes() {
-    check!().with_iterations(20_000).for_each(|bytes: &[u8]| {
+    for_many_bytes(20_000, 2_048, |bytes| {
         if let Ok(datagram) = geneve::decode(bytes) {
             let _ = packet::decode(datagram.payload.as_bytes());
         }
