Name the target of a mark in one place

Cause: three functions joined a route's service with a mark's target by hand. Change: identity_of serves all three; behaviour is the same.

--- a/crates/forwarder/src/forwarder/peers.rs
+++ b/crates/forwarder/src/forwarder/peers.rs
@@ -143,10 +143,7 @@
 
     /// What the view says of a target that another forwarder names.
     pub(super) fn standing_of(&self, route: &Route, recalled: Recalled) -> Option<Standing> {
-        let number = self.targets.find(Identity {
-            vni: route.vni,
-            address: recalled.target,
-        })?;
+        let number = self.targets.find(identity_of(route, recalled))?;
         Some(self.targets.get(number).standing)
     }
 
@@ -222,14 +219,10 @@
 
     /// Whether the view in force has a target where a packet goes.
     fn is_listed(&self, route: &Route, recalled: Recalled) -> bool {
-        let identity = Identity {
-            vni: route.vni,
-            address: recalled.target,
-        };
         let Some(topology) = self.topology.as_ref() else {
             return false;
         };
-        let number = self.targets.find(identity);
+        let number = self.targets.find(identity_of(route, recalled));
         number.is_some_and(|number| topology.group(route.group).has(number))
     }
 
@@ -241,13 +234,8 @@
         route: &Route,
         recalled: Recalled,
     ) -> Entry {
-        let identity = Identity {
-            vni: route.vni,
-            address: recalled.target,
-        };
-        let number = self
-            .targets
-            .intern(identity, Standing::Foreign(self.latest));
+        let standing = Standing::Foreign(self.latest);
+        let number = self.targets.intern(identity_of(route, recalled), standing);
         let state = match packet.phase {
             Phase::First => EntryState::Opening,
             Phase::Middle => EntryState::Open,
@@ -313,3 +301,11 @@
         self.output.send(to, &head, packet.bytes);
     }
 }
+
+/// Identity of a target that another forwarder names.
+fn identity_of(route: &Route, recalled: Recalled) -> Identity {
+    Identity {
+        vni: route.vni,
+        address: recalled.target,
+    }
+}
