Serve the users' platform with one program a VM

Packets name their target by a token, so any VM that holds the list of targets sends any packet right: no owner, shadow or flow table is needed. platform/ translates heads, entries and store calls; replica orders documents by the store's revision; steer decides; entry does input and output.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,7 +6,6 @@
 //! documents and news in.
 
 mod agent;
-mod backoff;
 mod budget;
 mod event;
 mod exchange;
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -7,7 +7,7 @@
 fn main() -> ExitCode {
     let program = Program::new("bambooseam-agent", "Control program of an entry VM");
     let settings = match program.start() {
-        Start::Run(settings) => settings,
+        Start::Run { settings, .. } => settings,
         Start::Exit(code) => return code,
     };
     match bambooseam_agent::run_process(*settings) {
--- a/crates/agent/src/peering.rs
+++ b/crates/agent/src/peering.rs
@@ -12,9 +12,9 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep, timeout};
 
-use crate::backoff::{Backoff, jitter};
 use crate::neighbour::{Neighbour, SMALL_FLEET, random_neighbours, ring_neighbours};
 use crate::shared::Shared;
+use bambooseam_peer::{Backoff, jitter};
 
 /// Time in which an exchange must be answered.
 const EXCHANGE_TIME: Duration = Duration::from_secs(1);
--- a/crates/agent/src/reader.rs
+++ b/crates/agent/src/reader.rs
@@ -10,12 +10,12 @@
 use bambooseam_types::{ByteRate, Finding, Findings, Place, PresetName};
 use tokio::time::sleep;
 
-use crate::backoff::{Backoff, jitter};
 use crate::event::EventKind;
 use crate::platform::{Platform, PlatformError, Reading, Wait};
 use crate::shared::{From, Shared};
 use crate::store::{Offer, read_pointer};
 use crate::version::{ConfigVersion, ListKind, Origin};
+use bambooseam_peer::{Backoff, jitter};
 
 /// Shortest and longest pause after a failed read.
 const RETRY_LEAST: Duration = Duration::from_millis(200);
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -20,7 +20,7 @@
 pub use preset::{ClassRule, Preset, Service, WorkClass};
 pub use published::check_published;
 pub use settings::{
-    AgentSettings, ForwarderSettings, LogSettings, PlatformSettings, ProxySettings, Settings,
-    TraceSettings, VmSettings,
+    AgentSettings, EntrySettings, ForwarderSettings, LogSettings, PlatformSettings, ProxySettings,
+    Settings, TraceSettings, VmSettings,
 };
 pub use value::Value;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -8,8 +8,8 @@
 
 use crate::Document;
 use read::{
-    SECTIONS, check_listeners, read_agent, read_forwarder, read_log, read_path, read_platform,
-    read_proxy, read_section, read_vm,
+    SECTIONS, check_listeners, read_agent, read_entry, read_forwarder, read_log, read_path,
+    read_platform, read_proxy, read_section, read_vm,
 };
 
 mod read;
@@ -27,6 +27,8 @@
     pub forwarder: ForwarderSettings,
     /// The request program.
     pub proxy: ProxySettings,
+    /// The program of a VM whose packets name their target; `None` where it does not run.
+    pub entry: Option<EntrySettings>,
     /// Logs.
     pub log: LogSettings,
     /// Traces.
@@ -104,6 +106,25 @@
     pub drain_time: Duration,
 }
 
+/// Section `[entry]`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// Where callers' packets arrive; callers receive answers at the same port number.
+    pub listen: SocketAddr,
+    /// Where the platform asks whether this VM may get packets.
+    pub ready: SocketAddr,
+    /// Where peers reach this VM.
+    pub peer: SocketAddr,
+    /// Admin endpoint.
+    pub admin: SocketAddr,
+    /// VMs to ask first; they may be stale, or this VM itself.
+    pub seeds: Vec<SocketAddr>,
+    /// Time from the request to stop until the process is killed.
+    pub stop_time: Duration,
+    /// Most flows to remember.
+    pub flow_limit: u64,
+}
+
 /// Section `[log]`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogSettings {
@@ -162,6 +183,9 @@
         let proxy = read_section(document, "proxy", &mut findings, |section, findings| {
             read_proxy(section, address, findings)
         });
+        let entry = document
+            .section("entry")
+            .and_then(|section| read_entry(section, address, &mut findings));
         let log = read_section(document, "log", &mut findings, read_log);
         let trace = read_section(document, "trace", &mut findings, |section, findings| {
             TraceSettings {
@@ -176,6 +200,7 @@
                 agent,
                 forwarder,
                 proxy,
+                entry,
                 log,
                 trace,
             }),
--- a/crates/config/src/settings/read.rs
+++ b/crates/config/src/settings/read.rs
@@ -8,19 +8,21 @@
 use bambooseam_types::{ByteCount, ByteRate, EventRate, Finding, Findings, Place};
 
 use super::{
-    AgentSettings, ForwarderSettings, LogSettings, PlatformSettings, ProxySettings, VmSettings,
+    AgentSettings, EntrySettings, ForwarderSettings, LogSettings, PlatformSettings, ProxySettings,
+    VmSettings,
 };
 use crate::claims::Claims;
 use crate::fleet::check_address;
 use crate::{Document, Section};
 
 /// Section kinds of a settings file.
-pub(super) const SECTIONS: [&str; 7] = [
+pub(super) const SECTIONS: [&str; 8] = [
     "vm",
     "platform",
     "agent",
     "forwarder",
     "proxy",
+    "entry",
     "log",
     "trace",
 ];
@@ -36,6 +38,10 @@
 const BUDGET: ByteRate = ByteRate::new(3_000);
 /// Exchanges when no rate is named.
 const EXCHANGES: EventRate = EventRate::new(2.0);
+/// Time from the request to stop until the process is killed, when none is named.
+const STOP_TIME: Duration = Duration::from_secs(6);
+/// Stop times that are allowed.
+const STOP_TIMES: RangeInclusive<Duration> = Duration::from_millis(100)..=Duration::from_secs(3600);
 /// Flow limit when none is named.
 const FLOW_LIMIT: u64 = 1_000_000;
 /// Connection limit when none is named.
@@ -67,6 +73,7 @@
 const PROXY_ADMIN: u16 = 7112;
 const FORWARDER_PORT: u16 = 6082;
 const PROXY_PORT: u16 = 7200;
+const ENTRY_ADMIN: u16 = 7113;
 
 /// Reads a section that may be absent; an absent one has all defaults.
 pub(super) fn read_section<T>(
@@ -191,6 +198,32 @@
     }
 }
 
+/// Reads `[entry]`.
+pub(super) fn read_entry(
+    mut section: Section<'_>,
+    address: IpAddr,
+    findings: &mut Findings,
+) -> Option<EntrySettings> {
+    let listen: Option<SocketAddr> = section.required("listen", findings);
+    let ready = section.required("ready", findings);
+    let peer = section.required("peer", findings);
+    let seeds: Vec<SocketAddr> = section.list("seeds", findings);
+    check_remote(&seeds, "seeds", &section, findings);
+    let admin = section.or("admin", SocketAddr::new(address, ENTRY_ADMIN), findings);
+    let stop_time = section.duration_within("stop-time", STOP_TIME, STOP_TIMES, findings);
+    let flow_limit = section.within("flow-limit", FLOW_LIMIT, 1..=100_000_000, findings);
+    section.report_unknown_keys(findings);
+    Some(EntrySettings {
+        listen: listen?,
+        ready: ready?,
+        peer: peer?,
+        admin,
+        seeds,
+        stop_time,
+        flow_limit,
+    })
+}
+
 /// Reads `[log]`.
 pub(super) fn read_log(section: &mut Section<'_>, findings: &mut Findings) -> LogSettings {
     let level = section.or("level", "info".to_owned(), findings);
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,23 @@
+//! The program `bambooseam-entry`.
+
+use std::process::ExitCode;
+
+use bambooseam_observe::{EXIT_FAILED, Program, Start};
+use bambooseam_platform::SETTINGS_VARIABLE;
+
+fn main() -> ExitCode {
+    let about = "Passes callers' packets to targets that the packets name";
+    let program = Program::new("bambooseam-entry", about).settings_variable(SETTINGS_VARIABLE);
+    let (settings, path) = match program.start() {
+        Start::Run { settings, path } => (settings, path),
+        Start::Exit(code) => return code,
+    };
+    match bambooseam_entry::run_process(*settings, path) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("event=entry_failed cause={:?}", error.to_string());
+            eprintln!("{error}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/process.rs
@@ -0,0 +1,202 @@
+//! The process: its tasks, its signals and its end.
+
+use std::cell::RefCell;
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bambooseam_config::{EntrySettings, Settings};
+use bambooseam_observe::{Admin, AdminError, stop_signal};
+use bambooseam_peer::{Meter, replica::serve_replica};
+use bambooseam_platform::{Store, ready};
+use bambooseam_steer::{Steering, SteeringSettings};
+use bambooseam_types::Clock;
+use derive_more::{Display, Error, From};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use crate::node::SharedNode;
+use crate::packets::Packets;
+use crate::peering::{self, Answers, SharedPeers};
+use crate::reload::Look;
+use crate::stop::Quiet;
+use crate::{BootClock, Node, Peers, Reload, Stop, Stopping, reader};
+
+/// Pause between two passes that forget what is over.
+const SWEEP_PAUSE: Duration = Duration::from_millis(500);
+
+/// Pause between two looks at the settings file, which may change without a signal.
+const LOOK_PAUSE: Duration = Duration::from_millis(2_000);
+
+/// Pause between two looks whether a stopping process may end.
+const STOP_PAUSE: Duration = Duration::from_millis(100);
+
+/// Why the process failed.
+#[derive(Debug, Display, Error, From)]
+pub enum ProcessError {
+    /// The runtime, a socket or a signal handler could not be made.
+    #[display("start: {_0}")]
+    Start(io::Error),
+    /// The admin endpoint could not start.
+    Admin(AdminError),
+    /// The settings have no section for this program.
+    #[display("the settings have no section [entry]")]
+    #[from(ignore)]
+    NoSection,
+}
+
+/// Runs until a stop signal has come and the last packets are served; logs are started already.
+///
+/// # Errors
+///
+/// An error when an address is taken or the settings lack what the program needs.
+pub fn run_process(settings: Settings, path: PathBuf) -> Result<(), ProcessError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, run(settings, path))
+}
+
+async fn run(settings: Settings, path: PathBuf) -> Result<(), ProcessError> {
+    let entry = settings.entry.as_ref().ok_or(ProcessError::NoSection)?;
+    log::info!(
+        "event=entry_started vm={} zone={} listen={} store={:?} seeds={:?}",
+        settings.vm.id,
+        settings.vm.zone,
+        entry.listen,
+        settings.platform.addresses,
+        entry.seeds
+    );
+    let admin = Admin::bind(entry.admin).await?;
+    let steering = Steering::new(SteeringSettings {
+        zone: settings.vm.zone.clone(),
+        flow_limit: usize::try_from(entry.flow_limit).unwrap_or(usize::MAX),
+    });
+    let node = Rc::new(RefCell::new(Node::new(steering)));
+    let peers = Rc::new(RefCell::new(Peers::new(entry.peer, &entry.seeds)));
+    let quiet = Quiet::default();
+    let packets = Packets::bind(entry.listen, Rc::clone(&node)).await?;
+    start_control(&settings, entry, &node, &peers).await?;
+    spawn_local(packets.run(quiet.clone()));
+    spawn_local(sweep(Rc::clone(&node)));
+    spawn_local(follow_settings(path, settings.clone(), Rc::clone(&peers))?);
+    let ready = node.borrow().ready();
+    spawn_local(admin.serve(ready, || serde_json::Value::Null));
+    let signal = stop_signal().await?;
+    stop(signal, entry.stop_time, &node, &quiet).await;
+    Ok(())
+}
+
+/// Starts the tasks that bring documents in and answer probes and peers.
+async fn start_control(
+    settings: &Settings,
+    entry: &EntrySettings,
+    node: &SharedNode,
+    peers: &SharedPeers,
+) -> Result<(), ProcessError> {
+    let ready = node.borrow().ready();
+    spawn_local(ready::serve(TcpListener::bind(entry.ready).await?, ready));
+    let meter = Arc::new(Meter::default());
+    let answers = Answers {
+        node: Rc::clone(node),
+        peers: Rc::clone(peers),
+    };
+    let listener = TcpListener::bind(entry.peer).await?;
+    spawn_local(serve_replica(listener, Arc::clone(&meter), answers));
+    let asking = peering::run(entry.peer, Rc::clone(node), Rc::clone(peers), meter);
+    spawn_local(asking);
+    // The settings check has admitted no empty list.
+    if let Some(&address) = settings.platform.addresses.first() {
+        spawn_local(reader::run(Store::new(address), Rc::clone(node)));
+    }
+    Ok(())
+}
+
+async fn sweep(node: SharedNode) {
+    loop {
+        sleep(SWEEP_PAUSE).await;
+        let mut node = node.borrow_mut();
+        node.sweep(BootClock.now());
+        metrics::gauge!("flows").set(node.steering().flow_count() as f64);
+    }
+}
+
+/// Reads the settings file again after SIGHUP, and now and then.
+fn follow_settings(
+    path: PathBuf,
+    mut settings: Settings,
+    peers: SharedPeers,
+) -> io::Result<impl Future<Output = ()>> {
+    let mut hangups = signal(SignalKind::hangup())?;
+    let mut reload = Reload::new(path);
+    Ok(async move {
+        loop {
+            let cause = tokio::select! {
+                _ = hangups.recv() => "SIGHUP",
+                () = sleep(LOOK_PAUSE) => "file",
+            };
+            match reload.look() {
+                Look::Same if cause == "file" => {}
+                Look::Same => log::info!("event=settings_reloaded cause={cause} outcome=same"),
+                Look::Changed(newer) => {
+                    apply(&settings, &newer, &peers, cause);
+                    settings = *newer;
+                }
+                Look::Refused(findings) => log::error!(
+                    "event=settings_refused cause={cause} findings={:?}",
+                    findings.to_string()
+                ),
+                Look::Missing(error) => {
+                    log::warn!("event=settings_unreadable cause={:?}", error.to_string());
+                }
+            }
+        }
+    })
+}
+
+/// Puts newer settings in force as far as a running process can.
+fn apply(settings: &Settings, newer: &Settings, peers: &SharedPeers, cause: &str) {
+    let (Some(before), Some(after)) = (&settings.entry, &newer.entry) else {
+        log::error!("event=settings_refused cause={cause} findings=\"no section [entry]\"");
+        return;
+    };
+    peers.borrow_mut().set_seeds(&after.seeds);
+    let seeds_only = EntrySettings {
+        seeds: after.seeds.clone(),
+        ..before.clone()
+    };
+    let needs_restart = seeds_only != *after
+        || settings.vm != newer.vm
+        || settings.platform != newer.platform
+        || settings.log != newer.log;
+    log::info!(
+        "event=settings_reloaded cause={cause} outcome=applied seeds={:?} \
+         needs_restart={needs_restart}",
+        after.seeds
+    );
+}
+
+/// Serves the last packets after a stop signal.
+async fn stop(signal: &str, time: Duration, node: &SharedNode, quiet: &Quiet) {
+    let begun = BootClock.now();
+    let stop = Stop { begun, time };
+    log::info!(
+        "event=stop_begun signal={signal} time_ms={}",
+        time.as_millis()
+    );
+    node.borrow_mut().stop();
+    loop {
+        let now = BootClock.now();
+        let stopping = stop.at(now, quiet.last());
+        if stopping != Stopping::Serving {
+            let elapsed = now.since(begun).as_millis();
+            log::info!("event=stopped state={stopping:?} elapsed_ms={elapsed}");
+            return;
+        }
+        sleep(STOP_PAUSE).await;
+    }
+}
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -9,7 +9,6 @@
 //! [`target`], a view made ready for lookups in [`topology`], and the choice of targets in
 //! [`pick`].
 
-mod clock;
 mod counters;
 mod forwarder;
 pub mod geneve;
@@ -24,7 +23,7 @@
 pub mod target;
 pub mod topology;
 
-pub use clock::{Clock, Moment, SystemClock};
+pub use bambooseam_types::{Clock, Moment, SystemClock};
 pub use counters::{Counters, DropCause};
 pub use forwarder::{Forwarder, Output, Tracking};
 pub use mark::{Mark, MarkKind, Recalled};
--- a/crates/forwarder/src/main.rs
+++ b/crates/forwarder/src/main.rs
@@ -8,7 +8,7 @@
 fn main() -> ExitCode {
     let program = Program::new("bambooseam-forwarder", "Packet program of an entry VM");
     let settings = match program.start() {
-        Start::Run(settings) => *settings,
+        Start::Run { settings, .. } => *settings,
         Start::Exit(code) => return code,
     };
     let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/crates/observe/src/admin.rs
+++ b/crates/observe/src/admin.rs
@@ -27,6 +27,10 @@
 /// Largest request head in bytes.
 const HEAD_LIMIT: usize = 16 << 10;
 
+/// Pause between the passes that fold samples of histograms, which else pile up until the next
+/// scrape.
+const UPKEEP_PAUSE: Duration = Duration::from_secs(5);
+
 /// Connections that ended with an error.
 static FAILED: LogLimit = LogLimit::new("admin_connections_failed", 5);
 
@@ -84,6 +88,13 @@
     where
         S: Fn() -> serde_json::Value + Send + Sync + 'static,
     {
+        let upkeep = self.metrics.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(UPKEEP_PAUSE).await;
+                upkeep.run_upkeep();
+            }
+        });
         let sources = Arc::new(Sources {
             status,
             ready,
--- a/crates/observe/src/program.rs
+++ b/crates/observe/src/program.rs
@@ -26,7 +26,12 @@
 #[derive(Debug)]
 pub enum Start {
     /// Run with these settings; logs and traces are started.
-    Run(Box<Settings>),
+    Run {
+        /// The settings.
+        settings: Box<Settings>,
+        /// The file that they were read from.
+        path: PathBuf,
+    },
     /// Exit at once with this code; the reason has been printed.
     Exit(ExitCode),
 }
@@ -52,6 +57,14 @@
         Self { name, command }
     }
 
+    /// Takes the settings file from an environment variable when the command line names none.
+    pub fn settings_variable(mut self, variable: &'static str) -> Self {
+        self.command = self
+            .command
+            .mut_arg("settings", |settings| settings.env(variable));
+        self
+    }
+
     /// Reads command line and settings and starts logs and traces.
     pub fn start(self) -> Start {
         let matches = self.command.get_matches();
@@ -77,6 +90,9 @@
             eprintln!("{error}");
             return Start::Exit(ExitCode::from(EXIT_FAILED));
         }
-        Start::Run(Box::new(settings))
+        Start::Run {
+            settings: Box::new(settings),
+            path: path.clone(),
+        }
     }
 }
--- a/crates/agent/src/backoff.rs
+++ b/crates/peer/src/backoff.rs
@@ -37,6 +37,6 @@
 }
 
 /// A duration between 1 and 1.5 times `base`, so that many agents do not come back together.
-pub(crate) fn jitter(base: Duration) -> Duration {
+pub fn jitter(base: Duration) -> Duration {
     base.mul_f64(rand::rng().random_range(1.0..1.5))
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,11 +4,14 @@
 //! so that the build needs no generator.
 
 pub mod agent;
+mod backoff;
 mod connect;
 mod error;
 pub mod feed;
 mod meter;
+pub mod replica;
 
+pub use backoff::{Backoff, jitter};
 pub use connect::{Link, connect, connect_metered, local_thread, serve, serve_metered};
 pub use error::PeerError;
 pub use meter::{Activity, Meter, Metered};
@@ -18,6 +21,11 @@
 #[path = "generated/agent_capnp.rs"]
 pub mod agent_capnp;
 
+#[allow(missing_docs, clippy::all, clippy::use_self, unused_qualifications)]
+#[rustfmt::skip]
+#[path = "generated/replica_capnp.rs"]
+pub mod replica_capnp;
+
 #[allow(missing_docs, clippy::all, clippy::use_self, unused_qualifications)]
 #[rustfmt::skip]
 #[path = "generated/view_capnp.rs"]
--- /dev/null
+++ b/crates/peer/src/replica.rs
@@ -0,0 +1,179 @@
+//! Calls between VMs that hold copies of the published documents.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bambooseam_replica::{Change, Changes};
+use bambooseam_types::Revision;
+use tokio::net::TcpListener;
+
+use crate::replica_capnp::{change, changes, copy, news, replica};
+use crate::{Link, Meter, PeerError, connect_metered, serve_metered};
+
+/// Most VMs that one answer names.
+const PEER_LIMIT: u32 = 64;
+
+/// What a VM tells a peer.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct News {
+    /// What the asker lacks; `None` when nothing is held here.
+    pub changes: Option<Changes>,
+    /// For how long the copy has not been known to be current.
+    pub age: Duration,
+    /// VMs heard of lately.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// Port towards the VM that answers its peers.
+pub trait ReplicaService: 'static {
+    /// Tells a peer, which serves at `address` and holds every change up to `upto`, what it lacks.
+    fn sync(&self, address: Option<SocketAddr>, upto: Option<Revision>) -> News;
+}
+
+/// A connection to a peer; it closes when dropped.
+pub struct ReplicaLink {
+    link: Link<replica::Client>,
+}
+
+/// Serves peers until dropped; must run in a `LocalSet`.
+pub async fn serve_replica<S: ReplicaService>(
+    listener: TcpListener,
+    meter: Arc<Meter>,
+    service: S,
+) {
+    let service = Rc::new(service);
+    serve_metered(listener, meter, |_| {
+        let server = Server {
+            service: Rc::clone(&service),
+        };
+        let client: replica::Client = capnp_rpc::new_client(server);
+        client.client
+    })
+    .await;
+}
+
+/// The object that a peer calls.
+struct Server<S> {
+    service: Rc<S>,
+}
+
+impl<S: ReplicaService> replica::Server for Server<S> {
+    async fn sync(
+        self: Rc<Self>,
+        params: replica::SyncParams,
+        mut results: replica::SyncResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let address = params.get_address()?.to_str()?.parse().ok();
+        let upto = read_copy(params.get_copy()?);
+        let news = self.service.sync(address, upto);
+        write_news(&news, results.get().init_news());
+        Ok(())
+    }
+}
+
+impl ReplicaLink {
+    /// Connects to the peer at `address`; must run in a `LocalSet`.
+    ///
+    /// # Errors
+    ///
+    /// An error when the connection is refused.
+    pub async fn connect(address: SocketAddr, meter: Arc<Meter>) -> Result<Self, PeerError> {
+        let link = connect_metered(address, None, meter).await?;
+        Ok(Self { link })
+    }
+
+    /// Asks for what a copy up to `upto` lacks; `own` is where this VM serves its peers.
+    ///
+    /// # Errors
+    ///
+    /// An error when the connection breaks or the answer is malformed.
+    pub async fn sync(&self, own: SocketAddr, upto: Option<Revision>) -> Result<News, PeerError> {
+        let mut request = self.link.client.sync_request();
+        request.get().set_address(own.to_string());
+        let mut copy = request.get().init_copy();
+        copy.set_is_empty(upto.is_none());
+        copy.set_upto(upto.unwrap_or_default().get());
+        let answer = request.send().promise.await?;
+        let news = read_news(answer.get()?.get_news()?)?;
+        Ok(news)
+    }
+}
+
+fn read_copy(reader: copy::Reader<'_>) -> Option<Revision> {
+    (!reader.get_is_empty()).then(|| Revision::from(reader.get_upto()))
+}
+
+fn write_news(value: &News, mut builder: news::Builder<'_>) {
+    builder.set_age_ms(u64::try_from(value.age.as_millis()).unwrap_or(u64::MAX));
+    let count = PEER_LIMIT.min(value.peers.len() as u32);
+    let mut peers = builder.reborrow().init_peers(count);
+    for (index, peer) in (0..count).zip(&value.peers) {
+        peers.set(index, peer.to_string());
+    }
+    if let Some(changes) = &value.changes {
+        write_changes(changes, builder.init_changes());
+    }
+}
+
+fn read_news(reader: news::Reader<'_>) -> Result<News, capnp::Error> {
+    let mut peers = Vec::new();
+    for peer in reader.get_peers()?.iter().take(PEER_LIMIT as usize) {
+        // A peer that runs a later version may name one in a form that is not known here.
+        if let Ok(peer) = peer?.to_str()?.parse() {
+            peers.push(peer);
+        }
+    }
+    let changes = match reader.has_changes() {
+        true => Some(read_changes(reader.get_changes()?)?),
+        false => None,
+    };
+    Ok(News {
+        changes,
+        age: Duration::from_millis(reader.get_age_ms()),
+        peers,
+    })
+}
+
+fn write_changes(value: &Changes, mut builder: changes::Builder<'_>) {
+    builder.set_is_whole(value.after.is_none());
+    builder.set_after(value.after.unwrap_or_default().get());
+    builder.set_upto(value.upto.get());
+    let mut list = builder.init_list(value.list.len() as u32);
+    for (index, change) in (0..).zip(&value.list) {
+        let mut builder = list.reborrow().get(index);
+        builder.set_key(change.key.as_ref());
+        builder.set_revision(change.revision.get());
+        builder.set_is_removed(change.value.is_none());
+        if let Some(value) = &change.value {
+            builder.set_value(value);
+        }
+    }
+}
+
+fn read_changes(reader: changes::Reader<'_>) -> Result<Changes, capnp::Error> {
+    let after = Revision::from(reader.get_after());
+    let mut list = Vec::new();
+    for change in reader.get_list()? {
+        list.push(read_change(change)?);
+    }
+    Ok(Changes {
+        after: (!reader.get_is_whole()).then_some(after),
+        upto: Revision::from(reader.get_upto()),
+        list,
+    })
+}
+
+fn read_change(reader: change::Reader<'_>) -> Result<Change, capnp::Error> {
+    let value = match reader.get_is_removed() {
+        true => None,
+        false => Some(Arc::from(reader.get_value()?)),
+    };
+    Ok(Change {
+        key: reader.get_key()?.to_str()?.into(),
+        revision: Revision::from(reader.get_revision()),
+        value,
+    })
+}
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -11,7 +11,7 @@
 fn main() -> ExitCode {
     let settings = match Program::new("bambooseam-proxy", "Request program of an entry VM").start()
     {
-        Start::Run(settings) => settings,
+        Start::Run { settings, .. } => settings,
         Start::Exit(code) => return code,
     };
     let runtime = tokio::runtime::Builder::new_multi_thread()
--- /dev/null
+++ b/crates/steer/src/head.rs
@@ -0,0 +1,70 @@
+//! What the head of a packet says.
+
+use std::net::SocketAddrV4;
+
+use bambooseam_types::{Flow, Protocol, Token};
+use bambooseam_view::FlowKey;
+use derive_more::Display;
+
+/// Both ends of a flow as a caller's packets name them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+#[display("{caller}>{entrance}")]
+pub struct FlowId {
+    /// Address and port of the caller.
+    pub caller: SocketAddrV4,
+    /// Address and port at which a service receives.
+    pub entrance: SocketAddrV4,
+}
+
+/// Flags of a packet.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct HeadFlags {
+    /// Opens a flow.
+    pub syn: bool,
+    /// Acknowledges the other end's bytes.
+    pub ack: bool,
+    /// Ends one direction.
+    pub fin: bool,
+    /// Breaks the flow off.
+    pub rst: bool,
+}
+
+/// The head of a packet from a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Head {
+    /// The flow.
+    pub flow: FlowId,
+    /// The flags.
+    pub flags: HeadFlags,
+    /// Target that the flow was opened at; `None` in an opening packet.
+    pub token: Option<Token>,
+    /// Number of the first byte that the packet carries.
+    pub seq: u32,
+    /// Next byte that the caller expects; in an opening packet the number of earlier copies.
+    pub ack: u32,
+    /// Bytes of data.
+    pub len: u16,
+}
+
+impl FlowId {
+    /// Hash of the flow; the same on every VM.
+    pub fn key(&self) -> FlowKey {
+        FlowKey::from(&Flow {
+            protocol: Protocol::Tcp,
+            caller: self.caller.into(),
+            service: self.entrance.into(),
+        })
+    }
+}
+
+impl Head {
+    /// Whether the packet asks for a new flow.
+    pub fn is_opening(&self) -> bool {
+        self.flags.syn && !self.flags.ack
+    }
+
+    /// Whether the packet can't come from a caller: only targets answer an opening packet.
+    pub fn is_forged(&self) -> bool {
+        self.flags.syn && (self.flags.ack || self.flags.fin || self.flags.rst)
+    }
+}
--- /dev/null
+++ b/crates/steer/src/roster.rs
@@ -0,0 +1,251 @@
+//! Targets that are known, by identifier, token and service.
+//!
+//! Every VM gives the same answer for a token without talking to others. Two starts with one token
+//! are told apart by the service of the packet's route; within one service the later start takes no
+//! new flows while the earlier one is there.
+
+use bambooseam_types::{Moment, ServiceName, TargetId, Token};
+use derive_more::Display;
+
+use crate::Target;
+use crate::load::Load;
+
+/// Tokens of ended targets that are remembered, so that their flows are reset at once.
+const ENDED_LIMIT: usize = 4_096;
+
+/// Place of a target in the roster; taken again after the target has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+pub struct SlotNumber(u32);
+
+/// What the published entries say of a target now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Standing {
+    /// Its entry stands.
+    #[display("published")]
+    Published,
+    /// Its entry is gone, probably lapsed while the store was away.
+    #[display("kept")]
+    Kept {
+        /// When it counts as ended unless the entry is back.
+        until: Moment,
+    },
+    /// Its entry was replaced by one that names no target.
+    #[display("unreadable")]
+    Unreadable,
+}
+
+/// A target with what is known of it.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    /// The target.
+    pub target: Target,
+    /// Its token.
+    pub token: Token,
+    /// What the entries say.
+    pub standing: Standing,
+    /// What packets show.
+    pub load: Load,
+    /// Whether an earlier start of the same service has this token.
+    is_eclipsed: bool,
+}
+
+/// All known targets.
+#[derive(Debug, Default)]
+pub struct Roster {
+    slots: Vec<Option<Slot>>,
+    free: Vec<SlotNumber>,
+    ids: Vec<(TargetId, SlotNumber)>,
+    tokens: Vec<(Token, SlotNumber)>,
+    services: Vec<(ServiceName, Vec<SlotNumber>)>,
+    ended: Vec<(Token, Moment)>,
+}
+
+impl SlotNumber {
+    /// The number.
+    pub const fn get(self) -> u32 {
+        self.0
+    }
+}
+
+impl Slot {
+    /// Whether new flows may be placed here.
+    pub fn is_open(&self) -> bool {
+        let is_usable = !matches!(self.standing, Standing::Unreadable);
+        is_usable && !self.target.is_leaving && !self.is_eclipsed
+    }
+}
+
+impl Roster {
+    /// Adds a target or takes what is new of it; a later start replaces an earlier one.
+    pub fn put(&mut self, target: Target, now: Moment) {
+        let token = target.token();
+        if let Some(number) = self.find(&target.id) {
+            if let Some(slot) = self.get_mut(number)
+                && slot.token == token
+                && slot.target.service == target.service
+            {
+                slot.load.note_cold(now, target.cold_time);
+                slot.standing = Standing::Published;
+                slot.target = target;
+                return;
+            }
+            self.end(number, now);
+        }
+        self.ended.retain(|(ended, _)| *ended != token);
+        self.add(target, token, now);
+    }
+
+    /// Changes what the entries say of a target.
+    pub fn set_standing(&mut self, number: SlotNumber, standing: Standing) {
+        if let Some(slot) = self.get_mut(number) {
+            slot.standing = standing;
+        }
+    }
+
+    /// Removes a target and remembers its token.
+    pub fn end(&mut self, number: SlotNumber, now: Moment) {
+        let Some(slot) = self.slots.get_mut(number.0 as usize).and_then(Option::take) else {
+            return;
+        };
+        self.free.push(number);
+        self.ids.retain(|(_, held)| *held != number);
+        self.tokens.retain(|(_, held)| *held != number);
+        if let Ok(at) = self.find_service(&slot.target.service) {
+            self.services[at].1.retain(|held| *held != number);
+            if self.services[at].1.is_empty() {
+                self.services.remove(at);
+            }
+        }
+        self.settle(slot.token);
+        self.note_ended(slot.token, now);
+    }
+
+    /// Place of the target with this identifier.
+    pub fn find(&self, id: &TargetId) -> Option<SlotNumber> {
+        let at = self.ids.binary_search_by(|(held, _)| held.cmp(id)).ok()?;
+        Some(self.ids[at].1)
+    }
+
+    /// The target at a place.
+    pub fn get(&self, number: SlotNumber) -> Option<&Slot> {
+        self.slots.get(number.0 as usize)?.as_ref()
+    }
+
+    /// The target at a place.
+    pub fn get_mut(&mut self, number: SlotNumber) -> Option<&mut Slot> {
+        self.slots.get_mut(number.0 as usize)?.as_mut()
+    }
+
+    /// Places of the targets with a token: nearly always one.
+    pub fn with_token(&self, token: Token) -> impl Iterator<Item = SlotNumber> + '_ {
+        let start = self.tokens.partition_point(|(held, _)| *held < token);
+        let same = self.tokens[start..].iter();
+        same.take_while(move |(held, _)| *held == token)
+            .map(|(_, number)| *number)
+    }
+
+    /// Targets of a service.
+    pub fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = (SlotNumber, &Slot)> {
+        let numbers = match self.find_service(service) {
+            Ok(at) => self.services[at].1.as_slice(),
+            Err(_) => &[],
+        };
+        let slots = numbers.iter().copied();
+        slots.filter_map(|number| Some((number, self.get(number)?)))
+    }
+
+    /// All targets, by identifier.
+    pub fn iter(&self) -> impl Iterator<Item = (SlotNumber, &Slot)> {
+        let numbers = self.ids.iter().map(|(_, number)| *number);
+        numbers.filter_map(|number| Some((number, self.get(number)?)))
+    }
+
+    /// Whether a token belonged to a target that has ended.
+    pub fn is_ended(&self, token: Token) -> bool {
+        self.ended
+            .binary_search_by_key(&token, |(held, _)| *held)
+            .is_ok()
+    }
+
+    /// Ends targets that were kept long enough; gives their identifiers.
+    pub fn expire(&mut self, now: Moment) -> Vec<TargetId> {
+        let is_over =
+            |slot: &Slot| matches!(slot.standing, Standing::Kept { until } if until <= now);
+        let over: Vec<_> = self
+            .iter()
+            .filter(|(_, slot)| is_over(slot))
+            .map(|(number, slot)| (number, slot.target.id.clone()))
+            .collect();
+        for (number, _) in &over {
+            self.end(*number, now);
+        }
+        over.into_iter().map(|(_, id)| id).collect()
+    }
+
+    fn add(&mut self, target: Target, token: Token, now: Moment) {
+        let number = self.free.pop().unwrap_or_else(|| {
+            self.slots.push(None);
+            SlotNumber(self.slots.len() as u32 - 1)
+        });
+        let at = self.ids.partition_point(|(held, _)| *held < target.id);
+        self.ids.insert(at, (target.id.clone(), number));
+        let at = self.tokens.partition_point(|(held, _)| *held < token);
+        self.tokens.insert(at, (token, number));
+        match self.find_service(&target.service) {
+            Ok(at) => self.services[at].1.push(number),
+            Err(at) => {
+                let service = target.service.clone();
+                self.services.insert(at, (service, vec![number]));
+            }
+        }
+        let mut load = Load::default();
+        load.note_cold(now, target.cold_time);
+        self.slots[number.0 as usize] = Some(Slot {
+            target,
+            token,
+            standing: Standing::Published,
+            load,
+            is_eclipsed: false,
+        });
+        self.settle(token);
+    }
+
+    /// Decides which of the targets with one token takes new flows.
+    fn settle(&mut self, token: Token) {
+        let numbers: Vec<_> = self.with_token(token).collect();
+        for &number in &numbers {
+            let is_eclipsed = numbers.iter().any(|&other| self.eclipses(other, number));
+            if let Some(slot) = self.get_mut(number) {
+                slot.is_eclipsed = is_eclipsed;
+            }
+        }
+    }
+
+    /// Whether `other` is an earlier start of the same service.
+    fn eclipses(&self, other: SlotNumber, number: SlotNumber) -> bool {
+        let (Some(other), Some(slot)) = (self.get(other), self.get(number)) else {
+            return false;
+        };
+        let (earlier, later) = (&other.target, &slot.target);
+        earlier.service == later.service && (earlier.start, &earlier.id) < (later.start, &later.id)
+    }
+
+    fn note_ended(&mut self, token: Token, now: Moment) {
+        if self.with_token(token).next().is_some() {
+            return;
+        }
+        if self.ended.len() >= ENDED_LIMIT {
+            let oldest = self.ended.iter().enumerate().min_by_key(|(_, held)| held.1);
+            if let Some((at, _)) = oldest {
+                self.ended.remove(at);
+            }
+        }
+        let at = self.ended.partition_point(|(held, _)| *held < token);
+        self.ended.insert(at, (token, now));
+    }
+
+    fn find_service(&self, service: &ServiceName) -> Result<usize, usize> {
+        self.services
+            .binary_search_by(|(held, _)| held.cmp(service))
+    }
+}
--- /dev/null
+++ b/crates/steer/src/steering.rs
@@ -0,0 +1,384 @@
+//! The decisions on each packet, tied together.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use bambooseam_types::{Moment, ServiceName, TargetId, Token, ZoneId};
+
+use crate::absence::{Absence, Removal};
+use crate::flows::{Flows, Forgotten, Signals};
+use crate::place::{Candidate, place};
+use crate::roster::{Roster, Slot, SlotNumber, Standing};
+use crate::stranger::Strangers;
+use crate::{DropCause, Head, Opening, ResetCause, Route, Routes, Target, Verdict};
+
+/// Age up to which the view counts as current: a watch that waits 1 s, its time limit, and one
+/// more try.
+const CURRENT_TIME: Duration = Duration::from_millis(2_500);
+
+/// Silence after which a flow may be forgotten when the configuration names no time.
+const IDLE_TIME: Duration = Duration::from_secs(15);
+
+/// Longest time of a request on a route that is not known here.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Entrances remembered after their route was removed.
+const REMOVED_LIMIT: usize = 4_096;
+
+/// What steering needs from the settings.
+#[derive(Debug, Clone)]
+pub struct SteeringSettings {
+    /// Availability zone of this VM.
+    pub zone: ZoneId,
+    /// Most flows to remember.
+    pub flow_limit: usize,
+}
+
+/// How current the view is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Freshness {
+    /// When everything published was last known to be here.
+    pub synced: Option<Moment>,
+}
+
+/// Decides what becomes of each packet.
+#[derive(Debug)]
+pub struct Steering {
+    settings: SteeringSettings,
+    routes: Option<Routes>,
+    /// Entrances whose route was removed, sorted.
+    removed: Vec<SocketAddrV4>,
+    roster: Roster,
+    flows: Flows,
+    freshness: Freshness,
+    absence: Absence,
+    strangers: Strangers,
+}
+
+impl Freshness {
+    /// Whether what is known can be taken for all there is.
+    pub fn is_current(&self, now: Moment) -> bool {
+        self.synced
+            .is_some_and(|synced| now.since(synced) <= CURRENT_TIME)
+    }
+}
+
+impl Steering {
+    /// Creates steering that knows nothing yet.
+    pub fn new(settings: SteeringSettings) -> Self {
+        Self {
+            flows: Flows::new(settings.flow_limit),
+            settings,
+            routes: None,
+            removed: Vec::new(),
+            roster: Roster::default(),
+            freshness: Freshness::default(),
+            absence: Absence::default(),
+            strangers: Strangers::default(),
+        }
+    }
+
+    /// Takes the routes of a newer configuration; gives the entrances that it removed.
+    pub fn set_routes(&mut self, routes: Routes) -> Vec<SocketAddrV4> {
+        let mut gone = Vec::new();
+        for route in self.routes.iter().flat_map(Routes::iter) {
+            if routes.find(route.entrance).is_none() {
+                gone.push(route.entrance);
+            }
+        }
+        self.removed.extend(&gone);
+        self.removed.sort_unstable();
+        self.removed.dedup();
+        self.removed
+            .retain(|removed| routes.find(*removed).is_none());
+        self.removed.truncate(REMOVED_LIMIT);
+        self.routes = Some(routes);
+        gone
+    }
+
+    /// Takes a target as its entry says.
+    pub fn put_target(&mut self, target: Target, now: Moment) {
+        self.roster.put(target, now);
+    }
+
+    /// Notes that an entry no longer names a target: it keeps its flows and takes no new ones.
+    pub fn distrust_target(&mut self, id: &TargetId) {
+        if let Some(number) = self.roster.find(id) {
+            self.roster.set_standing(number, Standing::Unreadable);
+        }
+    }
+
+    /// Takes the removals of one batch; gives what became of each known target.
+    pub fn remove_targets(&mut self, ids: &[TargetId], now: Moment) -> Vec<(TargetId, Standing)> {
+        let mut kept = Vec::new();
+        let numbers: Vec<_> = ids.iter().filter_map(|id| self.roster.find(id)).collect();
+        for &number in &numbers {
+            let Some(slot) = self.roster.get(number) else {
+                continue;
+            };
+            let removal = self.removal_of(&slot.target.service, &numbers);
+            if let Some(until) = self.absence.kept_until(now, removal) {
+                kept.push((number, slot.target.id.clone(), Standing::Kept { until }));
+            }
+        }
+        for &number in &numbers {
+            if !kept.iter().any(|(held, ..)| *held == number) {
+                self.roster.end(number, now);
+            }
+        }
+        for (number, _, standing) in &kept {
+            self.roster.set_standing(*number, *standing);
+        }
+        kept.into_iter()
+            .map(|(_, id, standing)| (id, standing))
+            .collect()
+    }
+
+    /// Notes that everything published up to `at` is here.
+    pub fn note_sync(&mut self, at: Moment) {
+        self.freshness.synced = self.freshness.synced.max(Some(at));
+    }
+
+    /// Notes that the store is away, or has answered again after it was.
+    pub fn note_outage(&mut self, now: Moment) {
+        self.absence.note_outage(now);
+    }
+
+    /// How current the view is.
+    pub fn freshness(&self) -> Freshness {
+        self.freshness
+    }
+
+    /// Whether packets can be served.
+    pub fn is_ready(&self) -> bool {
+        self.routes.is_some() && self.freshness.synced.is_some()
+    }
+
+    /// The targets.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// The routes of the configuration in force.
+    pub fn routes(&self) -> Option<&Routes> {
+        self.routes.as_ref()
+    }
+
+    /// Number of flows remembered.
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Decides what becomes of a packet.
+    pub fn packet(&mut self, head: &Head, now: Moment) -> Verdict {
+        if head.is_forged() {
+            return Verdict::Drop(DropCause::Forged);
+        }
+        if head.is_opening() {
+            return self.open(head, now);
+        }
+        match head.token {
+            Some(token) => self.pass(head, token, now),
+            None if head.flags.rst => Verdict::Drop(DropCause::AlreadyEnded),
+            None => Verdict::Reset(ResetCause::NoToken),
+        }
+    }
+
+    /// Forgets what is over; gives targets that were kept and did not come back.
+    pub fn sweep(&mut self, now: Moment) -> Vec<TargetId> {
+        let idle_time = self.routes.as_ref().and_then(|routes| routes.idle_time);
+        let roster = &mut self.roster;
+        self.flows
+            .sweep(now, idle_time.unwrap_or(IDLE_TIME), |forgotten| {
+                release(roster, forgotten);
+            });
+        let roster = &self.roster;
+        self.strangers
+            .sweep(now, |token| roster.with_token(token).next().is_some());
+        self.roster.expire(now)
+    }
+
+    /// An opening packet: its flow gets a target.
+    fn open(&mut self, head: &Head, now: Moment) -> Verdict {
+        let is_current = self.freshness.is_current(now);
+        let Some(route) = self
+            .routes
+            .as_ref()
+            .and_then(|r| r.find(head.flow.entrance))
+        else {
+            return refuse(ResetCause::NoRoute, is_current);
+        };
+        let key = head.flow.key();
+        let Some(service) = route.service_of(key) else {
+            return refuse(ResetCause::NoTarget, is_current);
+        };
+        let earlier = self.flows.earlier(head);
+        if let Some((number, token)) = earlier
+            && let Some(slot) = self.roster.get(number)
+            && slot.token == token
+            && !(slot.load.silence.is_confirmed(now)
+                && has_other(&self.roster, service, number, now))
+        {
+            return forward(slot, Opening::Copy);
+        }
+        let zone = &self.settings.zone;
+        let candidates = self.roster.of_service(service).filter(|(_, s)| s.is_open());
+        let candidates = candidates.map(|(slot, held)| Candidate {
+            slot,
+            load: &held.load,
+            capacity: held.target.capacity,
+            is_near: held.target.zone == *zone,
+        });
+        let Some(number) = place(candidates, key.get(), now) else {
+            return refuse(ResetCause::NoTarget, is_current);
+        };
+        let timeout = route.timeout;
+        let Some(slot) = self.roster.get_mut(number) else {
+            return refuse(ResetCause::NoTarget, is_current);
+        };
+        slot.load.flows += 1;
+        slot.load.busy += 1;
+        slot.load.silence.note_opening(now);
+        let opening = match earlier {
+            Some(_) => Opening::Moved,
+            None => Opening::Placed,
+        };
+        let verdict = forward(slot, opening);
+        let place = (number, slot.token);
+        if let Some(before) = self.flows.open(head, place, timeout, now) {
+            release(&mut self.roster, before);
+        }
+        verdict
+    }
+
+    /// A packet inside a flow: it goes where its token says.
+    fn pass(&mut self, head: &Head, token: Token, now: Moment) -> Verdict {
+        let entrance = head.flow.entrance;
+        let route = self.routes.as_ref().and_then(|r| r.find(entrance));
+        if route.is_none() && self.removed.binary_search(&entrance).is_ok() && !head.flags.rst {
+            return Verdict::Reset(ResetCause::RouteRemoved);
+        }
+        let Some(number) = self.resolve(token, route) else {
+            return self.pass_unknown(head, token, now);
+        };
+        let timeout = route.map_or(REQUEST_TIMEOUT, |route| route.timeout);
+        let signals = self.flows.note(head, (number, token), timeout, now);
+        let Some(slot) = self.roster.get_mut(number) else {
+            return Verdict::Drop(DropCause::TokenNotKnownYet);
+        };
+        apply(slot, signals, now);
+        Verdict::Forward {
+            address: slot.target.address,
+            label: slot.target.label,
+            token,
+            opening: None,
+        }
+    }
+
+    /// The target of a token; of several, the one whose service the route has.
+    fn resolve(&self, token: Token, route: Option<&Route>) -> Option<SlotNumber> {
+        let mut numbers = self.roster.with_token(token);
+        let first = numbers.next()?;
+        let fits = |number: &SlotNumber| {
+            let slot = self.roster.get(*number);
+            slot.zip(route)
+                .is_some_and(|(slot, route)| route.has_service(&slot.target.service))
+        };
+        if fits(&first) {
+            return Some(first);
+        }
+        Some(numbers.find(fits).unwrap_or(first))
+    }
+
+    /// A packet whose token no known target has.
+    fn pass_unknown(&mut self, head: &Head, token: Token, now: Moment) -> Verdict {
+        if head.flags.rst {
+            return Verdict::Drop(DropCause::AlreadyEnded);
+        }
+        if self.roster.is_ended(token) {
+            return Verdict::Reset(ResetCause::TargetGone);
+        }
+        match self.strangers.is_dead(token, now, self.freshness.synced) {
+            true => Verdict::Reset(ResetCause::UnknownToken),
+            false => Verdict::Drop(DropCause::TokenNotKnownYet),
+        }
+    }
+
+    /// How many targets of a service a batch removes.
+    fn removal_of(&self, service: &ServiceName, numbers: &[SlotNumber]) -> Removal {
+        let is_unannounced = |slot: &Slot| !slot.target.is_leaving;
+        let of_service = self.roster.of_service(service);
+        let (mut total, mut unannounced) = (0, 0);
+        for (number, slot) in of_service {
+            if !is_unannounced(slot) {
+                continue;
+            }
+            total += 1;
+            unannounced += usize::from(numbers.contains(&number));
+        }
+        Removal { unannounced, total }
+    }
+}
+
+/// Whether a service has another target that takes new flows and is not silent.
+fn has_other(roster: &Roster, service: &ServiceName, number: SlotNumber, now: Moment) -> bool {
+    roster
+        .of_service(service)
+        .any(|(other, slot)| other != number && slot.is_open() && !slot.load.silence.is_silent(now))
+}
+
+/// Refuses a new flow; only a current view knows that it can't be served.
+fn refuse(cause: ResetCause, is_current: bool) -> Verdict {
+    match is_current {
+        true => Verdict::Reset(cause),
+        false => Verdict::Drop(DropCause::ViewNotCurrent),
+    }
+}
+
+/// Passes an opening packet on.
+fn forward(slot: &Slot, opening: Opening) -> Verdict {
+    Verdict::Forward {
+        address: slot.target.address,
+        label: slot.target.label,
+        token: slot.token,
+        opening: Some(opening),
+    }
+}
+
+/// Takes over what a packet shows of its target.
+fn apply(slot: &mut Slot, signals: Signals, now: Moment) {
+    let load = &mut slot.load;
+    if signals.is_new {
+        load.flows += 1;
+    }
+    if signals.is_ended {
+        load.flows = load.flows.saturating_sub(1);
+    }
+    match (signals.was_busy, signals.is_busy) {
+        (false, true) => load.busy += 1,
+        (true, false) => load.busy = load.busy.saturating_sub(1),
+        _ => {}
+    }
+    if signals.is_opened || signals.progress.is_some() {
+        load.silence.note_life();
+    }
+    if signals.has_request {
+        load.silence.note_request(now);
+    }
+}
+
+/// Gives back the load of a flow that was forgotten.
+fn release(roster: &mut Roster, forgotten: Forgotten) {
+    let Some(slot) = roster.get_mut(forgotten.slot) else {
+        return;
+    };
+    if slot.token != forgotten.token {
+        return;
+    }
+    if forgotten.was_busy {
+        slot.load.busy = slot.load.busy.saturating_sub(1);
+    }
+    if forgotten.is_removed && !forgotten.was_ended {
+        slot.load.flows = slot.load.flows.saturating_sub(1);
+    }
+}
--- a/crates/forwarder/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -1,4 +1,4 @@
-//! Time as the forwarder sees it.
+//! Time as a program sees it.
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -3,11 +3,14 @@
 //! Raw text becomes one of these types once, at the edge, through `FromStr` or `TryFrom`. Code
 //! behind the edge holds checked values only.
 
+mod clock;
 mod find;
 mod id;
 mod net;
 mod quantity;
+mod token;
 
+pub use clock::{Clock, Moment, SystemClock};
 pub use find::{Finding, Findings, Place};
 pub use id::{
     Digest, FlowPort, Incarnation, ParseIdError, PresetName, RequestId, Revision, ServiceId,
@@ -15,3 +18,4 @@
 };
 pub use net::{Flow, Protocol};
 pub use quantity::{ByteCount, ByteRate, EventRate, ParseQuantityError, Weight};
+pub use token::{TargetLabel, Token};
