Count a flow's load only while the flow is remembered

Cause: an opening counted at its target although the table was full, and a flow that changed its target counted at both. Found by the tests of this commit (full_table_still_serves, chance_packets_leave_no_load_behind). The table now tells what it remembered and what it forgot, and steering applies just that.

--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -69,6 +69,8 @@
     pub is_busy: bool,
     /// The caller ended the flow.
     pub is_ended: bool,
+    /// Another flow was remembered under these addresses.
+    pub before: Option<Forgotten>,
 }
 
 /// A flow that was forgotten.
@@ -112,14 +114,20 @@
         is_copy.then_some((state.slot, state.token))
     }
 
-    /// Remembers a new flow; gives what was remembered under its addresses before.
+    /// Remembers a new flow unless the table is full.
     pub fn open(
         &mut self,
         head: &Head,
         (slot, token): (SlotNumber, Token),
         timeout: Duration,
         now: Moment,
-    ) -> Option<Forgotten> {
+    ) -> Signals {
+        let mut signals = Signals::default();
+        if self.is_full(head) {
+            return signals;
+        }
+        signals.is_new = true;
+        signals.is_busy = true;
         let state = FlowState {
             slot,
             token,
@@ -130,15 +138,18 @@
             timeout,
             seen: now,
         };
-        if self.table.len() >= self.limit && !self.table.contains_key(&head.flow) {
-            return None;
-        }
-        let before = self.table.insert(head.flow, state)?;
-        Some(before.forgotten(true))
+        let before = self.table.insert(head.flow, state);
+        signals.before = before.map(|before| before.forgotten(true));
+        signals
+    }
+
+    /// Whether there is no room for this flow.
+    fn is_full(&self, head: &Head) -> bool {
+        self.table.len() >= self.limit && !self.table.contains_key(&head.flow)
     }
 
     /// Whether a flow is remembered at this target.
-    pub fn is_known(&self, head: &Head, token: Token) -> bool {
+    fn is_known(&self, head: &Head, token: Token) -> bool {
         self.table
             .get(&head.flow)
             .is_some_and(|state| state.token == token)
@@ -154,23 +165,22 @@
     ) -> Signals {
         let mut signals = Signals::default();
         if !self.is_known(head, token) {
-            if self.table.len() >= self.limit || head.flags.fin || head.flags.rst {
+            if self.is_full(head) || head.flags.fin || head.flags.rst {
                 return signals;
             }
             signals.is_new = true;
-            self.table.insert(
-                head.flow,
-                FlowState {
-                    slot,
-                    token,
-                    phase: Phase::Open,
-                    sent: head.seq,
-                    acked: head.ack,
-                    busy: None,
-                    timeout,
-                    seen: now,
-                },
-            );
+            let state = FlowState {
+                slot,
+                token,
+                phase: Phase::Open,
+                sent: head.seq,
+                acked: head.ack,
+                busy: None,
+                timeout,
+                seen: now,
+            };
+            let before = self.table.insert(head.flow, state);
+            signals.before = before.map(|before| before.forgotten(true));
         }
         let Some(state) = self.table.get_mut(&head.flow) else {
             return signals;
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -236,8 +236,6 @@
         let Some(slot) = self.roster.get_mut(number) else {
             return refuse(ResetCause::NoTarget, is_current);
         };
-        slot.load.flows += 1;
-        slot.load.busy += 1;
         slot.load.silence.note_opening(now);
         let opening = match earlier {
             Some(_) => Opening::Moved,
@@ -245,9 +243,8 @@
         };
         let verdict = forward(slot, opening);
         let place = (number, slot.token);
-        if let Some(before) = self.flows.open(head, place, timeout, now) {
-            release(&mut self.roster, before);
-        }
+        let signals = self.flows.open(head, place, timeout, now);
+        apply(&mut self.roster, number, signals, now);
         verdict
     }
 
@@ -263,10 +260,10 @@
         };
         let timeout = route.map_or(REQUEST_TIMEOUT, |route| route.timeout);
         let signals = self.flows.note(head, (number, token), timeout, now);
-        let Some(slot) = self.roster.get_mut(number) else {
+        apply(&mut self.roster, number, signals, now);
+        let Some(slot) = self.roster.get(number) else {
             return Verdict::Drop(DropCause::TokenNotKnownYet);
         };
-        apply(slot, signals, now);
         Verdict::Forward {
             address: slot.target.address,
             label: slot.target.label,
@@ -346,7 +343,13 @@
 }
 
 /// Takes over what a packet shows of its target.
-fn apply(slot: &mut Slot, signals: Signals, now: Moment) {
+fn apply(roster: &mut Roster, number: SlotNumber, signals: Signals, now: Moment) {
+    if let Some(before) = signals.before {
+        release(roster, before);
+    }
+    let Some(slot) = roster.get_mut(number) else {
+        return;
+    };
     let load = &mut slot.load;
     if signals.is_new {
         load.flows += 1;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod inputs;
 pub mod programs;
+pub mod steering;
--- /dev/null
+++ b/tests/tests/steer.rs
@@ -0,0 +1,475 @@
+//! What becomes of each packet, whichever VM it comes to.
+
+use std::time::Duration;
+
+use bambooseam_steer::{
+    DropCause, Opening, ResetCause, Route, Routes, Share, Standing, Steering, Target, Verdict,
+};
+use bambooseam_tests::steering::*;
+use bambooseam_types::{Incarnation, TargetLabel};
+
+fn opening_of(verdict: Verdict) -> Option<Opening> {
+    match verdict {
+        Verdict::Forward { opening, .. } => opening,
+        _ => None,
+    }
+}
+
+/// Opens flow `number` at 0 and gives its target's token.
+fn open(steering: &mut Steering, number: u16) -> bambooseam_types::Token {
+    token_of(steering.packet(&opening(flow(number, ORDERS), 0), at(0)))
+}
+
+fn is_closed(steering: &Steering) -> bool {
+    let mut loads = steering.roster().iter().map(|(_, slot)| slot.load);
+    loads.all(|load| load.flows == 0 && load.busy == 0)
+}
+
+#[test]
+fn every_vm_sends_a_flow_to_the_target_that_it_names() {
+    let targets: Vec<_> = (1..=9).map(target).collect();
+    let mut first = steering(targets.clone());
+    let mut other = steering(targets.into_iter().rev());
+    for number in 1..100 {
+        let verdict = first.packet(&opening(flow(number, ORDERS), 0), at(0));
+        let token = token_of(verdict);
+        let packet = inside(flow(number, ORDERS), token, 101, 501, 30);
+        let elsewhere = other.packet(&packet, at(9));
+        assert_eq!(elsewhere.forwarded(), verdict.forwarded());
+    }
+}
+
+#[test]
+fn later_start_under_the_same_id_is_another_target() {
+    let mut steering = steering([target(1)]);
+    let token = open(&mut steering, 1);
+    let again = Target {
+        start: Incarnation::from(5_000),
+        ..target(1)
+    };
+    steering.put_target(again, at(100));
+    let packet = inside(flow(1, ORDERS), token, 101, 501, 30);
+    let verdict = steering.packet(&packet, at(101));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::TargetGone));
+    assert_ne!(open(&mut steering, 2), token);
+}
+
+#[test]
+fn address_of_an_ended_target_belongs_to_another_service() {
+    let mut steering = steering([target(1)]);
+    let token = open(&mut steering, 1);
+    steering.remove_targets(&[target(1).id], at(10));
+    let other = Target {
+        id: "i-77".parse().expect("an id"),
+        label: TargetLabel::new(0x77).expect("a label"),
+        service: "charts".parse().expect("a service"),
+        ..target(1)
+    };
+    steering.put_target(other, at(2_500));
+    steering.note_sync(at(2_500));
+    let packet = inside(flow(1, ORDERS), token, 101, 501, 30);
+    let verdict = steering.packet(&packet, at(2_600));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::TargetGone));
+    let verdict = steering.packet(&opening(flow(2, ORDERS), 0), at(2_600));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::NoTarget));
+}
+
+#[test]
+fn target_whose_entry_lapsed_with_the_store_away_keeps_its_flows() {
+    let targets: Vec<_> = (1..=9).map(target).collect();
+    let mut steering = steering(targets);
+    let token = open(&mut steering, 1);
+    let (_, slot) = steering.roster().iter().find(|(_, s)| s.token == token).expect("held");
+    let id = slot.target.id.clone();
+    steering.note_outage(at(1_000));
+    let kept = steering.remove_targets(std::slice::from_ref(&id), at(1_100));
+    assert_eq!(kept, [(id.clone(), Standing::Kept { until: at(3_500) })]);
+    steering.note_sync(at(1_100));
+    let packet = inside(flow(1, ORDERS), token, 101, 501, 30);
+    assert!(steering.packet(&packet, at(1_200)).forwarded().is_some());
+    // It is not back in time.
+    assert_eq!(steering.sweep(at(3_499)), []);
+    assert_eq!(steering.sweep(at(3_500)), [id]);
+    let verdict = steering.packet(&packet, at(3_501));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::TargetGone));
+}
+
+#[test]
+fn target_whose_entry_is_back_is_kept_for_good() {
+    let mut steering = steering((1..=9).map(target));
+    steering.note_outage(at(1_000));
+    steering.remove_targets(&[target(3).id], at(1_100));
+    steering.put_target(target(3), at(2_000));
+    assert_eq!(steering.sweep(at(9_000)), []);
+}
+
+#[test]
+fn entry_back_after_its_target_was_given_up_revives_its_flows() {
+    let mut steering = steering((1..=9).map(target));
+    let token = target(3).token();
+    steering.remove_targets(&[target(3).id], at(1_000));
+    let packet = inside(flow(1, ORDERS), token, 101, 501, 30);
+    assert!(steering.packet(&packet, at(1_001)).forwarded().is_none());
+    steering.put_target(target(3), at(1_500));
+    assert!(steering.packet(&packet, at(1_501)).forwarded().is_some());
+}
+
+#[test]
+fn many_entries_gone_at_once_look_like_a_lapse() {
+    let mut few = steering((1..=9).map(target));
+    let ids: Vec<_> = (1..=3).map(|number| target(number).id).collect();
+    assert_eq!(few.remove_targets(&ids, at(10)).len(), 0);
+    let mut many = steering((1..=9).map(target));
+    let ids: Vec<_> = (1..=4).map(|number| target(number).id).collect();
+    assert_eq!(many.remove_targets(&ids, at(10)).len(), 4);
+}
+
+#[test]
+fn unknown_token_is_reset_once_the_view_must_know_it() {
+    let mut steering = steering([target(1)]);
+    let packet = inside(flow(1, ORDERS), target(2).token(), 101, 501, 30);
+    let wait = Verdict::Drop(DropCause::TokenNotKnownYet);
+    assert_eq!(steering.packet(&packet, at(100)), wait);
+    // What was read before the packet came, or just then, may lack the target.
+    steering.note_sync(at(300));
+    assert_eq!(steering.packet(&packet, at(310)), wait);
+    steering.note_sync(at(350));
+    let verdict = steering.packet(&packet, at(360));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::UnknownToken));
+}
+
+#[test]
+fn unknown_token_is_never_reset_while_the_view_is_old() {
+    let mut steering = steering([target(1)]);
+    let packet = inside(flow(1, ORDERS), target(2).token(), 101, 501, 30);
+    for time in 1..200 {
+        let verdict = steering.packet(&packet, at(100 * time));
+        assert_eq!(verdict, Verdict::Drop(DropCause::TokenNotKnownYet));
+    }
+}
+
+#[test]
+fn unservable_opening_is_refused_at_once_by_a_current_view_only() {
+    let mut steering = steering([target(1)]);
+    let nowhere = opening(flow(1, NOWHERE), 0);
+    let empty = opening(flow(1, CHARTS), 0);
+    let no_route = Verdict::Reset(ResetCause::NoRoute);
+    assert_eq!(steering.packet(&nowhere, at(100)), no_route);
+    let no_target = Verdict::Reset(ResetCause::NoTarget);
+    assert_eq!(steering.packet(&empty, at(100)), no_target);
+    let not_current = Verdict::Drop(DropCause::ViewNotCurrent);
+    assert_eq!(steering.packet(&nowhere, at(9_000)), not_current);
+    assert_eq!(steering.packet(&empty, at(9_000)), not_current);
+}
+
+#[test]
+fn old_view_still_places_flows() {
+    let mut steering = steering([target(1)]);
+    let verdict = steering.packet(&opening(flow(1, ORDERS), 0), at(60_000));
+    assert!(verdict.forwarded().is_some());
+}
+
+#[test]
+fn removed_route_ends_its_flows_and_an_unseen_one_does_not() {
+    let mut steering = steering([target(1)]);
+    let token = open(&mut steering, 1);
+    // Another VM has a newer configuration with a route that is not known here yet.
+    let packet = inside(flow(1, NOWHERE), token, 101, 501, 30);
+    assert!(steering.packet(&packet, at(10)).forwarded().is_some());
+    let removed = steering.set_routes(Routes::new(vec![route(CHARTS, "charts")], None));
+    assert_eq!(removed, [ORDERS]);
+    let packet = inside(flow(1, ORDERS), token, 101, 501, 30);
+    let gone = Verdict::Reset(ResetCause::RouteRemoved);
+    assert_eq!(steering.packet(&packet, at(20)), gone);
+    steering.set_routes(routes());
+    assert!(steering.packet(&packet, at(30)).forwarded().is_some());
+}
+
+#[test]
+fn moved_route_leaves_open_flows_where_they_are() {
+    let charts = Target {
+        service: "charts".parse().expect("a service"),
+        ..target(2)
+    };
+    let mut steering = steering([target(1), charts]);
+    let token = open(&mut steering, 1);
+    steering.set_routes(Routes::new(vec![route(ORDERS, "charts")], None));
+    let packet = inside(flow(1, ORDERS), token, 101, 501, 30);
+    assert_eq!(token_of(steering.packet(&packet, at(10))), token);
+    assert_eq!(open(&mut steering, 2), target(2).token());
+}
+
+#[test]
+fn leaving_target_keeps_its_flows_and_gets_no_new_one() {
+    let mut steering = steering([target(1)]);
+    let token = open(&mut steering, 1);
+    let leaving = Target {
+        is_leaving: true,
+        ..target(1)
+    };
+    steering.put_target(leaving, at(10));
+    let packet = inside(flow(1, ORDERS), token, 101, 501, 30);
+    assert!(steering.packet(&packet, at(20)).forwarded().is_some());
+    let verdict = steering.packet(&opening(flow(2, ORDERS), 0), at(20));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::NoTarget));
+    // Copies of an opening packet that it may have answered still go there.
+    let verdict = steering.packet(&opening(flow(1, ORDERS), 1), at(20));
+    assert!(verdict.forwarded().is_some());
+}
+
+#[test]
+fn overwritten_entry_leaves_flows_and_gets_no_new_one() {
+    let mut steering = steering([target(1)]);
+    let token = open(&mut steering, 1);
+    steering.distrust_target(&target(1).id);
+    let packet = inside(flow(1, ORDERS), token, 101, 501, 30);
+    assert!(steering.packet(&packet, at(20)).forwarded().is_some());
+    let verdict = steering.packet(&opening(flow(2, ORDERS), 0), at(20));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::NoTarget));
+}
+
+#[test]
+fn copies_of_an_opening_go_to_the_same_target() {
+    let mut steering = steering((1..=9).map(target));
+    for number in 1..50 {
+        let token = open(&mut steering, number);
+        for (copy, time) in [(1, 200), (2, 600)] {
+            let verdict = steering.packet(&opening(flow(number, ORDERS), copy), at(time));
+            // One unanswered flow may be a lost answer; its target may still open it.
+            if opening_of(verdict) == Some(Opening::Copy) {
+                assert_eq!(token_of(verdict), token);
+            }
+        }
+    }
+    let mut single = self::steering((1..=9).map(target));
+    let token = open(&mut single, 1);
+    for (copy, time) in [(1, 200), (2, 600)] {
+        let verdict = single.packet(&opening(flow(1, ORDERS), copy), at(time));
+        assert_eq!(opening_of(verdict), Some(Opening::Copy));
+        assert_eq!(token_of(verdict), token);
+    }
+}
+
+#[test]
+fn copies_leave_a_target_that_two_flows_found_silent() {
+    let mut steering = steering([target(1)]);
+    let token = open(&mut steering, 1);
+    open(&mut steering, 2);
+    steering.put_target(target(2), at(100));
+    let verdict = steering.packet(&opening(flow(1, ORDERS), 1), at(200));
+    assert_eq!(opening_of(verdict), Some(Opening::Moved));
+    assert_ne!(token_of(verdict), token);
+    // Its load moved with it.
+    let loads: Vec<_> = steering.roster().iter().map(|(_, slot)| slot.load.busy).collect();
+    assert_eq!(loads, [1, 1]);
+}
+
+#[test]
+fn copies_stay_at_a_target_that_showed_life() {
+    let mut steering = steering([target(1)]);
+    let token = open(&mut steering, 1);
+    open(&mut steering, 2);
+    steering.put_target(target(2), at(100));
+    steering.packet(&inside(flow(2, ORDERS), token, 101, 501, 0), at(150));
+    let verdict = steering.packet(&opening(flow(1, ORDERS), 1), at(200));
+    assert_eq!(opening_of(verdict), Some(Opening::Copy));
+}
+
+#[test]
+fn packets_that_no_caller_sends_go_nowhere() {
+    let mut steering = steering([target(1)]);
+    let token = open(&mut steering, 1);
+    let mut forged = opening(flow(2, ORDERS), 0);
+    forged.flags.ack = true;
+    let verdict = steering.packet(&forged, at(1));
+    assert_eq!(verdict, Verdict::Drop(DropCause::Forged));
+    let mut nameless = inside(flow(1, ORDERS), token, 101, 501, 30);
+    nameless.token = None;
+    let verdict = steering.packet(&nameless, at(1));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::NoToken));
+    // A reset is never answered by a reset.
+    nameless.flags.rst = true;
+    let verdict = steering.packet(&nameless, at(1));
+    assert_eq!(verdict, Verdict::Drop(DropCause::AlreadyEnded));
+}
+
+#[test]
+fn load_ends_with_its_flow() {
+    let mut steering = steering([target(1)]);
+    for number in 1..20 {
+        let token = open(&mut steering, number);
+        let flow = flow(number, ORDERS);
+        steering.packet(&inside(flow, token, 101, 501, 0), at(10));
+        steering.packet(&inside(flow, token, 101, 501, 300), at(11));
+        steering.packet(&inside(flow, token, 401, 1_900, 0), at(30));
+        steering.packet(&ending(flow, token, 1_900), at(31));
+        // The caller acknowledges the target's end, too.
+        steering.packet(&inside(flow, token, 402, 1_901, 0), at(32));
+    }
+    assert!(is_closed(&steering));
+    steering.sweep(at(5_000));
+    assert_eq!(steering.flow_count(), 0);
+}
+
+#[test]
+fn load_of_silent_flows_is_forgotten() {
+    let mut steering = steering([target(1)]);
+    let token = open(&mut steering, 1);
+    open(&mut steering, 2);
+    let packet = inside(flow(1, ORDERS), token, 101, 501, 300);
+    steering.packet(&packet, at(10));
+    // The second flow never opened; the first one's request outlasts its route's time.
+    steering.sweep(at(2_100));
+    let load = steering.roster().iter().next().expect("a target").1.load;
+    assert_eq!((load.flows, load.busy), (1, 0));
+    steering.sweep(at(16_000));
+    assert!(is_closed(&steering));
+}
+
+#[test]
+fn flow_that_came_from_another_vm_counts() {
+    let mut steering = steering([target(1)]);
+    let token = target(1).token();
+    steering.packet(&inside(flow(1, ORDERS), token, 900, 7_000, 300), at(10));
+    let load = |steering: &Steering| {
+        let (_, slot) = steering.roster().iter().next().expect("a target");
+        (slot.load.flows, slot.load.busy)
+    };
+    assert_eq!(load(&steering), (1, 1));
+    steering.packet(&inside(flow(1, ORDERS), token, 1_200, 8_000, 0), at(40));
+    assert_eq!(load(&steering), (1, 0));
+}
+
+#[test]
+fn weights_share_new_flows_alike_on_every_vm() {
+    let charts = Target {
+        service: "charts".parse().expect("a service"),
+        ..target(2)
+    };
+    let share = |service: &str, weight| Share {
+        service: service.parse().expect("a service"),
+        weight,
+    };
+    let split = Route {
+        shares: vec![share("orders", 90), share("nobody", 0), share("charts", 10)],
+        ..route(ORDERS, "orders")
+    };
+    let mut vms = [steering([target(1), charts.clone()]), steering([charts, target(1)])];
+    let mut charted = 0;
+    for number in 1..=5_000 {
+        let packet = opening(flow(number, ORDERS), 0);
+        let tokens = vms.each_mut().map(|vm| {
+            vm.set_routes(Routes::new(vec![split.clone()], None));
+            token_of(vm.packet(&packet, at(0)))
+        });
+        assert_eq!(tokens[0], tokens[1]);
+        charted += u32::from(tokens[0] == target(2).token());
+    }
+    assert!((400..600).contains(&charted), "{charted} of 5,000 at weight 10 of 100");
+}
+
+#[test]
+fn colliding_tokens_open_no_flow_at_the_later_start() {
+    let (earlier, later) = colliding("orders");
+    for targets in [[&earlier, &later], [&later, &earlier]] {
+        let mut steering = steering(targets.map(Target::clone));
+        for number in 1..20 {
+            let verdict = steering.packet(&opening(flow(number, ORDERS), 0), at(0));
+            assert_eq!(verdict.forwarded(), Some((earlier.address, earlier.token())));
+        }
+        // Once the earlier one has ended the later one is open.
+        steering.remove_targets(std::slice::from_ref(&earlier.id), at(10));
+        steering.sweep(at(9_000));
+        let verdict = steering.packet(&opening(flow(30, ORDERS), 0), at(9_000));
+        assert_eq!(verdict.forwarded(), Some((later.address, later.token())));
+    }
+}
+
+#[test]
+fn route_tells_colliding_tokens_of_two_services_apart() {
+    let (orders, charts) = colliding("charts");
+    let mut steering = steering([orders.clone(), charts.clone()]);
+    for (entrance, target) in [(ORDERS, &orders), (CHARTS, &charts)] {
+        let verdict = steering.packet(&opening(flow(1, entrance), 0), at(0));
+        assert_eq!(verdict.forwarded(), Some((target.address, target.token())));
+        let packet = inside(flow(1, entrance), target.token(), 101, 501, 30);
+        let verdict = steering.packet(&packet, at(1));
+        assert_eq!(verdict.forwarded(), Some((target.address, target.token())));
+    }
+}
+
+/// Two targets with one token, the second later and of `service`.
+fn colliding(service: &str) -> (Target, Target) {
+    let mut seen = std::collections::HashMap::new();
+    for start in 0.. {
+        let candidate = Target {
+            start: Incarnation::from(start),
+            ..target(1)
+        };
+        let Some(earlier) = seen.insert(candidate.token(), start) else {
+            continue;
+        };
+        let first = Target {
+            start: Incarnation::from(earlier),
+            ..target(1)
+        };
+        let second = Target {
+            id: "i-0b".parse().expect("an id"),
+            address: target(2).address,
+            service: service.parse().expect("a service"),
+            ..candidate
+        };
+        return (first, second);
+    }
+    unreachable!("tokens have 32 bits")
+}
+
+#[test]
+fn full_table_still_serves() {
+    let mut steering = steering([target(1), target(2)]);
+    for number in 1..=1_200 {
+        let token = open(&mut steering, number);
+        let packet = inside(flow(number, ORDERS), token, 101, 501, 30);
+        assert_eq!(token_of(steering.packet(&packet, at(5))), token);
+    }
+    assert_eq!(steering.flow_count(), 1_000);
+    steering.sweep(at(60_000));
+    assert!(is_closed(&steering));
+}
+
+#[test]
+fn chance_packets_leave_no_load_behind() {
+    use rand::rngs::StdRng;
+    use rand::{Rng, SeedableRng};
+    for seed in 0..100 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut steering = steering((1..=4).map(target));
+        let mut time = 0;
+        for _ in 0..2_000 {
+            time += random.random_range(0..40);
+            let flow = flow(random.random_range(1..30), ORDERS);
+            let token = target(random.random_range(1..=5)).token();
+            let mut head = match random.random_bool(0.2) {
+                true => opening(flow, random.random_range(0..3)),
+                false => {
+                    let (seq, ack) = (random.random_range(90..900), random.random_range(90..900));
+                    inside(flow, token, seq, ack, random.random_range(0..300))
+                }
+            };
+            head.flags.fin = random.random_bool(0.1);
+            head.flags.rst = random.random_bool(0.05);
+            steering.packet(&head, at(time));
+            match random.random_range(0..40) {
+                0 => drop(steering.remove_targets(&[target(2).id], at(time))),
+                1 => steering.put_target(target(2), at(time)),
+                2 => steering.note_sync(at(time)),
+                3 => drop(steering.sweep(at(time))),
+                _ => {}
+            }
+        }
+        steering.sweep(at(time + 1));
+        steering.sweep(at(time + Duration::from_secs(60).as_millis() as u64));
+        assert!(is_closed(&steering), "seed {seed}");
+        assert_eq!(steering.flow_count(), 0, "seed {seed}");
+    }
+}
