--- /dev/null
+++ b/tests/tests/platform_documents.rs
@@ -0,0 +1,217 @@
+//! Published entries: what can't be read names no target and disturbs no other.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use bambooseam_platform::document::Config;
+use bambooseam_platform::{Document, DocumentError, Kind};
+use bambooseam_steer::Target;
+use bambooseam_tests::inputs::{for_each_bytes, for_each_input};
+use bolero::generator::{ValueGenerator, produce};
+use serde_json::{Value, json};
+
+fn entry() -> Value {
+    json!({
+        "service": "huvo11a", "address": "10.128.0.9:8080", "zone": "pnw-a",
+        "config_version": "v1", "capacity": 2, "state": "ready", "warmup_left_ms": 0,
+        "sequence": 4, "born": 1_790_000_000_123_u64,
+    })
+}
+
+fn config() -> Value {
+    json!({
+        "config_version": 7,
+        "routes": [
+            {"name": "r-1", "host": "198.18.0.1", "prefix": "/8443/", "route_type": "safe",
+             "timeout_ms": 1500, "priority": 2, "max_attempts": 2,
+             "traffic_split": [{"service": "huvo11a", "weight": 90},
+                               {"service": "wuno96b", "weight": 10}]},
+            {"name": "r-2", "host": "198.18.0.2", "prefix": "/80/", "route_type": "download",
+             "timeout_ms": 5000, "service": "wuno96b"},
+        ],
+        "services": [{"name": "huvo11a"}, {"name": "wuno96b"}],
+        "limits": {"idle_timeout_ms": 15000},
+    })
+}
+
+fn read_target(entry: &Value) -> Result<Target, DocumentError> {
+    let kind = Kind::of_key("servers/i-7f3a91c2").expect("a key");
+    match kind.read(entry.to_string().as_bytes())? {
+        Document::Target(target) => Ok(target),
+        Document::Config(_) => panic!("a target was read as a configuration"),
+    }
+}
+
+fn read_config(config: &Value) -> Result<Config, DocumentError> {
+    match Kind::Config.read(config.to_string().as_bytes())? {
+        Document::Config(config) => Ok(config),
+        Document::Target(_) => panic!("a configuration was read as a target"),
+    }
+}
+
+#[test]
+fn target_is_read() {
+    let target = read_target(&entry()).expect("a target");
+    assert_eq!(target.id.as_str(), "i-7f3a91c2");
+    assert_eq!(target.label.get(), 0x7f3a_91c2);
+    assert_eq!(target.start.get(), 1_790_000_000_123);
+    assert_eq!(target.address, SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, 9), 8080));
+    assert_eq!((target.capacity, target.is_leaving), (2, false));
+    let mut draining = entry();
+    draining["state"] = json!("draining");
+    draining["warmup_left_ms"] = json!(1_250);
+    let target = read_target(&draining).expect("a target");
+    assert!(target.is_leaving);
+    assert_eq!(target.cold_time, Duration::from_millis(1_250));
+}
+
+#[test]
+fn entry_without_a_start_is_a_target() {
+    let mut old = entry();
+    old.as_object_mut().expect("an object").remove("born");
+    assert_eq!(read_target(&old).expect("a target").start.get(), 0);
+}
+
+#[test]
+fn new_fields_are_ignored() {
+    let mut newer = entry();
+    newer["colour"] = json!({"deep": [1, 2]});
+    assert!(read_target(&newer).is_ok());
+}
+
+#[test]
+fn entry_with_a_field_missing_names_no_target() {
+    let fields = [
+        "service", "address", "zone", "config_version", "capacity", "state", "warmup_left_ms",
+        "sequence",
+    ];
+    for field in fields {
+        let mut bad = entry();
+        bad.as_object_mut().expect("an object").remove(field);
+        let error = read_target(&bad).expect_err(field).to_string();
+        assert!(error.contains(field) && error.contains("missing"), "{error}");
+    }
+}
+
+#[test]
+fn entry_with_a_field_of_another_type_names_no_target() {
+    let bad = [
+        ("service", json!(7)),
+        ("service", json!("")),
+        ("address", json!("10.0.0.1")),
+        ("address", json!("10.0.0.1:0")),
+        ("address", json!("0.0.0.0:80")),
+        ("address", json!(null)),
+        ("zone", json!(["a"])),
+        ("capacity", json!("2")),
+        ("capacity", json!(0)),
+        ("capacity", json!(-1)),
+        ("capacity", json!(2.5)),
+        ("state", json!("resting")),
+        ("state", json!(1)),
+        ("warmup_left_ms", json!("soon")),
+        ("sequence", json!(null)),
+        ("born", json!("1790000000123")),
+        ("born", json!(1.5)),
+        ("born", json!(-4)),
+    ];
+    for (field, value) in bad {
+        let mut entry = entry();
+        entry[field] = value.clone();
+        assert!(read_target(&entry).is_err(), "{field}: {value}");
+    }
+}
+
+#[test]
+fn bytes_that_are_no_object_name_no_target() {
+    let kind = Kind::of_key("servers/i-1").expect("a key");
+    for bytes in [&b""[..], b"\xff\xfe", b"[]", b"7", b"{", b"null"] {
+        assert_eq!(kind.read(bytes), Err(DocumentError::NotJson));
+    }
+}
+
+#[test]
+fn identifier_without_digits_names_no_target() {
+    for key in ["servers/i-", "servers/i-xyz", "servers/i-0", "servers/i-11112222333344445"] {
+        let read = Kind::of_key(key).and_then(|kind| kind.read(entry().to_string().as_bytes()));
+        assert!(read.is_err(), "{key}");
+    }
+}
+
+#[test]
+fn keys_of_others_are_none_of_ours() {
+    for key in ["op/other", "op/config2", "server/i-1", "", "servers"] {
+        assert!(Kind::of_key(key).is_err(), "{key}");
+    }
+}
+
+#[test]
+fn config_is_read() {
+    let config = read_config(&config()).expect("a configuration");
+    assert_eq!((config.version, config.routes.len()), (7, 2));
+    assert_eq!(config.routes.idle_time, Some(Duration::from_secs(15)));
+    let entrance = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8443);
+    let route = config.routes.find(entrance).expect("a route");
+    let weights: Vec<u32> = route.shares.iter().map(|share| share.weight).collect();
+    assert_eq!(weights, [90, 10]);
+    assert_eq!(route.timeout, Duration::from_millis(1_500));
+    let single = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 80);
+    let route = config.routes.find(single).expect("a route");
+    assert_eq!(route.shares[0].service.as_str(), "wuno96b");
+}
+
+#[test]
+fn route_that_cannot_be_read_leaves_the_others() {
+    let bad = [
+        json!(7),
+        json!({"host": "no address", "prefix": "/1/", "timeout_ms": 1, "service": "a"}),
+        json!({"host": "10.0.0.1", "prefix": "/70000/", "timeout_ms": 1, "service": "a"}),
+        json!({"host": "10.0.0.1", "prefix": "/1/", "timeout_ms": 1}),
+        json!({"host": "10.0.0.1", "prefix": "/1/", "timeout_ms": 1, "traffic_split": [{}]}),
+    ];
+    for route in bad {
+        let mut config = config();
+        config["routes"].as_array_mut().expect("routes").push(route);
+        let config = read_config(&config).expect("a configuration");
+        assert_eq!((config.routes.len(), config.skipped.len()), (2, 1));
+    }
+}
+
+#[test]
+fn config_without_version_or_routes_is_refused() {
+    for field in ["config_version", "routes"] {
+        let mut config = config();
+        config.as_object_mut().expect("an object").remove(field);
+        assert!(read_config(&config).is_err(), "{field}");
+    }
+}
+
+#[test]
+fn any_bytes_are_read_or_refused() {
+    let target = Kind::of_key("servers/i-1").expect("a key");
+    for_each_bytes(512, |bytes| {
+        let _ = target.read(bytes);
+        let _ = Kind::Config.read(bytes);
+        if let Ok(key) = std::str::from_utf8(bytes) {
+            let _ = Kind::of_key(key);
+        }
+    });
+}
+
+#[test]
+fn any_change_of_good_bytes_is_read_or_refused() {
+    let generator = (produce::<u16>(), produce::<u8>(), produce::<bool>());
+    let generator = generator.map_gen(|change| change);
+    let target = Kind::of_key("servers/i-1").expect("a key");
+    for_each_input(&generator, |&(at, byte, is_cut)| {
+        for (kind, good) in [(&target, entry()), (&Kind::Config, config())] {
+            let mut bytes = good.to_string().into_bytes();
+            let at = usize::from(at) % bytes.len();
+            match is_cut {
+                true => bytes.truncate(at),
+                false => bytes[at] = byte,
+            }
+            let _ = kind.read(&bytes);
+        }
+    });
+}
