--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -18,8 +18,9 @@
 use crate::node::{SharedNode, Source};
 use crate::{BootClock, Peers};
 
-/// Time between two calls while the store answers.
-const QUIET_PAUSE: Duration = Duration::from_millis(2_000);
+/// Time between two calls while the store answers: a third of the least bound that the users set
+/// for a change (3 s), so that a watch that hears nothing costs little of it.
+const QUIET_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Time between two calls while it does not: several tries within the least bound for a change.
 const HASTE_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -53,7 +53,7 @@
         self.held.iter()
     }
 
-    /// Takes what is newer than what is held, change by change.
+    /// Takes what is newer than what is held; gives the last change of each key.
     pub fn take(&mut self, changes: Changes) -> Taken {
         let mut missing = Vec::new();
         match changes.after {
@@ -75,6 +75,8 @@
             self.apply(change.clone());
             newer.push(change);
         }
+        // A document may go and come back within one list; what it is in the end counts.
+        newer.retain(|change| self.is_latest(change));
         self.upto = self.upto.max(Some(changes.upto));
         Taken::Newer(newer)
     }
@@ -130,6 +132,15 @@
         }
     }
 
+    /// Whether nothing newer of a change's key was taken.
+    fn is_latest(&self, change: &Change) -> bool {
+        match (&change.value, self.get(&change.key)) {
+            (Some(_), Some(held)) => held.revision == change.revision,
+            (None, None) => true,
+            _ => false,
+        }
+    }
+
     fn apply(&mut self, change: Change) {
         let place = self.find(&change.key);
         if change.value.is_some() {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod network;
 pub mod platform;
 pub mod settings;
+pub mod site;
 pub mod target;
 
 pub use caller::{Callers, Load, Outcome};
--- /dev/null
+++ b/crates/standin/src/site/caller.rs
@@ -0,0 +1,302 @@
+//! Callers that open flows and send requests in them.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use derive_more::{Display, Error};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::{sleep_until, timeout};
+
+use super::end::End;
+use super::{Flags, Packet, Router, Tally};
+
+/// When copies of an opening packet are sent, and when the caller gives up.
+const COPIES: [Duration; 3] = [
+    Duration::from_millis(200),
+    Duration::from_millis(600),
+    Duration::from_millis(1_400),
+];
+
+/// First port that a caller uses.
+const FIRST_PORT: u16 = 20_000;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Why a flow failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum FlowError {
+    /// The system reset it.
+    #[display("reset by the system")]
+    SystemReset,
+    /// Its target reset it.
+    #[display("reset by the target")]
+    TargetReset,
+    /// The target closed it.
+    #[display("closed")]
+    Closed,
+    /// No answer in time.
+    #[display("no answer in time")]
+    Late,
+}
+
+type Ports = Mutex<HashMap<u16, UnboundedSender<Packet>>>;
+
+/// A caller's machine: one address, many flows.
+#[derive(Debug)]
+pub struct CallerHost {
+    address: Ipv4Addr,
+    zone: String,
+    socket: UdpSocket,
+    router: Arc<Router>,
+    ports: Ports,
+    next: AtomicU16,
+    tally: Arc<Tally>,
+}
+
+/// A flow of a caller.
+#[derive(Debug)]
+pub struct CallerFlow {
+    host: Arc<CallerHost>,
+    me: SocketAddrV4,
+    entrance: SocketAddrV4,
+    packets: UnboundedReceiver<Packet>,
+    end: End,
+    /// Target's name, once an answer has told it.
+    target: Option<String>,
+}
+
+impl CallerHost {
+    /// Starts a machine at `address` in `zone`; it receives at `port`.
+    ///
+    /// # Errors
+    ///
+    /// An error when the address is taken.
+    pub async fn start(
+        address: Ipv4Addr,
+        port: u16,
+        zone: &str,
+        router: &Arc<Router>,
+        tally: &Arc<Tally>,
+    ) -> io::Result<Arc<Self>> {
+        let host = Arc::new(Self {
+            address,
+            zone: zone.into(),
+            socket: UdpSocket::bind((address, port)).await?,
+            router: Arc::clone(router),
+            ports: Ports::default(),
+            next: AtomicU16::new(FIRST_PORT),
+            tally: Arc::clone(tally),
+        });
+        let receiving = Arc::downgrade(&host);
+        tokio::spawn(async move {
+            let mut buffer = [0; 2_048];
+            while let Some(host) = receiving.upgrade() {
+                let received = timeout(TICK, host.socket.recv(&mut buffer)).await;
+                if let Ok(Ok(len)) = received {
+                    host.take(&buffer[..len]);
+                }
+            }
+        });
+        Ok(host)
+    }
+
+    /// Opens a flow; `None` for `vm` leaves the choice to the routers.
+    ///
+    /// # Errors
+    ///
+    /// Why it did not open.
+    pub async fn open(
+        self: &Arc<Self>,
+        entrance: SocketAddrV4,
+        vm: Option<SocketAddr>,
+    ) -> Result<CallerFlow, FlowError> {
+        let port = self.next.fetch_add(1, Ordering::Relaxed).max(FIRST_PORT);
+        let (sender, packets) = unbounded_channel();
+        self.ports().insert(port, sender);
+        let me = SocketAddrV4::new(self.address, port);
+        let seq = u32::from(port) << 12;
+        let mut flow = CallerFlow {
+            host: Arc::clone(self),
+            me,
+            entrance,
+            packets,
+            end: End::new(me, entrance, seq.wrapping_add(1), 0),
+            target: None,
+        };
+        flow.open(seq, vm).await?;
+        Ok(flow)
+    }
+
+    fn take(&self, bytes: &[u8]) {
+        let Some(packet) = Packet::read(bytes) else {
+            return Tally::add(&self.tally.altered);
+        };
+        if !packet.is_whole() && !packet.is_system_reset() {
+            return Tally::add(&self.tally.altered);
+        }
+        let ports = self.ports();
+        // A flow that has ended hears nothing more.
+        if let Some(sender) = ports.get(&packet.dst.port()) {
+            let _ = sender.send(packet);
+        }
+    }
+
+    async fn send(&self, packet: &Packet, vm: Option<SocketAddr>) {
+        let vm = vm.or_else(|| self.router.route(&self.zone, packet.src, packet.dst));
+        if let Some(vm) = vm {
+            // A VM that is gone drops what it is sent.
+            let _ = self.socket.send_to(&packet.write(), vm).await;
+        }
+    }
+
+    fn ports(&self) -> std::sync::MutexGuard<'_, HashMap<u16, UnboundedSender<Packet>>> {
+        self.ports.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl CallerFlow {
+    /// Sends a request and waits for its whole answer; gives its length.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none.
+    pub async fn request(
+        &mut self,
+        id: &str,
+        work: Duration,
+        bytes: usize,
+        limit: Duration,
+    ) -> Result<usize, FlowError> {
+        let line = format!("{id} {} {bytes}\n", work.as_millis());
+        self.end.queue(line.as_bytes(), false);
+        let deadline = Instant::now() + limit;
+        loop {
+            if let Some(len) = self.answer(id) {
+                return Ok(len);
+            }
+            if self.end.is_peer_done {
+                return Err(FlowError::Closed);
+            }
+            if Instant::now() >= deadline {
+                return Err(FlowError::Late);
+            }
+            self.step().await?;
+        }
+    }
+
+    /// Name of the flow's target, once an answer has told it.
+    pub fn target(&self) -> Option<&str> {
+        self.target.as_deref()
+    }
+
+    /// Whether the target has ended its direction.
+    pub fn is_ended(&self) -> bool {
+        self.end.is_peer_done
+    }
+
+    /// Ends the flow.
+    pub async fn close(mut self) {
+        self.end.queue(&[], true);
+        let deadline = Instant::now() + Duration::from_millis(500);
+        while Instant::now() < deadline && !(self.end.is_flushed() && self.end.is_peer_done) {
+            if self.step().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn open(&mut self, seq: u32, vm: Option<SocketAddr>) -> Result<(), FlowError> {
+        let begun = Instant::now();
+        let mut packet = Packet::new(self.me, self.entrance, Flags::SYN);
+        packet.seq = seq;
+        for (copy, end) in COPIES.into_iter().enumerate() {
+            packet.ack = copy as u32;
+            self.host.send(&packet, vm).await;
+            let end = tokio::time::Instant::from_std(begun + end);
+            loop {
+                let answer = tokio::select! {
+                    answer = self.packets.recv() => answer,
+                    () = sleep_until(end) => break,
+                };
+                let Some(answer) = answer else { break };
+                if answer.flags.has(Flags::RST) {
+                    if answer.is_system_reset() {
+                        Tally::add(&self.host.tally.refused);
+                        return Err(FlowError::SystemReset);
+                    }
+                    return Err(FlowError::TargetReset);
+                }
+                if answer.flags.has(Flags::SYN.and(Flags::ACK)) {
+                    let next = seq.wrapping_add(1);
+                    self.end = End::new(self.me, self.entrance, next, answer.seq.wrapping_add(1));
+                    self.end.note_echo(&answer);
+                    let packet = self.end.acknowledgement();
+                    self.host.send(&packet, None).await;
+                    return Ok(());
+                }
+            }
+        }
+        Err(FlowError::Late)
+    }
+
+    /// Sends what is due and takes one packet, or waits a little.
+    async fn step(&mut self) -> Result<(), FlowError> {
+        for packet in self.end.due(Instant::now()) {
+            self.host.send(&packet, None).await;
+        }
+        let Ok(Some(packet)) = timeout(TICK, self.packets.recv()).await else {
+            return Ok(());
+        };
+        if packet.flags.has(Flags::RST) {
+            if !packet.is_system_reset() {
+                return Err(FlowError::TargetReset);
+            }
+            if let Some(target) = &self.target
+                && self.host.tally.is_alive(target)
+            {
+                Tally::add(&self.host.tally.broken_flows);
+            }
+            return Err(FlowError::SystemReset);
+        }
+        if packet.flags.has(Flags::SYN) {
+            // A late answer of another target: callers repeat what they received last.
+            self.end.note_echo(&packet);
+            return Ok(());
+        }
+        if let Some(answer) = self.end.take(&packet) {
+            self.host.send(&answer, None).await;
+        }
+        Ok(())
+    }
+
+    /// Length of the answer, once it is there whole.
+    fn answer(&mut self, id: &str) -> Option<usize> {
+        let end = self.end.inbox.iter().position(|byte| *byte == b'\n')?;
+        let line = String::from_utf8_lossy(&self.end.inbox[..end]).into_owned();
+        let mut words = line.split(' ');
+        let answered = words.next().unwrap_or_default().to_owned();
+        let target = words.next().unwrap_or_default().to_owned();
+        let len: usize = words.next()?.parse().ok()?;
+        if self.end.inbox.len() < end + 1 + len {
+            return None;
+        }
+        self.end.inbox.drain(..end + 1 + len);
+        if answered != id {
+            Tally::add(&self.host.tally.crossed);
+        }
+        self.target = Some(target);
+        Some(len)
+    }
+}
+
+impl Drop for CallerFlow {
+    fn drop(&mut self) {
+        self.host.ports().remove(&self.me.port());
+    }
+}
--- /dev/null
+++ b/crates/standin/src/site/door.rs
@@ -0,0 +1,246 @@
+//! The store's HTTP interface as one VM sees it, with the faults it may have towards that VM.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+use super::{Event, Item, Store};
+use crate::http::{ServeError, bind, plain};
+
+/// Most items of a page; small, so that tests see several pages.
+const PAGE: usize = 10;
+
+/// What is wrong between the store and a VM.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Nothing is answered.
+    Silent,
+    /// Calls are turned away with this status.
+    Refused(u16),
+    /// Connections are closed without an answer.
+    Reset,
+    /// Each answer comes later.
+    Slow(Duration),
+    /// Each n-th answer is lost, and its connection silent from then on.
+    Lossy(u64),
+}
+
+/// The store as one VM sees it.
+#[derive(Debug)]
+pub struct Door {
+    store: Store,
+    address: SocketAddr,
+    fault: Mutex<Fault>,
+    calls: AtomicU64,
+    connections: AtomicU64,
+    /// Connections up to this number have gone silent.
+    deaf: AtomicU64,
+}
+
+impl Door {
+    /// Opens a door; it serves until the runtime ends.
+    ///
+    /// # Errors
+    ///
+    /// An error when the address is taken.
+    pub async fn open(store: Store, address: SocketAddr) -> io::Result<Arc<Self>> {
+        let listener = bind(address).await?;
+        let door = Arc::new(Self {
+            store,
+            address: listener.local_addr()?,
+            fault: Mutex::default(),
+            calls: AtomicU64::new(0),
+            connections: AtomicU64::new(0),
+            deaf: AtomicU64::new(0),
+        });
+        tokio::spawn(Arc::clone(&door).serve(listener));
+        Ok(door)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Calls that came.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Sets what is wrong from now on.
+    pub fn set_fault(&self, fault: Fault) {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+
+    /// Makes all open connections silent for good; new ones work.
+    pub fn deafen(&self) {
+        let last = self.connections.load(Ordering::Relaxed);
+        self.deaf.store(last, Ordering::Relaxed);
+    }
+
+    fn fault(&self) -> Fault {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn serve(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let number = self.connections.fetch_add(1, Ordering::Relaxed) + 1;
+            let door = Arc::clone(&self);
+            let service = service_fn(move |request| Arc::clone(&door).answer(number, request));
+            let connection = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(connection);
+        }
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        connection: u64,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, ServeError> {
+        let call = self.calls.fetch_add(1, Ordering::Relaxed);
+        self.enter(connection).await?;
+        if let Fault::Refused(status) = self.fault() {
+            return Ok(plain(StatusCode::from_u16(status)?, ""));
+        }
+        let query = Query::of(&request);
+        let response = match request.uri().path() {
+            "/api/kv-key" => self.key(&query),
+            "/api/kv-range" => self.range(&query),
+            "/api/kv-watch" => self.watch(&query).await,
+            _ => plain(StatusCode::NOT_FOUND, ""),
+        };
+        // A fault that began while the watch waited holds for its answer too.
+        self.enter(connection).await?;
+        if let Fault::Lossy(nth) = self.fault()
+            && call.is_multiple_of(nth)
+        {
+            std::future::pending::<()>().await;
+        }
+        Ok(response)
+    }
+
+    /// Lets a call pass, late or never.
+    async fn enter(&self, connection: u64) -> Result<(), ServeError> {
+        if connection <= self.deaf.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+        match self.fault() {
+            Fault::Silent => std::future::pending::<()>().await,
+            Fault::Reset => return Err("reset".into()),
+            Fault::Slow(time) => tokio::time::sleep(time / 2).await,
+            Fault::None | Fault::Refused(_) | Fault::Lossy(_) => {}
+        }
+        Ok(())
+    }
+
+    fn key(&self, query: &Query) -> Response<Full<Bytes>> {
+        let key = query.text("key");
+        let history = self.store.lock();
+        let Some(item) = history.get(&key) else {
+            return plain(StatusCode::NOT_FOUND, "");
+        };
+        let mut shown = show(&key, item);
+        shown["current_rev"] = json!(history.revision());
+        plain(StatusCode::OK, shown.to_string())
+    }
+
+    fn range(&self, query: &Query) -> Response<Full<Bytes>> {
+        let history = self.store.lock();
+        let (page, has_more) = history.range(&query.text("prefix"), &query.text("after"), PAGE);
+        let items: Vec<Value> = page
+            .into_iter()
+            .map(|(key, item)| show(key, item))
+            .collect();
+        let body = json!({
+            "items": items, "has_more": has_more, "current_rev": history.revision(),
+        });
+        plain(StatusCode::OK, body.to_string())
+    }
+
+    async fn watch(&self, query: &Query) -> Response<Full<Bytes>> {
+        let prefix = query.text("prefix");
+        let after = query.number("after");
+        let end = Instant::now() + Duration::from_millis(query.number("wait_ms").min(30_000));
+        loop {
+            {
+                let history = self.store.lock();
+                let Ok(events) = history.since(&prefix, after) else {
+                    return plain(StatusCode::GONE, "");
+                };
+                if !events.is_empty() || Instant::now() >= end {
+                    let events: Vec<Value> = events.into_iter().map(show_event).collect();
+                    let body = json!({"events": events, "current_rev": history.revision()});
+                    return plain(StatusCode::OK, body.to_string());
+                }
+            }
+            let left = end.saturating_duration_since(Instant::now());
+            self.store
+                .changed(left.min(Duration::from_millis(20)))
+                .await;
+        }
+    }
+}
+
+/// Fields of a query.
+struct Query(HashMap<String, String>);
+
+impl Query {
+    fn of(request: &Request<Incoming>) -> Self {
+        let pairs = request.uri().query().unwrap_or_default().split('&');
+        let pairs = pairs.filter_map(|pair| pair.split_once('='));
+        Self(
+            pairs
+                .map(|(key, value)| (key.into(), decode(value)))
+                .collect(),
+        )
+    }
+
+    fn text(&self, field: &str) -> String {
+        self.0.get(field).cloned().unwrap_or_default()
+    }
+
+    fn number(&self, field: &str) -> u64 {
+        self.text(field).parse().unwrap_or_default()
+    }
+}
+
+/// Undoes the encoding of a query's value.
+fn decode(value: &str) -> String {
+    let decoded = percent_encoding::percent_decode_str(value);
+    decoded.decode_utf8_lossy().into_owned()
+}
+
+fn show(key: &str, item: &Item) -> Value {
+    json!({
+        "key": key, "value": STANDARD.encode(&item.value), "revision": item.revision,
+        "created_rev": item.created, "lease": u8::from(item.expiry.is_some()),
+    })
+}
+
+fn show_event(event: &Event) -> Value {
+    match &event.item {
+        Some(item) => show(&event.key, item),
+        None => json!({"key": event.key, "revision": event.revision, "tombstone": true}),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/site/settings.rs
@@ -0,0 +1,40 @@
+//! Settings files as the platform writes them: a template, filled in.
+
+use serde_json::Value;
+
+/// Fills in `{{a}}`, `{{a.b}}` and `{{a.0}}`; lists are joined by commas, and a value that is not
+/// there gives nothing.
+pub fn render(template: &str, values: &Value) -> String {
+    let mut text = String::new();
+    let mut rest = template;
+    while let Some((before, behind)) = rest.split_once("{{") {
+        text.push_str(before);
+        let (path, after) = behind.split_once("}}").unwrap_or((behind, ""));
+        text.push_str(&shown(find(values, path.trim())));
+        rest = after;
+    }
+    text + rest
+}
+
+fn find<'a>(values: &'a Value, path: &str) -> Option<&'a Value> {
+    let mut value = values;
+    for step in path.split('.') {
+        value = match step.parse::<usize>() {
+            Ok(index) => value.get(index)?,
+            Err(_) => value.get(step)?,
+        };
+    }
+    Some(value)
+}
+
+fn shown(value: Option<&Value>) -> String {
+    match value {
+        None | Some(Value::Null) => String::new(),
+        Some(Value::String(text)) => text.clone(),
+        Some(Value::Array(list)) => {
+            let parts: Vec<String> = list.iter().map(|part| shown(Some(part))).collect();
+            parts.join(",")
+        }
+        Some(other) => other.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/site/stage.rs
@@ -0,0 +1,416 @@
+//! A whole site on loopback: store, routers, targets and callers here, VMs as processes.
+
+use std::fs::File;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::process::{Child, Command};
+use tokio::time::timeout;
+
+use super::settings::render;
+use super::target::Allowed;
+use super::{CallerHost, Door, FlowTarget, Router, Store, Tally, TargetPlan};
+use crate::Network;
+
+/// Port of datagrams, at VMs and at callers.
+const DATAGRAM_PORT: u16 = 8172;
+const READY_PORT: u16 = 8167;
+const CONTROL_PORT: u16 = 8166;
+const STORE_PORT: u16 = 8169;
+const TARGET_PORT: u16 = 8080;
+
+/// Time between two beats of a target.
+const BEAT: Duration = Duration::from_millis(400);
+
+/// Template of the settings, beside the platform's folder.
+const TEMPLATE: &str = include_str!("../../../../platform/settings.ini");
+
+/// Seeds that a VM is told.
+const SEEDS: usize = 3;
+
+/// What a site has.
+#[derive(Debug, Clone)]
+pub struct SitePlan {
+    /// The program that runs on each VM.
+    pub program: PathBuf,
+    /// VMs of each zone.
+    pub vms: Vec<u8>,
+}
+
+/// A site.
+#[derive(Debug)]
+pub struct Site {
+    /// The store.
+    pub store: Store,
+    /// The routers.
+    pub router: Arc<Router>,
+    /// What callers and targets saw.
+    pub tally: Arc<Tally>,
+    /// The VMs, zone by zone.
+    pub vms: Vec<Vm>,
+    /// A caller's machine in each zone.
+    pub callers: Vec<Arc<CallerHost>>,
+    /// Routes in force: entrance and service.
+    routes: Vec<(SocketAddrV4, String)>,
+    allowed: Allowed,
+    version: u64,
+    born: u64,
+    directory: Directory,
+    prefix: [u8; 2],
+    _network: Network,
+}
+
+/// An entry VM.
+#[derive(Debug)]
+pub struct Vm {
+    /// Its name.
+    pub id: String,
+    /// Its zone.
+    pub zone: String,
+    /// The store as it sees it.
+    pub door: Arc<Door>,
+    address: Ipv4Addr,
+    settings: Value,
+    program: PathBuf,
+    directory: PathBuf,
+    child: Option<Child>,
+}
+
+/// A directory that is removed at the end, unless a test failed.
+#[derive(Debug)]
+struct Directory(PathBuf);
+
+impl Drop for Directory {
+    fn drop(&mut self) {
+        match std::thread::panicking() {
+            true => eprintln!("logs are in {}", self.0.display()),
+            // What is left behind lies in the system's directory for such files.
+            false => drop(std::fs::remove_dir_all(&self.0)),
+        }
+    }
+}
+
+impl Site {
+    /// Makes a site whose VMs are not started yet.
+    ///
+    /// # Errors
+    ///
+    /// An error when an address is taken or a file can't be written.
+    pub async fn new(plan: &SitePlan) -> io::Result<Self> {
+        let network = Network::take();
+        let prefix = network.prefix();
+        let name = format!("bambooseam-site-{}-{}", std::process::id(), prefix[1]);
+        let directory = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&directory)?;
+        let mut site = Self {
+            store: Store::default(),
+            router: Arc::default(),
+            tally: Arc::default(),
+            vms: Vec::new(),
+            callers: Vec::new(),
+            routes: Vec::new(),
+            allowed: Allowed::default(),
+            version: 0,
+            born: 1_790_000_000_000,
+            directory: Directory(directory),
+            prefix,
+            _network: network,
+        };
+        tokio::spawn(site.store.clone().expire());
+        for (zone, &count) in plan.vms.iter().enumerate() {
+            for index in 0..count {
+                site.add_vm(&plan.program, zone as u8, index).await?;
+            }
+            let address = site.address(200, 1 + zone as u8);
+            let zone = zone_name(zone as u8);
+            let host =
+                CallerHost::start(address, DATAGRAM_PORT, &zone, &site.router, &site.tally).await?;
+            site.callers.push(host);
+        }
+        site.spread_seeds();
+        Ok(site)
+    }
+
+    /// Starts all VMs.
+    ///
+    /// # Errors
+    ///
+    /// An error when a program can't be run.
+    pub fn start_all(&mut self) -> io::Result<()> {
+        for vm in &mut self.vms {
+            vm.start()?;
+        }
+        Ok(())
+    }
+
+    /// Waits until so many VMs are in rotation; false when `limit` is over.
+    pub async fn wait_ready(&self, count: usize, limit: Duration) -> bool {
+        let wait = async {
+            while self.router.in_rotation() < count {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(limit, wait).await.is_ok()
+    }
+
+    /// Starts a target of a service; `number` gives its address.
+    ///
+    /// # Errors
+    ///
+    /// An error when the address is taken.
+    pub async fn add_target(
+        &mut self,
+        service: &str,
+        zone: u8,
+        number: u8,
+    ) -> io::Result<FlowTarget> {
+        let id = format!(
+            "i-{:08x}",
+            self.born as u32 ^ u32::from(zone) << 8 ^ u32::from(number) << 16
+        );
+        self.start_target(&id, service, zone, number).await
+    }
+
+    /// Starts a target under an identifier that may have been used before.
+    ///
+    /// # Errors
+    ///
+    /// An error when the address is taken.
+    pub async fn start_target(
+        &mut self,
+        id: &str,
+        service: &str,
+        zone: u8,
+        number: u8,
+    ) -> io::Result<FlowTarget> {
+        self.born += 1_000;
+        let plan = TargetPlan {
+            id: id.into(),
+            service: service.into(),
+            zone: zone_name(zone),
+            address: SocketAddrV4::new(self.address(64 + zone, number), TARGET_PORT),
+            beat: BEAT,
+        };
+        let (store, tally) = (&self.store, &self.tally);
+        FlowTarget::start(plan, self.born, DATAGRAM_PORT, store, tally, &self.allowed).await
+    }
+
+    /// Adds a route and publishes the configuration; gives the entrance.
+    pub fn add_route(&mut self, service: &str) -> SocketAddrV4 {
+        let number = self
+            .allowed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .len() as u8
+            + 1;
+        let entrance = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, number), 443);
+        self.routes.push((entrance, service.into()));
+        self.publish();
+        entrance
+    }
+
+    /// Removes a route and publishes the configuration.
+    pub fn remove_route(&mut self, entrance: SocketAddrV4) {
+        self.routes.retain(|(held, _)| *held != entrance);
+        self.publish();
+    }
+
+    /// Publishes the configuration under a new version; `None` while the store is away.
+    pub fn publish(&mut self) -> Option<u64> {
+        self.version += 3;
+        let mut allowed = self.allowed.lock().unwrap_or_else(PoisonError::into_inner);
+        allowed.extend(self.routes.iter().cloned());
+        let routes: Vec<Value> = self.routes.iter().map(show_route).collect();
+        let config = json!({
+            "config_version": self.version, "routes": routes, "services": [],
+            "limits": {"idle_timeout_ms": 15_000},
+        });
+        self.store.put("op/config", &config, None)
+    }
+
+    /// Gives all VMs these seeds, with the next settings that they read.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) -> io::Result<()> {
+        let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
+        for vm in &mut self.vms {
+            vm.settings["seeds"] = json!(seeds);
+            vm.write_settings()?;
+        }
+        Ok(())
+    }
+
+    async fn add_vm(&mut self, program: &Path, zone: u8, index: u8) -> io::Result<()> {
+        let address = self.address(10 + zone, 10 + index);
+        let number = self.vms.len() as u8 + 1;
+        let door_address = SocketAddr::from((self.address(9, number), STORE_PORT));
+        let door = Door::open(self.store.clone(), door_address).await?;
+        let id = format!("front-{}-{}", zone_name(zone), index + 1);
+        let settings = json!({
+            "node_id": id, "ip": address, "zone": zone_name(zone), "seeds": [],
+            "internal_ports": [7720, 7735],
+            "listen_addrs": {
+                "datagram_addr": format!("{address}:{DATAGRAM_PORT}"),
+                "ready": format!("{address}:{READY_PORT}"),
+                "control": format!("{address}:{CONTROL_PORT}"),
+            },
+            "contract_params": {"grace_s": 6},
+            "platform": {"address": door_address.to_string()},
+        });
+        let vm = Vm {
+            id,
+            zone: zone_name(zone),
+            door,
+            address,
+            settings,
+            program: program.into(),
+            directory: self.directory.0.clone(),
+            child: None,
+        };
+        self.router.add(&vm.zone, vm.datagrams(), vm.ready());
+        self.vms.push(vm);
+        Ok(())
+    }
+
+    fn spread_seeds(&mut self) {
+        let seeds: Vec<String> = self
+            .vms
+            .iter()
+            .take(SEEDS)
+            .map(|vm| vm.control().to_string())
+            .collect();
+        for vm in &mut self.vms {
+            vm.settings["seeds"] = json!(seeds);
+        }
+    }
+
+    fn address(&self, third: u8, last: u8) -> Ipv4Addr {
+        Ipv4Addr::new(self.prefix[0], self.prefix[1], third, last)
+    }
+}
+
+impl Vm {
+    /// Where its packets arrive.
+    pub fn datagrams(&self) -> SocketAddr {
+        (self.address, DATAGRAM_PORT).into()
+    }
+
+    /// Where it is probed.
+    pub fn ready(&self) -> SocketAddr {
+        (self.address, READY_PORT).into()
+    }
+
+    /// Where its peers reach it.
+    pub fn control(&self) -> SocketAddr {
+        (self.address, CONTROL_PORT).into()
+    }
+
+    /// Its admin endpoint.
+    pub fn admin(&self) -> SocketAddr {
+        (self.address, 7735).into()
+    }
+
+    /// Starts its program.
+    ///
+    /// # Errors
+    ///
+    /// An error when it can't be run.
+    pub fn start(&mut self) -> io::Result<()> {
+        self.write_settings()?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.log_file())?;
+        let child = Command::new(&self.program)
+            .env("BAMBOOSEAM_CONFIG", self.settings_file())
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal by name, as in `TERM`.
+    ///
+    /// # Errors
+    ///
+    /// An error when the signal can't be sent.
+    pub async fn signal(&self, name: &str) -> io::Result<()> {
+        let Some(pid) = self.child.as_ref().and_then(Child::id) else {
+            return Ok(());
+        };
+        let mut kill = Command::new("kill");
+        kill.args([format!("-{name}"), pid.to_string()])
+            .status()
+            .await?;
+        Ok(())
+    }
+
+    /// Waits for the program's end; `None` when `limit` is over.
+    pub async fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let child = self.child.as_mut()?;
+        let status = timeout(limit, child.wait()).await.ok()?.ok();
+        self.child = None;
+        status
+    }
+
+    /// Kills the program.
+    pub async fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // One that has ended by itself is as good as killed.
+            let _ = child.kill().await;
+        }
+    }
+
+    /// Whether the program runs.
+    pub fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// What the program has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.log_file()).unwrap_or_default()
+    }
+
+    /// Writes any text as its settings file.
+    ///
+    /// # Errors
+    ///
+    /// An error when the file can't be written.
+    pub fn write_text(&self, text: &str) -> io::Result<()> {
+        std::fs::write(self.settings_file(), text)
+    }
+
+    fn write_settings(&self) -> io::Result<()> {
+        self.write_text(&render(TEMPLATE, &self.settings))
+    }
+
+    fn settings_file(&self) -> PathBuf {
+        self.directory.join(format!("{}.ini", self.id))
+    }
+
+    fn log_file(&self) -> PathBuf {
+        self.directory.join(format!("{}.log", self.id))
+    }
+}
+
+/// Name of a zone.
+fn zone_name(zone: u8) -> String {
+    format!("zone-{}", char::from(b'a' + zone))
+}
+
+/// A route as the operator writes it.
+fn show_route((entrance, service): &(SocketAddrV4, String)) -> Value {
+    json!({
+        "name": format!("r-{entrance}"), "host": entrance.ip(),
+        "prefix": format!("/{}/", entrance.port()), "route_type": "safe",
+        "timeout_ms": 1_500, "latency_goal_ms": 150, "priority": 2, "service": service,
+        "max_attempts": 2,
+    })
+}
--- /dev/null
+++ b/crates/standin/src/site/target.rs
@@ -0,0 +1,375 @@
+//! Targets that speak flows: one process of theirs is one task here.
+
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use tokio::net::UdpSocket;
+use tokio::time::{interval, sleep};
+use tokio_util::sync::CancellationToken;
+
+use super::end::End;
+use super::{Flags, Packet, Store, Tally};
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Time after which a leaving target must get no new flow.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
+
+/// Time that an earlier target has to leave an address.
+const BIND_TIME: Duration = Duration::from_secs(2);
+
+/// Beats without which an entry lapses.
+const BEATS: u32 = 3;
+
+/// Which services each entrance ever had.
+pub(super) type Allowed = Arc<Mutex<HashSet<(SocketAddrV4, String)>>>;
+
+/// What a target is.
+#[derive(Debug, Clone)]
+pub struct TargetPlan {
+    /// Its identifier.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where it receives datagrams.
+    pub address: SocketAddrV4,
+    /// Time between two beats.
+    pub beat: Duration,
+}
+
+/// A running target.
+#[derive(Debug)]
+pub struct FlowTarget {
+    plan: TargetPlan,
+    store: Store,
+    shared: Arc<Shared>,
+    stop: CancellationToken,
+}
+
+/// What the tasks of a target share.
+#[derive(Debug)]
+struct Shared {
+    born: u64,
+    leaving: Mutex<Option<Instant>>,
+    tally: Arc<Tally>,
+    allowed: Allowed,
+    answer_port: u16,
+}
+
+/// A flow at a target.
+#[derive(Debug)]
+struct Flow {
+    end: End,
+    is_open: bool,
+    first: u32,
+    answer: Option<(Instant, Vec<u8>)>,
+    is_closing: bool,
+}
+
+impl FlowTarget {
+    /// Starts a target and registers it; callers receive at `answer_port`.
+    ///
+    /// # Errors
+    ///
+    /// An error when the address is taken.
+    pub(super) async fn start(
+        plan: TargetPlan,
+        born: u64,
+        answer_port: u16,
+        store: &Store,
+        tally: &Arc<Tally>,
+        allowed: &Allowed,
+    ) -> io::Result<Self> {
+        let socket = bind(plan.address).await?;
+        let target = Self {
+            shared: Arc::new(Shared {
+                born,
+                leaving: Mutex::default(),
+                tally: Arc::clone(tally),
+                allowed: Arc::clone(allowed),
+                answer_port,
+            }),
+            plan,
+            store: store.clone(),
+            stop: CancellationToken::new(),
+        };
+        tally.set_alive(&target.name(), true);
+        target.write("ready");
+        let serve = Serving {
+            plan: target.plan.clone(),
+            shared: Arc::clone(&target.shared),
+            socket,
+            flows: HashMap::new(),
+        };
+        let stop = target.stop.clone();
+        tokio::spawn(async move { stop.run_until_cancelled(serve.run()).await });
+        target.keep_entry();
+        Ok(target)
+    }
+
+    /// What it is.
+    pub fn plan(&self) -> &TargetPlan {
+        &self.plan
+    }
+
+    /// Name of this start, as its answers give it.
+    pub fn name(&self) -> String {
+        format!("{}@{}", self.plan.id, self.shared.born)
+    }
+
+    /// Announces that it leaves; it keeps its flows.
+    pub fn drain(&self) {
+        *self.shared.leaving() = Some(Instant::now());
+        self.write("draining");
+    }
+
+    /// Ends without a word; its entry lapses.
+    pub fn crash(self) {
+        self.shared.tally.set_alive(&self.name(), false);
+        self.stop.cancel();
+    }
+
+    /// Ends and takes its entry along.
+    pub fn leave(self) {
+        self.shared.tally.set_alive(&self.name(), false);
+        self.stop.cancel();
+        self.store.remove(&self.key());
+    }
+
+    fn key(&self) -> String {
+        format!("servers/{}", self.plan.id)
+    }
+
+    /// Writes the entry.
+    fn write(&self, state: &str) {
+        let entry = json!({
+            "service": self.plan.service, "address": self.plan.address.to_string(),
+            "zone": self.plan.zone, "config_version": "v1", "capacity": 2, "state": state,
+            "warmup_left_ms": 0, "sequence": 1, "born": self.shared.born,
+        });
+        self.store
+            .put(&self.key(), &entry, Some(self.plan.beat * BEATS));
+    }
+
+    /// Renews the entry at each beat, and writes it again when it has lapsed.
+    fn keep_entry(&self) {
+        let again = Self {
+            plan: self.plan.clone(),
+            store: self.store.clone(),
+            shared: Arc::clone(&self.shared),
+            stop: self.stop.clone(),
+        };
+        let stop = self.stop.clone();
+        let keep = async move {
+            loop {
+                sleep(again.plan.beat).await;
+                if again.store.renew(&again.key(), again.plan.beat * BEATS) {
+                    continue;
+                }
+                let state = match *again.shared.leaving() {
+                    Some(_) => "draining",
+                    None => "ready",
+                };
+                again.write(state);
+            }
+        };
+        tokio::spawn(async move { stop.run_until_cancelled(keep).await });
+    }
+}
+
+impl Shared {
+    fn leaving(&self) -> std::sync::MutexGuard<'_, Option<Instant>> {
+        self.leaving.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Binds an address that an earlier target may be about to leave.
+async fn bind(address: SocketAddrV4) -> io::Result<UdpSocket> {
+    let deadline = Instant::now() + BIND_TIME;
+    loop {
+        match UdpSocket::bind(SocketAddr::from(address)).await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < deadline => {
+                sleep(TICK).await;
+            }
+            result => return result,
+        }
+    }
+}
+
+/// The task that answers packets.
+struct Serving {
+    plan: TargetPlan,
+    shared: Arc<Shared>,
+    socket: UdpSocket,
+    flows: HashMap<(SocketAddrV4, SocketAddrV4), Flow>,
+}
+
+impl Serving {
+    async fn run(mut self) {
+        let mut ticks = interval(TICK);
+        let mut buffer = [0; 2_048];
+        loop {
+            tokio::select! {
+                received = self.socket.recv(&mut buffer) => {
+                    if let Ok(len) = received {
+                        self.take(&buffer[..len]).await;
+                    }
+                }
+                _ = ticks.tick() => self.tick().await,
+            }
+        }
+    }
+
+    async fn take(&mut self, datagram: &[u8]) {
+        let tally = Arc::clone(&self.shared.tally);
+        let Some((label, packet)) = datagram.split_first_chunk::<8>() else {
+            return Tally::add(&tally.altered);
+        };
+        let label = u64::from_be_bytes(*label);
+        if label != 0 && label != label_of(&self.plan.id) {
+            return Tally::add(&tally.misdirected);
+        }
+        let Some(packet) = Packet::read(packet).filter(Packet::is_whole) else {
+            return Tally::add(&tally.altered);
+        };
+        if packet.flags.has(Flags::SYN.and(Flags::ACK)) {
+            return Tally::add(&tally.forged);
+        }
+        let key = (packet.src, packet.dst);
+        if packet.flags.has(Flags::RST) {
+            self.flows.remove(&key);
+            return;
+        }
+        if packet.flags.has(Flags::SYN) {
+            return self.open(&packet).await;
+        }
+        let Some(flow) = self.flows.get_mut(&key) else {
+            let mut reset = Packet::new(packet.dst, packet.src, Flags::RST);
+            reset.seq = packet.ack;
+            return self.send(&reset).await;
+        };
+        if !flow.is_open && packet.ack != flow.first.wrapping_add(1) {
+            return;
+        }
+        flow.is_open = true;
+        let answer = flow.end.take(&packet);
+        flow.work(&self.plan, &self.shared, Instant::now());
+        if let Some(answer) = answer {
+            self.send(&answer).await;
+        }
+    }
+
+    async fn open(&mut self, packet: &Packet) {
+        let key = (packet.src, packet.dst);
+        self.judge(packet);
+        let first =
+            packet.seq.rotate_left(7) ^ label_of(&self.plan.id) as u32 ^ self.shared.born as u32;
+        let flow = self.flows.entry(key).or_insert_with(|| Flow {
+            end: End::new(
+                packet.dst,
+                packet.src,
+                first.wrapping_add(1),
+                packet.seq.wrapping_add(1),
+            ),
+            is_open: false,
+            first,
+            answer: None,
+            is_closing: false,
+        });
+        flow.end.note_echo(packet);
+        let mut answer = flow.end.acknowledgement();
+        answer.flags = Flags::SYN.and(Flags::ACK);
+        answer.seq = flow.first;
+        self.send(&answer).await;
+    }
+
+    /// Counts an opening that should not have come here.
+    fn judge(&self, packet: &Packet) {
+        let service = (packet.dst, self.plan.service.clone());
+        let allowed = self
+            .shared
+            .allowed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if !allowed.contains(&service) {
+            Tally::add(&self.shared.tally.wrong_service);
+        }
+        let is_late = self
+            .shared
+            .leaving()
+            .is_some_and(|since| since.elapsed() > DRAIN_TIME);
+        if is_late && !self.flows.contains_key(&(packet.src, packet.dst)) {
+            Tally::add(&self.shared.tally.late_to_leaving);
+        }
+    }
+
+    async fn tick(&mut self) {
+        let now = Instant::now();
+        let is_leaving = self.shared.leaving().is_some();
+        let mut packets = Vec::new();
+        self.flows.retain(|_, flow| {
+            if let Some((at, _)) = flow.answer
+                && at <= now
+                && let Some((_, answer)) = flow.answer.take()
+            {
+                flow.end.queue(&answer, is_leaving);
+                flow.is_closing |= is_leaving;
+            }
+            if flow.end.is_peer_done && !flow.is_closing && flow.answer.is_none() {
+                flow.end.queue(&[], true);
+                flow.is_closing = true;
+            }
+            packets.extend(flow.end.due(now));
+            !(flow.is_closing && flow.end.is_peer_done && flow.end.is_flushed())
+        });
+        for packet in packets {
+            self.send(&packet).await;
+        }
+    }
+
+    async fn send(&self, packet: &Packet) {
+        let to = SocketAddrV4::new(*packet.dst.ip(), self.shared.answer_port);
+        // A caller that is gone is no matter of the target's.
+        let _ = self
+            .socket
+            .send_to(&packet.write(), SocketAddr::from(to))
+            .await;
+    }
+}
+
+impl Flow {
+    /// Begins the work of a request that has arrived whole: `ID WORK_MS BYTES`, and a line's end.
+    fn work(&mut self, plan: &TargetPlan, shared: &Shared, now: Instant) {
+        let Some(end) = self.end.inbox.iter().position(|byte| *byte == b'\n') else {
+            return;
+        };
+        let line: Vec<u8> = self.end.inbox.drain(..=end).collect();
+        let line = String::from_utf8_lossy(&line).trim().to_owned();
+        let mut words = line.split(' ');
+        let id = words.next().unwrap_or_default().to_owned();
+        let mut number = || {
+            words
+                .next()
+                .and_then(|word| word.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
+        let (work, bytes) = (Duration::from_millis(number()), number() as usize);
+        shared.tally.note_run(&id);
+        let mut answer = format!("{id} {}@{} {bytes}\n", plan.id, shared.born).into_bytes();
+        answer.resize(answer.len() + bytes, b'.');
+        self.answer = Some((now + work, answer));
+    }
+}
+
+/// The number by which datagrams name a target.
+fn label_of(id: &str) -> u64 {
+    let digits = id.rsplit('-').next().unwrap_or_default();
+    u64::from_str_radix(digits, 16).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/standin/src/site/traffic.rs
@@ -0,0 +1,142 @@
+//! Load: feeds that stay open, and orders that open a flow each.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use super::{CallerFlow, CallerHost, FlowError, Tally};
+
+/// Time that a request may take.
+const DEADLINE: Duration = Duration::from_millis(1_500);
+
+/// Tries of one request that may be repeated.
+const TRIES: u32 = 3;
+
+/// Numbers of requests, unique in a process.
+static NEXT: AtomicU64 = AtomicU64::new(1);
+
+/// What a caller does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Keeps a flow open for many requests that may be repeated.
+    Feed,
+    /// Opens a flow for each request; one that may have run is not repeated.
+    Order,
+}
+
+/// Callers at work.
+#[derive(Debug)]
+pub struct Traffic {
+    stop: CancellationToken,
+    tasks: JoinSet<()>,
+}
+
+impl Traffic {
+    /// Creates traffic without callers.
+    pub fn new() -> Self {
+        Self {
+            stop: CancellationToken::new(),
+            tasks: JoinSet::new(),
+        }
+    }
+
+    /// Adds a caller.
+    pub fn add(
+        &mut self,
+        kind: Kind,
+        host: &Arc<CallerHost>,
+        entrance: SocketAddrV4,
+        seed: u64,
+        tally: &Arc<Tally>,
+    ) {
+        let mut caller = Caller {
+            kind,
+            host: Arc::clone(host),
+            entrance,
+            random: StdRng::seed_from_u64(seed),
+            tally: Arc::clone(tally),
+            flow: None,
+        };
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            while !stop.is_cancelled() {
+                let pause = caller.random.random_range(20..120);
+                sleep(Duration::from_millis(pause)).await;
+                caller.work().await;
+            }
+            if let Some(flow) = caller.flow.take() {
+                flow.close().await;
+            }
+        });
+    }
+
+    /// Stops all callers once their requests have ended.
+    pub async fn stop(mut self) {
+        self.stop.cancel();
+        while self.tasks.join_next().await.is_some() {}
+    }
+}
+
+impl Default for Traffic {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+struct Caller {
+    kind: Kind,
+    host: Arc<CallerHost>,
+    entrance: SocketAddrV4,
+    random: StdRng,
+    tally: Arc<Tally>,
+    flow: Option<CallerFlow>,
+}
+
+impl Caller {
+    /// One request with its tries.
+    async fn work(&mut self) {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        for attempt in 0..TRIES {
+            let id = match self.kind {
+                Kind::Feed => format!("f{number}.{attempt}"),
+                // Every try has the order's name: one that runs twice is found.
+                Kind::Order => format!("o{number}"),
+            };
+            match self.attempt(&id).await {
+                Ok(()) => return Tally::add(&self.tally.served),
+                // It never opened, so it did not run.
+                Err((_, false)) => {}
+                Err((_, true)) if self.kind == Kind::Feed => {}
+                Err((_, true)) => break,
+            }
+        }
+        Tally::add(&self.tally.failed);
+    }
+
+    /// One try; the error tells whether the request may have run.
+    async fn attempt(&mut self, id: &str) -> Result<(), (FlowError, bool)> {
+        let mut flow = match self.flow.take().filter(|flow| !flow.is_ended()) {
+            Some(flow) => flow,
+            None => {
+                let opened = self.host.open(self.entrance, None).await;
+                opened.map_err(|error| (error, false))?
+            }
+        };
+        let work = Duration::from_millis(self.random.random_range(1..30));
+        let bytes = self.random.random_range(100..6_000);
+        let answer = flow.request(id, work, bytes, DEADLINE).await;
+        answer.map_err(|error| (error, true))?;
+        match self.kind {
+            Kind::Feed => self.flow = Some(flow),
+            Kind::Order => flow.close().await,
+        }
+        Ok(())
+    }
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod inputs;
 pub mod programs;
+pub mod site;
 pub mod steering;
--- /dev/null
+++ b/tests/tests/entry.rs
@@ -0,0 +1,439 @@
+//! The program of an entry VM, as processes on loopback against stand-ins of the platform.
+
+use std::time::{Duration, Instant};
+
+use bambooseam_standin::http;
+use bambooseam_standin::site::{FlowError, Tally};
+use bambooseam_tests::site::{CONFIG_BOUND, PATIENCE, Running, pause};
+use hyper::StatusCode;
+
+/// Share of requests, in percent, that may fail while the load is calm: none need to, but callers
+/// of a busy test machine may be late themselves.
+const CALM_LOSS: u64 = 2;
+
+fn assert_served(running: &Running, least: u64, loss: u64) {
+    let (served, failed) = running.counts();
+    assert!(served >= least, "{served} served, {failed} failed");
+    assert!(
+        failed * 100 <= (served + failed) * loss,
+        "{served} served, {failed} failed"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calm_load_is_served() {
+    let mut running = Running::start(&[2, 1], 3).await;
+    let traffic = running.traffic(6, 3);
+    pause(3_000).await;
+    traffic.stop().await;
+    running.check();
+    assert_served(&running, 200, CALM_LOSS);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_survive_vms_stopped_in_turn() {
+    let mut running = Running::start(&[2, 1], 3).await;
+    let traffic = running.traffic(6, 3);
+    pause(500).await;
+    for vm in 0..3 {
+        let begun = Instant::now();
+        running.site.vms[vm].signal("TERM").await.expect("a signal");
+        let status = running.site.vms[vm].wait(Duration::from_secs(6)).await;
+        assert!(status.is_some_and(|status| status.success()), "{status:?}");
+        assert!(
+            begun.elapsed() >= Duration::from_secs(1),
+            "the routers still sent packets"
+        );
+        running.site.vms[vm].start().expect("a start");
+        assert!(running.site.wait_ready(3, PATIENCE).await);
+    }
+    traffic.stop().await;
+    running.check();
+    assert_served(&running, 400, CALM_LOSS);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_survive_a_killed_vm() {
+    let mut running = Running::start(&[2], 4).await;
+    let traffic = running.traffic(8, 2);
+    pause(500).await;
+    running.site.vms[0].kill().await;
+    pause(2_500).await;
+    running.site.vms[0].start().expect("a start");
+    assert!(running.site.wait_ready(2, PATIENCE).await);
+    pause(1_000).await;
+    traffic.stop().await;
+    running.check();
+    assert_served(&running, 150, 20);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_killed_at_once_serve_again() {
+    let mut running = Running::start(&[2, 1], 3).await;
+    let traffic = running.traffic(4, 2);
+    pause(500).await;
+    for vm in &mut running.site.vms {
+        vm.kill().await;
+    }
+    running.site.start_all().expect("programs start");
+    let begun = Instant::now();
+    let (before, _) = running.counts();
+    while running.counts().0 == before {
+        assert!(begun.elapsed() < PATIENCE, "nothing is served");
+        pause(10).await;
+    }
+    pause(1_000).await;
+    traffic.stop().await;
+    running.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn change_is_in_force_everywhere_within_its_bound() {
+    let mut running = Running::start(&[2, 1], 2).await;
+    let time = running.time_change(&[0, 1, 2]).await;
+    assert!(time < CONFIG_BOUND, "{time:?}");
+    let removed = running.orders;
+    running.site.remove_route(removed);
+    let begun = Instant::now();
+    for vm in 0..3 {
+        while running.serves(vm, removed).await {
+            assert!(
+                begun.elapsed() < CONFIG_BOUND,
+                "VM {vm} still serves the removed route"
+            );
+        }
+    }
+    running.check();
+}
+
+mod store_faults {
+    use bambooseam_standin::site::Fault;
+
+    use super::*;
+
+    /// A change comes to a VM within its bound although the store fails that VM.
+    async fn check(fault: Fault) {
+        let mut running = Running::start(&[2, 1], 2).await;
+        running.site.vms[0].door.set_fault(fault);
+        pause(100).await;
+        let time = running.time_change(&[0, 1, 2]).await;
+        assert!(time < CONFIG_BOUND, "{fault:?}: {time:?}");
+        running.site.vms[0].door.set_fault(Fault::None);
+        running.check();
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn silent_store_is_replaced_by_peers() {
+        check(Fault::Silent).await;
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn store_that_turns_a_vm_away_is_replaced_by_peers() {
+        check(Fault::Refused(503)).await;
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn rate_limit_is_replaced_by_peers() {
+        check(Fault::Refused(429)).await;
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn reset_connections_are_replaced_by_peers() {
+        check(Fault::Reset).await;
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn slow_answers_are_waited_for() {
+        check(Fault::Slow(Duration::from_millis(240))).await;
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn lost_answers_are_asked_for_again() {
+        check(Fault::Lossy(2)).await;
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn silent_connection_is_replaced() {
+        let mut running = Running::start(&[1], 2).await;
+        running.site.vms[0].door.deafen();
+        let time = running.time_change(&[0]).await;
+        assert!(time < CONFIG_BOUND, "{time:?}");
+        running.check();
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn forgotten_history_is_read_anew() {
+        let mut running = Running::start(&[1, 1], 2).await;
+        for vm in &running.site.vms {
+            vm.door.set_fault(Fault::Silent);
+        }
+        let late = running
+            .site
+            .add_target("orders", 0, 9)
+            .await
+            .expect("a target");
+        running.site.store.compact();
+        for vm in &running.site.vms {
+            vm.door.set_fault(Fault::None);
+        }
+        let time = running.time_change(&[0, 1]).await;
+        assert!(time < CONFIG_BOUND, "{time:?}");
+        let id = late.plan().id.clone();
+        pause(500).await;
+        assert!(
+            running.site.vms.iter().all(|vm| vm.log().contains(&id)),
+            "a target was missed"
+        );
+        running.check();
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn vm_that_starts_without_the_store_is_served_by_peers() {
+        let mut running = Running::start(&[2, 1], 2).await;
+        running.site.vms[0].kill().await;
+        for vm in &running.site.vms {
+            vm.door.set_fault(Fault::Silent);
+        }
+        pause(1_200).await;
+        running.site.vms[0].start().expect("a start");
+        running.wait_served(0).await;
+        running.check();
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn entries_that_lapse_with_the_store_away_break_no_flow() {
+        let mut running = Running::start(&[1, 1], 4).await;
+        let traffic = running.traffic(6, 2);
+        pause(500).await;
+        for vm in &running.site.vms {
+            vm.door.set_fault(Fault::Silent);
+        }
+        running.site.store.set_away(true);
+        pause(2_500).await;
+        running.site.store.set_away(false);
+        for vm in &running.site.vms {
+            vm.door.set_fault(Fault::None);
+        }
+        pause(3_500).await;
+        traffic.stop().await;
+        running.check();
+        assert_served(&running, 200, CALM_LOSS);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn peers_are_found_through_stale_and_late_seeds() {
+    use bambooseam_standin::site::Fault;
+    let mut running = Running::prepare(&[2, 1], 2).await;
+    // One seed that nobody answers at, and the others that VM 1 and 2 need.
+    let nobody = "127.0.0.9:9".parse().expect("an address");
+    let first = running.site.vms[0].control();
+    running.site.set_seeds(&[nobody, first]).expect("settings");
+    running.site.vms[2].door.set_fault(Fault::Silent);
+    running.site.start_all().expect("programs start");
+    assert!(running.site.wait_ready(3, PATIENCE).await);
+    // A VM whose own seeds are useless is found by those who knew it.
+    running.site.vms[1].kill().await;
+    running.site.vms[1].door.set_fault(Fault::Refused(503));
+    running.site.set_seeds(&[nobody]).expect("settings");
+    running.site.vms[1].start().expect("a start");
+    running.wait_served(1).await;
+    running.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seeds_that_come_late_are_taken_with_sighup() {
+    use bambooseam_standin::site::Fault;
+    let mut running = Running::prepare(&[1, 1], 2).await;
+    let nobody = "127.0.0.9:9".parse().expect("an address");
+    let first = running.site.vms[0].control();
+    running.site.set_seeds(&[nobody]).expect("settings");
+    running.site.vms[1].door.set_fault(Fault::Refused(503));
+    running.site.start_all().expect("programs start");
+    assert!(running.site.wait_ready(1, PATIENCE).await);
+    pause(1_000).await;
+    assert!(!running.serves(1, running.orders).await);
+    running.site.set_seeds(&[first]).expect("settings");
+    running.site.vms[1].signal("HUP").await.expect("a signal");
+    assert!(running.site.wait_ready(2, PATIENCE).await);
+    running.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_are_read_again_without_a_signal_and_bad_ones_are_refused() {
+    let mut running = Running::start(&[1], 2).await;
+    let vm = &running.site.vms[0];
+    vm.write_text("[vm]\nid = none of this fits\n")
+        .expect("settings");
+    for signal in ["HUP", "HUP"] {
+        vm.signal(signal).await.expect("a signal");
+    }
+    let begun = Instant::now();
+    while !running.site.vms[0].log().contains("event=settings_refused") {
+        assert!(begun.elapsed() < PATIENCE, "{}", running.site.vms[0].log());
+        pause(20).await;
+    }
+    let seed = "127.0.0.9:9".parse().expect("an address");
+    running.site.set_seeds(&[seed]).expect("settings");
+    while !running.site.vms[0]
+        .log()
+        .contains("event=settings_reloaded cause=file")
+    {
+        assert!(begun.elapsed() < PATIENCE, "{}", running.site.vms[0].log());
+        pause(20).await;
+    }
+    assert!(running.serves(0, running.orders).await);
+    running.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_target_gets_no_late_flow() {
+    let mut running = Running::start(&[1, 1], 3).await;
+    let traffic = running.traffic(6, 3);
+    pause(500).await;
+    running.targets[0].drain();
+    running.targets[4].drain();
+    pause(4_000).await;
+    for at in [4, 0] {
+        running.targets.remove(at).leave();
+    }
+    pause(1_000).await;
+    traffic.stop().await;
+    running.check();
+    assert_served(&running, 300, CALM_LOSS);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn target_that_starts_again_under_its_id_is_another_one() {
+    let mut running = Running::start(&[1], 1).await;
+    let host = std::sync::Arc::clone(&running.site.callers[0]);
+    let mut flow = host.open(running.orders, None).await.expect("a flow");
+    let time = Duration::from_millis(1_000);
+    flow.request("1", Duration::ZERO, 10, time)
+        .await
+        .expect("an answer");
+    let id = running.targets[0].plan().id.clone();
+    running.targets.remove(0).crash();
+    let again = running.site.start_target(&id, "orders", 0, 1).await;
+    running.targets.push(again.expect("a target"));
+    pause(1_000).await;
+    let error = flow.request("2", Duration::ZERO, 10, time).await;
+    assert_eq!(
+        error,
+        Err(FlowError::SystemReset),
+        "its flow went with the earlier start"
+    );
+    let mut flow = host.open(running.orders, None).await.expect("a flow");
+    flow.request("3", Duration::ZERO, 10, time)
+        .await
+        .expect("an answer");
+    assert!(flow.target().is_some_and(|target| target.starts_with(&id)));
+    running.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn address_used_again_by_another_service_gets_none_of_its_flows() {
+    let mut running = Running::start(&[1, 1], 3).await;
+    running.site.add_route("charts");
+    let traffic = running.traffic(6, 3);
+    pause(500).await;
+    running.targets.remove(0).crash();
+    pause(800).await;
+    let reused = running.site.add_target("charts", 0, 1).await;
+    running.targets.push(reused.expect("a target"));
+    pause(3_000).await;
+    traffic.stop().await;
+    running.check();
+    assert_served(&running, 200, 20);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_of_other_writers_disturb_nothing() {
+    let mut running = Running::start(&[1], 2).await;
+    let traffic = running.traffic(4, 2);
+    let store = running.site.store.clone();
+    for (key, bytes) in [
+        ("servers/i-dead", &b"\xff\xfe"[..]),
+        ("servers/", b"{}"),
+        (
+            "servers/i-beef",
+            b"{\"service\":\"orders\",\"state\":\"ready\"}",
+        ),
+        ("servers/a b?&", b"[]"),
+        ("op/other", b"none of ours"),
+        ("else/where", b""),
+    ] {
+        store
+            .put_bytes(key, bytes.into(), None)
+            .expect("the store is there");
+    }
+    let time = running.time_change(&[0]).await;
+    assert!(time < CONFIG_BOUND, "{time:?}");
+    // Read anew, in pages whose last key may be one of these.
+    store.compact();
+    running.site.vms[0].kill().await;
+    running.site.vms[0].start().expect("a start");
+    assert!(running.site.wait_ready(1, PATIENCE).await);
+    pause(500).await;
+    traffic.stop().await;
+    running.check();
+    assert!(
+        running.site.vms[0]
+            .log()
+            .contains("event=documents_unreadable")
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_vm_comes_back_with_what_changed() {
+    let mut running = Running::start(&[1, 1], 3).await;
+    let traffic = running.traffic(4, 2);
+    running.site.vms[0].signal("STOP").await.expect("a signal");
+    running.targets.remove(0).leave();
+    let entrance = running.site.add_route("orders");
+    pause(3_000).await;
+    running.site.vms[0].signal("CONT").await.expect("a signal");
+    let begun = Instant::now();
+    while !running.serves(0, entrance).await {
+        assert!(begun.elapsed() < CONFIG_BOUND, "the change did not come");
+    }
+    pause(500).await;
+    traffic.stop().await;
+    running.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unservable_openings_are_refused_at_once() {
+    let mut running = Running::start(&[1], 1).await;
+    let empty = running.site.add_route("charts");
+    pause(1_000).await;
+    let nowhere = "198.18.7.7:7".parse().expect("an address");
+    for entrance in [nowhere, empty] {
+        let begun = Instant::now();
+        let opened = running.site.callers[0].open(entrance, None).await;
+        assert_eq!(opened.map(drop), Err(FlowError::SystemReset));
+        assert!(
+            begun.elapsed() < Duration::from_millis(200),
+            "{:?}",
+            begun.elapsed()
+        );
+    }
+    assert_eq!(Tally::of(&running.site.tally.refused), 2);
+    running.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_and_readiness_are_served() {
+    let running = Running::start(&[1], 1).await;
+    let vm = &running.site.vms[0];
+    let reply = http::get(vm.ready(), "/api/readiness")
+        .await
+        .expect("an answer");
+    assert_eq!(reply.status, StatusCode::OK);
+    let reply = http::get(vm.ready(), "/else").await.expect("an answer");
+    assert_eq!(reply.status, StatusCode::NOT_FOUND);
+    let reply = http::get(vm.admin(), "/metrics").await.expect("an answer");
+    for name in ["store_calls", "store_call_seconds", "config_version"] {
+        assert!(reply.text.contains(name), "{}", reply.text);
+    }
+}
--- a/tests/tests/platform_documents.rs
+++ b/tests/tests/platform_documents.rs
@@ -55,7 +55,10 @@
     assert_eq!(target.id.as_str(), "i-7f3a91c2");
     assert_eq!(target.label.get(), 0x7f3a_91c2);
     assert_eq!(target.start.get(), 1_790_000_000_123);
-    assert_eq!(target.address, SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, 9), 8080));
+    assert_eq!(
+        target.address,
+        SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, 9), 8080)
+    );
     assert_eq!((target.capacity, target.is_leaving), (2, false));
     let mut draining = entry();
     draining["state"] = json!("draining");
@@ -82,14 +85,23 @@
 #[test]
 fn entry_with_a_field_missing_names_no_target() {
     let fields = [
-        "service", "address", "zone", "config_version", "capacity", "state", "warmup_left_ms",
+        "service",
+        "address",
+        "zone",
+        "config_version",
+        "capacity",
+        "state",
+        "warmup_left_ms",
         "sequence",
     ];
     for field in fields {
         let mut bad = entry();
         bad.as_object_mut().expect("an object").remove(field);
         let error = read_target(&bad).expect_err(field).to_string();
-        assert!(error.contains(field) && error.contains("missing"), "{error}");
+        assert!(
+            error.contains(field) && error.contains("missing"),
+            "{error}"
+        );
     }
 }
 
@@ -132,7 +144,12 @@
 
 #[test]
 fn identifier_without_digits_names_no_target() {
-    for key in ["servers/i-", "servers/i-xyz", "servers/i-0", "servers/i-11112222333344445"] {
+    for key in [
+        "servers/i-",
+        "servers/i-xyz",
+        "servers/i-0",
+        "servers/i-11112222333344445",
+    ] {
         let read = Kind::of_key(key).and_then(|kind| kind.read(entry().to_string().as_bytes()));
         assert!(read.is_err(), "{key}");
     }
--- a/tests/tests/platform_packet.rs
+++ b/tests/tests/platform_packet.rs
@@ -67,7 +67,11 @@
     assert_eq!(flags(16), HeadFlags { rst: true, ..none });
     // BOUNCED is not set on the way from a caller and changes nothing.
     assert_eq!(flags(64 | 8), HeadFlags { ack: true, ..none });
-    assert!(read_head(&packet(128 | 8, &[])).expect("a packet").is_forged());
+    assert!(
+        read_head(&packet(128 | 8, &[]))
+            .expect("a packet")
+            .is_forged()
+    );
 }
 
 #[test]
--- a/tests/tests/replica.rs
+++ b/tests/tests/replica.rs
@@ -55,7 +55,10 @@
 #[test]
 fn whole_copy_removes_what_it_lacks() {
     let mut replica = Replica::new();
-    replica.take(whole(3, vec![change("a", 1, Some("x")), change("b", 3, Some("x"))]));
+    replica.take(whole(
+        3,
+        vec![change("a", 1, Some("x")), change("b", 3, Some("x"))],
+    ));
     let taken = replica.take(whole(9, vec![change("b", 3, Some("x"))]));
     assert_eq!(taken, Taken::Newer(vec![change("a", 9, None)]));
     assert_eq!(revision_of(&replica, "a"), None);
@@ -98,7 +101,10 @@
     let given = replica.changes_since(Some(7.into())).expect("held");
     assert_eq!(given.after, None);
     let mut peer = Replica::new();
-    peer.take(whole(7, vec![change("a", 4, Some("x")), change("b", 7, Some("x"))]));
+    peer.take(whole(
+        7,
+        vec![change("a", 4, Some("x")), change("b", 7, Some("x"))],
+    ));
     peer.take(given);
     assert_eq!(revision_of(&peer, "b"), None);
     // From there on differences do.
@@ -106,6 +112,22 @@
     assert_eq!(given, changes(Some(10), 10, vec![]));
 }
 
+#[test]
+fn document_that_comes_back_within_one_list_is_not_removed() {
+    let mut replica = Replica::new();
+    replica.take(whole(3, vec![change("a", 3, Some("x"))]));
+    let back = change("a", 5, Some("x"));
+    let list = vec![change("a", 4, None), back.clone()];
+    let taken = replica.take(changes(Some(3), 5, list));
+    assert_eq!(taken, Taken::Newer(vec![back]));
+    let gone = change("a", 7, None);
+    let list = vec![change("a", 6, Some("y")), gone.clone()];
+    assert_eq!(
+        replica.take(changes(Some(5), 7, list)),
+        Taken::Newer(vec![gone])
+    );
+}
+
 /// A store as a list of all changes ever made.
 struct History(Vec<Change>);
 
--- a/tests/tests/steer.rs
+++ b/tests/tests/steer.rs
@@ -79,7 +79,11 @@
     let targets: Vec<_> = (1..=9).map(target).collect();
     let mut steering = steering(targets);
     let token = open(&mut steering, 1);
-    let (_, slot) = steering.roster().iter().find(|(_, s)| s.token == token).expect("held");
+    let (_, slot) = steering
+        .roster()
+        .iter()
+        .find(|(_, s)| s.token == token)
+        .expect("held");
     let id = slot.target.id.clone();
     steering.note_outage(at(1_000));
     let kept = steering.remove_targets(std::slice::from_ref(&id), at(1_100));
@@ -260,7 +264,11 @@
     assert_eq!(opening_of(verdict), Some(Opening::Moved));
     assert_ne!(token_of(verdict), token);
     // Its load moved with it.
-    let loads: Vec<_> = steering.roster().iter().map(|(_, slot)| slot.load.busy).collect();
+    let loads: Vec<_> = steering
+        .roster()
+        .iter()
+        .map(|(_, slot)| slot.load.busy)
+        .collect();
     assert_eq!(loads, [1, 1]);
 }
 
@@ -354,7 +362,10 @@
         shares: vec![share("orders", 90), share("nobody", 0), share("charts", 10)],
         ..route(ORDERS, "orders")
     };
-    let mut vms = [steering([target(1), charts.clone()]), steering([charts, target(1)])];
+    let mut vms = [
+        steering([target(1), charts.clone()]),
+        steering([charts, target(1)]),
+    ];
     let mut charted = 0;
     for number in 1..=5_000 {
         let packet = opening(flow(number, ORDERS), 0);
@@ -365,7 +376,10 @@
         assert_eq!(tokens[0], tokens[1]);
         charted += u32::from(tokens[0] == target(2).token());
     }
-    assert!((400..600).contains(&charted), "{charted} of 5,000 at weight 10 of 100");
+    assert!(
+        (400..600).contains(&charted),
+        "{charted} of 5,000 at weight 10 of 100"
+    );
 }
 
 #[test]
@@ -375,7 +389,10 @@
         let mut steering = steering(targets.map(Target::clone));
         for number in 1..20 {
             let verdict = steering.packet(&opening(flow(number, ORDERS), 0), at(0));
-            assert_eq!(verdict.forwarded(), Some((earlier.address, earlier.token())));
+            assert_eq!(
+                verdict.forwarded(),
+                Some((earlier.address, earlier.token()))
+            );
         }
         // Once the earlier one has ended the later one is open.
         steering.remove_targets(std::slice::from_ref(&earlier.id), at(10));
