Leave packets in the kernel until the first view is there

Cause: after a start the first packets came before the view and were dropped; callers whose intervals have grown in an outage repeat them a second later. Test packet_that_comes_before_the_view_is_served_with_it failed first.

--- a/crates/entry/src/packets.rs
+++ b/crates/entry/src/packets.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Duration;
 
 use bambooseam_observe::LogLimit;
 use bambooseam_platform::packet::{
@@ -12,6 +13,7 @@
 use metrics::{Counter, counter};
 use socket2::SockRef;
 use tokio::net::UdpSocket;
+use tokio::time::timeout;
 
 use crate::BootClock;
 use crate::node::SharedNode;
@@ -24,6 +26,9 @@
 /// target size.
 const RECEIVE_BUFFER: usize = 1 << 20;
 
+/// Longest time that packets wait for the first view: a caller has repeated most of them by then.
+const HOLD_TIME: Duration = Duration::from_millis(500);
+
 /// Packets that are none.
 static MALFORMED: LogLimit = LogLimit::new("packets_malformed", 5);
 /// Placed flows that are logged a second.
@@ -72,6 +77,7 @@
     pub async fn run(self, quiet: Quiet) {
         // The label goes before the packet, which then needs no copy.
         let mut buffer = [0; DATAGRAM_LIMIT + 1];
+        self.wait_for_view(&mut buffer).await;
         loop {
             if let Err(error) = self.socket.readable().await {
                 UNSENT.report(error);
@@ -89,6 +95,20 @@
         }
     }
 
+    /// Leaves packets in the kernel until the view is there, a few milliseconds after the start.
+    ///
+    /// After an outage callers repeat packets at long intervals: one that is dropped now comes
+    /// again after a second or more.
+    async fn wait_for_view(&self, buffer: &mut [u8]) {
+        let mut ready = self.node.borrow().ready();
+        loop {
+            match timeout(HOLD_TIME, ready.wait_for(|is_ready| *is_ready)).await {
+                Err(_) => while self.receive(buffer).is_some() {},
+                Ok(_) => return,
+            }
+        }
+    }
+
     /// Reads one packet behind the room for its label.
     fn receive(&self, buffer: &mut [u8]) -> Option<usize> {
         loop {
--- a/crates/standin/src/site/stage.rs
+++ b/crates/standin/src/site/stage.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use tokio::net::UdpSocket;
 use tokio::process::{Child, Command};
 use tokio::time::timeout;
 
@@ -148,6 +149,15 @@
         Ok(())
     }
 
+    /// A socket at an address of its own at which a caller receives.
+    ///
+    /// # Errors
+    ///
+    /// An error when the address is taken.
+    pub async fn caller_socket(&self) -> io::Result<UdpSocket> {
+        UdpSocket::bind((self.address(201, 1), DATAGRAM_PORT)).await
+    }
+
     /// Waits until so many VMs are in rotation; false when `limit` is over.
     pub async fn wait_ready(&self, count: usize, limit: Duration) -> bool {
         let wait = async {
--- a/tests/tests/entry.rs
+++ b/tests/tests/entry.rs
@@ -402,6 +402,34 @@
     running.check();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn packet_that_comes_before_the_view_is_served_with_it() {
+    use bambooseam_standin::site::{Fault, Flags, Packet};
+    let mut running = Running::prepare(&[1], 1).await;
+    running.site.vms[0].door.set_fault(Fault::Slow(Duration::from_millis(300)));
+    running.site.start_all().expect("programs start");
+    let vm = running.site.vms[0].datagrams();
+    let caller = running.site.caller_socket().await.expect("a socket");
+    let begun = Instant::now();
+    while !running.site.vms[0].log().contains("event=entry_started") {
+        assert!(begun.elapsed() < PATIENCE);
+        pause(5).await;
+    }
+    // The address is bound a moment after the first line of the log.
+    pause(50).await;
+    let std::net::SocketAddr::V4(own) = caller.local_addr().expect("an address") else {
+        panic!("not an IPv4 address");
+    };
+    let opening = Packet::new(own, running.orders, Flags::SYN);
+    caller.send_to(&opening.write(), vm).await.expect("a packet");
+    let mut buffer = [0; 2_048];
+    let answer = tokio::time::timeout(PATIENCE, caller.recv(&mut buffer)).await;
+    let len = answer.expect("the only packet was dropped").expect("a packet");
+    let answer = Packet::read(&buffer[..len]).expect("a packet");
+    assert!(answer.flags.has(Flags::SYN.and(Flags::ACK)));
+    running.check();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn unservable_openings_are_refused_at_once() {
     let mut running = Running::start(&[1], 1).await;
