Keep the flows of targets whose entries go one by one

Cause: the demonstration on the platform, new in this commit, lets the store turn writers away while VMs read it. Ruled out: the rule for removals in one batch (it held for the later ones). Change: an entry that goes without notice leaves its target in doubt for 0.4 s (no new flows while another target is open); more than a third of a service in doubt or lapsed counts as a lapse; a target that answers keeps its flows for as long as it does. Leaving targets end with their entry, as before. Tests: entries_that_lapse_one_by_one_over_a_beat_break_no_flow, target_without_an_entry_keeps_its_flows_while_it_answers, and entries_that_lapse_while_vms_read_the_store_break_no_flow as processes.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -9,7 +9,7 @@
 use bambooseam_platform::document::Config;
 use bambooseam_platform::{Document, Kind};
 use bambooseam_replica::{Change, Changes, Replica, Taken};
-use bambooseam_steer::{Standing, Steering, Target};
+use bambooseam_steer::{Steering, Target};
 use bambooseam_types::{Moment, Revision, TargetId};
 use tokio::sync::watch;
 
@@ -212,9 +212,9 @@
                 continue;
             };
             let standing = kept.iter().find(|(held, _)| held == id);
-            let outcome = match standing {
-                Some((_, Standing::Kept { until })) => format!("kept until={until}"),
-                _ => "ended".into(),
+            let outcome = match standing.and_then(|(_, s)| Some((s, s.until()?))) {
+                Some((standing, until)) => format!("{standing} until={until}"),
+                None => "ended".into(),
             };
             log::info!(
                 "event=target_removed target={id} now={now} source={source} outcome={outcome} \
--- a/crates/measure/src/demo.rs
+++ b/crates/measure/src/demo.rs
@@ -9,6 +9,7 @@
 mod stage;
 mod step;
 mod traffic;
+mod users;
 
 use std::io::{self, IsTerminal};
 use std::path::{Path, PathBuf};
@@ -22,6 +23,19 @@
 use stage::{Stage, StagePlan};
 use step::Steps;
 use traffic::TrafficPlan;
+use users::UsersDemo;
+
+/// Name of the users' platform, beside the places that run on the product's own interface.
+const PLATFORM: &str = "platform";
+
+/// What is run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    /// A place on the product's own interface.
+    Own(DeploymentKind),
+    /// The users' platform.
+    Platform,
+}
 
 /// What the command line asks for.
 #[derive(Debug)]
@@ -49,10 +63,11 @@
                 .long("deployment")
                 .value_name("PLACE")
                 .default_value("cascade")
-                .value_parser(|text: &str| {
-                    text.parse::<DeploymentKind>().map_err(|e| e.to_string())
+                .value_parser(|text: &str| match text {
+                    PLATFORM => Ok(Place::Platform),
+                    place => place.parse().map(Place::Own).map_err(|e| e.to_string()),
                 })
-                .help("Places to run: cascade or swanbourne"),
+                .help("Places to run: cascade, swanbourne, or platform for the users' own"),
         )
         .arg(number("seed", "1", "Seed of all choices").value_parser(value_parser!(u64)))
         .arg(
@@ -87,23 +102,73 @@
         Ok(runtime) => runtime,
         Err(error) => return failed(&error),
     };
+    if matches.get_one("deployment") == Some(&Place::Platform) {
+        return runtime.block_on(run_platform(matches));
+    }
     match Demo::try_from(matches) {
         Ok(demo) => runtime.block_on(demo.run()),
         Err(error) => failed(&error),
     }
 }
 
+/// Runs the steps on the users' platform and prints the result.
+async fn run_platform(matches: &ArgMatches) -> ExitCode {
+    let binaries = match binaries() {
+        Ok(binaries) => binaries,
+        Err(error) => return failed(&error),
+    };
+    let seed = *matches.get_one("seed").expect("has a default");
+    let result = tokio::select! {
+        result = UsersDemo::run(&binaries, period(matches), matches.get_flag("short"), seed) => result,
+        _ = stop_signal() => Err(io::ErrorKind::Interrupted.into()),
+    };
+    let failures = match result {
+        Ok(failures) => failures,
+        Err(error) => return failed(&error),
+    };
+    for failure in &failures {
+        println!("event=demo_failure {failure}");
+    }
+    match failures.is_empty() {
+        true => {
+            println!("measurement=demo deployment={PLATFORM} result=good");
+            ExitCode::SUCCESS
+        }
+        false => {
+            println!(
+                "measurement=demo deployment={PLATFORM} result=failed failures={}",
+                failures.len()
+            );
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Directory of the programs: where this one is.
+fn binaries() -> io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    Ok(own.parent().unwrap_or(Path::new(".")).into())
+}
+
+/// Time for which each step is watched at least.
+fn period(matches: &ArgMatches) -> Duration {
+    Duration::from_secs(*matches.get_one("step-time").expect("has a default"))
+}
+
 impl TryFrom<&ArgMatches> for Demo {
     type Error = io::Error;
 
     fn try_from(matches: &ArgMatches) -> Result<Self, io::Error> {
-        let own = std::env::current_exe()?;
-        let binaries = own.parent().unwrap_or(Path::new("."));
+        let Some(&Place::Own(kind)) = matches.get_one("deployment") else {
+            return Err(io::Error::other(
+                "not a place of the product's own interface",
+            ));
+        };
         Ok(Self {
             stage: StagePlan {
-                kind: *matches.get_one("deployment").expect("has a default"),
+                kind,
                 vms: *matches.get_one("vms").expect("has a default"),
-                binaries: binaries.into(),
+                binaries: binaries()?,
             },
             network: matches.get_one("network").copied(),
             traffic: TrafficPlan {
@@ -111,7 +176,7 @@
                 callers: *matches.get_one("callers").expect("has a default"),
                 seed: *matches.get_one("seed").expect("has a default"),
             },
-            period: Duration::from_secs(*matches.get_one("step-time").expect("has a default")),
+            period: period(matches),
             is_short: matches.get_flag("short"),
         })
     }
--- a/crates/standin/src/site/stage.rs
+++ b/crates/standin/src/site/stage.rs
@@ -383,6 +383,14 @@
         child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
+    /// Most memory that the program has held so far, in KiB.
+    pub fn peak_memory(&self) -> Option<u64> {
+        let pid = self.child.as_ref().and_then(Child::id)?;
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
     /// What the program has logged.
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.log_file()).unwrap_or_default()
--- a/crates/steer/src/load.rs
+++ b/crates/steer/src/load.rs
@@ -15,11 +15,19 @@
     pub busy: u32,
     /// What was asked since it last showed life.
     pub silence: Silence,
+    /// When it last showed life.
+    pub heard: Option<Moment>,
     /// Until when the target is slow after its start.
     pub cold_until: Option<Moment>,
 }
 
 impl Load {
+    /// Notes that a packet has shown that the target lives.
+    pub fn note_life(&mut self, now: Moment) {
+        self.silence.note_life();
+        self.heard = Some(now);
+    }
+
     /// Notes for how long the target is still slow.
     pub fn note_cold(&mut self, now: Moment, time: Duration) {
         self.cold_until = (!time.is_zero()).then(|| now.after(time));
--- a/crates/steer/src/roster.rs
+++ b/crates/steer/src/roster.rs
@@ -8,6 +8,7 @@
 use derive_more::Display;
 
 use crate::Target;
+use crate::absence::judge_unlisted;
 use crate::load::Load;
 
 /// Tokens of ended targets that are remembered, so that their flows are reset at once.
@@ -23,12 +24,24 @@
     /// Its entry stands.
     #[display("published")]
     Published,
-    /// Its entry is gone, probably lapsed while the store was away.
-    #[display("kept")]
-    Kept {
+    /// Its entry has gone; it may have ended.
+    #[display("doubted")]
+    Doubted {
         /// When it counts as ended unless the entry is back.
         until: Moment,
     },
+    /// Its entry has gone as entries go that lapse; it probably lives.
+    #[display("lapsed")]
+    Lapsed {
+        /// When it counts as ended unless the entry is back.
+        until: Moment,
+    },
+    /// Its entry has gone for good, but packets show that it lives.
+    #[display("unlisted")]
+    Unlisted {
+        /// When it counts as ended unless it shows life again.
+        until: Moment,
+    },
     /// Its entry was replaced by one that names no target.
     #[display("unreadable")]
     Unreadable,
@@ -67,11 +80,36 @@
     }
 }
 
+impl Standing {
+    /// When the target counts as ended; `None` while its entry stands.
+    pub fn until(self) -> Option<Moment> {
+        match self {
+            Self::Doubted { until } | Self::Lapsed { until } | Self::Unlisted { until } => {
+                Some(until)
+            }
+            Self::Published | Self::Unreadable => None,
+        }
+    }
+}
+
 impl Slot {
     /// Whether new flows may be placed here.
     pub fn is_open(&self) -> bool {
-        let is_usable = !matches!(self.standing, Standing::Unreadable);
-        is_usable && !self.target.is_leaving && !self.is_eclipsed
+        let is_usable = matches!(self.standing, Standing::Published | Standing::Lapsed { .. });
+        is_usable && self.is_willing()
+    }
+
+    /// Whether new flows may be placed here when no target of the service is open.
+    pub fn is_last_resort(&self) -> bool {
+        let is_kept = matches!(
+            self.standing,
+            Standing::Doubted { .. } | Standing::Unlisted { .. }
+        );
+        is_kept && self.is_willing()
+    }
+
+    fn is_willing(&self) -> bool {
+        !self.target.is_leaving && !self.is_eclipsed
     }
 }
 
@@ -102,6 +140,18 @@
         }
     }
 
+    /// Takes the doubted targets of a service for lapsed ones.
+    pub fn trust_doubted(&mut self, service: &ServiceName, until: Moment) {
+        let numbers: Vec<_> = self.of_service(service).map(|(number, _)| number).collect();
+        for number in numbers {
+            if let Some(slot) = self.get_mut(number)
+                && matches!(slot.standing, Standing::Doubted { .. })
+            {
+                slot.standing = Standing::Lapsed { until };
+            }
+        }
+    }
+
     /// Removes a target and remembers its token.
     pub fn end(&mut self, number: SlotNumber, now: Moment) {
         let Some(slot) = self.slots.get_mut(number.0 as usize).and_then(Option::take) else {
@@ -167,19 +217,25 @@
             .is_ok()
     }
 
-    /// Ends targets that were kept long enough; gives their identifiers.
+    /// Ends targets that were kept long enough and show no life; gives their identifiers.
     pub fn expire(&mut self, now: Moment) -> Vec<TargetId> {
-        let is_over =
-            |slot: &Slot| matches!(slot.standing, Standing::Kept { until } if until <= now);
-        let over: Vec<_> = self
-            .iter()
-            .filter(|(_, slot)| is_over(slot))
-            .map(|(number, slot)| (number, slot.target.id.clone()))
+        let is_over = |slot: &Slot| slot.standing.until().is_some_and(|until| until <= now);
+        let over = self.iter().filter(|(_, slot)| is_over(slot));
+        let over: Vec<_> = over
+            .map(|(number, slot)| (number, slot.load.heard))
             .collect();
-        for (number, _) in &over {
-            self.end(*number, now);
+        let mut ended = Vec::new();
+        for (number, heard) in over {
+            if let Some(standing) = judge_unlisted(now, heard) {
+                self.set_standing(number, standing);
+                continue;
+            }
+            if let Some(slot) = self.get(number) {
+                ended.push(slot.target.id.clone());
+            }
+            self.end(number, now);
         }
-        over.into_iter().map(|(_, id)| id).collect()
+        ended
     }
 
     fn add(&mut self, target: Target, token: Token, now: Moment) {
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -109,29 +109,30 @@
     }
 
     /// Takes the removals of one batch; gives what became of each known target.
+    ///
+    /// A target that had announced that it leaves has ended, unless the store was away lately. Any
+    /// other is kept for a while: its entry may have lapsed.
     pub fn remove_targets(&mut self, ids: &[TargetId], now: Moment) -> Vec<(TargetId, Standing)> {
-        let mut kept = Vec::new();
+        let mut outcomes = Vec::new();
         let numbers: Vec<_> = ids.iter().filter_map(|id| self.roster.find(id)).collect();
         for &number in &numbers {
             let Some(slot) = self.roster.get(number) else {
                 continue;
             };
-            let removal = self.removal_of(&slot.target.service, &numbers);
-            if let Some(until) = self.absence.kept_until(now, removal) {
-                kept.push((number, slot.target.id.clone(), Standing::Kept { until }));
-            }
-        }
-        for &number in &numbers {
-            if !kept.iter().any(|(held, ..)| *held == number) {
+            let (id, service) = (slot.target.id.clone(), slot.target.service.clone());
+            if slot.target.is_leaving && !self.absence.is_recent(now) {
                 self.roster.end(number, now);
+                continue;
             }
+            let removal = self.removal_of(&service, &numbers);
+            let standing = self.absence.judge(now, removal);
+            if let Standing::Lapsed { until } = standing {
+                self.roster.trust_doubted(&service, until);
+            }
+            self.roster.set_standing(number, standing);
+            outcomes.push((id, standing));
         }
-        for (number, _, standing) in &kept {
-            self.roster.set_standing(*number, *standing);
-        }
-        kept.into_iter()
-            .map(|(_, id, standing)| (id, standing))
-            .collect()
+        outcomes
     }
 
     /// Notes that everything published up to `at` is here.
@@ -222,14 +223,19 @@
             return forward(slot, Opening::Copy);
         }
         let zone = &self.settings.zone;
-        let candidates = self.roster.of_service(service).filter(|(_, s)| s.is_open());
-        let candidates = candidates.map(|(slot, held)| Candidate {
-            slot,
-            load: &held.load,
-            capacity: held.target.capacity,
-            is_near: held.target.zone == *zone,
-        });
-        let Some(number) = place(candidates, key.get(), now) else {
+        let choose = |is_wanted: fn(&Slot) -> bool| {
+            let held = self.roster.of_service(service);
+            let candidates = held.filter(|(_, held)| is_wanted(held));
+            let candidates = candidates.map(|(slot, held)| Candidate {
+                slot,
+                load: &held.load,
+                capacity: held.target.capacity,
+                is_near: held.target.zone == *zone,
+            });
+            place(candidates, key.get(), now)
+        };
+        let chosen = choose(Slot::is_open).or_else(|| choose(Slot::is_last_resort));
+        let Some(number) = chosen else {
             return refuse(ResetCause::NoTarget, is_current);
         };
         let timeout = route.timeout;
@@ -301,19 +307,18 @@
         }
     }
 
-    /// How many targets of a service a batch removes.
+    /// How many targets of a service have gone, with a batch that is being removed.
     fn removal_of(&self, service: &ServiceName, numbers: &[SlotNumber]) -> Removal {
-        let is_unannounced = |slot: &Slot| !slot.target.is_leaving;
-        let of_service = self.roster.of_service(service);
-        let (mut total, mut unannounced) = (0, 0);
-        for (number, slot) in of_service {
-            if !is_unannounced(slot) {
+        let (mut total, mut gone) = (0, 0);
+        for (number, slot) in self.roster.of_service(service) {
+            if slot.target.is_leaving {
                 continue;
             }
             total += 1;
-            unannounced += usize::from(numbers.contains(&number));
+            let has_gone = slot.standing.until().is_some();
+            gone += usize::from(has_gone || numbers.contains(&number));
         }
-        Removal { unannounced, total }
+        Removal { gone, total }
     }
 }
 
@@ -363,7 +368,7 @@
         _ => {}
     }
     if signals.is_opened || signals.progress.is_some() {
-        load.silence.note_life();
+        load.note_life(now);
     }
     if signals.has_request {
         load.silence.note_request(now);
--- a/tests/tests/entry.rs
+++ b/tests/tests/entry.rs
@@ -219,6 +219,20 @@
         running.check();
         assert_served(&running, 200, CALM_LOSS);
     }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn entries_that_lapse_while_vms_read_the_store_break_no_flow() {
+        let mut running = Running::start(&[1, 1], 4).await;
+        let traffic = running.traffic(6, 2);
+        pause(500).await;
+        running.site.store.set_away(true);
+        pause(5_000).await;
+        running.site.store.set_away(false);
+        pause(3_500).await;
+        traffic.stop().await;
+        running.check();
+        assert_served(&running, 200, CALM_LOSS);
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -406,7 +420,9 @@
 async fn packet_that_comes_before_the_view_is_served_with_it() {
     use bambooseam_standin::site::{Fault, Flags, Packet};
     let mut running = Running::prepare(&[1], 1).await;
-    running.site.vms[0].door.set_fault(Fault::Slow(Duration::from_millis(300)));
+    running.site.vms[0]
+        .door
+        .set_fault(Fault::Slow(Duration::from_millis(300)));
     running.site.start_all().expect("programs start");
     let vm = running.site.vms[0].datagrams();
     let caller = running.site.caller_socket().await.expect("a socket");
@@ -421,10 +437,15 @@
         panic!("not an IPv4 address");
     };
     let opening = Packet::new(own, running.orders, Flags::SYN);
-    caller.send_to(&opening.write(), vm).await.expect("a packet");
+    caller
+        .send_to(&opening.write(), vm)
+        .await
+        .expect("a packet");
     let mut buffer = [0; 2_048];
     let answer = tokio::time::timeout(PATIENCE, caller.recv(&mut buffer)).await;
-    let len = answer.expect("the only packet was dropped").expect("a packet");
+    let len = answer
+        .expect("the only packet was dropped")
+        .expect("a packet");
     let answer = Packet::read(&buffer[..len]).expect("a packet");
     assert!(answer.flags.has(Flags::SYN.and(Flags::ACK)));
     running.check();
--- a/tests/tests/steer.rs
+++ b/tests/tests/steer.rs
@@ -59,6 +59,7 @@
     let mut steering = steering([target(1)]);
     let token = open(&mut steering, 1);
     steering.remove_targets(&[target(1).id], at(10));
+    steering.sweep(at(500));
     let other = Target {
         id: "i-77".parse().expect("an id"),
         label: TargetLabel::new(0x77).expect("a label"),
@@ -87,7 +88,7 @@
     let id = slot.target.id.clone();
     steering.note_outage(at(1_000));
     let kept = steering.remove_targets(std::slice::from_ref(&id), at(1_100));
-    assert_eq!(kept, [(id.clone(), Standing::Kept { until: at(3_500) })]);
+    assert_eq!(kept, [(id.clone(), Standing::Lapsed { until: at(3_500) })]);
     steering.note_sync(at(1_100));
     let packet = inside(flow(1, ORDERS), token, 101, 501, 30);
     assert!(steering.packet(&packet, at(1_200)).forwarded().is_some());
@@ -112,20 +113,117 @@
     let mut steering = steering((1..=9).map(target));
     let token = target(3).token();
     steering.remove_targets(&[target(3).id], at(1_000));
+    steering.sweep(at(1_500));
     let packet = inside(flow(1, ORDERS), token, 101, 501, 30);
-    assert!(steering.packet(&packet, at(1_001)).forwarded().is_none());
-    steering.put_target(target(3), at(1_500));
-    assert!(steering.packet(&packet, at(1_501)).forwarded().is_some());
+    assert!(steering.packet(&packet, at(1_501)).forwarded().is_none());
+    steering.put_target(target(3), at(2_000));
+    assert!(steering.packet(&packet, at(2_001)).forwarded().is_some());
+}
+
+#[test]
+fn target_whose_entry_goes_in_quiet_times_keeps_its_flows_for_a_moment() {
+    let mut steering = steering((1..=9).map(target));
+    let token = target(3).token();
+    let id = target(3).id;
+    let outcome = steering.remove_targets(std::slice::from_ref(&id), at(1_000));
+    assert_eq!(
+        outcome,
+        [(id.clone(), Standing::Doubted { until: at(1_400) })]
+    );
+    let packet = inside(flow(1, ORDERS), token, 101, 501, 30);
+    assert!(steering.packet(&packet, at(1_399)).forwarded().is_some());
+    assert_eq!(steering.sweep(at(1_400)), [id]);
+    let verdict = steering.packet(&packet, at(1_401));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::TargetGone));
+}
+
+#[test]
+fn target_without_an_entry_keeps_its_flows_while_it_answers() {
+    let mut steering = steering((1..=3).map(target));
+    let token = target(3).token();
+    let mut packet = inside(flow(1, ORDERS), token, 101, 501, 30);
+    steering.packet(&packet, at(900));
+    steering.remove_targets(&[target(3).id], at(1_000));
+    for time in (1_000..9_000).step_by(500) {
+        // Each answer is acknowledged, and asks for the next.
+        packet.ack += 100;
+        packet.seq += 30;
+        assert!(
+            steering.packet(&packet, at(time)).forwarded().is_some(),
+            "at {time} ms"
+        );
+        assert_eq!(steering.sweep(at(time)), []);
+    }
+    for number in 10..50 {
+        let verdict = steering.packet(&opening(flow(number, ORDERS), 0), at(8_500));
+        assert_ne!(token_of(verdict), token);
+    }
+    // Requests without an answer show no life.
+    packet.seq += 30;
+    steering.packet(&packet, at(9_000));
+    assert_eq!(steering.sweep(at(11_000)), [target(3).id]);
+}
+
+#[test]
+fn doubted_target_gets_new_flows_only_where_no_other_is_open() {
+    let mut two = steering([target(1), target(2), target(3), target(4)]);
+    two.remove_targets(&[target(2).id], at(0));
+    for number in 1..50 {
+        assert_ne!(open(&mut two, number), target(2).token());
+    }
+    let mut one = steering([target(1)]);
+    one.remove_targets(&[target(1).id], at(0));
+    assert_eq!(open(&mut one, 1), target(1).token());
 }
 
 #[test]
-fn many_entries_gone_at_once_look_like_a_lapse() {
-    let mut few = steering((1..=9).map(target));
-    let ids: Vec<_> = (1..=3).map(|number| target(number).id).collect();
-    assert_eq!(few.remove_targets(&ids, at(10)).len(), 0);
-    let mut many = steering((1..=9).map(target));
-    let ids: Vec<_> = (1..=4).map(|number| target(number).id).collect();
-    assert_eq!(many.remove_targets(&ids, at(10)).len(), 4);
+fn leaving_target_whose_entry_goes_has_ended() {
+    let mut steering = steering((1..=9).map(target));
+    let leaving = Target {
+        is_leaving: true,
+        ..target(3)
+    };
+    steering.put_target(leaving, at(100));
+    assert_eq!(steering.remove_targets(&[target(3).id], at(5_000)), []);
+    let packet = inside(flow(1, ORDERS), target(3).token(), 101, 501, 30);
+    let verdict = steering.packet(&packet, at(5_001));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::TargetGone));
+}
+
+#[test]
+fn many_entries_gone_look_like_a_lapse() {
+    let is_lapsed = |gone: u8| {
+        let mut steering = steering((1..=9).map(target));
+        let ids: Vec<_> = (1..=gone).map(|number| target(number).id).collect();
+        steering.remove_targets(&ids, at(10));
+        let slots: Vec<_> = steering
+            .roster()
+            .iter()
+            .map(|(_, slot)| slot.standing)
+            .collect();
+        slots.contains(&Standing::Lapsed { until: at(2_510) })
+    };
+    assert!(!is_lapsed(3));
+    assert!(is_lapsed(4));
+}
+
+#[test]
+fn entries_that_lapse_one_by_one_over_a_beat_break_no_flow() {
+    // 14 targets beat every 770 ms, the store is read every 300 ms, and no target reaches it.
+    let mut steering = steering((1..=14).map(target));
+    let mut ended = Vec::new();
+    for batch in 0..4_u64 {
+        let now = at(1_000 + 300 * batch);
+        let due = |number: &u8| u64::from(*number) * 55 / 300 == batch;
+        let ids: Vec<_> = (1..=14)
+            .filter(due)
+            .map(|number| target(number).id)
+            .collect();
+        ended.extend(steering.sweep(now));
+        steering.remove_targets(&ids, now);
+    }
+    ended.extend(steering.sweep(at(2_400)));
+    assert_eq!(ended, []);
 }
 
 #[test]
