--- /dev/null
+++ b/crates/measure/src/entry.rs
@@ -0,0 +1,244 @@
+//! The packet path of the entry program beside a bare UDP relay, over loopback.
+//!
+//! Both read a datagram and send it on from one thread with one system call each. The relay has
+//! nothing to decide; what the ratio lacks to 1 is the price of heads, decisions and logs.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bambooseam_entry::packets::Packets;
+use bambooseam_entry::{BootClock, Node, Quiet, Source};
+use bambooseam_replica::{Change, Changes};
+use bambooseam_standin::site::{Flags, Packet};
+use bambooseam_steer::{Steering, SteeringSettings};
+use bambooseam_types::{Clock, Revision};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use serde_json::json;
+use tokio::task::LocalSet;
+
+/// Time of one run.
+const RUN_TIME: Duration = Duration::from_millis(400);
+/// Flows in a run.
+const FLOWS: u16 = 2_000;
+/// Where callers send to.
+const ENTRANCE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+/// Command line of this measurement.
+pub fn command() -> Command {
+    Command::new("entry")
+        .about("Measures the packet path of the users' platform beside a bare relay")
+        .arg(
+            Arg::new("rounds")
+                .long("rounds")
+                .value_name("N")
+                .default_value("12")
+                .value_parser(value_parser!(usize))
+                .help("Runs of each kind, in turn"),
+        )
+}
+
+/// Runs the measurement.
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    let rounds: usize = *matches.get_one("rounds").expect("has a default");
+    match measure(rounds) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            println!(
+                "measurement=entry result=failed cause={:?}",
+                error.to_string()
+            );
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn measure(rounds: usize) -> io::Result<()> {
+    let mut ratios = Vec::new();
+    let (mut bare, mut entry) = (0.0, 0.0);
+    for _ in 0..rounds {
+        let relay = Run::new()?.speed(relay)?;
+        let program = Run::new()?.speed(program)?;
+        ratios.push(program / relay);
+        bare += relay / rounds as f64;
+        entry += program / rounds as f64;
+    }
+    ratios.sort_by(f64::total_cmp);
+    println!(
+        "measurement=entry rounds={rounds} bare_packets_s={bare:.0} entry_packets_s={entry:.0} \
+         ratio={:.3} ratio_least={:.3} ratio_most={:.3}",
+        ratios[ratios.len() / 2],
+        ratios[0],
+        ratios[ratios.len() - 1]
+    );
+    Ok(())
+}
+
+/// Sockets of one run.
+struct Run {
+    target: UdpSocket,
+    middle: SocketAddr,
+}
+
+/// What stands in the middle until `stop`.
+type Middle = fn(SocketAddr, SocketAddr, Arc<AtomicBool>) -> io::Result<()>;
+
+impl Run {
+    fn new() -> io::Result<Self> {
+        let target = UdpSocket::bind("127.0.0.1:0")?;
+        target.set_read_timeout(Some(Duration::from_millis(50)))?;
+        // Free a moment ago; nobody else binds ports here meanwhile.
+        let middle = UdpSocket::bind("127.0.0.1:0")?.local_addr()?;
+        Ok(Self { target, middle })
+    }
+
+    /// Packets a second that come out at the target while more are sent than can pass.
+    fn speed(self, middle: Middle) -> io::Result<f64> {
+        let stop = Arc::new(AtomicBool::new(false));
+        let target = self.target.local_addr()?;
+        let (address, flag) = (self.middle, Arc::clone(&stop));
+        let middle = thread::spawn(move || middle(address, target, flag));
+        let (sink, flag) = (self.target, Arc::clone(&stop));
+        let count = Arc::new(AtomicU64::new(0));
+        let counted = Arc::clone(&count);
+        let sink = thread::spawn(move || {
+            let mut buffer = [0; 2_048];
+            while !flag.load(Ordering::Relaxed) {
+                if sink.recv(&mut buffer).is_ok() {
+                    counted.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+        });
+        thread::sleep(Duration::from_millis(100));
+        let begun = Instant::now();
+        send(self.middle, begun + RUN_TIME)?;
+        let speed = count.load(Ordering::Relaxed) as f64 / begun.elapsed().as_secs_f64();
+        stop.store(true, Ordering::Relaxed);
+        sink.join()
+            .map_err(|_| io::Error::other("the sink failed"))?;
+        let ended = middle.join();
+        ended.map_err(|_| io::Error::other("the middle failed"))??;
+        Ok(speed)
+    }
+}
+
+/// Sends packets inside flows until `end`.
+fn send(to: SocketAddr, end: Instant) -> io::Result<()> {
+    let socket = UdpSocket::bind("127.0.0.1:0")?;
+    let token = bambooseam_steer::Target::token(&target_of(to)).get();
+    let packets: Vec<Vec<u8>> = (0..FLOWS)
+        .map(|flow| {
+            let caller = SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), 20_000 + flow);
+            let mut packet = Packet::new(caller, ENTRANCE, Flags::ACK);
+            packet.echo = token;
+            packet.data = vec![b'.'; 100];
+            packet.write()
+        })
+        .collect();
+    for packet in packets.iter().cycle() {
+        if Instant::now() >= end {
+            return Ok(());
+        }
+        // A full queue is what this run is for.
+        let _ = socket.send_to(packet, to);
+    }
+    Ok(())
+}
+
+/// The target of a run; its token does not depend on its address.
+fn target_of(address: SocketAddr) -> bambooseam_steer::Target {
+    let entry = entry_of(address);
+    let kind = bambooseam_platform::Kind::of_key("servers/i-1").expect("a good key");
+    match kind.read(entry.as_bytes()) {
+        Ok(bambooseam_platform::Document::Target(target)) => target,
+        other => panic!("not a target: {other:?}"),
+    }
+}
+
+fn entry_of(address: SocketAddr) -> String {
+    json!({
+        "service": "orders", "address": address.to_string(), "zone": "a", "config_version": "v1",
+        "capacity": 2, "state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
+    })
+    .to_string()
+}
+
+fn relay(address: SocketAddr, target: SocketAddr, stop: Arc<AtomicBool>) -> io::Result<()> {
+    run_until(stop, async move {
+        let socket = tokio::net::UdpSocket::bind(address).await?;
+        let mut buffer = [0; 2_048];
+        loop {
+            socket.readable().await?;
+            while let Ok(len) = socket.try_recv(&mut buffer) {
+                // A full queue drops the datagram, as it would for the program.
+                let _ = socket.try_send_to(&buffer[..len], target);
+            }
+            tokio::task::yield_now().await;
+        }
+    })
+}
+
+fn program(address: SocketAddr, target: SocketAddr, stop: Arc<AtomicBool>) -> io::Result<()> {
+    run_until(stop, async move {
+        let mut node = Node::new(Steering::new(SteeringSettings {
+            zone: "a".parse().map_err(io::Error::other)?,
+            flow_limit: usize::from(FLOWS),
+        }));
+        let now = BootClock.now();
+        node.take(documents(target), now, now, Source::Store);
+        let node = Rc::new(RefCell::new(node));
+        let packets = Packets::bind(address, node).await?;
+        packets.run(Quiet::default()).await;
+        Ok(())
+    })
+}
+
+/// A route and a target.
+fn documents(target: SocketAddr) -> Changes {
+    let config = json!({
+        "config_version": 1,
+        "routes": [{"host": ENTRANCE.ip(), "prefix": format!("/{}/", ENTRANCE.port()),
+                    "timeout_ms": 1_000, "service": "orders"}],
+    });
+    let documents = [
+        ("op/config", config.to_string()),
+        ("servers/i-1", entry_of(target)),
+    ];
+    let list = documents.map(|(key, text)| Change {
+        key: key.into(),
+        revision: Revision::from(1),
+        value: Some(text.into_bytes().into()),
+    });
+    Changes {
+        after: None,
+        upto: Revision::from(1),
+        list: list.into(),
+    }
+}
+
+/// Runs a task on a runtime of this thread until `stop`.
+fn run_until(
+    stop: Arc<AtomicBool>,
+    work: impl Future<Output = io::Result<()>> + 'static,
+) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, async move {
+        let stopped = async {
+            while !stop.load(Ordering::Relaxed) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::select! {
+            result = work => result,
+            () = stopped => Ok(()),
+        }
+    })
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod control;
 pub mod demo;
+pub mod entry;
 pub mod flows;
 pub mod requests;
--- /dev/null
+++ b/crates/steer/benches/steering.rs
@@ -0,0 +1,124 @@
+//! Time of one decision: an opening, a known token, an unknown one, and no route.
+
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use bambooseam_steer::{
+    FlowId, Head, HeadFlags, Route, Routes, Share, Steering, SteeringSettings, Target,
+};
+use bambooseam_types::{Incarnation, Moment, TargetLabel, Token};
+use criterion::Criterion;
+
+/// Targets of today, of the grown deployments and of the target size.
+const SIZES: [u32; 3] = [18, 150, 4_600];
+/// Services of each size, as many as the deployments have for each target.
+const TARGETS_OF_SERVICE: u32 = 8;
+/// Flows that the table holds: the share of one VM at the target size.
+const FLOWS: u32 = 8_192;
+
+fn service(number: u32) -> String {
+    format!("service-{number}")
+}
+
+fn entrance(number: u32) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(0xc612_0000 + number), 443)
+}
+
+fn target(number: u32) -> Target {
+    Target {
+        id: format!("i-{number:08x}").parse().expect("an id"),
+        label: TargetLabel::new(u64::from(number) + 1).expect("a label"),
+        start: Incarnation::from(1_790_000_000_000),
+        service: service(number / TARGETS_OF_SERVICE)
+            .parse()
+            .expect("a name"),
+        address: SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + number), 8_080),
+        zone: format!("zone-{}", number % 6).parse().expect("a name"),
+        capacity: 2,
+        is_leaving: false,
+        cold_time: Duration::ZERO,
+    }
+}
+
+fn steering(targets: u32) -> Steering {
+    let mut steering = Steering::new(SteeringSettings {
+        zone: "zone-0".parse().expect("a name"),
+        flow_limit: FLOWS as usize,
+    });
+    let routes = (0..targets.div_ceil(TARGETS_OF_SERVICE)).map(|number| Route {
+        entrance: entrance(number),
+        shares: vec![Share {
+            service: service(number).parse().expect("a name"),
+            weight: 1,
+        }],
+        timeout: Duration::from_secs(2),
+    });
+    steering.set_routes(Routes::new(routes.collect(), None));
+    for number in 0..targets {
+        steering.put_target(target(number), Moment::from_millis(0));
+    }
+    steering.note_sync(Moment::from_millis(1));
+    steering
+}
+
+fn head(caller: u32, entrance: SocketAddrV4, token: Option<Token>) -> Head {
+    Head {
+        flow: FlowId {
+            caller: SocketAddrV4::new(Ipv4Addr::from(0x6440_0000 + caller), 40_000),
+            entrance,
+        },
+        flags: HeadFlags {
+            syn: token.is_none(),
+            ack: token.is_some(),
+            ..HeadFlags::default()
+        },
+        token,
+        seq: 1,
+        ack: 1,
+        len: 0,
+    }
+}
+
+fn packets(criterion: &mut Criterion) {
+    let now = Moment::from_millis(1_000);
+    for targets in SIZES {
+        let mut steering = steering(targets);
+        let mut caller = 0;
+        let mut tokens = Vec::new();
+        for _ in 0..FLOWS {
+            caller += 1;
+            let opening = head(caller, entrance(0), None);
+            let verdict = steering.packet(&opening, now);
+            tokens.push(verdict.forwarded().expect("a target").1);
+        }
+        let mut at = 0;
+        criterion.bench_function(&format!("opening_{targets}"), |bencher| {
+            bencher.iter(|| {
+                caller = caller % FLOWS + 1;
+                steering.packet(black_box(&head(caller, entrance(0), None)), now)
+            });
+        });
+        criterion.bench_function(&format!("known_token_{targets}"), |bencher| {
+            bencher.iter(|| {
+                at = (at + 1) % tokens.len();
+                let packet = head(at as u32 + 1, entrance(0), Some(tokens[at]));
+                steering.packet(black_box(&packet), now)
+            });
+        });
+        criterion.bench_function(&format!("unknown_token_{targets}"), |bencher| {
+            let packet = head(1, entrance(0), Some(Token::of_hash(7)));
+            bencher.iter(|| steering.packet(black_box(&packet), now));
+        });
+        criterion.bench_function(&format!("no_route_{targets}"), |bencher| {
+            let packet = head(1, entrance(99_999), None);
+            bencher.iter(|| steering.packet(black_box(&packet), now));
+        });
+    }
+}
+
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    packets(&mut criterion);
+    criterion.final_summary();
+}
