Let one VM read the store and the others follow

Ruled out: longer waits (a silent connection must show within the bounds). Change: a VM follows a peer with a lower address, of its own zone if it can, over one long poll; the lowest reads. An answer comes with each sign that the copy is current, so certainty passes on like changes do. Peers are asked in haste from 1.4 s.

The stand-in now waits for the program's end.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -4,6 +4,7 @@
 use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bambooseam_observe::LogLimit;
 use bambooseam_platform::document::Config;
@@ -19,6 +20,10 @@
 /// Changes of targets, which come in numbers when a fleet is replaced.
 static TARGETS: LogLimit = LogLimit::new("target_changes", 50);
 
+/// Time since a failure of the store for which it counts as away: a call with its time limit, and
+/// the longest pause after it.
+const AWAY_TIME: Duration = Duration::from_millis(2_000);
+
 /// Who brought documents.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -35,6 +40,8 @@
     steering: Steering,
     config: Option<(u64, Revision)>,
     ready: watch::Sender<bool>,
+    synced: watch::Sender<Option<Moment>>,
+    outage: Option<Moment>,
     is_stopping: bool,
 }
 
@@ -58,6 +65,8 @@
             steering,
             config: None,
             ready: watch::Sender::new(false),
+            synced: watch::Sender::new(None),
+            outage: None,
             is_stopping: false,
         }
     }
@@ -80,15 +89,23 @@
         }
         self.remove(&removed, now, source);
         self.steering.note_sync(synced);
+        self.synced.send_replace(Some(synced));
         self.update_ready();
         true
     }
 
     /// Notes that the store is away, or has answered again after it was.
     pub fn note_outage(&mut self, now: Moment) {
+        self.outage = Some(now);
         self.steering.note_outage(now);
     }
 
+    /// Whether the store has failed lately.
+    pub fn is_store_away(&self, now: Moment) -> bool {
+        self.outage
+            .is_some_and(|outage| now.since(outage) <= AWAY_TIME)
+    }
+
     /// Ends targets that were kept and did not come back, and forgets flows that are over.
     pub fn sweep(&mut self, now: Moment) {
         for id in self.steering.sweep(now) {
@@ -107,6 +124,17 @@
         self.ready.subscribe()
     }
 
+    /// When the copy was last known to be current, as it changes.
+    pub fn synced(&self) -> watch::Receiver<Option<Moment>> {
+        self.synced.subscribe()
+    }
+
+    /// How long the copy has not been known to be current; `None` when there is none.
+    pub fn age(&self, now: Moment) -> Option<Duration> {
+        let synced = self.steering.freshness().synced;
+        synced.map(|synced| now.since(synced))
+    }
+
     /// The copy of the published documents.
     pub fn replica(&self) -> &Replica {
         &self.replica
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -1,7 +1,7 @@
-//! Tasks that compare this VM's copy with those of its peers.
+//! Tasks that answer peers, and ask them now and then.
 //!
-//! While the store answers, a peer is asked now and then: that keeps the list of peers fresh and
-//! finds a watch that has gone silent. While it does not, peers are asked several times a second.
+//! While the copy is current, a peer is asked now and then to keep the list of peers fresh. While it
+//! is not, peers are asked several times a second, whatever the feed does.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -9,28 +9,36 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bambooseam_peer::replica::{News, ReplicaLink, ReplicaService};
+use bambooseam_peer::replica::{Ask, News, ReplicaLink, ReplicaService};
 use bambooseam_peer::{Meter, jitter};
-use bambooseam_types::{Clock, Moment, Revision};
+use bambooseam_types::{Clock, Moment};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use crate::node::{SharedNode, Source};
 use crate::{BootClock, Peers};
 
-/// Time between two calls while the store answers: a third of the least bound that the users set
-/// for a change (3 s), so that a watch that hears nothing costs little of it.
-const QUIET_PAUSE: Duration = Duration::from_millis(1_000);
+/// Time between two calls while the copy is current: the list of peers changes with VMs, of which
+/// a fleet of the target size replaces one every three minutes.
+const QUIET_PAUSE: Duration = Duration::from_millis(3_000);
 
-/// Time between two calls while it does not: several tries within the least bound for a change.
+/// Time between two looks whether a call is due, and between two calls while the copy is not
+/// current: several tries within the least bound for a change.
 const HASTE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Age of the copy from which peers are asked in haste: a watch of 1 s and its time limit.
-const HASTE_AGE: Duration = Duration::from_millis(1_700);
+/// Age of the copy from which peers are asked in haste: above that of a copy that is followed.
+const HASTE_AGE: Duration = Duration::from_millis(1_400);
+
+/// Calls in haste after the start that look for more peers; a small fleet has no more.
+const SPARSE_TRIES: u32 = 6;
 
 /// Time in which a peer must answer, connection included.
 const CALL_TIME: Duration = Duration::from_millis(500);
 
+/// Largest copy that is given to an asker that is not eager: it reads the store meanwhile, and many
+/// VMs may start at once. Some two hundred entries.
+const SMALL_COPY: usize = 64 << 10;
+
 /// Peers known to this VM, shared by its tasks.
 pub type SharedPeers = Rc<RefCell<Peers>>;
 
@@ -44,61 +52,96 @@
 }
 
 impl ReplicaService for Answers {
-    fn sync(&self, address: Option<SocketAddr>, upto: Option<Revision>) -> News {
+    async fn sync(&self, ask: Ask) -> News {
         let now = BootClock.now();
-        let mut peers = self.peers.borrow_mut();
-        if let Some(address) = address {
-            peers.note_heard(address, now);
+        if let Some(asker) = &ask.asker {
+            self.peers.borrow_mut().note_asker(asker, now);
+        }
+        let is_waiting = !ask.wait.is_zero();
+        if is_waiting {
+            self.wait_for_news(&ask).await;
         }
         let node = self.node.borrow();
-        let synced = node.steering().freshness().synced;
+        let peers = match is_waiting {
+            // A follower asks each second; the peers that it needs come with its other calls.
+            true => Vec::new(),
+            false => self.peers.borrow().told(now),
+        };
+        let changes = node.replica().changes_since(ask.upto);
+        let changes = changes.filter(|changes| ask.is_eager || changes.size() <= SMALL_COPY);
         News {
-            changes: node.replica().changes_since(upto),
-            age: synced.map_or(Duration::MAX, |synced| now.since(synced)),
-            peers: peers.heard(now),
+            changes,
+            age: node.age(BootClock.now()).unwrap_or(Duration::MAX),
+            peers,
+        }
+    }
+}
+
+impl Answers {
+    /// Waits until something newer than the asker's copy is here, or the copy is known to be
+    /// current once more.
+    async fn wait_for_news(&self, ask: &Ask) {
+        let mut synced = self.node.borrow().synced();
+        synced.mark_unchanged();
+        if self.node.borrow().replica().upto() > ask.upto {
+            return;
         }
+        // The end of the wait is an answer too; the node outlives its peers' calls.
+        let _ = timeout(ask.wait, synced.changed()).await;
     }
 }
 
 /// Asks peers until dropped; must run in a `LocalSet`.
-pub async fn run(own: SocketAddr, node: SharedNode, peers: SharedPeers, meter: Arc<Meter>) {
+pub async fn run(node: SharedNode, peers: SharedPeers, meter: Arc<Meter>) {
+    let mut asked: Option<Moment> = None;
+    let mut tries = 0;
     loop {
         let now = BootClock.now();
-        let next = peers.borrow_mut().next(now);
-        if let Some(address) = next {
+        let is_sparse = peers.borrow().is_sparse() && tries < SPARSE_TRIES;
+        let pause = match is_sparse {
+            true => Duration::ZERO,
+            false => pause(&node, now),
+        };
+        let is_due = asked.is_none_or(|asked| now.since(asked) >= pause);
+        if is_due && let Some(address) = peers.borrow_mut().next(now) {
+            asked = Some(now);
+            tries += 1;
             let (node, peers) = (Rc::clone(&node), Rc::clone(&peers));
             let meter = Arc::clone(&meter);
             spawn_local(async move {
-                let is_answered = ask(own, address, &node, &peers, meter).await;
-                peers
-                    .borrow_mut()
-                    .note_asked(address, BootClock.now(), is_answered);
+                let is_answered = ask(address, &node, &peers, meter).await;
+                let now = BootClock.now();
+                peers.borrow_mut().end_ask(address, now, is_answered);
             });
         }
-        sleep(jitter(pause(&node, now))).await;
+        sleep(jitter(HASTE_PAUSE)).await;
     }
 }
 
+/// Time between two calls, as current as the copy is now.
 fn pause(node: &SharedNode, now: Moment) -> Duration {
-    let synced = node.borrow().steering().freshness().synced;
-    match synced {
-        Some(synced) if now.since(synced) <= HASTE_AGE => QUIET_PAUSE,
-        _ => HASTE_PAUSE,
+    match node.borrow().age(now) {
+        Some(age) if age <= HASTE_AGE => QUIET_PAUSE,
+        _ => Duration::ZERO,
     }
 }
 
 /// Asks one peer; false when it does not answer.
 async fn ask(
-    own: SocketAddr,
     address: SocketAddr,
     node: &SharedNode,
     peers: &SharedPeers,
     meter: Arc<Meter>,
 ) -> bool {
-    let upto = node.borrow().replica().upto();
+    let ask = Ask {
+        asker: Some(peers.borrow().own().clone()),
+        upto: node.borrow().replica().upto(),
+        wait: Duration::ZERO,
+        is_eager: node.borrow().is_store_away(BootClock.now()),
+    };
     let call = async {
         let link = ReplicaLink::connect(address, meter).await?;
-        link.sync(own, upto).await
+        link.sync(&ask).await
     };
     let asked = BootClock.now();
     let news = match timeout(CALL_TIME, call).await {
@@ -118,7 +161,7 @@
     let now = BootClock.now();
     {
         let mut peers = peers.borrow_mut();
-        for &peer in &news.peers {
+        for peer in &news.peers {
             peers.note_named(peer);
         }
     }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -9,7 +9,8 @@
 
 use bambooseam_config::{EntrySettings, Settings};
 use bambooseam_observe::{Admin, AdminError, stop_signal};
-use bambooseam_peer::{Meter, replica::serve_replica};
+use bambooseam_peer::Meter;
+use bambooseam_peer::replica::{PeerInfo, serve_replica};
 use bambooseam_platform::{Store, ready};
 use bambooseam_steer::{Steering, SteeringSettings};
 use bambooseam_types::Clock;
@@ -19,12 +20,14 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
+use crate::follower::Follower;
 use crate::node::SharedNode;
 use crate::packets::Packets;
 use crate::peering::{self, Answers, SharedPeers};
+use crate::reader::Reader;
 use crate::reload::Look;
 use crate::stop::Quiet;
-use crate::{BootClock, Node, Peers, Reload, Stop, Stopping, reader};
+use crate::{BootClock, Node, Peers, Reload, Stop, Stopping, feed};
 
 /// Pause between two passes that forget what is over.
 const SWEEP_PAUSE: Duration = Duration::from_millis(500);
@@ -77,12 +80,17 @@
         flow_limit: usize::try_from(entry.flow_limit).unwrap_or(usize::MAX),
     });
     let node = Rc::new(RefCell::new(Node::new(steering)));
-    let peers = Rc::new(RefCell::new(Peers::new(entry.peer, &entry.seeds)));
+    let own = PeerInfo {
+        address: entry.peer,
+        zone: settings.vm.zone.clone(),
+    };
+    let peers = Rc::new(RefCell::new(Peers::new(own, &entry.seeds)));
     let quiet = Quiet::default();
     let packets = Packets::bind(entry.listen, Rc::clone(&node)).await?;
-    start_control(&settings, entry, &node, &peers).await?;
+    let meter = Arc::new(Meter::default());
+    start_control(&settings, entry, &node, &peers, &meter).await?;
     spawn_local(packets.run(quiet.clone()));
-    spawn_local(sweep(Rc::clone(&node)));
+    spawn_local(sweep(Rc::clone(&node), meter));
     spawn_local(follow_settings(path, settings.clone(), Rc::clone(&peers))?);
     let ready = node.borrow().ready();
     spawn_local(admin.serve(ready, || serde_json::Value::Null));
@@ -97,31 +105,40 @@
     entry: &EntrySettings,
     node: &SharedNode,
     peers: &SharedPeers,
+    meter: &Arc<Meter>,
 ) -> Result<(), ProcessError> {
     let ready = node.borrow().ready();
     spawn_local(ready::serve(TcpListener::bind(entry.ready).await?, ready));
-    let meter = Arc::new(Meter::default());
     let answers = Answers {
         node: Rc::clone(node),
         peers: Rc::clone(peers),
     };
     let listener = TcpListener::bind(entry.peer).await?;
-    spawn_local(serve_replica(listener, Arc::clone(&meter), answers));
-    let asking = peering::run(entry.peer, Rc::clone(node), Rc::clone(peers), meter);
-    spawn_local(asking);
+    spawn_local(serve_replica(listener, Arc::clone(meter), answers));
+    spawn_local(peering::run(
+        Rc::clone(node),
+        Rc::clone(peers),
+        Arc::clone(meter),
+    ));
     // The settings check has admitted no empty list.
     if let Some(&address) = settings.platform.addresses.first() {
-        spawn_local(reader::run(Store::new(address), Rc::clone(node)));
+        let reader = Reader::new(Store::new(address), Rc::clone(node));
+        let follower = Follower::new(Rc::clone(node), Rc::clone(peers), Arc::clone(meter));
+        let feed = feed::run(reader, follower, Rc::clone(node), Rc::clone(peers));
+        spawn_local(feed);
     }
     Ok(())
 }
 
-async fn sweep(node: SharedNode) {
+/// Forgets what is over, and shows what is held.
+async fn sweep(node: SharedNode, meter: Arc<Meter>) {
     loop {
         sleep(SWEEP_PAUSE).await;
         let mut node = node.borrow_mut();
         node.sweep(BootClock.now());
         metrics::gauge!("flows").set(node.steering().flow_count() as f64);
+        metrics::counter!("peer_bytes_sent").absolute(meter.sent().get());
+        metrics::counter!("peer_bytes_received").absolute(meter.received().get());
     }
 }
 
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -1,18 +1,19 @@
-//! Task that keeps the copy up to date from the platform's store.
+//! Rounds that read or watch the platform's store.
 
 use std::time::Duration;
 
 use bambooseam_peer::Backoff;
 use bambooseam_platform::{Store, StoreError};
-use bambooseam_types::Clock;
+use bambooseam_replica::Changes;
+use bambooseam_types::{Clock, Moment};
 use tokio::time::sleep;
 
 use crate::BootClock;
 use crate::node::{SharedNode, Source};
 
-/// Longest wait of one watch. With the time limit of the call it stays below the least bound that
-/// the users set for a change (3 s), also when the connection has gone silent.
-const WATCH_TIME: Duration = Duration::from_millis(1_000);
+/// Longest wait of one watch. Peers that follow this VM notice after little more that it hears
+/// nothing, and read the store themselves.
+const WATCH_TIME: Duration = Duration::from_millis(800);
 
 /// Pause after a change, so that those which follow it come in one call: a tenth of the least
 /// bound for a change.
@@ -22,61 +23,92 @@
 const RETRY_LEAST: Duration = Duration::from_millis(50);
 const RETRY_MOST: Duration = Duration::from_millis(500);
 
-/// Reads and watches until dropped.
-pub async fn run(mut store: Store, node: SharedNode) {
-    let mut backoff = Backoff::new(RETRY_LEAST, RETRY_MOST);
-    let mut has_history = true;
-    let mut failing: Option<StoreError> = None;
-    loop {
-        let after = node.borrow().replica().upto().filter(|_| has_history);
+/// Reads the store, one call a round.
+#[derive(Debug)]
+pub struct Reader {
+    store: Store,
+    node: SharedNode,
+    backoff: Backoff,
+    has_history: bool,
+    failing: Option<StoreError>,
+    failed: Option<Moment>,
+}
+
+impl Reader {
+    /// Creates a reader.
+    pub fn new(store: Store, node: SharedNode) -> Self {
+        Self {
+            store,
+            node,
+            backoff: Backoff::new(RETRY_LEAST, RETRY_MOST),
+            has_history: true,
+            failing: None,
+            failed: None,
+        }
+    }
+
+    /// When the last call failed; `None` when it did not.
+    pub(crate) fn failed(&self) -> Option<Moment> {
+        self.failed
+    }
+
+    /// One call, and the pause that follows from it.
+    pub(crate) async fn round(&mut self) {
+        let after = self.node.borrow().replica().upto();
+        let after = after.filter(|_| self.has_history);
         let asked = BootClock.now();
         let result = match after {
-            Some(after) => store.watch(after, WATCH_TIME).await,
-            None => store.read_all().await,
+            Some(after) => self.store.watch(after, WATCH_TIME).await,
+            None => self.store.read_all().await,
         };
         let now = BootClock.now();
         note_call(&result, asked, now);
-        let changes = match result {
-            Ok(changes) => changes,
+        match result {
+            Ok(changes) => self.take(changes, asked, now).await,
             Err(StoreError::HistoryGone) => {
                 log::info!("event=store_history_gone after={after:?} outcome=read_all");
-                has_history = false;
-                continue;
-            }
-            Err(error) => {
-                node.borrow_mut().note_outage(now);
-                if failing.as_ref() != Some(&error) {
-                    log::warn!("event=store_lost cause={:?}", error.to_string());
-                }
-                failing = Some(error);
-                sleep(backoff.pause(Duration::ZERO)).await;
-                continue;
+                self.has_history = false;
             }
-        };
-        if let Some(error) = failing.take() {
-            node.borrow_mut().note_outage(now);
+            Err(error) => self.fail(error, now).await,
+        }
+    }
+
+    async fn take(&mut self, changes: Changes, asked: Moment, now: Moment) {
+        if let Some(error) = self.failing.take() {
+            self.node.borrow_mut().note_outage(now);
             log::info!("event=store_regained after={:?}", error.to_string());
         }
-        backoff.reset();
+        self.failed = None;
+        self.backoff.reset();
         let is_quiet = changes.list.is_empty();
         // A watch is answered at its end; the pages of a reading only tell what was there before.
         let synced = match changes.after {
             Some(_) => now,
             None => asked,
         };
-        has_history = node.borrow_mut().take(changes, synced, now, Source::Store);
+        let taken = self
+            .node
+            .borrow_mut()
+            .take(changes, synced, now, Source::Store);
+        self.has_history = taken;
         if !is_quiet {
             sleep(GATHER_TIME).await;
         }
     }
+
+    async fn fail(&mut self, error: StoreError, now: Moment) {
+        self.node.borrow_mut().note_outage(now);
+        if self.failing.as_ref() != Some(&error) {
+            log::warn!("event=store_lost cause={:?}", error.to_string());
+        }
+        self.failing = Some(error);
+        self.failed = Some(now);
+        sleep(self.backoff.pause(Duration::ZERO)).await;
+    }
 }
 
 /// Counts a call and its time.
-fn note_call<T>(
-    result: &Result<T, StoreError>,
-    asked: bambooseam_types::Moment,
-    now: bambooseam_types::Moment,
-) {
+fn note_call<T>(result: &Result<T, StoreError>, asked: Moment, now: Moment) {
     let outcome = match result {
         Ok(_) => "answered",
         Err(StoreError::Unreachable { .. }) => "unreachable",
--- a/crates/peer/schema/replica.capnp
+++ b/crates/peer/schema/replica.capnp
@@ -24,16 +24,24 @@
   upto @1 :UInt64;
 }
 
+struct Peer {
+  # A VM that holds a copy, as IP:PORT, and its availability zone.
+  address @0 :Text;
+  zone @1 :Text;
+}
+
 struct News {
   # What the asker lacks, when the sender holds a copy.
   changes @0 :Changes;
   # For how long the copy has not been known to be current, in milliseconds.
   ageMs @1 :UInt64;
-  # VMs heard of lately, as IP:PORT.
-  peers @2 :List(Text);
+  # VMs heard of lately.
+  peers @2 :List(Peer);
 }
 
 interface Replica {
-  # Compares copies; `address` is where the asker serves this interface.
-  sync @0 (address :Text, copy :Copy) -> (news :News);
+  # Compares copies; `asker` is where the asker serves this interface. Without news the answer
+  # waits for some, at most for `waitMs` milliseconds. An asker that is not eager gets no large copy:
+  # it expects one from elsewhere.
+  sync @0 (asker :Peer, copy :Copy, waitMs :UInt64, isEager :Bool) -> (news :News);
 }
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -6,15 +6,40 @@
 use std::time::Duration;
 
 use bambooseam_replica::{Change, Changes};
-use bambooseam_types::Revision;
+use bambooseam_types::{Revision, ZoneId};
 use tokio::net::TcpListener;
 
-use crate::replica_capnp::{change, changes, copy, news, replica};
+use crate::replica_capnp::{change, changes, copy, news, peer, replica};
 use crate::{Link, Meter, PeerError, connect_metered, serve_metered};
 
+/// Longest wait that is granted.
+const WAIT_LIMIT: Duration = Duration::from_secs(10);
+
 /// Most VMs that one answer names.
 const PEER_LIMIT: u32 = 64;
 
+/// A VM that serves its copy.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerInfo {
+    /// Where it serves peers.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+}
+
+/// What a VM asks of a peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// The asker; `None` when it can't be told, as from a later version.
+    pub asker: Option<PeerInfo>,
+    /// Revision up to which the asker holds every change.
+    pub upto: Option<Revision>,
+    /// Longest time to wait for news.
+    pub wait: Duration,
+    /// Whether the asker takes a large copy, too.
+    pub is_eager: bool,
+}
+
 /// What a VM tells a peer.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct News {
@@ -23,13 +48,13 @@
     /// For how long the copy has not been known to be current.
     pub age: Duration,
     /// VMs heard of lately.
-    pub peers: Vec<SocketAddr>,
+    pub peers: Vec<PeerInfo>,
 }
 
 /// Port towards the VM that answers its peers.
 pub trait ReplicaService: 'static {
-    /// Tells a peer, which serves at `address` and holds every change up to `upto`, what it lacks.
-    fn sync(&self, address: Option<SocketAddr>, upto: Option<Revision>) -> News;
+    /// Tells a peer what it lacks, once there is something or its wait is over.
+    fn sync(&self, ask: Ask) -> impl Future<Output = News>;
 }
 
 /// A connection to a peer; it closes when dropped.
@@ -65,10 +90,16 @@
         params: replica::SyncParams,
         mut results: replica::SyncResults,
     ) -> Result<(), capnp::Error> {
-        let params = params.get()?;
-        let address = params.get_address()?.to_str()?.parse().ok();
-        let upto = read_copy(params.get_copy()?);
-        let news = self.service.sync(address, upto);
+        let ask = {
+            let params = params.get()?;
+            Ask {
+                asker: read_peer(params.get_asker()?)?,
+                upto: read_copy(params.get_copy()?),
+                wait: Duration::from_millis(params.get_wait_ms()).min(WAIT_LIMIT),
+                is_eager: params.get_is_eager(),
+            }
+        };
+        let news = self.service.sync(ask).await;
         write_news(&news, results.get().init_news());
         Ok(())
     }
@@ -85,33 +116,54 @@
         Ok(Self { link })
     }
 
-    /// Asks for what a copy up to `upto` lacks; `own` is where this VM serves its peers.
+    /// Asks a peer.
     ///
     /// # Errors
     ///
     /// An error when the connection breaks or the answer is malformed.
-    pub async fn sync(&self, own: SocketAddr, upto: Option<Revision>) -> Result<News, PeerError> {
+    pub async fn sync(&self, ask: &Ask) -> Result<News, PeerError> {
         let mut request = self.link.client.sync_request();
-        request.get().set_address(own.to_string());
+        if let Some(asker) = &ask.asker {
+            write_peer(asker, request.get().init_asker());
+        }
         let mut copy = request.get().init_copy();
-        copy.set_is_empty(upto.is_none());
-        copy.set_upto(upto.unwrap_or_default().get());
+        copy.set_is_empty(ask.upto.is_none());
+        copy.set_upto(ask.upto.unwrap_or_default().get());
+        request.get().set_wait_ms(millis(ask.wait));
+        request.get().set_is_eager(ask.is_eager);
         let answer = request.send().promise.await?;
         let news = read_news(answer.get()?.get_news()?)?;
         Ok(news)
     }
 }
 
+fn write_peer(value: &PeerInfo, mut builder: peer::Builder<'_>) {
+    builder.set_address(value.address.to_string());
+    builder.set_zone(value.zone.as_str());
+}
+
+/// A VM; `None` for one that runs a later version and is named in a form not known here.
+fn read_peer(reader: peer::Reader<'_>) -> Result<Option<PeerInfo>, capnp::Error> {
+    let address = reader.get_address()?.to_str()?.parse().ok();
+    let zone = reader.get_zone()?.to_str()?.parse().ok();
+    let peer = address.zip(zone);
+    Ok(peer.map(|(address, zone)| PeerInfo { address, zone }))
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn read_copy(reader: copy::Reader<'_>) -> Option<Revision> {
     (!reader.get_is_empty()).then(|| Revision::from(reader.get_upto()))
 }
 
 fn write_news(value: &News, mut builder: news::Builder<'_>) {
-    builder.set_age_ms(u64::try_from(value.age.as_millis()).unwrap_or(u64::MAX));
+    builder.set_age_ms(millis(value.age));
     let count = PEER_LIMIT.min(value.peers.len() as u32);
     let mut peers = builder.reborrow().init_peers(count);
     for (index, peer) in (0..count).zip(&value.peers) {
-        peers.set(index, peer.to_string());
+        write_peer(peer, peers.reborrow().get(index));
     }
     if let Some(changes) = &value.changes {
         write_changes(changes, builder.init_changes());
@@ -121,10 +173,7 @@
 fn read_news(reader: news::Reader<'_>) -> Result<News, capnp::Error> {
     let mut peers = Vec::new();
     for peer in reader.get_peers()?.iter().take(PEER_LIMIT as usize) {
-        // A peer that runs a later version may name one in a form that is not known here.
-        if let Ok(peer) = peer?.to_str()?.parse() {
-            peers.push(peer);
-        }
+        peers.extend(read_peer(peer)?);
     }
     let changes = match reader.has_changes() {
         true => Some(read_changes(reader.get_changes()?)?),
--- a/crates/replica/src/changes.rs
+++ b/crates/replica/src/changes.rs
@@ -28,3 +28,12 @@
     /// The changes.
     pub list: Vec<Change>,
 }
+
+impl Changes {
+    /// Bytes of all keys and documents.
+    pub fn size(&self) -> usize {
+        let value = |change: &Change| change.value.as_ref().map_or(0, |value| value.len());
+        let sizes = self.list.iter();
+        sizes.map(|change| change.key.len() + value(change)).sum()
+    }
+}
--- a/crates/standin/src/site/stage.rs
+++ b/crates/standin/src/site/stage.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
 use std::sync::{Arc, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use tokio::net::UdpSocket;
@@ -28,6 +28,9 @@
 /// Time between two beats of a target.
 const BEAT: Duration = Duration::from_millis(400);
 
+/// Longest time that a killed program takes to end.
+const END_TIME: Duration = Duration::from_secs(5);
+
 /// Template of the settings, beside the platform's folder.
 const TEMPLATE: &str = include_str!("../../../../platform/settings.ini");
 
@@ -96,6 +99,21 @@
     }
 }
 
+impl Drop for Vm {
+    /// Ends the program, and waits until its addresses are free for the next site.
+    fn drop(&mut self) {
+        let Some(child) = &mut self.child else {
+            return;
+        };
+        // One that has ended by itself is as good as killed.
+        let _ = child.start_kill();
+        let deadline = Instant::now() + END_TIME;
+        while matches!(child.try_wait(), Ok(None)) && Instant::now() < deadline {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+}
+
 impl Site {
     /// Makes a site whose VMs are not started yet.
     ///
