--- a/crates/steer/src/roster.rs
+++ b/crates/steer/src/roster.rs
@@ -217,6 +217,12 @@
             .is_ok()
     }
 
+    /// Whether the time is over for which a target without an entry is kept.
+    pub fn is_over(&self, number: SlotNumber, now: Moment) -> bool {
+        let until = self.get(number).and_then(|slot| slot.standing.until());
+        until.is_some_and(|until| until <= now)
+    }
+
     /// Ends targets that were kept long enough and show no life; gives their identifiers.
     pub fn expire(&mut self, now: Moment) -> Vec<TargetId> {
         let is_over = |slot: &Slot| slot.standing.until().is_some_and(|until| until <= now);
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -49,6 +49,8 @@
     /// Entrances whose route was removed, sorted.
     removed: Vec<SocketAddrV4>,
     roster: Roster,
+    /// Targets that have ended since the last sweep.
+    ended: Vec<TargetId>,
     flows: Flows,
     freshness: Freshness,
     absence: Absence,
@@ -72,6 +74,7 @@
             routes: None,
             removed: Vec::new(),
             roster: Roster::default(),
+            ended: Vec::new(),
             freshness: Freshness::default(),
             absence: Absence::default(),
             strangers: Strangers::default(),
@@ -185,7 +188,7 @@
         }
     }
 
-    /// Forgets what is over; gives targets that were kept and did not come back.
+    /// Forgets what is over; gives targets that have ended since the last sweep.
     pub fn sweep(&mut self, now: Moment) -> Vec<TargetId> {
         let idle_time = self.routes.as_ref().and_then(|routes| routes.idle_time);
         let roster = &mut self.roster;
@@ -196,7 +199,8 @@
         let roster = &self.roster;
         self.strangers
             .sweep(now, |token| roster.with_token(token).next().is_some());
-        self.roster.expire(now)
+        self.ended.extend(self.roster.expire(now));
+        std::mem::take(&mut self.ended)
     }
 
     /// An opening packet: its flow gets a target.
@@ -258,13 +262,20 @@
     fn pass(&mut self, head: &Head, token: Token, now: Moment) -> Verdict {
         let entrance = head.flow.entrance;
         let route = self.routes.as_ref().and_then(|r| r.find(entrance));
+        let timeout = route.map_or(REQUEST_TIMEOUT, |route| route.timeout);
         if route.is_none() && self.removed.binary_search(&entrance).is_ok() && !head.flags.rst {
             return Verdict::Reset(ResetCause::RouteRemoved);
         }
-        let Some(number) = self.resolve(token, route) else {
+        let mut resolved = self.resolve(token, route);
+        if resolved.is_some_and(|number| self.roster.is_over(number, now)) {
+            // The sweep comes later; the caller waits now.
+            self.ended.extend(self.roster.expire(now));
+            let route = self.routes.as_ref().and_then(|r| r.find(entrance));
+            resolved = self.resolve(token, route);
+        }
+        let Some(number) = resolved else {
             return self.pass_unknown(head, token, now);
         };
-        let timeout = route.map_or(REQUEST_TIMEOUT, |route| route.timeout);
         let signals = self.flows.note(head, (number, token), timeout, now);
         apply(&mut self.roster, number, signals, now);
         let Some(slot) = self.roster.get(number) else {
--- a/tests/tests/steer.rs
+++ b/tests/tests/steer.rs
@@ -137,6 +137,17 @@
     assert_eq!(verdict, Verdict::Reset(ResetCause::TargetGone));
 }
 
+#[test]
+fn doubt_ends_with_the_packet_that_finds_it_over() {
+    let mut steering = steering((1..=9).map(target));
+    steering.remove_targets(&[target(3).id], at(1_000));
+    let packet = inside(flow(1, ORDERS), target(3).token(), 101, 501, 30);
+    let verdict = steering.packet(&packet, at(1_400));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::TargetGone));
+    assert_eq!(steering.sweep(at(1_401)), [target(3).id], "it is told once");
+    assert_eq!(steering.sweep(at(1_402)), []);
+}
+
 #[test]
 fn target_without_an_entry_keeps_its_flows_while_it_answers() {
     let mut steering = steering((1..=3).map(target));
