Never wait for whoever reads the log, and log what steering finds out

Cause: the console appender writes under a lock; a pipe that nobody reads would have stopped the packet path. Lines go through a queue to a thread; what does not fit is dropped, counted (log_lines_dropped) and told. Test log_that_nobody_reads_holds_up_no_packet runs the program with a pipe that nobody reads. New lines: target_silent, target_trusted, request_unanswered.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use bambooseam_observe::{EXIT_FAILED, Program, Start};
+use bambooseam_observe::{Program, Start, conclude};
 
 fn main() -> ExitCode {
     let program = Program::new("bambooseam-agent", "Control program of an entry VM");
@@ -10,12 +10,5 @@
         Start::Run { settings, .. } => settings,
         Start::Exit(code) => return code,
     };
-    match bambooseam_agent::run_process(*settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("event=agent_failed cause={:?}", error.to_string());
-            eprintln!("{error}");
-            ExitCode::from(EXIT_FAILED)
-        }
-    }
+    conclude(bambooseam_agent::run_process(*settings))
 }
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use bambooseam_observe::{EXIT_FAILED, Program, Start};
+use bambooseam_observe::{Program, Start, conclude};
 use bambooseam_platform::SETTINGS_VARIABLE;
 
 fn main() -> ExitCode {
@@ -12,12 +12,5 @@
         Start::Run { settings, path } => (settings, path),
         Start::Exit(code) => return code,
     };
-    match bambooseam_entry::run_process(*settings, path) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("event=entry_failed cause={:?}", error.to_string());
-            eprintln!("{error}");
-            ExitCode::from(EXIT_FAILED)
-        }
-    }
+    conclude(bambooseam_entry::run_process(*settings, path))
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -10,13 +10,16 @@
 use bambooseam_platform::document::Config;
 use bambooseam_platform::{Document, Kind};
 use bambooseam_replica::{Change, Changes, Replica, Taken};
-use bambooseam_steer::{Steering, Target};
+use bambooseam_steer::{Notice, Steering, Target};
 use bambooseam_types::{Moment, Revision, TargetId};
 use tokio::sync::watch;
 
 /// Entries that name no target; anybody may write one.
 static UNREADABLE: LogLimit = LogLimit::new("documents_unreadable", 5);
 
+/// Requests without an answer.
+static UNANSWERED: LogLimit = LogLimit::new("requests_unanswered", 50);
+
 /// Changes of targets, which come in numbers when a fleet is replaced.
 static TARGETS: LogLimit = LogLimit::new("target_changes", 50);
 
@@ -106,10 +109,16 @@
             .is_some_and(|outage| now.since(outage) <= AWAY_TIME)
     }
 
-    /// Ends targets that were kept and did not come back, and forgets flows that are over.
+    /// Forgets what is over, and logs what was found out.
     pub fn sweep(&mut self, now: Moment) {
-        for id in self.steering.sweep(now) {
-            log::info!("event=target_ended target={id} cause=entry_not_back");
+        for notice in self.steering.sweep(now) {
+            let limit = match notice {
+                Notice::Unanswered { .. } => &UNANSWERED,
+                Notice::Ended(_) | Notice::Silent { .. } | Notice::Trusted(_) => &TARGETS,
+            };
+            if let Some(suppressed) = limit.admit(std::time::Instant::now()) {
+                log::info!("{notice} suppressed={suppressed}");
+            }
         }
     }
 
--- a/crates/entry/src/packets.rs
+++ b/crates/entry/src/packets.rs
@@ -31,12 +31,12 @@
 
 /// Packets that are none.
 static MALFORMED: LogLimit = LogLimit::new("packets_malformed", 5);
-/// Placed flows that are logged a second.
-static PLACED: LogLimit = LogLimit::new("flows_placed", 10);
+/// Placed flows; a VM of the target size opens 105 a second.
+static PLACED: LogLimit = LogLimit::new("flows_placed", 200);
 /// Flows reset.
-static RESET: LogLimit = LogLimit::new("flows_reset", 20);
+static RESET: LogLimit = LogLimit::new("flows_reset", 100);
 /// Packets dropped.
-static DROPPED: LogLimit = LogLimit::new("packets_dropped", 10);
+static DROPPED: LogLimit = LogLimit::new("packets_dropped", 50);
 /// Datagrams that could not be sent.
 static UNSENT: LogLimit = LogLimit::new("datagrams_unsent", 5);
 
--- a/crates/forwarder/src/main.rs
+++ b/crates/forwarder/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use bambooseam_forwarder::run;
-use bambooseam_observe::{EXIT_FAILED, Program, Start};
+use bambooseam_observe::{Program, Start, conclude};
 
 fn main() -> ExitCode {
     let program = Program::new("bambooseam-forwarder", "Packet program of an entry VM");
@@ -19,12 +19,5 @@
         Ok(runtime) => runtime.block_on(run(settings)),
         Err(error) => Err(error.into()),
     };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("event=failed cause={:?}", error.to_string());
-            eprintln!("{error}");
-            ExitCode::from(EXIT_FAILED)
-        }
-    }
+    conclude(result)
 }
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -6,6 +6,7 @@
 mod limit;
 mod logs;
 mod program;
+mod queue;
 mod stop;
 pub mod trace;
 
@@ -14,5 +15,5 @@
 pub use invariant::check_invariant;
 pub use limit::LogLimit;
 pub use logs::{LogError, init_logs};
-pub use program::{EXIT_BAD_INPUT, EXIT_FAILED, Program, Start};
+pub use program::{EXIT_BAD_INPUT, EXIT_FAILED, Program, Start, conclude};
 pub use stop::stop_signal;
--- a/crates/observe/src/logs.rs
+++ b/crates/observe/src/logs.rs
@@ -4,11 +4,12 @@
 use derive_more::{Display, Error, From};
 use log::LevelFilter;
 use log4rs::append::Append;
-use log4rs::append::console::ConsoleAppender;
 use log4rs::append::file::FileAppender;
 use log4rs::config::{Appender, Root};
 use log4rs::encode::pattern::PatternEncoder;
 
+use crate::queue::QueueAppender;
+
 /// Time, level and module go before the pairs of the event.
 const PATTERN: &str = "time={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} from={t} {m}{n}";
 
@@ -35,10 +36,13 @@
 ///
 /// An error when the file can't be written or logs were started before.
 pub fn init_logs(settings: &LogSettings) -> Result<(), LogError> {
-    let encoder = Box::new(PatternEncoder::new(PATTERN));
+    let encoder = PatternEncoder::new(PATTERN);
     let appender: Box<dyn Append> = match &settings.file {
-        Some(file) => Box::new(FileAppender::builder().encoder(encoder).build(file)?),
-        None => Box::new(ConsoleAppender::builder().encoder(encoder).build()),
+        Some(file) => {
+            let encoder = Box::new(encoder);
+            Box::new(FileAppender::builder().encoder(encoder).build(file)?)
+        }
+        None => Box::new(QueueAppender::new(encoder)?),
     };
     // The settings check has admitted only known levels.
     let level = settings.level.parse().unwrap_or(LevelFilter::Info);
--- a/crates/observe/src/program.rs
+++ b/crates/observe/src/program.rs
@@ -1,5 +1,6 @@
 //! Command line that all programs of an entry VM share.
 
+use std::fmt::Display;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -96,3 +97,17 @@
         }
     }
 }
+
+/// Ends a program: an error is logged and printed, and the last lines of the log are written.
+pub fn conclude<E: Display>(result: Result<(), E>) -> ExitCode {
+    let code = match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("event=failed cause={:?}", error.to_string());
+            eprintln!("{error}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    };
+    log::logger().flush();
+    code
+}
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bambooseam_config::Settings;
-use bambooseam_observe::{Admin, EXIT_FAILED, Program, Start, stop_signal};
+use bambooseam_observe::{Admin, Program, Start, conclude, stop_signal};
 use bambooseam_peer::feed::subscribe;
 use bambooseam_proxy::Proxy;
 
@@ -20,13 +20,7 @@
     let result = runtime
         .map_err(Into::into)
         .and_then(|runtime| runtime.block_on(run(&settings)));
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("event=failed cause={:?}", error.to_string());
-            ExitCode::from(EXIT_FAILED)
-        }
-    }
+    conclude(result)
 }
 
 /// Serves until a signal asks for a planned stop.
--- a/crates/standin/src/site/stage.rs
+++ b/crates/standin/src/site/stage.rs
@@ -347,16 +347,30 @@
     ///
     /// An error when it can't be run.
     pub fn start(&mut self) -> io::Result<()> {
-        self.write_settings()?;
         let log = File::options()
             .create(true)
             .append(true)
             .open(self.log_file())?;
+        let errors = log.try_clone()?;
+        self.start_with(log.into(), errors.into())
+    }
+
+    /// Starts its program with output that nobody reads.
+    ///
+    /// # Errors
+    ///
+    /// An error when it can't be run.
+    pub fn start_unread(&mut self) -> io::Result<()> {
+        self.start_with(Stdio::piped(), Stdio::null())
+    }
+
+    fn start_with(&mut self, output: Stdio, errors: Stdio) -> io::Result<()> {
+        self.write_settings()?;
         let child = Command::new(&self.program)
             .env("BAMBOOSEAM_CONFIG", self.settings_file())
             .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
+            .stdout(output)
+            .stderr(errors)
             .kill_on_drop(true)
             .spawn()?;
         self.child = Some(child);
--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -80,8 +80,8 @@
     pub slot: SlotNumber,
     /// Token of its target.
     pub token: Token,
-    /// Whether a request or opening was in progress.
-    pub was_busy: bool,
+    /// Since when a request or opening was in progress.
+    pub busy: Option<Moment>,
     /// Whether the flow was counted as ended before.
     pub was_ended: bool,
     /// Whether the flow itself is forgotten; else only its request was given up.
@@ -216,8 +216,13 @@
     }
 
     /// Forgets flows that ended or fell silent, and gives up requests whose time is over.
-    pub fn sweep(&mut self, now: Moment, idle_time: Duration, mut forget: impl FnMut(Forgotten)) {
-        self.table.retain(|_, state| {
+    pub fn sweep(
+        &mut self,
+        now: Moment,
+        idle_time: Duration,
+        mut forget: impl FnMut(&FlowId, Forgotten),
+    ) {
+        self.table.retain(|flow, state| {
             let silence = now.since(state.seen);
             let limit = match state.phase {
                 Phase::Opening => OPENING_LIMIT,
@@ -225,14 +230,14 @@
                 Phase::Ended => ENDED_TIME,
             };
             if silence > limit {
-                forget(state.forgotten(true));
+                forget(flow, state.forgotten(true));
                 return false;
             }
             if state
                 .busy
                 .is_some_and(|busy| now.since(busy) > state.timeout)
             {
-                forget(state.forgotten(false));
+                forget(flow, state.forgotten(false));
                 state.busy = None;
             }
             true
@@ -245,7 +250,7 @@
         Forgotten {
             slot: self.slot,
             token: self.token,
-            was_busy: self.busy.is_some(),
+            busy: self.busy,
             was_ended: self.phase == Phase::Ended,
             is_removed,
         }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -12,6 +12,7 @@
 mod flows;
 mod head;
 mod load;
+mod notice;
 pub mod place;
 mod roster;
 mod route;
@@ -23,6 +24,7 @@
 
 pub use head::{FlowId, Head, HeadFlags};
 pub use load::Load;
+pub use notice::Notice;
 pub use roster::{Roster, Slot, SlotNumber, Standing};
 pub use route::{Route, Routes, Share};
 pub use steering::{Freshness, Steering, SteeringSettings};
--- a/crates/steer/src/load.rs
+++ b/crates/steer/src/load.rs
@@ -15,6 +15,8 @@
     pub busy: u32,
     /// What was asked since it last showed life.
     pub silence: Silence,
+    /// Whether it was silent when it was last looked at.
+    pub was_silent: bool,
     /// When it last showed life.
     pub heard: Option<Moment>,
     /// Until when the target is slow after its start.
--- /dev/null
+++ b/crates/steer/src/notice.rs
@@ -0,0 +1,42 @@
+//! What steering found out between packets, for the log.
+
+use std::time::Duration;
+
+use bambooseam_types::{TargetId, Token};
+use derive_more::Display;
+
+use crate::FlowId;
+
+/// Something that changed what is believed, or a request that was given up.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum Notice {
+    /// A target without an entry was kept long enough.
+    #[display("event=target_ended target={_0} cause=entry_not_back")]
+    Ended(TargetId),
+    /// A target does not answer and gets no new flows for a while.
+    #[display("event=target_silent target={target} flows={flows} silent_ms={}", silence.as_millis())]
+    Silent {
+        /// The target.
+        target: TargetId,
+        /// Openings and requests that it left unanswered.
+        flows: u32,
+        /// Time since the first of them.
+        silence: Duration,
+    },
+    /// A target that was silent answers, or is tried again.
+    #[display("event=target_trusted target={_0}")]
+    Trusted(TargetId),
+    /// A request had no answer within its route's time.
+    #[display(
+        "event=request_unanswered flow={flow} token={token} waited_ms={}",
+        waited.as_millis()
+    )]
+    Unanswered {
+        /// The flow.
+        flow: FlowId,
+        /// Token of its target.
+        token: Token,
+        /// Time since the request, or since the flow's opening.
+        waited: Duration,
+    },
+}
--- a/crates/steer/src/roster.rs
+++ b/crates/steer/src/roster.rs
@@ -7,9 +7,9 @@
 use bambooseam_types::{Moment, ServiceName, TargetId, Token};
 use derive_more::Display;
 
-use crate::Target;
 use crate::absence::judge_unlisted;
 use crate::load::Load;
+use crate::{Notice, Target};
 
 /// Tokens of ended targets that are remembered, so that their flows are reset at once.
 const ENDED_LIMIT: usize = 4_096;
@@ -217,6 +217,28 @@
             .is_ok()
     }
 
+    /// Looks which targets have become silent, or are silent no longer.
+    pub fn note_silence(&mut self, now: Moment) -> Vec<Notice> {
+        let mut notices = Vec::new();
+        for slot in self.slots.iter_mut().flatten() {
+            let is_silent = slot.load.silence.is_silent(now);
+            if std::mem::replace(&mut slot.load.was_silent, is_silent) == is_silent {
+                continue;
+            }
+            let target = slot.target.id.clone();
+            let (flows, silence) = slot.load.silence.unanswered(now);
+            notices.push(match is_silent {
+                true => Notice::Silent {
+                    target,
+                    flows,
+                    silence,
+                },
+                false => Notice::Trusted(target),
+            });
+        }
+        notices
+    }
+
     /// Whether the time is over for which a target without an entry is kept.
     pub fn is_over(&self, number: SlotNumber, now: Moment) -> bool {
         let until = self.get(number).and_then(|slot| slot.standing.until());
--- a/crates/steer/src/silence.rs
+++ b/crates/steer/src/silence.rs
@@ -65,6 +65,15 @@
         self.flows >= WITNESSES && self.is_silent(now)
     }
 
+    /// Openings and requests left unanswered, and the time since the first of them.
+    pub fn unanswered(&self, now: Moment) -> (u32, Duration) {
+        let oldest = self.opening.into_iter().chain(self.request).min();
+        (
+            self.flows,
+            oldest.map_or(Duration::ZERO, |oldest| now.since(oldest)),
+        )
+    }
+
     /// Forgets what is too old to count, so that the target is tried again.
     fn expire(&mut self, now: Moment) {
         let oldest = self.opening.into_iter().chain(self.request).min();
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -10,7 +10,7 @@
 use crate::place::{Candidate, place};
 use crate::roster::{Roster, Slot, SlotNumber, Standing};
 use crate::stranger::Strangers;
-use crate::{DropCause, Head, Opening, ResetCause, Route, Routes, Target, Verdict};
+use crate::{DropCause, Head, Notice, Opening, ResetCause, Route, Routes, Target, Verdict};
 
 /// Age up to which the view counts as current: a watch that waits 1 s, its time limit, and one
 /// more try.
@@ -188,19 +188,29 @@
         }
     }
 
-    /// Forgets what is over; gives targets that have ended since the last sweep.
-    pub fn sweep(&mut self, now: Moment) -> Vec<TargetId> {
+    /// Forgets what is over; gives what was found out since the last sweep.
+    pub fn sweep(&mut self, now: Moment) -> Vec<Notice> {
+        let mut notices = Vec::new();
         let idle_time = self.routes.as_ref().and_then(|routes| routes.idle_time);
         let roster = &mut self.roster;
         self.flows
-            .sweep(now, idle_time.unwrap_or(IDLE_TIME), |forgotten| {
+            .sweep(now, idle_time.unwrap_or(IDLE_TIME), |&flow, forgotten| {
+                if let Some(busy) = forgotten.busy {
+                    notices.push(Notice::Unanswered {
+                        flow,
+                        token: forgotten.token,
+                        waited: now.since(busy),
+                    });
+                }
                 release(roster, forgotten);
             });
         let roster = &self.roster;
         self.strangers
             .sweep(now, |token| roster.with_token(token).next().is_some());
+        notices.extend(self.roster.note_silence(now));
         self.ended.extend(self.roster.expire(now));
-        std::mem::take(&mut self.ended)
+        notices.extend(self.ended.drain(..).map(Notice::Ended));
+        notices
     }
 
     /// An opening packet: its flow gets a target.
@@ -394,7 +404,7 @@
     if slot.token != forgotten.token {
         return;
     }
-    if forgotten.was_busy {
+    if forgotten.busy.is_some() {
         slot.load.busy = slot.load.busy.saturating_sub(1);
     }
     if forgotten.is_removed && !forgotten.was_ended {
--- a/tests/tests/docs.rs
+++ b/tests/tests/docs.rs
@@ -68,12 +68,12 @@
 
 #[test]
 fn manual_lists_every_key() {
-    let manual = page("docs/OPERATING.md");
+    let manual = page("docs/OPERATIONS.md");
     for key in KEYS {
         let is_listed = [format!("`{key}`"), format!("`{key} NAME`")]
             .iter()
             .any(|word| manual.contains(word));
-        assert!(is_listed, "docs/OPERATING.md does not list {key}");
+        assert!(is_listed, "docs/OPERATIONS.md does not list {key}");
     }
 }
 
@@ -110,18 +110,18 @@
 
 #[test]
 fn manual_lists_every_cause_of_a_drop_and_every_event() {
-    let manual = page("docs/OPERATING.md");
+    let manual = page("docs/OPERATIONS.md");
     let causes = shown_names("crates/forwarder/src/counters.rs");
     assert!(causes.len() > 10, "{causes:?}");
     for cause in causes {
         let row = format!("| `{cause}` |");
-        assert!(manual.contains(&row), "docs/OPERATING.md lacks {cause}");
+        assert!(manual.contains(&row), "docs/OPERATIONS.md lacks {cause}");
     }
     let events = shown_names("crates/agent/src/event.rs");
     assert!(events.len() > 10, "{events:?}");
     for event in events {
         let word = format!("`{event}`");
-        assert!(manual.contains(&word), "docs/OPERATING.md lacks {event}");
+        assert!(manual.contains(&word), "docs/OPERATIONS.md lacks {event}");
     }
 }
 
@@ -147,7 +147,7 @@
         "histogram!(\"",
         "LogLimit::new(\"",
     ];
-    let manual = page("docs/OPERATING.md");
+    let manual = page("docs/OPERATIONS.md");
     let mut count = 0;
     for program in ["agent", "forwarder", "observe", "peer", "proxy"] {
         for source in sources(&root().join("crates").join(program).join("src")) {
@@ -157,7 +157,7 @@
                     let is_listed = [format!("`{name}`"), format!("`{name}{{")]
                         .iter()
                         .any(|word| manual.contains(word));
-                    assert!(is_listed, "docs/OPERATING.md lacks {name}");
+                    assert!(is_listed, "docs/OPERATIONS.md lacks {name}");
                     count += 1;
                 }
             }
@@ -168,7 +168,7 @@
 
 #[test]
 fn settings_example_of_the_manual_is_good() {
-    let manual = page("docs/OPERATING.md");
+    let manual = page("docs/OPERATIONS.md");
     let start = manual.find("       [vm]\n").expect("an example");
     let example: String = manual[start..]
         .lines()
--- a/tests/tests/entry.rs
+++ b/tests/tests/entry.rs
@@ -471,6 +471,30 @@
     running.check();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn log_that_nobody_reads_holds_up_no_packet() {
+    let mut running = Running::prepare(&[1], 4).await;
+    running.site.vms[0].start_unread().expect("a program");
+    assert!(running.site.wait_ready(1, PATIENCE).await);
+    // A pipe holds 64 KiB; each flow of an order is a line.
+    let traffic = running.traffic(0, 40);
+    let begun = Instant::now();
+    let dropped = async || {
+        let reply = http::get(running.site.vms[0].admin(), "/metrics").await;
+        reply.expect("an answer").text.contains("log_lines_dropped")
+    };
+    while !dropped().await {
+        assert!(begun.elapsed() < PATIENCE, "no line was ever dropped");
+        pause(100).await;
+    }
+    let (before, _) = running.counts();
+    pause(1_000).await;
+    let (after, _) = running.counts();
+    assert!(after > before, "nothing is served any more");
+    traffic.stop().await;
+    running.check();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn metrics_and_readiness_are_served() {
     let running = Running::start(&[1], 1).await;
--- a/tests/tests/steer.rs
+++ b/tests/tests/steer.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use bambooseam_steer::{
-    DropCause, Opening, ResetCause, Route, Routes, Share, Standing, Steering, Target, Verdict,
+    DropCause, Notice, Opening, ResetCause, Route, Routes, Share, Standing, Steering, Target,
+    Verdict,
 };
 use bambooseam_tests::steering::*;
-use bambooseam_types::{Incarnation, TargetLabel};
+use bambooseam_types::{Incarnation, TargetId, TargetLabel};
 
 fn opening_of(verdict: Verdict) -> Option<Opening> {
     match verdict {
@@ -20,6 +21,15 @@
     token_of(steering.packet(&opening(flow(number, ORDERS), 0), at(0)))
 }
 
+/// Targets that have ended, of all notices.
+fn ended(notices: Vec<Notice>) -> Vec<TargetId> {
+    let ended = notices.into_iter().filter_map(|notice| match notice {
+        Notice::Ended(id) => Some(id),
+        _ => None,
+    });
+    ended.collect()
+}
+
 fn is_closed(steering: &Steering) -> bool {
     let mut loads = steering.roster().iter().map(|(_, slot)| slot.load);
     loads.all(|load| load.flows == 0 && load.busy == 0)
@@ -93,8 +103,8 @@
     let packet = inside(flow(1, ORDERS), token, 101, 501, 30);
     assert!(steering.packet(&packet, at(1_200)).forwarded().is_some());
     // It is not back in time.
-    assert_eq!(steering.sweep(at(3_499)), []);
-    assert_eq!(steering.sweep(at(3_500)), [id]);
+    assert_eq!(ended(steering.sweep(at(3_499))), []);
+    assert_eq!(ended(steering.sweep(at(3_500))), [id]);
     let verdict = steering.packet(&packet, at(3_501));
     assert_eq!(verdict, Verdict::Reset(ResetCause::TargetGone));
 }
@@ -105,7 +115,7 @@
     steering.note_outage(at(1_000));
     steering.remove_targets(&[target(3).id], at(1_100));
     steering.put_target(target(3), at(2_000));
-    assert_eq!(steering.sweep(at(9_000)), []);
+    assert_eq!(ended(steering.sweep(at(9_000))), []);
 }
 
 #[test]
@@ -132,7 +142,7 @@
     );
     let packet = inside(flow(1, ORDERS), token, 101, 501, 30);
     assert!(steering.packet(&packet, at(1_399)).forwarded().is_some());
-    assert_eq!(steering.sweep(at(1_400)), [id]);
+    assert_eq!(ended(steering.sweep(at(1_400))), [id]);
     let verdict = steering.packet(&packet, at(1_401));
     assert_eq!(verdict, Verdict::Reset(ResetCause::TargetGone));
 }
@@ -144,8 +154,12 @@
     let packet = inside(flow(1, ORDERS), target(3).token(), 101, 501, 30);
     let verdict = steering.packet(&packet, at(1_400));
     assert_eq!(verdict, Verdict::Reset(ResetCause::TargetGone));
-    assert_eq!(steering.sweep(at(1_401)), [target(3).id], "it is told once");
-    assert_eq!(steering.sweep(at(1_402)), []);
+    assert_eq!(
+        ended(steering.sweep(at(1_401))),
+        [target(3).id],
+        "it is told once"
+    );
+    assert_eq!(ended(steering.sweep(at(1_402))), []);
 }
 
 #[test]
@@ -163,7 +177,7 @@
             steering.packet(&packet, at(time)).forwarded().is_some(),
             "at {time} ms"
         );
-        assert_eq!(steering.sweep(at(time)), []);
+        assert_eq!(ended(steering.sweep(at(time))), []);
     }
     for number in 10..50 {
         let verdict = steering.packet(&opening(flow(number, ORDERS), 0), at(8_500));
@@ -172,7 +186,7 @@
     // Requests without an answer show no life.
     packet.seq += 30;
     steering.packet(&packet, at(9_000));
-    assert_eq!(steering.sweep(at(11_000)), [target(3).id]);
+    assert_eq!(ended(steering.sweep(at(11_000))), [target(3).id]);
 }
 
 #[test]
@@ -222,7 +236,7 @@
 fn entries_that_lapse_one_by_one_over_a_beat_break_no_flow() {
     // 14 targets beat every 770 ms, the store is read every 300 ms, and no target reaches it.
     let mut steering = steering((1..=14).map(target));
-    let mut ended = Vec::new();
+    let mut gone = Vec::new();
     for batch in 0..4_u64 {
         let now = at(1_000 + 300 * batch);
         let due = |number: &u8| u64::from(*number) * 55 / 300 == batch;
@@ -230,11 +244,11 @@
             .filter(due)
             .map(|number| target(number).id)
             .collect();
-        ended.extend(steering.sweep(now));
+        gone.extend(ended(steering.sweep(now)));
         steering.remove_targets(&ids, now);
     }
-    ended.extend(steering.sweep(at(2_400)));
-    assert_eq!(ended, []);
+    gone.extend(ended(steering.sweep(at(2_400))));
+    assert_eq!(gone, []);
 }
 
 #[test]
@@ -381,6 +395,42 @@
     assert_eq!(loads, [1, 1]);
 }
 
+#[test]
+fn silence_and_its_end_are_told() {
+    let mut steering = steering([target(1), target(2)]);
+    let token = open(&mut steering, 1);
+    let other = open(&mut steering, 2);
+    steering.packet(&inside(flow(2, ORDERS), other, 101, 501, 0), at(20));
+    let silent = steering
+        .roster()
+        .iter()
+        .find(|(_, slot)| slot.token == token);
+    let id = silent.expect("held").1.target.id.clone();
+    let told = Notice::Silent {
+        target: id.clone(),
+        flows: 1,
+        silence: Duration::from_millis(500),
+    };
+    assert_eq!(steering.sweep(at(500)), [told]);
+    assert_eq!(steering.sweep(at(600)), []);
+    steering.packet(&inside(flow(1, ORDERS), token, 101, 501, 0), at(700));
+    assert_eq!(steering.sweep(at(1_000)), [Notice::Trusted(id)]);
+}
+
+#[test]
+fn request_without_an_answer_is_told() {
+    let mut steering = steering([target(1)]);
+    let token = open(&mut steering, 1);
+    steering.packet(&inside(flow(1, ORDERS), token, 101, 501, 0), at(10));
+    steering.packet(&inside(flow(1, ORDERS), token, 101, 501, 30), at(20));
+    let told = Notice::Unanswered {
+        flow: flow(1, ORDERS),
+        token,
+        waited: Duration::from_millis(2_100),
+    };
+    assert!(steering.sweep(at(2_100)).contains(&told));
+}
+
 #[test]
 fn copies_stay_at_a_target_that_showed_life() {
     let mut steering = steering([target(1)]);
