--- a/crates/measure/src/demo/users.rs
+++ b/crates/measure/src/demo/users.rs
@@ -2,12 +2,11 @@
 //! faults, and what callers and targets saw of each step.
 
 use std::io;
-use std::net::SocketAddrV4;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bambooseam_standin::site::{FlowTarget, Kind, Site, SitePlan, Tally, Traffic};
+use bambooseam_standin::site::{FlowTarget, Site, SitePlan, Tally, Traffic};
 use tokio::time::sleep;
 
 use super::progress;
@@ -16,6 +15,8 @@
 const VMS: [u8; 3] = [2, 1, 1];
 /// Targets of each zone.
 const TARGETS: u8 = 4;
+/// Entries of targets that do not run, beside those that do.
+const ENTRIES: u16 = 138;
 /// Feeds and callers of orders of each zone.
 const FEEDS: u64 = 12;
 const ORDERS: u64 = 4;
@@ -33,7 +34,6 @@
 pub struct UsersDemo {
     site: Site,
     targets: Vec<FlowTarget>,
-    orders: SocketAddrV4,
     period: Duration,
     failures: Vec<String>,
     served: u64,
@@ -65,6 +65,10 @@
                 targets.push(site.add_target("orders", zone, number).await?);
             }
         }
+        // Entries of a service without routes, up to the size of the grown deployments.
+        for number in 0..ENTRIES {
+            site.publish_entry(number);
+        }
         site.start_all()?;
         let count = VMS.iter().map(|vms| usize::from(*vms)).sum();
         if !site.wait_ready(count, START_TIME).await {
@@ -75,13 +79,12 @@
         let mut demo = Self {
             site,
             targets,
-            orders,
             period,
             failures: Vec::new(),
             served: 0,
             failed: 0,
         };
-        let traffic = demo.load(seed);
+        let traffic = Traffic::start(&demo.site, orders, FEEDS, ORDERS, seed);
         demo.steps(is_short).await?;
         traffic.stop().await;
         demo.check_memory();
@@ -116,27 +119,6 @@
         Ok(())
     }
 
-    fn load(&self, seed: u64) -> Traffic {
-        let mut traffic = Traffic::new();
-        for (zone, host) in self.site.callers.iter().enumerate() {
-            let seed = seed + 1_000 * zone as u64;
-            for number in 0..FEEDS {
-                traffic.add(
-                    Kind::Feed,
-                    host,
-                    self.orders,
-                    seed + number,
-                    &self.site.tally,
-                );
-            }
-            for number in 0..ORDERS {
-                let seed = seed + 500 + number;
-                traffic.add(Kind::Order, host, self.orders, seed, &self.site.tally);
-            }
-        }
-        traffic
-    }
-
     /// Adds a route; gives how long until every VM serves it.
     async fn change(&mut self) -> Duration {
         let entrance = self.site.add_route("orders");
--- a/crates/standin/src/site/stage.rs
+++ b/crates/standin/src/site/stage.rs
@@ -1,39 +1,26 @@
 //! A whole site on loopback: store, routers, targets and callers here, VMs as processes.
 
-use std::fs::File;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
-use std::process::{ExitStatus, Stdio};
 use std::sync::{Arc, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde_json::{Value, json};
 use tokio::net::UdpSocket;
-use tokio::process::{Child, Command};
 use tokio::time::timeout;
 
-use super::settings::render;
 use super::target::Allowed;
-use super::{CallerHost, Door, FlowTarget, Router, Store, Tally, TargetPlan};
+use super::vm::{CONTROL_PORT, DATAGRAM_PORT, READY_PORT};
+use super::{CallerHost, Door, FlowTarget, Router, Store, Tally, TargetPlan, Vm};
 use crate::Network;
 
-/// Port of datagrams, at VMs and at callers.
-const DATAGRAM_PORT: u16 = 8172;
-const READY_PORT: u16 = 8167;
-const CONTROL_PORT: u16 = 8166;
 const STORE_PORT: u16 = 8169;
 const TARGET_PORT: u16 = 8080;
 
 /// Time between two beats of a target.
 const BEAT: Duration = Duration::from_millis(400);
 
-/// Longest time that a killed program takes to end.
-const END_TIME: Duration = Duration::from_secs(5);
-
-/// Template of the settings, beside the platform's folder.
-const TEMPLATE: &str = include_str!("../../../../platform/settings.ini");
-
 /// Seeds that a VM is told.
 const SEEDS: usize = 3;
 
@@ -69,22 +56,6 @@
     _network: Network,
 }
 
-/// An entry VM.
-#[derive(Debug)]
-pub struct Vm {
-    /// Its name.
-    pub id: String,
-    /// Its zone.
-    pub zone: String,
-    /// The store as it sees it.
-    pub door: Arc<Door>,
-    address: Ipv4Addr,
-    settings: Value,
-    program: PathBuf,
-    directory: PathBuf,
-    child: Option<Child>,
-}
-
 /// A directory that is removed at the end, unless a test failed.
 #[derive(Debug)]
 struct Directory(PathBuf);
@@ -99,21 +70,6 @@
     }
 }
 
-impl Drop for Vm {
-    /// Ends the program, and waits until its addresses are free for the next site.
-    fn drop(&mut self) {
-        let Some(child) = &mut self.child else {
-            return;
-        };
-        // One that has ended by itself is as good as killed.
-        let _ = child.start_kill();
-        let deadline = Instant::now() + END_TIME;
-        while matches!(child.try_wait(), Ok(None)) && Instant::now() < deadline {
-            std::thread::sleep(Duration::from_millis(2));
-        }
-    }
-}
-
 impl Site {
     /// Makes a site whose VMs are not started yet.
     ///
@@ -248,6 +204,17 @@
         self.publish();
     }
 
+    /// Publishes the entry of a target that does not run, of a service without routes.
+    pub fn publish_entry(&self, number: u16) {
+        let entry = json!({
+            "service": "idle", "address": format!("10.9.0.1:{number}"), "zone": zone_name(0),
+            "config_version": "v1", "capacity": 2, "state": "ready", "warmup_left_ms": 0,
+            "sequence": 1, "born": self.born,
+        });
+        self.store
+            .put(&format!("servers/i-1d1e{number:04x}"), &entry, None);
+    }
+
     /// Publishes the configuration under a new version; `None` while the store is away.
     pub fn publish(&mut self) -> Option<u64> {
         self.version += 3;
@@ -320,136 +287,6 @@
     }
 }
 
-impl Vm {
-    /// Where its packets arrive.
-    pub fn datagrams(&self) -> SocketAddr {
-        (self.address, DATAGRAM_PORT).into()
-    }
-
-    /// Where it is probed.
-    pub fn ready(&self) -> SocketAddr {
-        (self.address, READY_PORT).into()
-    }
-
-    /// Where its peers reach it.
-    pub fn control(&self) -> SocketAddr {
-        (self.address, CONTROL_PORT).into()
-    }
-
-    /// Its admin endpoint.
-    pub fn admin(&self) -> SocketAddr {
-        (self.address, 7735).into()
-    }
-
-    /// Starts its program.
-    ///
-    /// # Errors
-    ///
-    /// An error when it can't be run.
-    pub fn start(&mut self) -> io::Result<()> {
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(self.log_file())?;
-        let errors = log.try_clone()?;
-        self.start_with(log.into(), errors.into())
-    }
-
-    /// Starts its program with output that nobody reads.
-    ///
-    /// # Errors
-    ///
-    /// An error when it can't be run.
-    pub fn start_unread(&mut self) -> io::Result<()> {
-        self.start_with(Stdio::piped(), Stdio::null())
-    }
-
-    fn start_with(&mut self, output: Stdio, errors: Stdio) -> io::Result<()> {
-        self.write_settings()?;
-        let child = Command::new(&self.program)
-            .env("BAMBOOSEAM_CONFIG", self.settings_file())
-            .stdin(Stdio::null())
-            .stdout(output)
-            .stderr(errors)
-            .kill_on_drop(true)
-            .spawn()?;
-        self.child = Some(child);
-        Ok(())
-    }
-
-    /// Sends a signal by name, as in `TERM`.
-    ///
-    /// # Errors
-    ///
-    /// An error when the signal can't be sent.
-    pub async fn signal(&self, name: &str) -> io::Result<()> {
-        let Some(pid) = self.child.as_ref().and_then(Child::id) else {
-            return Ok(());
-        };
-        let mut kill = Command::new("kill");
-        kill.args([format!("-{name}"), pid.to_string()])
-            .status()
-            .await?;
-        Ok(())
-    }
-
-    /// Waits for the program's end; `None` when `limit` is over.
-    pub async fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
-        let child = self.child.as_mut()?;
-        let status = timeout(limit, child.wait()).await.ok()?.ok();
-        self.child = None;
-        status
-    }
-
-    /// Kills the program.
-    pub async fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            // One that has ended by itself is as good as killed.
-            let _ = child.kill().await;
-        }
-    }
-
-    /// Whether the program runs.
-    pub fn is_running(&mut self) -> bool {
-        let child = self.child.as_mut();
-        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
-    /// Most memory that the program has held so far, in KiB.
-    pub fn peak_memory(&self) -> Option<u64> {
-        let pid = self.child.as_ref().and_then(Child::id)?;
-        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
-        line.split_whitespace().nth(1)?.parse().ok()
-    }
-
-    /// What the program has logged.
-    pub fn log(&self) -> String {
-        std::fs::read_to_string(self.log_file()).unwrap_or_default()
-    }
-
-    /// Writes any text as its settings file.
-    ///
-    /// # Errors
-    ///
-    /// An error when the file can't be written.
-    pub fn write_text(&self, text: &str) -> io::Result<()> {
-        std::fs::write(self.settings_file(), text)
-    }
-
-    fn write_settings(&self) -> io::Result<()> {
-        self.write_text(&render(TEMPLATE, &self.settings))
-    }
-
-    fn settings_file(&self) -> PathBuf {
-        self.directory.join(format!("{}.ini", self.id))
-    }
-
-    fn log_file(&self) -> PathBuf {
-        self.directory.join(format!("{}.log", self.id))
-    }
-}
-
 /// Name of a zone.
 fn zone_name(zone: u8) -> String {
     format!("zone-{}", char::from(b'a' + zone))
--- a/crates/standin/src/site/traffic.rs
+++ b/crates/standin/src/site/traffic.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::{CallerFlow, CallerHost, FlowError, Tally};
+use super::{CallerFlow, CallerHost, FlowError, Site, Tally};
 
 /// Time that a request may take.
 const DEADLINE: Duration = Duration::from_millis(1_500);
@@ -19,12 +19,15 @@
 /// Tries of one request that may be repeated.
 const TRIES: u32 = 3;
 
+/// Seeds of one zone's callers.
+const SEEDS: u64 = 1_000;
+
 /// Numbers of requests, unique in a process.
 static NEXT: AtomicU64 = AtomicU64::new(1);
 
 /// What a caller does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Kind {
+enum Kind {
     /// Keeps a flow open for many requests that may be repeated.
     Feed,
     /// Opens a flow for each request; one that may have run is not repeated.
@@ -40,15 +43,30 @@
 
 impl Traffic {
     /// Creates traffic without callers.
-    pub fn new() -> Self {
+    fn new() -> Self {
         Self {
             stop: CancellationToken::new(),
             tasks: JoinSet::new(),
         }
     }
 
+    /// Starts `feeds` feeds and `orders` callers of orders in each zone of a site.
+    pub fn start(site: &Site, entrance: SocketAddrV4, feeds: u64, orders: u64, seed: u64) -> Self {
+        let mut traffic = Self::new();
+        for (zone, host) in (0..).zip(&site.callers) {
+            let seed = seed + SEEDS * zone;
+            for number in 0..feeds {
+                traffic.add(Kind::Feed, host, entrance, seed + number, &site.tally);
+            }
+            for number in feeds..feeds + orders {
+                traffic.add(Kind::Order, host, entrance, seed + number, &site.tally);
+            }
+        }
+        traffic
+    }
+
     /// Adds a caller.
-    pub fn add(
+    fn add(
         &mut self,
         kind: Kind,
         host: &Arc<CallerHost>,
@@ -84,12 +102,6 @@
     }
 }
 
-impl Default for Traffic {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 struct Caller {
     kind: Kind,
     host: Arc<CallerHost>,
--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -129,14 +129,9 @@
         signals.is_new = true;
         signals.is_busy = true;
         let state = FlowState {
-            slot,
-            token,
             phase: Phase::Opening,
-            sent: head.seq,
-            acked: 0,
             busy: Some(now),
-            timeout,
-            seen: now,
+            ..FlowState::new(head, (slot, token), timeout, now)
         };
         let before = self.table.insert(head.flow, state);
         signals.before = before.map(|before| before.forgotten(true));
@@ -169,16 +164,7 @@
                 return signals;
             }
             signals.is_new = true;
-            let state = FlowState {
-                slot,
-                token,
-                phase: Phase::Open,
-                sent: head.seq,
-                acked: head.ack,
-                busy: None,
-                timeout,
-                seen: now,
-            };
+            let state = FlowState::new(head, (slot, token), timeout, now);
             let before = self.table.insert(head.flow, state);
             signals.before = before.map(|before| before.forgotten(true));
         }
@@ -246,6 +232,25 @@
 }
 
 impl FlowState {
+    /// An open flow whose packet `head` is.
+    fn new(
+        head: &Head,
+        (slot, token): (SlotNumber, Token),
+        timeout: Duration,
+        now: Moment,
+    ) -> Self {
+        Self {
+            slot,
+            token,
+            phase: Phase::Open,
+            sent: head.seq,
+            acked: head.ack,
+            busy: None,
+            timeout,
+            seen: now,
+        }
+    }
+
     fn forgotten(&self, is_removed: bool) -> Forgotten {
         Forgotten {
             slot: self.slot,
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -1,30 +1,26 @@
 //! The decisions on each packet, tied together.
 
+mod belief;
+
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use bambooseam_types::{Moment, ServiceName, TargetId, Token, ZoneId};
 
-use crate::absence::{Absence, Removal};
+use crate::absence::Absence;
 use crate::flows::{Flows, Forgotten, Signals};
 use crate::place::{Candidate, place};
-use crate::roster::{Roster, Slot, SlotNumber, Standing};
+use crate::roster::{Roster, Slot, SlotNumber};
 use crate::stranger::Strangers;
-use crate::{DropCause, Head, Notice, Opening, ResetCause, Route, Routes, Target, Verdict};
+use crate::{DropCause, Head, Opening, ResetCause, Route, Routes, Verdict};
 
 /// Age up to which the view counts as current: a watch that waits 1 s, its time limit, and one
 /// more try.
 const CURRENT_TIME: Duration = Duration::from_millis(2_500);
 
-/// Silence after which a flow may be forgotten when the configuration names no time.
-const IDLE_TIME: Duration = Duration::from_secs(15);
-
 /// Longest time of a request on a route that is not known here.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Entrances remembered after their route was removed.
-const REMOVED_LIMIT: usize = 4_096;
-
 /// Times of answers kept until they are asked for: half a second of a VM that serves 8,000 requests
 /// a second.
 const PROGRESS_LIMIT: usize = 4_096;
@@ -88,73 +84,6 @@
         }
     }
 
-    /// Takes the routes of a newer configuration; gives the entrances that it removed.
-    pub fn set_routes(&mut self, routes: Routes) -> Vec<SocketAddrV4> {
-        let mut gone = Vec::new();
-        for route in self.routes.iter().flat_map(Routes::iter) {
-            if routes.find(route.entrance).is_none() {
-                gone.push(route.entrance);
-            }
-        }
-        self.removed.extend(&gone);
-        self.removed.sort_unstable();
-        self.removed.dedup();
-        self.removed
-            .retain(|removed| routes.find(*removed).is_none());
-        self.removed.truncate(REMOVED_LIMIT);
-        self.routes = Some(routes);
-        gone
-    }
-
-    /// Takes a target as its entry says.
-    pub fn put_target(&mut self, target: Target, now: Moment) {
-        self.roster.put(target, now);
-    }
-
-    /// Notes that an entry no longer names a target: it keeps its flows and takes no new ones.
-    pub fn distrust_target(&mut self, id: &TargetId) {
-        if let Some(number) = self.roster.find(id) {
-            self.roster.set_standing(number, Standing::Unreadable);
-        }
-    }
-
-    /// Takes the removals of one batch; gives what became of each known target.
-    ///
-    /// A target that had announced that it leaves has ended, unless the store was away lately. Any
-    /// other is kept for a while: its entry may have lapsed.
-    pub fn remove_targets(&mut self, ids: &[TargetId], now: Moment) -> Vec<(TargetId, Standing)> {
-        let mut outcomes = Vec::new();
-        let numbers: Vec<_> = ids.iter().filter_map(|id| self.roster.find(id)).collect();
-        for &number in &numbers {
-            let Some(slot) = self.roster.get(number) else {
-                continue;
-            };
-            let (id, service) = (slot.target.id.clone(), slot.target.service.clone());
-            if slot.target.is_leaving && !self.absence.is_recent(now) {
-                self.roster.end(number, now);
-                continue;
-            }
-            let removal = self.removal_of(&service, &numbers);
-            let standing = self.absence.judge(now, removal);
-            if let Standing::Lapsed { until } = standing {
-                self.roster.trust_doubted(&service, until);
-            }
-            self.roster.set_standing(number, standing);
-            outcomes.push((id, standing));
-        }
-        outcomes
-    }
-
-    /// Notes that everything published up to `at` is here.
-    pub fn note_sync(&mut self, at: Moment) {
-        self.freshness.synced = self.freshness.synced.max(Some(at));
-    }
-
-    /// Notes that the store is away, or has answered again after it was.
-    pub fn note_outage(&mut self, now: Moment) {
-        self.absence.note_outage(now);
-    }
-
     /// How current the view is.
     pub fn freshness(&self) -> Freshness {
         self.freshness
@@ -195,41 +124,6 @@
         }
     }
 
-    /// Forgets what is over; gives what was found out since the last sweep.
-    pub fn sweep(&mut self, now: Moment) -> Vec<Notice> {
-        let mut notices = Vec::new();
-        let idle_time = self.routes.as_ref().and_then(|routes| routes.idle_time);
-        let roster = &mut self.roster;
-        self.flows
-            .sweep(now, idle_time.unwrap_or(IDLE_TIME), |&flow, forgotten| {
-                if let Some(busy) = forgotten.busy {
-                    notices.push(Notice::Unanswered {
-                        flow,
-                        token: forgotten.token,
-                        waited: now.since(busy),
-                    });
-                }
-                release(roster, forgotten);
-            });
-        let roster = &self.roster;
-        self.strangers
-            .sweep(now, |token| roster.with_token(token).next().is_some());
-        notices.extend(self.roster.note_silence(now));
-        self.ended.extend(self.roster.expire(now));
-        notices.extend(self.ended.drain(..).map(Notice::Ended));
-        notices
-    }
-
-    /// Gives each time from a request to the first sign of its answer, with the target's service,
-    /// since this was last asked for.
-    pub fn take_progress(&mut self, mut take: impl FnMut(&ServiceName, Duration)) {
-        for (number, time) in self.progress.drain(..) {
-            if let Some(slot) = self.roster.get(number) {
-                take(&slot.target.service, time);
-            }
-        }
-    }
-
     /// An opening packet: its flow gets a target.
     fn open(&mut self, head: &Head, now: Moment) -> Verdict {
         let is_current = self.freshness.is_current(now);
@@ -349,20 +243,6 @@
             false => Verdict::Drop(DropCause::TokenNotKnownYet),
         }
     }
-
-    /// How many targets of a service have gone, with a batch that is being removed.
-    fn removal_of(&self, service: &ServiceName, numbers: &[SlotNumber]) -> Removal {
-        let (mut total, mut gone) = (0, 0);
-        for (number, slot) in self.roster.of_service(service) {
-            if slot.target.is_leaving {
-                continue;
-            }
-            total += 1;
-            let has_gone = slot.standing.until().is_some();
-            gone += usize::from(has_gone || numbers.contains(&number));
-        }
-        Removal { gone, total }
-    }
 }
 
 /// Whether a service has another target that takes new flows and is not silent.
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use bambooseam_standin::site::{FlowTarget, Kind, Site, SitePlan, Tally, Traffic};
+use bambooseam_standin::site::{FlowTarget, Site, SitePlan, Tally, Traffic};
 
 use crate::programs::program;
 
@@ -13,6 +13,9 @@
 /// Longest time that a test waits for VMs: far above what is measured, for a busy machine.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Seed of all traffic.
+const SEED: u64 = 0;
+
 /// Time in which a VM that can serve a flow opens it, on a busy machine.
 const OPEN_TIME: Duration = Duration::from_millis(250);
 
@@ -64,24 +67,7 @@
 
     /// Starts feeds and orders in each zone.
     pub fn traffic(&self, feeds: u64, orders: u64) -> Traffic {
-        let mut traffic = Traffic::new();
-        for (zone, host) in self.site.callers.iter().enumerate() {
-            let seed = 1_000 * zone as u64;
-            for number in 0..feeds {
-                traffic.add(
-                    Kind::Feed,
-                    host,
-                    self.orders,
-                    seed + number,
-                    &self.site.tally,
-                );
-            }
-            for number in 0..orders {
-                let seed = seed + 500 + number;
-                traffic.add(Kind::Order, host, self.orders, seed, &self.site.tally);
-            }
-        }
-        traffic
+        Traffic::start(&self.site, self.orders, feeds, orders, SEED)
     }
 
     /// Adds a route and gives how long until every VM of `vms` serves it.
--- a/tests/tests/docs.rs
+++ b/tests/tests/docs.rs
@@ -204,3 +204,54 @@
     assert!(readme.contains("scripts/demo.sh"));
     assert!(root().join("scripts/demo.sh").is_file());
 }
+
+#[test]
+fn no_decision_on_the_users_platform_reads_the_time_of_day() {
+    for directory in [
+        "crates/replica/src",
+        "crates/steer/src",
+        "crates/entry/src",
+        "platform/src",
+    ] {
+        for source in sources(&root().join(directory)) {
+            assert!(
+                !source.contains("SystemTime"),
+                "{directory} reads the time of day"
+            );
+        }
+    }
+}
+
+#[test]
+fn names_of_the_users_platform_stand_in_one_folder() {
+    // Words of its calls, keys and settings; some of them are ordinary words elsewhere.
+    let words = [
+        "kv-range",
+        "kv-watch",
+        "op/config",
+        "servers/",
+        "traffic_split",
+        "warmup_left_ms",
+        "heartbeat_ms",
+        "datagram_addr",
+        "api/readiness",
+        "BAMBOOSEAM_CONFIG",
+    ];
+    let own = [
+        "agent",
+        "config",
+        "ctl",
+        "entry",
+        "forwarder",
+        "observe",
+        "peer",
+        "proxy",
+    ];
+    for program in own.into_iter().chain(["replica", "steer", "types", "view"]) {
+        for source in sources(&root().join("crates").join(program).join("src")) {
+            for word in words {
+                assert!(!source.contains(word), "crates/{program} has {word}");
+            }
+        }
+    }
+}
