Try a silent target with one flow at a time; give up a dead peer's connection early

Cause: a silent target has nothing in progress, so that after its two seconds all new flows went there until the first of them was overdue: 13 flows of 150 ms in silent_target_is_tried_by_one_flow_at_a_time, which failed first; now one. A followed VM without power cost a round of 1.5 s; its connection has 0.3 s.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bambooseam_peer::Meter;
 use bambooseam_peer::replica::{Ask, News, ReplicaLink};
+use bambooseam_peer::{Meter, PeerError};
 use bambooseam_types::{Clock, Moment};
 use tokio::time::timeout;
 
@@ -17,7 +17,7 @@
 /// Longest wait for news: just above the age at which the peer's copy is too old to be followed.
 const WAIT_TIME: Duration = Duration::from_millis(1_200);
 
-/// Time beyond the wait in which the answer must be here, connection included.
+/// Time in which a connection must be there, and beyond the wait until the answer is.
 const ANSWER_TIME: Duration = Duration::from_millis(300);
 
 /// Follows one peer at a time over one connection.
@@ -63,7 +63,7 @@
         log::info!("event=peer_shunned peer={address} cause={cause:?}");
     }
 
-    async fn ask(&mut self, address: SocketAddr) -> Result<News, bambooseam_peer::PeerError> {
+    async fn ask(&mut self, address: SocketAddr) -> Result<News, PeerError> {
         let is_linked = self.link.as_ref().is_some_and(|(held, _)| *held == address);
         let ask = Ask {
             // The peer has been told over this connection.
@@ -74,13 +74,20 @@
         };
         let link = match self.link.take() {
             Some((held, link)) if held == address => link,
-            _ => ReplicaLink::connect(address, Arc::clone(&self.meter)).await?,
+            _ => self.connect(address).await?,
         };
         let news = link.sync(&ask).await?;
         self.link = Some((address, link));
         Ok(news)
     }
 
+    /// Connects; a VM without power does not even refuse.
+    async fn connect(&self, address: SocketAddr) -> Result<ReplicaLink, PeerError> {
+        let connect = ReplicaLink::connect(address, Arc::clone(&self.meter));
+        let connected = timeout(ANSWER_TIME, connect).await;
+        connected.map_err(|_| PeerError::Io(std::io::ErrorKind::TimedOut.into()))?
+    }
+
     /// Takes news; false when they are too old.
     fn take(&self, news: News, address: SocketAddr, now: Moment) -> bool {
         let Some(changes) = news.changes else {
--- a/crates/steer/src/silence.rs
+++ b/crates/steer/src/silence.rs
@@ -5,6 +5,9 @@
 //! flow shows that the opening was answered, an acknowledgement that moves on shows progress. A
 //! target that was asked and has shown nothing since gets no new flows for a while.
 //!
+//! After two seconds one flow tries a silent target. It waits for its first copy, 200 ms, if the
+//! target is still silent; all others stay away until it answers.
+//!
 //! A silent target keeps its flows: it may live and only be cut off from this VM. The copies of an
 //! opening packet move to another target only when two flows found it silent. A single answer may
 //! be lost and sent again, and two targets that answer one flow race for the caller's token.
@@ -33,6 +36,8 @@
     opening: Option<Moment>,
     request: Option<Moment>,
     flows: u32,
+    /// It was found silent, and what was asked since is a trial.
+    is_on_trial: bool,
 }
 
 impl Silence {
@@ -55,14 +60,16 @@
         *self = Self::default();
     }
 
-    /// Whether the target takes no new flows for now.
+    /// Whether the target takes no new flows for now. After a while one flow may try it; until it
+    /// answers the others stay away.
     pub fn is_silent(&self, now: Moment) -> bool {
-        is_between(self.opening, now, OPENING_TIME) || is_between(self.request, now, REQUEST_TIME)
+        let is_tried = self.is_on_trial && is_between(self.opening, now, Duration::ZERO);
+        is_tried || self.is_unanswered(now)
     }
 
     /// Whether copies of an opening packet may leave the target.
     pub fn is_confirmed(&self, now: Moment) -> bool {
-        self.flows >= WITNESSES && self.is_silent(now)
+        (self.flows >= WITNESSES || self.is_on_trial) && self.is_unanswered(now)
     }
 
     /// Openings and requests left unanswered, and the time since the first of them.
@@ -74,16 +81,23 @@
         )
     }
 
+    fn is_unanswered(&self, now: Moment) -> bool {
+        is_between(self.opening, now, OPENING_TIME) || is_between(self.request, now, REQUEST_TIME)
+    }
+
     /// Forgets what is too old to count, so that the target is tried again.
     fn expire(&mut self, now: Moment) {
         let oldest = self.opening.into_iter().chain(self.request).min();
         if oldest.is_some_and(|oldest| now.since(oldest) > RETRY_TIME) {
-            *self = Self::default();
+            *self = Self {
+                is_on_trial: self.is_on_trial || self.flows >= WITNESSES,
+                ..Self::default()
+            };
         }
     }
 }
 
 /// Whether `asked` is older than `least` and young enough to count.
 fn is_between(asked: Option<Moment>, now: Moment, least: Duration) -> bool {
-    asked.is_some_and(|asked| now.since(asked) > least && now.since(asked) <= RETRY_TIME)
+    asked.is_some_and(|asked| now.since(asked) >= least && now.since(asked) <= RETRY_TIME)
 }
--- a/tests/tests/steer.rs
+++ b/tests/tests/steer.rs
@@ -395,6 +395,44 @@
     assert_eq!(loads, [1, 1]);
 }
 
+#[test]
+fn silent_target_is_tried_by_one_flow_at_a_time() {
+    // The other target answers everything; this one nothing.
+    let mut steering = steering([target(1), target(2)]);
+    let dead = target(1).token();
+    let mut tried = Vec::new();
+    for number in 1..1_000 {
+        let now = at(10 * u64::from(number));
+        steering.sweep(now);
+        let token = token_of(steering.packet(&opening(flow(number, ORDERS), 0), now));
+        if token == dead {
+            tried.push((number, now));
+            continue;
+        }
+        let packet = inside(flow(number, ORDERS), token, 101, 501, 0);
+        steering.packet(&packet, now);
+        // Ten flows are at work there at a time.
+        let over = number.saturating_sub(10);
+        steering.packet(&ending(flow(over, ORDERS), token, 501), now);
+    }
+    // The first flows find it silent within 150 ms; from then on one every two seconds does.
+    let later = tried.iter().filter(|(_, now)| *now > at(200)).count();
+    assert!((3..=5).contains(&later), "{tried:?}");
+    // The copy of the one that tries leaves it at once.
+    let (number, now) = *tried.last().expect("a flow that tried");
+    let copy = opening(flow(number, ORDERS), 1);
+    let verdict = steering.packet(&copy, now.after(Duration::from_millis(200)));
+    assert_eq!(opening_of(verdict), Some(Opening::Moved));
+    // Once it answers it gets its part again.
+    let packet = inside(flow(number, ORDERS), dead, 101, 501, 0);
+    steering.packet(&packet, now.after(Duration::from_millis(300)));
+    let now = now.after(Duration::from_millis(400));
+    let again = (2_000..2_020).filter(|&number| {
+        token_of(steering.packet(&opening(flow(number, ORDERS), 0), now)) == dead
+    });
+    assert!(again.count() >= 8);
+}
+
 #[test]
 fn silence_and_its_end_are_told() {
     let mut steering = steering([target(1), target(2)]);
