--- a/crates/measure/src/entry.rs
+++ b/crates/measure/src/entry.rs
@@ -13,13 +13,15 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use bambooseam_config::LogSettings;
 use bambooseam_entry::packets::Packets;
 use bambooseam_entry::{BootClock, Node, Quiet, Source};
+use bambooseam_observe::{LogError, init_logs};
 use bambooseam_replica::{Change, Changes};
 use bambooseam_standin::site::{Flags, Packet};
 use bambooseam_steer::{Steering, SteeringSettings};
 use bambooseam_types::{Clock, Revision};
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use serde_json::json;
 use tokio::task::LocalSet;
 
@@ -27,6 +29,8 @@
 const RUN_TIME: Duration = Duration::from_millis(400);
 /// Flows in a run.
 const FLOWS: u16 = 2_000;
+/// Flows that the program remembers; openings beyond it are placed anew each time.
+const FLOW_LIMIT: usize = 100;
 /// Where callers send to.
 const ENTRANCE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 
@@ -42,42 +46,80 @@
                 .value_parser(value_parser!(usize))
                 .help("Runs of each kind, in turn"),
         )
+        .arg(
+            Arg::new("openings")
+                .long("openings")
+                .action(ArgAction::SetTrue)
+                .help("Send packets that open flows, each a line of the log"),
+        )
+        .arg(
+            Arg::new("log").long("log").action(ArgAction::SetTrue).help(
+                "Write the program's log to standard output; the result goes to standard error",
+            ),
+        )
+}
+
+/// What is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Load {
+    /// Packets inside flows.
+    Inside,
+    /// Packets that open flows; the table is full, so that each is a new one.
+    Openings,
 }
 
 /// Runs the measurement.
 pub fn run(matches: &ArgMatches) -> ExitCode {
     let rounds: usize = *matches.get_one("rounds").expect("has a default");
-    match measure(rounds) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            println!(
-                "measurement=entry result=failed cause={:?}",
-                error.to_string()
-            );
-            ExitCode::FAILURE
-        }
+    let has_log = matches.get_flag("log");
+    if has_log && let Err(error) = start_log() {
+        eprintln!("{error}");
+        return ExitCode::FAILURE;
     }
+    let load = match matches.get_flag("openings") {
+        true => Load::Openings,
+        false => Load::Inside,
+    };
+    let (line, code) = match measure(rounds, load) {
+        Ok(line) => (line, ExitCode::SUCCESS),
+        Err(error) => (
+            format!("result=failed cause={:?}", error.to_string()),
+            ExitCode::FAILURE,
+        ),
+    };
+    let line = format!("measurement=entry load={load:?} log={has_log} {line}");
+    match has_log {
+        true => eprintln!("{line}"),
+        false => println!("{line}"),
+    }
+    code
+}
+
+fn start_log() -> Result<(), LogError> {
+    init_logs(&LogSettings {
+        level: "info".into(),
+        file: None,
+    })
 }
 
-fn measure(rounds: usize) -> io::Result<()> {
+fn measure(rounds: usize, load: Load) -> io::Result<String> {
     let mut ratios = Vec::new();
     let (mut bare, mut entry) = (0.0, 0.0);
     for _ in 0..rounds {
-        let relay = Run::new()?.speed(relay)?;
-        let program = Run::new()?.speed(program)?;
+        let relay = Run::new()?.speed(relay, load)?;
+        let program = Run::new()?.speed(program, load)?;
         ratios.push(program / relay);
         bare += relay / rounds as f64;
         entry += program / rounds as f64;
     }
     ratios.sort_by(f64::total_cmp);
-    println!(
-        "measurement=entry rounds={rounds} bare_packets_s={bare:.0} entry_packets_s={entry:.0} \
+    Ok(format!(
+        "rounds={rounds} bare_packets_s={bare:.0} entry_packets_s={entry:.0} \
          ratio={:.3} ratio_least={:.3} ratio_most={:.3}",
         ratios[ratios.len() / 2],
         ratios[0],
         ratios[ratios.len() - 1]
-    );
-    Ok(())
+    ))
 }
 
 /// Sockets of one run.
@@ -99,7 +141,7 @@
     }
 
     /// Packets a second that come out at the target while more are sent than can pass.
-    fn speed(self, middle: Middle) -> io::Result<f64> {
+    fn speed(self, middle: Middle, load: Load) -> io::Result<f64> {
         let stop = Arc::new(AtomicBool::new(false));
         let target = self.target.local_addr()?;
         let (address, flag) = (self.middle, Arc::clone(&stop));
@@ -117,7 +159,7 @@
         });
         thread::sleep(Duration::from_millis(100));
         let begun = Instant::now();
-        send(self.middle, begun + RUN_TIME)?;
+        send(self.middle, load, begun + RUN_TIME)?;
         let speed = count.load(Ordering::Relaxed) as f64 / begun.elapsed().as_secs_f64();
         stop.store(true, Ordering::Relaxed);
         sink.join()
@@ -129,16 +171,21 @@
 }
 
 /// Sends packets inside flows until `end`.
-fn send(to: SocketAddr, end: Instant) -> io::Result<()> {
+fn send(to: SocketAddr, load: Load, end: Instant) -> io::Result<()> {
     let socket = UdpSocket::bind("127.0.0.1:0")?;
     let token = bambooseam_steer::Target::token(&target_of(to)).get();
     let packets: Vec<Vec<u8>> = (0..FLOWS)
         .map(|flow| {
             let caller = SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), 20_000 + flow);
-            let mut packet = Packet::new(caller, ENTRANCE, Flags::ACK);
-            packet.echo = token;
-            packet.data = vec![b'.'; 100];
-            packet.write()
+            match load {
+                Load::Openings => Packet::new(caller, ENTRANCE, Flags::SYN).write(),
+                Load::Inside => Packet {
+                    echo: token,
+                    data: vec![b'.'; 100],
+                    ..Packet::new(caller, ENTRANCE, Flags::ACK)
+                }
+                .write(),
+            }
         })
         .collect();
     for packet in packets.iter().cycle() {
@@ -188,7 +235,7 @@
     run_until(stop, async move {
         let mut node = Node::new(Steering::new(SteeringSettings {
             zone: "a".parse().map_err(io::Error::other)?,
-            flow_limit: usize::from(FLOWS),
+            flow_limit: FLOW_LIMIT,
         }));
         let now = BootClock.now();
         node.take(documents(target), now, now, Source::Store);
