Take an opening for a copy only while its flow may still be opening

Cause: ports used again for a flow whose end went through another VM counted as a copy, and the new flow went to the old flow's target, also one that leaves. Found by reading; ports_used_again_open_no_flow_at_a_leaving_target failed first. SIGHUP is handled from the first moment on: it would have ended a process that had just started.

--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -16,7 +16,7 @@
 use bambooseam_types::Clock;
 use derive_more::{Display, Error, From};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
@@ -66,6 +66,8 @@
 
 async fn run(settings: Settings, path: PathBuf) -> Result<(), ProcessError> {
     let entry = settings.entry.as_ref().ok_or(ProcessError::NoSection)?;
+    // Unhandled, the signal would end the process.
+    let hangups = signal(SignalKind::hangup())?;
     log::info!(
         "event=entry_started vm={} zone={} listen={} store={:?} seeds={:?}",
         settings.vm.id,
@@ -91,7 +93,12 @@
     start_control(&settings, entry, &node, &peers, &meter).await?;
     spawn_local(packets.run(quiet.clone()));
     spawn_local(sweep(Rc::clone(&node), meter));
-    spawn_local(follow_settings(path, settings.clone(), Rc::clone(&peers))?);
+    spawn_local(follow_settings(
+        hangups,
+        path,
+        settings.clone(),
+        Rc::clone(&peers),
+    ));
     let ready = node.borrow().ready();
     spawn_local(admin.serve(ready, || serde_json::Value::Null));
     let signal = stop_signal().await?;
@@ -147,36 +154,34 @@
 }
 
 /// Reads the settings file again after SIGHUP, and now and then.
-fn follow_settings(
+async fn follow_settings(
+    mut hangups: Signal,
     path: PathBuf,
     mut settings: Settings,
     peers: SharedPeers,
-) -> io::Result<impl Future<Output = ()>> {
-    let mut hangups = signal(SignalKind::hangup())?;
+) {
     let mut reload = Reload::new(path);
-    Ok(async move {
-        loop {
-            let cause = tokio::select! {
-                _ = hangups.recv() => "SIGHUP",
-                () = sleep(LOOK_PAUSE) => "file",
-            };
-            match reload.look() {
-                Look::Same if cause == "file" => {}
-                Look::Same => log::info!("event=settings_reloaded cause={cause} outcome=same"),
-                Look::Changed(newer) => {
-                    apply(&settings, &newer, &peers, cause);
-                    settings = *newer;
-                }
-                Look::Refused(findings) => log::error!(
-                    "event=settings_refused cause={cause} findings={:?}",
-                    findings.to_string()
-                ),
-                Look::Missing(error) => {
-                    log::warn!("event=settings_unreadable cause={:?}", error.to_string());
-                }
+    loop {
+        let cause = tokio::select! {
+            _ = hangups.recv() => "SIGHUP",
+            () = sleep(LOOK_PAUSE) => "file",
+        };
+        match reload.look() {
+            Look::Same if cause == "file" => {}
+            Look::Same => log::info!("event=settings_reloaded cause={cause} outcome=same"),
+            Look::Changed(newer) => {
+                apply(&settings, &newer, &peers, cause);
+                settings = *newer;
+            }
+            Look::Refused(findings) => log::error!(
+                "event=settings_refused cause={cause} findings={:?}",
+                findings.to_string()
+            ),
+            Look::Missing(error) => {
+                log::warn!("event=settings_unreadable cause={:?}", error.to_string());
             }
         }
-    })
+    }
 }
 
 /// Puts newer settings in force as far as a running process can.
--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -41,6 +41,8 @@
     busy: Option<Moment>,
     /// Longest time that a request may take.
     timeout: Duration,
+    /// When it was first seen here.
+    begun: Moment,
     seen: Moment,
 }
 
@@ -102,9 +104,13 @@
         self.table.len()
     }
 
-    /// The earlier target of an opening packet, if this is a copy.
-    pub fn earlier(&self, head: &Head) -> Option<(SlotNumber, Token)> {
+    /// The earlier target of an opening packet, if this is a copy. Later on the same ports open
+    /// another flow.
+    pub fn earlier(&self, head: &Head, now: Moment) -> Option<(SlotNumber, Token)> {
         let state = self.table.get(&head.flow)?;
+        if now.since(state.begun) > OPENING_LIMIT {
+            return None;
+        }
         let is_copy = match state.phase {
             Phase::Opening => state.sent == head.seq,
             // A copy that was overtaken; `sent` has moved on by then, but not far.
@@ -247,6 +253,7 @@
             acked: head.ack,
             busy: None,
             timeout,
+            begun: now,
             seen: now,
         }
     }
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -14,8 +14,8 @@
 use crate::stranger::Strangers;
 use crate::{DropCause, Head, Opening, ResetCause, Route, Routes, Verdict};
 
-/// Age up to which the view counts as current: a watch that waits 1 s, its time limit, and one
-/// more try.
+/// Age up to which the view counts as current: that of a copy which is followed (1.15 s), a round
+/// that fails, and one more try.
 const CURRENT_TIME: Duration = Duration::from_millis(2_500);
 
 /// Longest time of a request on a route that is not known here.
@@ -138,7 +138,7 @@
         let Some(service) = route.service_of(key) else {
             return refuse(ResetCause::NoTarget, is_current);
         };
-        let earlier = self.flows.earlier(head);
+        let earlier = self.flows.earlier(head, now);
         if let Some((number, token)) = earlier
             && let Some(slot) = self.roster.get(number)
             && slot.token == token
--- a/tests/tests/steer.rs
+++ b/tests/tests/steer.rs
@@ -344,6 +344,24 @@
     assert!(verdict.forwarded().is_some());
 }
 
+#[test]
+fn ports_used_again_open_no_flow_at_a_leaving_target() {
+    let mut steering = steering([target(1)]);
+    let token = open(&mut steering, 1);
+    steering.packet(&inside(flow(1, ORDERS), token, 101, 501, 300), at(10));
+    let leaving = Target {
+        is_leaving: true,
+        ..target(1)
+    };
+    steering.put_target(leaving, at(100));
+    steering.put_target(target(2), at(100));
+    // Its end went through another VM; the caller's next flow has the same ports and a number that
+    // is as near as that of a copy.
+    let verdict = steering.packet(&opening(flow(1, ORDERS), 0), at(4_000));
+    assert_eq!(opening_of(verdict), Some(Opening::Placed));
+    assert_eq!(token_of(verdict), target(2).token());
+}
+
 #[test]
 fn overwritten_entry_leaves_flows_and_gets_no_new_one() {
     let mut steering = steering([target(1)]);
