--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bambooseam_config::{EntrySettings, Settings};
@@ -13,8 +13,9 @@
 use bambooseam_peer::replica::{PeerInfo, serve_replica};
 use bambooseam_platform::{Store, ready};
 use bambooseam_steer::{Steering, SteeringSettings};
-use bambooseam_types::Clock;
+use bambooseam_types::{Clock, Moment, Revision};
 use derive_more::{Display, Error, From};
+use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
@@ -92,7 +93,13 @@
     let meter = Arc::new(Meter::default());
     start_control(&settings, entry, &node, &peers, &meter).await?;
     spawn_local(packets.run(quiet.clone()));
-    spawn_local(sweep(Rc::clone(&node), meter));
+    let status = Arc::new(Mutex::new(Value::Null));
+    spawn_local(sweep(
+        Rc::clone(&node),
+        Rc::clone(&peers),
+        meter,
+        Arc::clone(&status),
+    ));
     spawn_local(follow_settings(
         hangups,
         path,
@@ -100,7 +107,9 @@
         Rc::clone(&peers),
     ));
     let ready = node.borrow().ready();
-    spawn_local(admin.serve(ready, || serde_json::Value::Null));
+    spawn_local(admin.serve(ready, move || {
+        status.lock().map_or(Value::Null, |s| s.clone())
+    }));
     let signal = stop_signal().await?;
     stop(signal, entry.stop_time, &node, &quiet).await;
     Ok(())
@@ -138,7 +147,7 @@
 }
 
 /// Forgets what is over, and shows what is held.
-async fn sweep(node: SharedNode, meter: Arc<Meter>) {
+async fn sweep(node: SharedNode, peers: SharedPeers, meter: Arc<Meter>, status: Arc<Mutex<Value>>) {
     loop {
         sleep(SWEEP_PAUSE).await;
         let mut node = node.borrow_mut();
@@ -150,9 +159,28 @@
         metrics::gauge!("flows").set(node.steering().flow_count() as f64);
         metrics::counter!("peer_bytes_sent").absolute(meter.sent().get());
         metrics::counter!("peer_bytes_received").absolute(meter.received().get());
+        if let Ok(mut status) = status.lock() {
+            *status = status_of(&node, &peers, now);
+        }
     }
 }
 
+/// What `/status` shows.
+fn status_of(node: &Node, peers: &SharedPeers, now: Moment) -> Value {
+    let config = node.config();
+    json!({
+        "program": "entry",
+        "version": config.map(|(version, _)| version),
+        "revision": config.map(|(_, revision)| revision.get()),
+        "upto": node.replica().upto().map(Revision::get),
+        "view_age_ms": node.age(now).map(|age| age.as_millis() as u64),
+        "followed": peers.borrow().followed(now).map(|peer| peer.to_string()),
+        "peers": peers.borrow().len(),
+        "targets": node.steering().roster().iter().count(),
+        "flows": node.steering().flow_count(),
+    })
+}
+
 /// Reads the settings file again after SIGHUP, and now and then.
 async fn follow_settings(
     mut hangups: Signal,
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -99,11 +99,6 @@
         &self.roster
     }
 
-    /// The routes of the configuration in force.
-    pub fn routes(&self) -> Option<&Routes> {
-        self.routes.as_ref()
-    }
-
     /// Number of flows remembered.
     pub fn flow_count(&self) -> usize {
         self.flows.len()
