Explain flows, targets and VMs from logs

Cause: nobody outside may call the programs on the users' platform, and bambooseam-ctl only asked programs.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use bambooseam_steer::FlowId;
 use bambooseam_types::{PresetName, Protocol, Revision, ServiceName, TargetId, VmId};
 use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
 
@@ -51,6 +52,7 @@
         .subcommand(wait())
         .subcommand(explain())
         .subcommand(can_stop())
+        .subcommand(logs())
 }
 
 fn check() -> Command {
@@ -73,7 +75,7 @@
                 .long("kind")
                 .value_name("KIND")
                 .value_parser(|text: &str| text.parse::<Kind>().map_err(|_| Kind::ALLOWED))
-                .help("settings, preset, pointer, vms or targets; else told by name and sections"),
+                .help(format!("{}; else told by name and sections", Kind::ALLOWED)),
         )
 }
 
@@ -177,6 +179,38 @@
         ))
 }
 
+fn logs() -> Command {
+    let files = || {
+        Arg::new("files")
+            .value_name("FILE")
+            .required(true)
+            .action(ArgAction::Append)
+            .value_parser(value_parser!(PathBuf))
+            .help("Logs, one for each VM or with its name before time=; - for standard input")
+    };
+    let flow = Arg::new("flow")
+        .long("flow")
+        .value_name("CALLER>ENTRANCE")
+        .required(true)
+        .value_parser(|text: &str| text.parse::<FlowId>())
+        .help("Address and port of the caller and of the entrance, as in the logs");
+    let target = Arg::new("target")
+        .long("target")
+        .value_name("TARGET")
+        .required(true)
+        .value_parser(|text: &str| text.parse::<TargetId>())
+        .help("Identifier of the target");
+    let vms = Command::new("vms").about("Puts side by side what each VM has in force");
+    let of_flow = Command::new("flow").about("Explains why a flow went as it did");
+    let of_target = Command::new("target").about("Explains why a target gets work or none");
+    Command::new("logs")
+        .about("Explains from the logs of entry programs, which nobody outside may call")
+        .subcommand_required(true)
+        .subcommand(vms.arg(files()))
+        .subcommand(of_flow.arg(flow).arg(files()))
+        .subcommand(of_target.arg(target).arg(files()))
+}
+
 /// Adds the arguments that say whom to ask.
 fn with_fleet(command: Command) -> Command {
     command
--- a/crates/ctl/src/documents.rs
+++ b/crates/ctl/src/documents.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 
 use bambooseam_config::{Document, InForce, Preset, Settings, TargetList, VmList};
+use bambooseam_platform::{Document as PlatformDocument, Kind as PlatformKind};
 use bambooseam_types::{Finding, Findings, Place, PresetName, VmId};
 use bambooseam_view::{ViewNumber, ViewSource};
 use derive_more::{Display, FromStr};
@@ -32,6 +33,9 @@
     /// The list of targets.
     #[display("targets")]
     Targets,
+    /// The configuration of the users' platform, as its store holds it.
+    #[display("configuration")]
+    Configuration,
 }
 
 /// A file and what it holds.
@@ -60,7 +64,7 @@
 
 impl Kind {
     /// What a kind may be.
-    pub const ALLOWED: &'static str = "settings, preset, pointer, vms or targets";
+    pub const ALLOWED: &'static str = "settings, preset, pointer, vms, targets or configuration";
 
     /// Tells the kind by the file's name, else by the sections of its text.
     pub fn of(path: &Path, text: &str) -> Option<Self> {
@@ -77,6 +81,7 @@
             "preset-in-force" => Some(Self::Pointer),
             "vms" => Some(Self::Vms),
             "targets" => Some(Self::Targets),
+            "configuration" => Some(Self::Configuration),
             _ => None,
         }
     }
@@ -128,11 +133,28 @@
             Kind::Preset => self.parse::<Preset>().err(),
             Kind::Vms => self.parse::<VmList>().err(),
             Kind::Targets => self.parse::<TargetList>().err(),
+            Kind::Configuration => Some(self.check_configuration()),
         };
         findings.append(checked.unwrap_or_default());
         findings
     }
 
+    /// Findings of a configuration that the entry programs would take, leave out or refuse.
+    fn check_configuration(&self) -> Findings {
+        let mut findings = Findings::new();
+        let allowed = "a configuration as docs/OPERATIONS.md describes it";
+        match PlatformKind::Config.read(self.text.as_bytes()) {
+            Ok(PlatformDocument::Config(config)) => {
+                for error in config.skipped {
+                    findings.append(single(&self.name, error.to_string(), allowed, ""));
+                }
+            }
+            Ok(PlatformDocument::Target(_)) => {}
+            Err(error) => findings.append(single(&self.name, error.to_string(), allowed, "")),
+        }
+        findings
+    }
+
     /// Parses the file as `T`.
     ///
     /// # Errors
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,7 +1,7 @@
 //! Command line for operators.
 //!
-//! Each subcommand of `bambooseam-ctl` has a module: [`check`], [`status`], [`wait`], [`explain`]
-//! and [`can_stop`]. A subcommand makes a typed report, which [`report`] prints for people or for
+//! Each subcommand of `bambooseam-ctl` has a module: [`check`], [`status`], [`wait`], [`explain`],
+//! [`can_stop`] and [`logs`]. A subcommand makes a typed report, which [`report`] prints for people or for
 //! scripts, and ends with an [`Outcome`]. The fleet is asked through the admin endpoints of its
 //! programs ([`fleet`]).
 
@@ -11,6 +11,7 @@
 pub mod documents;
 pub mod explain;
 pub mod fleet;
+pub mod logs;
 mod outcome;
 pub mod report;
 pub mod status;
@@ -29,6 +30,7 @@
         Some(("wait", matches)) => wait::run(matches).await,
         Some(("explain", matches)) => explain::run(matches).await,
         Some(("can-stop", matches)) => can_stop::run(matches).await,
+        Some(("logs", matches)) => logs::run(matches),
         _ if matches.get_flag("check") => check::run_settings(matches),
         _ => {
             eprintln!("no subcommand is given; see --help");
--- /dev/null
+++ b/crates/ctl/src/logs.rs
@@ -0,0 +1,117 @@
+//! `logs`: what the logs of a fleet tell, for operators who can't call its programs.
+//!
+//! Lines of all VMs are read into one list by time ([`read_logs`]). Each question has a module:
+//! why a flow went as it did ([`flow`]), why a target gets no work ([`target`]), and what each VM
+//! has in force ([`vms`]).
+
+pub mod flow;
+pub mod line;
+pub mod target;
+pub mod vms;
+
+pub use line::{LogLine, ParseLineError};
+
+use std::fs::File;
+use std::io::{BufRead, BufReader, stdin};
+use std::path::{Path, PathBuf};
+
+use bambooseam_steer::FlowId;
+use bambooseam_types::{Findings, TargetId};
+use clap::ArgMatches;
+use indicatif::{ProgressBar, ProgressStyle};
+
+use crate::Outcome;
+use crate::documents::single;
+use crate::report::{BadInput, print};
+use flow::FlowReport;
+use target::TargetReport;
+use vms::VmsReport;
+
+/// Name that stands for standard input.
+const STDIN: &str = "-";
+
+/// Lines of a fleet, by time.
+#[derive(Debug, Default)]
+pub struct Logs {
+    /// The lines that say something.
+    pub lines: Vec<LogLine>,
+    /// Lines that are none of this product's.
+    pub foreign: usize,
+}
+
+/// Runs the subcommand.
+pub fn run(matches: &ArgMatches) -> Outcome {
+    let Some((question, matches)) = matches.subcommand() else {
+        return Outcome::BadInput;
+    };
+    let paths = matches.get_many::<PathBuf>("files").unwrap_or_default();
+    let logs = match read_logs(paths) {
+        Ok(logs) => logs,
+        Err(findings) => return print(matches, &BadInput(findings)),
+    };
+    let lines = &logs.lines;
+    match question {
+        "vms" => print(matches, &VmsReport::new(lines)),
+        "flow" => match matches.get_one::<FlowId>("flow") {
+            Some(flow) => print(matches, &FlowReport::new(lines, *flow)),
+            None => Outcome::BadInput,
+        },
+        "target" => match matches.get_one::<TargetId>("target") {
+            Some(target) => print(matches, &TargetReport::new(lines, target)),
+            None => Outcome::BadInput,
+        },
+        _ => Outcome::BadInput,
+    }
+}
+
+/// Reads the logs of a fleet: a file for each VM, or files whose lines begin with the VM's name.
+///
+/// # Errors
+///
+/// A finding for each file that can't be read, and one when no line is of this product.
+pub fn read_logs<'a>(paths: impl IntoIterator<Item = &'a PathBuf>) -> Result<Logs, Findings> {
+    let mut logs = Logs::default();
+    let mut findings = Findings::new();
+    for path in paths {
+        if let Err(error) = logs.read(path) {
+            let name = path.display().to_string();
+            findings.append(single(&name, error.to_string(), "a readable log", ""));
+        }
+    }
+    if findings.is_empty() && logs.lines.is_empty() {
+        let found = format!("{} lines of another kind", logs.foreign);
+        findings.append(single("logs", found, "lines with time= and event=", ""));
+    }
+    logs.lines.sort_by_key(|line| line.at);
+    findings.into_result(logs)
+}
+
+impl Logs {
+    /// Adds the lines of one file.
+    fn read(&mut self, path: &Path) -> std::io::Result<()> {
+        if path.as_os_str() == STDIN {
+            return self.take(stdin().lock(), STDIN);
+        }
+        let file = File::open(path)?;
+        let bar = ProgressBar::new(file.metadata()?.len());
+        if let Ok(style) = ProgressStyle::with_template("{bytes}/{total_bytes} {bar:30} {msg}") {
+            bar.set_style(style);
+        }
+        bar.set_message(path.display().to_string());
+        let name = path.file_stem().unwrap_or_default().to_string_lossy();
+        let read = self.take(BufReader::new(bar.wrap_read(file)), &name);
+        bar.finish_and_clear();
+        read
+    }
+
+    /// Adds lines; `vm` is whose they are when they do not say.
+    fn take(&mut self, reader: impl BufRead, vm: &str) -> std::io::Result<()> {
+        for line in reader.lines() {
+            match LogLine::read(&line?, vm) {
+                Ok(line) => self.lines.push(line),
+                Err(_) => self.foreign += 1,
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/steer/src/head.rs
+++ b/crates/steer/src/head.rs
@@ -1,10 +1,11 @@
 //! What the head of a packet says.
 
 use std::net::SocketAddrV4;
+use std::str::FromStr;
 
 use bambooseam_types::{Flow, Protocol, Token};
 use bambooseam_view::FlowKey;
-use derive_more::Display;
+use derive_more::{Display, Error};
 
 /// Both ends of a flow as a caller's packets name them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
@@ -16,6 +17,24 @@
     pub entrance: SocketAddrV4,
 }
 
+/// Text that names no flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("not two IPv4 addresses with ports, as in 192.0.2.1:1024>198.51.100.1:443")]
+pub struct ParseFlowError;
+
+impl FromStr for FlowId {
+    type Err = ParseFlowError;
+
+    fn from_str(text: &str) -> Result<Self, ParseFlowError> {
+        let (caller, entrance) = text.split_once('>').ok_or(ParseFlowError)?;
+        let address = |text: &str| text.parse().map_err(|_| ParseFlowError);
+        Ok(Self {
+            caller: address(caller)?,
+            entrance: address(entrance)?,
+        })
+    }
+}
+
 /// Flags of a packet.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct HeadFlags {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -24,7 +24,7 @@
 mod verdict;
 pub mod zone;
 
-pub use head::{FlowId, Head, HeadFlags};
+pub use head::{FlowId, Head, HeadFlags, ParseFlowError};
 pub use load::Load;
 pub use notice::Notice;
 pub use roster::{Roster, Slot, SlotNumber, Standing};
