Hold metrics without a clock that is calibrated at the start

Cause: 206 ms passed between a process's first line and its first read of the store on cores of 0.055 to 0.11; stage lines put them into the start of the metrics exporter, whose clock (quanta) is calibrated for up to 200 ms and ends early only where two clocks agree.

Ruled out: the log thread, binding of sockets, the store client (1 to 3 ms together).

Change: a recorder of our own on metrics-util's registry, with histograms of fixed bounds; the exporter and its clock are gone. No upkeep pass is needed: nothing piles up between scrapes.

--- a/crates/observe/src/admin.rs
+++ b/crates/observe/src/admin.rs
@@ -12,11 +12,11 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
 use crate::LogLimit;
+use crate::recorder::Metrics;
 
 /// Most admin connections at a time.
 const CONNECTION_LIMIT: usize = 64;
@@ -27,10 +27,6 @@
 /// Largest request head in bytes.
 const HEAD_LIMIT: usize = 16 << 10;
 
-/// Pause between the passes that fold samples of histograms, which else pile up until the next
-/// scrape.
-const UPKEEP_PAUSE: Duration = Duration::from_secs(5);
-
 /// Connections that ended with an error.
 static FAILED: LogLimit = LogLimit::new("admin_connections_failed", 5);
 
@@ -44,22 +40,23 @@
     #[display("admin endpoint: {_0}")]
     Bind(io::Error),
     /// The metrics recorder was installed before.
-    #[display("metrics: {_0}")]
-    Metrics(BuildError),
+    #[display("metrics: a recorder is installed already")]
+    #[from(ignore)]
+    Metrics,
 }
 
 /// The admin endpoint of a program.
 #[derive(Debug)]
 pub struct Admin {
     listener: TcpListener,
-    metrics: PrometheusHandle,
+    metrics: Metrics,
 }
 
 /// What the endpoint answers from.
 struct Sources<S> {
     status: S,
     ready: watch::Receiver<bool>,
-    metrics: PrometheusHandle,
+    metrics: Metrics,
 }
 
 impl Admin {
@@ -70,7 +67,7 @@
     /// An error when the address is taken or a recorder is installed already.
     pub async fn bind(address: SocketAddr) -> Result<Self, AdminError> {
         let listener = TcpListener::bind(address).await?;
-        let metrics = PrometheusBuilder::new().install_recorder()?;
+        let metrics = Metrics::install().map_err(|_| AdminError::Metrics)?;
         Ok(Self { listener, metrics })
     }
 
@@ -88,13 +85,6 @@
     where
         S: Fn() -> serde_json::Value + Send + Sync + 'static,
     {
-        let upkeep = self.metrics.clone();
-        tokio::spawn(async move {
-            loop {
-                tokio::time::sleep(UPKEEP_PAUSE).await;
-                upkeep.run_upkeep();
-            }
-        });
         let sources = Arc::new(Sources {
             status,
             ready,
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -7,6 +7,7 @@
 mod logs;
 mod program;
 mod queue;
+mod recorder;
 mod stop;
 pub mod trace;
 
--- /dev/null
+++ b/tests/tests/metrics.rs
@@ -0,0 +1,54 @@
+//! Metrics as they are served, and what they cost at the start.
+
+use std::fs;
+use std::path::Path;
+
+use bambooseam_observe::Admin;
+use bambooseam_standin::http;
+use tokio::sync::watch;
+
+#[test]
+fn no_library_measures_a_clock_when_a_program_starts() {
+    // The crate quanta does, for up to 200 ms on a slow core.
+    let lock = Path::new(env!("CARGO_MANIFEST_DIR")).join("../Cargo.lock");
+    let lock = fs::read_to_string(lock).expect("a lock file");
+    assert!(!lock.contains("name = \"quanta\""));
+}
+
+#[tokio::test]
+async fn metrics_are_served_as_text() {
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let admin = Admin::bind(address).await.expect("an endpoint");
+    assert!(
+        Admin::bind(address).await.is_err(),
+        "one recorder a process"
+    );
+    let address = admin.address().expect("an address");
+    let (_sender, ready) = watch::channel(true);
+    tokio::spawn(admin.serve(ready, || serde_json::json!({})));
+    metrics::counter!("calls", "outcome" => "a \"b\"").increment(2);
+    metrics::counter!("calls", "outcome" => "lost").increment(1);
+    metrics::gauge!("flows").set(7.5);
+    for time in [0.001, 0.03, 0.04, 60.0] {
+        metrics::histogram!("call_seconds").record(time);
+    }
+    let text = http::get(address, "/metrics")
+        .await
+        .expect("an answer")
+        .text;
+    let head = "# TYPE call_seconds histogram\ncall_seconds_bucket{le=\"0.001\"} 1\n";
+    assert!(text.starts_with(head), "{text}");
+    let tail = "call_seconds_bucket{le=\"0.025\"} 1\n\
+                call_seconds_bucket{le=\"0.05\"} 3\n\
+                call_seconds_bucket{le=\"0.1\"} 3\n";
+    assert!(text.contains(tail), "{text}");
+    let end = "call_seconds_bucket{le=\"+Inf\"} 4\n\
+               call_seconds_sum 60.071\n\
+               call_seconds_count 4\n\
+               # TYPE calls counter\n\
+               calls{outcome=\"a \\\"b\\\"\"} 2\n\
+               calls{outcome=\"lost\"} 1\n\
+               # TYPE flows gauge\n\
+               flows 7.5\n";
+    assert!(text.ends_with(end), "{text}");
+}
