Soak real programs under random faults; a starting VM waits for lapsed entries

Ruled out: VMs that had run before (they keep lapsed targets), a late change (config checks clean). The fault stays with entries that are still on their way back when a VM starts, so it is mended.

Change: until 2.5 s after its first view a VM neither resets unknown tokens nor refuses for want of targets; routes are refused as before. crates/soak: plan from a seed, run, checks of flows, services, drain, configuration, recovery and own ends, SVG picture.

--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,154 @@
+//! The program `bambooseam-soak`.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bambooseam_soak::regressions::{REGRESSIONS, USUAL};
+use bambooseam_soak::{Plan, PlanSize, picture, run};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+/// Most VMs of a run: their addresses are numbered in one byte, zone by zone.
+const MOST_VMS: u64 = 240;
+
+fn main() -> ExitCode {
+    soak(&command().get_matches())
+}
+
+fn command() -> Command {
+    let number = |name: &'static str, text: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("N")
+            .default_value(text)
+            .value_parser(value_parser!(u64))
+            .help(help)
+    };
+    let seconds = USUAL.length.as_secs().to_string();
+    let flag = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .action(ArgAction::SetTrue)
+            .help(help)
+    };
+    let path = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("PATH")
+            .value_parser(value_parser!(PathBuf))
+            .help(help)
+    };
+    Command::new("bambooseam-soak")
+        .about("Runs real entry programs under random faults and checks what must hold")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help("Exit codes: 0 nothing broken, 1 a promise broken, or the run failed")
+        .arg(number("seed", "1", "First seed"))
+        .arg(number("seeds", "1", "Seeds to run, one after the other"))
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .value_name("N")
+                .default_value(seconds)
+                .value_parser(value_parser!(u64).range(20..))
+                .help("Length of a run; the last 16 s are calm"),
+        )
+        .arg(
+            Arg::new("minutes")
+                .long("minutes")
+                .value_name("N")
+                .value_parser(value_parser!(u64))
+                .conflicts_with("seconds")
+                .help("Length of a run in minutes"),
+        )
+        .arg(
+            Arg::new("vms")
+                .long("vms")
+                .value_name("N")
+                .default_value(USUAL.vms.to_string())
+                .value_parser(value_parser!(u64).range(1..=MOST_VMS))
+                .help("VMs, in three zones"),
+        )
+        .arg(flag("plan", "Print the plan only"))
+        .arg(flag("replay", "Run all kept seeds instead"))
+        .arg(path(
+            "picture",
+            "Draw each run as SEED.svg in this directory",
+        ))
+        .arg(path(
+            "program",
+            "The entry program; else bambooseam-entry beside this one",
+        ))
+}
+
+/// Runs what the command line asks for.
+fn soak(matches: &ArgMatches) -> ExitCode {
+    let number = |name: &str| matches.get_one::<u64>(name).copied();
+    let minutes = number("minutes").map(|minutes| minutes * 60);
+    let seconds = minutes.or(number("seconds"));
+    let size = PlanSize {
+        length: seconds.map_or(USUAL.length, Duration::from_secs),
+        vms: number("vms").map_or(USUAL.vms, |vms| vms as usize),
+    };
+    let first = number("seed").unwrap_or(1);
+    let count = number("seeds").unwrap_or(1);
+    let runs: Vec<(u64, PlanSize)> = match matches.get_flag("replay") {
+        true => REGRESSIONS
+            .iter()
+            .map(|kept| (kept.seed, kept.size))
+            .collect(),
+        false => (first..first + count).map(|seed| (seed, size)).collect(),
+    };
+    let mut broken = Vec::new();
+    for (seed, size) in &runs {
+        let plan = Plan::draw(*seed, *size);
+        print!("{plan}");
+        if matches.get_flag("plan") {
+            continue;
+        }
+        match run_one(matches, &plan) {
+            Ok(Some(true)) => {}
+            Ok(Some(false)) => broken.push(*seed),
+            Ok(None) => return ExitCode::FAILURE,
+            Err(error) => {
+                eprintln!("seed={seed} {error}");
+                broken.push(*seed);
+            }
+        }
+    }
+    println!("seeds={} broken_seeds={broken:?}", runs.len());
+    match broken.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
+
+/// Runs one plan; whether nothing was broken, and `None` when it was interrupted.
+fn run_one(matches: &ArgMatches, plan: &Plan) -> std::io::Result<Option<bool>> {
+    let beside = || {
+        let own = std::env::current_exe()?;
+        let directory = own.parent().unwrap_or(Path::new("."));
+        Ok::<_, std::io::Error>(directory.join("bambooseam-entry"))
+    };
+    let program = match matches.get_one::<PathBuf>("program") {
+        Some(program) => program.clone(),
+        None => beside()?,
+    };
+    // The stand-ins of one run end with its runtime.
+    let runtime = tokio::runtime::Runtime::new()?;
+    let outcome = runtime.block_on(async {
+        tokio::select! {
+            outcome = run(plan, program) => outcome.map(Some),
+            // Without a handler an interrupt would leave the programs running.
+            _ = tokio::signal::ctrl_c() => Ok(None),
+        }
+    })?;
+    let Some(outcome) = outcome else {
+        return Ok(None);
+    };
+    println!("seed={} {outcome}", plan.seed);
+    if let Some(directory) = matches.get_one::<PathBuf>("picture") {
+        let path = directory.join(format!("{}.svg", plan.seed));
+        std::fs::write(path, picture::draw(plan, &outcome))?;
+    }
+    Ok(Some(outcome.broken.is_empty()))
+}
--- /dev/null
+++ b/crates/soak/src/picture.rs
@@ -0,0 +1,107 @@
+//! A run as an SVG picture: served share, faults, and what each VM believed, over time.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use crate::{Outcome, Plan};
+
+/// Pixels of a second.
+const SECOND: f64 = 16.0;
+/// Pixels of a row.
+const ROW: f64 = 14.0;
+/// Height of the chart of served requests, in pixels.
+const CHART: f64 = 120.0;
+/// Left margin for names, in pixels.
+const MARGIN: f64 = 60.0;
+/// Colours of versions, in turn; a VM that does not answer is white.
+const COLOURS: [&str; 6] = [
+    "#4e79a7", "#f28e2b", "#76b7b2", "#edc948", "#b07aa1", "#9c755f",
+];
+
+/// Draws a run.
+pub fn draw(plan: &Plan, outcome: &Outcome) -> String {
+    let width = MARGIN + plan.size.length.as_secs_f64() * SECOND + 20.0;
+    let height = CHART + ROW * (plan.size.vms as f64 + 1.0 + plan.events.len() as f64) + 40.0;
+    let mut svg = format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{width:.0}\" height=\"{height:.0}\" \
+         font-family=\"monospace\" font-size=\"10\">\n"
+    );
+    draw_served(&mut svg, outcome);
+    draw_versions(&mut svg, plan, outcome);
+    draw_events(&mut svg, plan);
+    for broken in &outcome.broken {
+        let at = x(broken.at);
+        // A String takes all that is written to it; so below.
+        let _ = writeln!(
+            svg,
+            "<line x1=\"{at:.0}\" x2=\"{at:.0}\" y1=\"0\" y2=\"{height:.0}\" stroke=\"red\"/>\
+             <text x=\"{at:.0}\" y=\"10\" fill=\"red\">{}</text>",
+            broken.promise
+        );
+    }
+    svg.push_str("</svg>\n");
+    svg
+}
+
+fn x(at: Duration) -> f64 {
+    MARGIN + at.as_secs_f64() * SECOND
+}
+
+/// The share of requests that were served, as bars.
+fn draw_served(svg: &mut String, outcome: &Outcome) {
+    for sample in &outcome.samples {
+        let all = sample.served + sample.failed;
+        if all == 0 {
+            continue;
+        }
+        let height = CHART * sample.served as f64 / all as f64;
+        let _ = writeln!(
+            svg,
+            "<rect x=\"{:.0}\" y=\"{:.0}\" width=\"{:.0}\" height=\"{height:.0}\" \
+             fill=\"#59a14f\"><title>served {} failed {}</title></rect>",
+            x(sample.at),
+            CHART - height,
+            SECOND / 2.0,
+            sample.served,
+            sample.failed
+        );
+    }
+    let _ = writeln!(svg, "<text x=\"2\" y=\"12\">served</text>");
+}
+
+/// The version that each VM showed.
+fn draw_versions(svg: &mut String, plan: &Plan, outcome: &Outcome) {
+    for vm in 0..plan.size.vms {
+        let y = CHART + ROW * (vm as f64 + 1.0);
+        let _ = writeln!(svg, "<text x=\"2\" y=\"{:.0}\">vm {vm}</text>", y + 10.0);
+        for sample in &outcome.samples {
+            let version = sample.versions.get(vm).copied().flatten();
+            let colour = version.map_or("white", |version| {
+                COLOURS[(version / 3) as usize % COLOURS.len()]
+            });
+            let _ = writeln!(
+                svg,
+                "<rect x=\"{:.0}\" y=\"{y:.0}\" width=\"{:.0}\" height=\"{:.0}\" \
+                 fill=\"{colour}\"><title>version {version:?}</title></rect>",
+                x(sample.at),
+                SECOND / 2.0,
+                ROW - 2.0
+            );
+        }
+    }
+}
+
+/// Each event on a row of its own.
+fn draw_events(svg: &mut String, plan: &Plan) {
+    let top = CHART + ROW * (plan.size.vms as f64 + 1.0);
+    for (row, (at, event)) in plan.events.iter().enumerate() {
+        let y = top + ROW * (row as f64 + 1.0);
+        let at = x(*at);
+        let _ = writeln!(
+            svg,
+            "<line x1=\"{at:.0}\" x2=\"{at:.0}\" y1=\"{CHART}\" y2=\"{y:.0}\" stroke=\"#bbb\"/>\
+             <text x=\"{:.0}\" y=\"{y:.0}\">{event}</text>",
+            at + 2.0
+        );
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,305 @@
+//! What happens when, drawn from a seed.
+//!
+//! Faults come in series and overlap; those of one process do not. The last seconds are calm, but
+//! for some plans in which every process is killed first: then all VMs must serve again.
+
+use std::fmt::{self, Display, Formatter};
+use std::time::Duration;
+
+use bambooseam_standin::site::Fault;
+use derive_more::Display;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Time for which a VM must have been without fault to be held to bounds in time: `contact_ms` of
+/// the users' first sites.
+pub const CONTACT: Duration = Duration::from_secs(4);
+
+/// Time in which a VM serves again after the last fault: `recovery_s` of the users' first sites.
+pub const RECOVERY: Duration = Duration::from_secs(12);
+
+/// Time after SIGTERM at which the platform kills a process: `grace_s` of the users' first sites.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// Calm before the first fault, for the start and the first flows.
+const CALM_START: Duration = Duration::from_secs(3);
+
+/// Calm at the end, in which all recovers and is checked.
+const CALM_END: Duration = Duration::from_secs(16);
+
+/// Time between a target's announcement and its end: above the time in which it must get no more
+/// new flows.
+const DRAIN: Duration = Duration::from_secs(4);
+
+/// How large a run is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlanSize {
+    /// How long it lasts, recovery included.
+    pub length: Duration,
+    /// VMs, in three zones.
+    pub vms: usize,
+}
+
+/// Something that is done from outside the programs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Event {
+    /// SIGKILL to a VM's process.
+    #[display("kill vm={_0}")]
+    Kill(usize),
+    /// A VM's process is started; one that still runs is killed first.
+    #[display("start vm={_0}")]
+    Start(usize),
+    /// SIGTERM.
+    #[display("stop vm={_0}")]
+    Stop(usize),
+    /// SIGSTOP.
+    #[display("pause vm={_0}")]
+    Pause(usize),
+    /// SIGCONT.
+    #[display("resume vm={_0}")]
+    Resume(usize),
+    /// SIGHUP.
+    #[display("hup vm={_0}")]
+    Hup(usize),
+    /// A settings file that names nothing, without a signal.
+    #[display("spoil_settings vm={_0}")]
+    SpoilSettings(usize),
+    /// The settings file is as it was.
+    #[display("restore_settings vm={_0}")]
+    RestoreSettings(usize),
+    /// What is wrong between the store and a VM from now on.
+    #[display("store vm={_0} fault={_1:?}")]
+    Store(usize, Fault),
+    /// The connections that a VM has to the store go silent for good.
+    #[display("deafen vm={_0}")]
+    Deafen(usize),
+    /// The store answers nobody and entries lapse, or works again for all.
+    #[display("store_away {_0}")]
+    StoreAway(bool),
+    /// The store forgets its history.
+    #[display("compact")]
+    Compact,
+    /// A route is added.
+    #[display("add_route")]
+    AddRoute,
+    /// The route that was added last is removed.
+    #[display("remove_route")]
+    RemoveRoute,
+    /// A target starts.
+    #[display("add_target zone={_0}")]
+    AddTarget(usize),
+    /// A target announces that it leaves, and does.
+    #[display("drain target={_0}")]
+    Drain(usize),
+    /// The target that drained longest ends.
+    #[display("leave")]
+    Leave,
+    /// A target ends without a word.
+    #[display("crash target={_0}")]
+    Crash(usize),
+}
+
+/// A time in which a VM, or all of them, may be out of touch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Disturbance {
+    vm: Option<usize>,
+    from: Duration,
+    to: Duration,
+}
+
+/// All that happens in a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// Seed that it was drawn from.
+    pub seed: u64,
+    /// How large the run is.
+    pub size: PlanSize,
+    /// Events by time.
+    pub events: Vec<(Duration, Event)>,
+    disturbances: Vec<Disturbance>,
+}
+
+/// A plan that is being drawn.
+struct Draw {
+    random: StdRng,
+    plan: Plan,
+    /// Until when each VM's process has a fault already.
+    busy: Vec<Duration>,
+    /// Until when the store has a fault already.
+    away: Duration,
+    routes: usize,
+}
+
+impl Plan {
+    /// Draws the plan of a seed.
+    pub fn draw(seed: u64, size: PlanSize) -> Self {
+        let mut draw = Draw {
+            random: StdRng::seed_from_u64(seed),
+            plan: Self {
+                seed,
+                size,
+                events: Vec::new(),
+                disturbances: Vec::new(),
+            },
+            busy: vec![Duration::ZERO; size.vms],
+            away: Duration::ZERO,
+            routes: 0,
+        };
+        let last = size.length.saturating_sub(CALM_END);
+        let mut at = CALM_START;
+        while at < last {
+            draw.step(at, last);
+            at += draw.time(100, 2_500);
+        }
+        if draw.random.random_bool(0.5) {
+            draw.kill_all(last);
+        }
+        let mut plan = draw.plan;
+        plan.events.sort_by_key(|(at, _)| *at);
+        plan
+    }
+
+    /// Whether a VM is held to bounds in time all through a span.
+    pub fn is_in_touch(&self, vm: usize, from: Duration, to: Duration) -> bool {
+        let from = from.saturating_sub(CONTACT);
+        let touches = |held: &&Disturbance| {
+            held.vm.is_none_or(|held| held == vm) && held.from <= to && held.to >= from
+        };
+        !self.disturbances.iter().any(|held| touches(&held))
+    }
+
+    /// Whether all VMs are held to bounds in time all through a span.
+    pub fn are_all_in_touch(&self, from: Duration, to: Duration) -> bool {
+        (0..self.size.vms).all(|vm| self.is_in_touch(vm, from, to))
+    }
+
+    /// When the last fault has ended.
+    pub fn calm_from(&self) -> Duration {
+        let ends = self.disturbances.iter().map(|held| held.to);
+        ends.max().unwrap_or_default()
+    }
+}
+
+impl Draw {
+    /// Draws one thing that begins at `at` and is over at `last`.
+    fn step(&mut self, at: Duration, last: Duration) {
+        let vm = self.random.random_range(0..self.plan.size.vms);
+        let number = self.random.random_range(0..64);
+        match self.random.random_range(0..100) {
+            0..12 => self.process(vm, at, last, Event::Kill(vm), Event::Start(vm)),
+            12..24 => self.stop(vm, at, last),
+            24..32 => self.process(vm, at, last, Event::Pause(vm), Event::Resume(vm)),
+            32..36 => self.add(at, Event::Hup(vm)),
+            36..40 => {
+                let end = (at + self.time(500, 6_000)).min(last);
+                self.add(at, Event::SpoilSettings(vm));
+                self.add(end, Event::RestoreSettings(vm));
+            }
+            40..52 => self.store_fault(vm, at, last),
+            52..55 => {
+                self.disturb(Some(vm), at, at);
+                self.add(at, Event::Deafen(vm));
+            }
+            55..58 => self.store_away(at, last),
+            58..61 => self.add(at, Event::Compact),
+            61..77 => {
+                self.routes += 1;
+                self.add(at, Event::AddRoute);
+            }
+            77..84 if self.routes > 0 => {
+                self.routes -= 1;
+                self.add(at, Event::RemoveRoute);
+            }
+            77..90 => self.add(at, Event::AddTarget(number)),
+            90..96 => {
+                self.add(at, Event::Drain(number));
+                self.add(at + DRAIN, Event::Leave);
+            }
+            _ => self.add(at, Event::Crash(number)),
+        }
+    }
+
+    /// A fault of a process that has none yet.
+    fn process(&mut self, vm: usize, at: Duration, last: Duration, begin: Event, end: Event) {
+        if self.busy[vm] > at {
+            return;
+        }
+        let until = (at + self.time(200, 3_000)).min(last);
+        self.busy[vm] = until + Duration::from_millis(500);
+        self.disturb(Some(vm), at, until);
+        self.add(at, begin);
+        self.add(until, end);
+    }
+
+    /// A planned stop and start.
+    fn stop(&mut self, vm: usize, at: Duration, last: Duration) {
+        let until = at + GRACE;
+        if self.busy[vm] > at || until > last {
+            return;
+        }
+        self.busy[vm] = until + Duration::from_millis(500);
+        self.disturb(Some(vm), at, until);
+        self.add(at, Event::Stop(vm));
+        self.add(until, Event::Start(vm));
+    }
+
+    fn store_fault(&mut self, vm: usize, at: Duration, last: Duration) {
+        let fault = match self.random.random_range(0..6) {
+            0 => Fault::Silent,
+            1 => Fault::Refused(503),
+            2 => Fault::Refused(429),
+            3 => Fault::Reset,
+            4 => Fault::Slow(self.time(50, 800)),
+            _ => Fault::Lossy(self.random.random_range(2..5)),
+        };
+        let until = (at + self.time(500, 6_000)).min(last);
+        // Others that follow this VM stay in touch: they must find another way in time.
+        self.disturb(Some(vm), at, until);
+        self.add(at, Event::Store(vm, fault));
+        self.add(until, Event::Store(vm, Fault::None));
+    }
+
+    fn store_away(&mut self, at: Duration, last: Duration) {
+        if self.away > at {
+            return;
+        }
+        let until = (at + self.time(500, 5_000)).min(last);
+        self.away = until + CONTACT;
+        self.disturb(None, at, until);
+        self.add(at, Event::StoreAway(true));
+        self.add(until, Event::StoreAway(false));
+    }
+
+    fn kill_all(&mut self, at: Duration) {
+        let until = at + self.time(200, 1_500);
+        self.disturb(None, at, until);
+        for vm in 0..self.plan.size.vms {
+            self.add(at, Event::Kill(vm));
+            self.add(until, Event::Start(vm));
+        }
+    }
+
+    fn add(&mut self, at: Duration, event: Event) {
+        self.plan.events.push((at, event));
+    }
+
+    fn disturb(&mut self, vm: Option<usize>, from: Duration, to: Duration) {
+        self.plan.disturbances.push(Disturbance { vm, from, to });
+    }
+
+    fn time(&mut self, from: u64, to: u64) -> Duration {
+        Duration::from_millis(self.random.random_range(from..to))
+    }
+}
+
+impl Display for Plan {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let PlanSize { length, vms } = self.size;
+        let seconds = length.as_secs();
+        writeln!(f, "plan seed={} seconds={seconds} vms={vms}", self.seed)?;
+        for (at, event) in &self.events {
+            writeln!(f, "at_ms={} {event}", at.as_millis())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,403 @@
+//! Brings a plan about and watches.
+
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime};
+
+use bambooseam_standin::http;
+use bambooseam_standin::site::{CallerHost, Fault, FlowTarget, Site, SitePlan, Tally, Traffic};
+use indicatif::{ProgressBar, ProgressStyle};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, timeout};
+
+use crate::plan::{CONTACT, RECOVERY};
+use crate::{Broken, Event, Outcome, Plan, Sample};
+
+/// Zones of a site.
+const ZONES: usize = 3;
+
+/// Targets of each zone at the start.
+const TARGETS: u8 = 4;
+
+/// Fewest targets that are left running.
+const LEAST_TARGETS: usize = 4;
+
+/// Numbers that the addresses of a zone's targets are taken from, in turn.
+const ADDRESSES: u8 = 40;
+
+/// Feeds and callers of orders of each zone.
+const FEEDS: u64 = 6;
+const ORDERS: u64 = 3;
+
+/// Longest time until all VMs are ready at the start.
+const START_TIME: Duration = Duration::from_secs(20);
+
+/// Bound for a change of configuration: `config_apply_ms` of the users' first sites.
+const CONFIG_BOUND: Duration = Duration::from_secs(3);
+
+/// Longest time that a caller tries to open a flow.
+const OPEN_TIME: Duration = Duration::from_millis(1_500);
+
+/// Pause between two samples.
+const SAMPLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest wait for what a VM shows of itself.
+const STATUS_TIME: Duration = Duration::from_millis(100);
+
+/// Time in which a target may get a flow after it has left on paper: the stand-in counts it as late
+/// then, whether or not a VM was in touch.
+const LATE_SPAN: Duration = Duration::from_secs(8);
+
+type Findings = Arc<Mutex<Vec<Broken>>>;
+
+/// A run at work.
+struct Run<'a> {
+    plan: &'a Plan,
+    site: Site,
+    orders: SocketAddrV4,
+    begun: Instant,
+    targets: Vec<FlowTarget>,
+    leaving: Vec<FlowTarget>,
+    added: u8,
+    /// Entrances that the plan has added and not removed.
+    routes: Arc<Mutex<Vec<SocketAddrV4>>>,
+    /// Which VMs' processes should run.
+    expected: Vec<bool>,
+    findings: Findings,
+    checks: JoinSet<()>,
+    outcome: Outcome,
+    /// Promises that the tally has counted so far.
+    counted: Vec<(&'static str, u64)>,
+}
+
+/// Runs a plan with the program at `program`.
+///
+/// # Errors
+///
+/// An error when the site can't be started or driven.
+pub async fn run(plan: &Plan, program: PathBuf) -> io::Result<Outcome> {
+    let vms = (0..ZONES).map(|zone| (plan.size.vms + ZONES - 1 - zone) / ZONES);
+    let site_plan = SitePlan {
+        program,
+        vms: vms.map(|count| count as u8).collect(),
+    };
+    let mut site = Site::new(&site_plan).await?;
+    let orders = site.add_route("orders");
+    let mut targets = Vec::new();
+    for zone in 0..ZONES as u8 {
+        for number in 1..=TARGETS {
+            targets.push(site.add_target("orders", zone, number).await?);
+        }
+    }
+    site.start_all()?;
+    if !site.wait_ready(plan.size.vms, START_TIME).await {
+        return Err(io::Error::other("the VMs are not ready in time"));
+    }
+    let begun_at = SystemTime::now();
+    let run = Run {
+        plan,
+        orders,
+        begun: Instant::now(),
+        targets,
+        leaving: Vec::new(),
+        added: TARGETS,
+        routes: Arc::default(),
+        expected: vec![true; plan.size.vms],
+        findings: Findings::default(),
+        checks: JoinSet::new(),
+        outcome: Outcome::default(),
+        counted: Vec::new(),
+        site,
+    };
+    run.drive(begun_at).await
+}
+
+impl Run<'_> {
+    async fn drive(mut self, begun_at: SystemTime) -> io::Result<Outcome> {
+        let traffic = Traffic::start(&self.site, self.orders, FEEDS, ORDERS, self.plan.seed);
+        let bar = progress(self.plan.size.length);
+        let events = self.plan.events.clone();
+        let mut events = events.into_iter().peekable();
+        let mut next_sample = Duration::ZERO;
+        loop {
+            let event_at = events.peek().map_or(self.plan.size.length, |(at, _)| *at);
+            sleep_until((self.begun + event_at.min(next_sample)).into()).await;
+            if let Some((_, event)) = events.next_if(|(at, _)| *at <= next_sample) {
+                self.bring_about(event).await?;
+                self.outcome.events += 1;
+                continue;
+            }
+            if next_sample > self.plan.size.length {
+                break;
+            }
+            self.sample().await;
+            bar.set_position(next_sample.as_secs());
+            next_sample += SAMPLE_PAUSE;
+        }
+        traffic.stop().await;
+        while self.checks.join_next().await.is_some() {}
+        self.check_recovery().await;
+        bar.finish_and_clear();
+        Ok(self.conclude(begun_at))
+    }
+
+    async fn bring_about(&mut self, event: Event) -> io::Result<()> {
+        match event {
+            Event::Kill(vm) => {
+                self.expected[vm] = false;
+                self.site.vms[vm].kill().await;
+            }
+            Event::Start(vm) => {
+                self.site.vms[vm].kill().await;
+                self.site.vms[vm].start()?;
+                self.expected[vm] = true;
+            }
+            Event::Stop(vm) => {
+                self.expected[vm] = false;
+                self.site.vms[vm].signal("TERM").await?;
+            }
+            Event::Pause(vm) => self.site.vms[vm].signal("STOP").await?,
+            Event::Resume(vm) => self.site.vms[vm].signal("CONT").await?,
+            Event::Hup(vm) => self.site.vms[vm].signal("HUP").await?,
+            Event::SpoilSettings(vm) => self.site.vms[vm].write_text("[nothing]\n")?,
+            Event::RestoreSettings(vm) => self.site.vms[vm].restore_settings()?,
+            Event::Store(vm, fault) => self.site.vms[vm].door.set_fault(fault),
+            Event::Deafen(vm) => self.site.vms[vm].door.deafen(),
+            Event::StoreAway(is_away) => {
+                let fault = match is_away {
+                    true => Fault::Silent,
+                    false => Fault::None,
+                };
+                self.site.store.set_away(is_away);
+                for vm in &self.site.vms {
+                    vm.door.set_fault(fault);
+                }
+            }
+            Event::Compact => self.site.store.compact(),
+            Event::AddRoute => {
+                let entrance = self.site.add_route("orders");
+                self.routes().push(entrance);
+                self.check_change(entrance, true);
+            }
+            Event::RemoveRoute => {
+                let last = self.routes().pop();
+                if let Some(entrance) = last {
+                    self.site.remove_route(entrance);
+                    self.check_change(entrance, false);
+                }
+            }
+            Event::AddTarget(number) => self.add_target(number).await?,
+            Event::Drain(number) => {
+                if let Some(target) = self.take_target(number) {
+                    target.drain();
+                    self.leaving.push(target);
+                }
+            }
+            Event::Leave if !self.leaving.is_empty() => self.leaving.remove(0).leave(),
+            Event::Leave => {}
+            Event::Crash(number) => {
+                if let Some(target) = self.take_target(number) {
+                    target.crash();
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn add_target(&mut self, number: usize) -> io::Result<()> {
+        self.added = self.added % ADDRESSES + 1;
+        let address = self.added;
+        let zone = (number % ZONES) as u8;
+        let is_taken = |held: &FlowTarget| held.plan().address.ip().octets()[3] == address;
+        let mut held = self.targets.iter().chain(&self.leaving);
+        if !held.any(is_taken) {
+            let target = self.site.add_target("orders", zone, address).await?;
+            self.targets.push(target);
+        }
+        Ok(())
+    }
+
+    /// Takes a target out of those that run, unless too few would be left.
+    fn take_target(&mut self, number: usize) -> Option<FlowTarget> {
+        let count = self.targets.len();
+        (count > LEAST_TARGETS).then(|| self.targets.swap_remove(number % count))
+    }
+
+    /// Checks after the bound whether each VM in touch follows a change that the store has taken.
+    fn check_change(&mut self, entrance: SocketAddrV4, is_there: bool) {
+        if self.site.store.is_away() {
+            return;
+        }
+        let changed = self.begun.elapsed();
+        let until = changed + CONFIG_BOUND + OPEN_TIME;
+        for (index, vm) in self.site.vms.iter().enumerate() {
+            if !self.plan.is_in_touch(index, changed, until) {
+                continue;
+            }
+            self.outcome.checks += 1;
+            let check = ChangeCheck {
+                caller: Arc::clone(&self.site.callers[0]),
+                vm: vm.datagrams(),
+                entrance,
+                is_there,
+            };
+            let (findings, begun, id) = (Arc::clone(&self.findings), self.begun, vm.id.clone());
+            let routes = Arc::clone(&self.routes);
+            let is_due = move || lock(&routes).contains(&entrance) == is_there;
+            self.checks.spawn(async move {
+                sleep(CONFIG_BOUND).await;
+                // Another change may have undone this one, before or while it is looked at.
+                if let Some(detail) = check.run().await
+                    && is_due()
+                {
+                    add(
+                        &findings,
+                        begun.elapsed(),
+                        "config",
+                        format!("{id}: {detail}"),
+                    );
+                }
+            });
+        }
+    }
+
+    fn routes(&self) -> MutexGuard<'_, Vec<SocketAddrV4>> {
+        lock(&self.routes)
+    }
+
+    async fn sample(&mut self) {
+        let at = self.begun.elapsed();
+        let mut versions = Vec::new();
+        for vm in &self.site.vms {
+            let status = timeout(STATUS_TIME, http::get(vm.admin(), "/status")).await;
+            let reply = status.ok().and_then(Result::ok);
+            let value =
+                reply.and_then(|reply| serde_json::from_str::<serde_json::Value>(&reply.text).ok());
+            versions.push(value.and_then(|value| value["version"].as_u64()));
+        }
+        for (index, vm) in self.site.vms.iter_mut().enumerate() {
+            if self.expected[index] && !vm.is_running() {
+                self.expected[index] = false;
+                add(&self.findings, at, "own_end", vm.id.clone());
+            }
+        }
+        let tally = Arc::clone(&self.site.tally);
+        let (served, failed) = (Tally::of(&tally.served), Tally::of(&tally.failed));
+        self.outcome.samples.push(Sample {
+            at,
+            served: served - self.outcome.served,
+            failed: failed - self.outcome.failed,
+            ready: self.site.router.in_rotation(),
+            versions,
+        });
+        (self.outcome.served, self.outcome.failed) = (served, failed);
+        let counts = tally.broken_promises();
+        for &(promise, count) in &counts {
+            let before = self.counted.iter().find(|(held, _)| *held == promise);
+            let before = before.map_or(0, |(_, count)| *count);
+            // A leaving target may get new work from a VM that has not heard of it.
+            let is_bound = promise != "late_to_leaving"
+                || self.plan.are_all_in_touch(at.saturating_sub(LATE_SPAN), at);
+            if count > before && is_bound {
+                add(
+                    &self.findings,
+                    at,
+                    promise,
+                    format!("count={}", count - before),
+                );
+            }
+        }
+        self.counted = counts;
+    }
+
+    /// Checks that every VM serves once the last fault is long enough ago.
+    async fn check_recovery(&mut self) {
+        let due = self.plan.calm_from() + RECOVERY;
+        sleep_until((self.begun + due).into()).await;
+        for vm in &self.site.vms {
+            self.outcome.checks += 1;
+            let check = ChangeCheck {
+                caller: Arc::clone(&self.site.callers[0]),
+                vm: vm.datagrams(),
+                entrance: self.orders,
+                is_there: true,
+            };
+            if let Some(detail) = check.run().await {
+                let detail = format!("{}: {detail}", vm.id);
+                add(&self.findings, self.begun.elapsed(), "recover", detail);
+            }
+        }
+    }
+
+    fn conclude(mut self, begun_at: SystemTime) -> Outcome {
+        for vm in &self.site.vms {
+            for line in vm.log().lines() {
+                let Some(at) = time_of(line, begun_at) else {
+                    continue;
+                };
+                self.outcome.lines.push((at, format!("{} {line}", vm.id)));
+            }
+        }
+        self.outcome.lines.sort();
+        self.outcome.broken = std::mem::take(&mut lock(&self.findings));
+        self.outcome.broken.sort_by_key(|broken| broken.at);
+        self.outcome.clone()
+    }
+}
+
+/// Whether a VM lets flows in at an entrance.
+struct ChangeCheck {
+    caller: Arc<CallerHost>,
+    vm: SocketAddr,
+    entrance: SocketAddrV4,
+    is_there: bool,
+}
+
+impl ChangeCheck {
+    /// What is wrong, if anything.
+    async fn run(self) -> Option<String> {
+        let opened = timeout(OPEN_TIME, self.caller.open(self.entrance, Some(self.vm))).await;
+        match (opened, self.is_there) {
+            (Ok(Ok(flow)), true) => {
+                flow.close().await;
+                None
+            }
+            (Ok(Err(error)), true) => Some(format!("{} does not open: {error:?}", self.entrance)),
+            (Err(_), true) => Some(format!("{} does not open", self.entrance)),
+            (Ok(Ok(_)), false) => Some(format!("{} still opens", self.entrance)),
+            (_, false) => None,
+        }
+    }
+}
+
+fn add(findings: &Findings, at: Duration, promise: &'static str, detail: String) {
+    lock(findings).push(Broken {
+        at,
+        promise,
+        detail,
+    });
+}
+
+fn lock<T>(held: &Mutex<T>) -> MutexGuard<'_, T> {
+    held.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// When a line was written, from the start of the run; `None` for one before it.
+fn time_of(line: &str, begun_at: SystemTime) -> Option<Duration> {
+    let time = line.strip_prefix("time=")?.split(' ').next()?;
+    let time = humantime::parse_rfc3339(time).ok()?;
+    time.duration_since(begun_at).ok()
+}
+
+fn progress(length: Duration) -> ProgressBar {
+    let bar = ProgressBar::new(length.as_secs());
+    if let Ok(style) = ProgressStyle::with_template("{pos}/{len} s {bar:40} {msg}") {
+        bar.set_style(style);
+    }
+    bar
+}
+
+/// Longest span before a change in which a fault keeps a VM from being checked.
+const _: () = assert!(CONTACT.as_secs() >= CONFIG_BOUND.as_secs());
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, TcpListener};
 
 use crate::deployment::AGENT_PORT;
+use crate::site::STORE_PORT;
 
 /// First network that is tried.
 const FIRST: u8 = 120;
@@ -29,8 +30,14 @@
             let Ok(mark) = TcpListener::bind((address, MARK_PORT)) else {
                 continue;
             };
-            // A fleet that was given its network by hand has no mark.
-            if TcpListener::bind((Ipv4Addr::new(127, second, 1, 1), AGENT_PORT)).is_err() {
+            // A fleet that was given its network by hand has no mark, and the doors of a site
+            // close a moment after it.
+            let in_use = [
+                ([127, second, 1, 1], AGENT_PORT),
+                ([127, second, 9, 1], STORE_PORT),
+            ];
+            let is_free = |(address, port)| TcpListener::bind((Ipv4Addr::from(address), port));
+            if in_use.map(is_free).iter().any(Result::is_err) {
                 continue;
             }
             return Self {
--- a/crates/standin/src/site/vm.rs
+++ b/crates/standin/src/site/vm.rs
@@ -162,6 +162,15 @@
         std::fs::write(self.settings_file(), text)
     }
 
+    /// Writes its settings file as the template gives it.
+    ///
+    /// # Errors
+    ///
+    /// An error when the file can't be written.
+    pub fn restore_settings(&self) -> io::Result<()> {
+        self.write_settings()
+    }
+
     pub(super) fn write_settings(&self) -> io::Result<()> {
         self.write_text(&render(TEMPLATE, &self.settings))
     }
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -7,7 +7,7 @@
 
 use bambooseam_types::{Moment, ServiceName, TargetId, Token, ZoneId};
 
-use crate::absence::Absence;
+use crate::absence::{Absence, RETURN_TIME};
 use crate::flows::{Flows, Forgotten, Signals};
 use crate::place::{Candidate, place};
 use crate::roster::{Roster, Slot, SlotNumber};
@@ -40,6 +40,8 @@
 pub struct Freshness {
     /// When everything published was last known to be here.
     pub synced: Option<Moment>,
+    /// When that was known first.
+    pub first: Option<Moment>,
 }
 
 /// Decides what becomes of each packet.
@@ -67,6 +69,12 @@
         self.synced
             .is_some_and(|synced| now.since(synced) <= CURRENT_TIME)
     }
+
+    /// Whether entries that had lapsed before the first view would be here by now.
+    pub fn is_settled(&self) -> bool {
+        let span = self.first.zip(self.synced);
+        span.is_some_and(|(first, synced)| synced >= first.after(RETURN_TIME))
+    }
 }
 
 impl Steering {
@@ -132,9 +140,11 @@
         else {
             return refuse(ResetCause::NoRoute, is_current);
         };
+        // Targets lapse with the store away, routes do not.
+        let is_whole = is_current && self.freshness.is_settled();
         let key = head.flow.key();
         let Some(service) = route.service_of(key) else {
-            return refuse(ResetCause::NoTarget, is_current);
+            return refuse(ResetCause::NoTarget, is_whole);
         };
         let earlier = self.flows.earlier(head, now);
         if let Some((number, token)) = earlier
@@ -161,11 +171,11 @@
         };
         let chosen = choose(Slot::is_open).or_else(|| choose(Slot::is_last_resort));
         let Some(number) = chosen else {
-            return refuse(ResetCause::NoTarget, is_current);
+            return refuse(ResetCause::NoTarget, is_whole);
         };
         let timeout = route.timeout;
         let Some(slot) = self.roster.get_mut(number) else {
-            return refuse(ResetCause::NoTarget, is_current);
+            return refuse(ResetCause::NoTarget, is_whole);
         };
         slot.load.silence.note_opening(now);
         self.zones.note_opening(&slot.target.zone, now);
@@ -239,7 +249,7 @@
         if self.roster.is_ended(token) {
             return Verdict::Reset(ResetCause::TargetGone);
         }
-        match self.strangers.is_dead(token, now, self.freshness.synced) {
+        match self.strangers.is_dead(token, now, self.freshness) {
             true => Verdict::Reset(ResetCause::UnknownToken),
             false => Verdict::Drop(DropCause::TokenNotKnownYet),
         }
--- a/crates/steer/src/steering/belief.rs
+++ b/crates/steer/src/steering/belief.rs
@@ -76,6 +76,7 @@
 
     /// Notes that everything published up to `at` is here.
     pub fn note_sync(&mut self, at: Moment) {
+        self.freshness.first.get_or_insert(at);
         self.freshness.synced = self.freshness.synced.max(Some(at));
     }
 
--- a/crates/steer/src/stranger.rs
+++ b/crates/steer/src/stranger.rs
@@ -4,11 +4,16 @@
 //! heard of; or a target ended while nobody here looked. The first must not be reset, for their
 //! target lives. The second should be, at once, so that callers try again. What tells them apart is
 //! whether everything that was published when the token was first seen has arrived since.
+//!
+//! A VM whose first view is young can't tell whether the store was away before: entries that lapsed
+//! meanwhile are still on their way back, so it waits for them too.
 
 use std::time::Duration;
 
 use bambooseam_types::{Moment, Token};
 
+use crate::Freshness;
+
 /// Time for an entry to reach the store and be read after its target took a first flow: another VM
 /// must have read the entry before it placed a flow there, so a margin for clocks and calls is
 /// enough.
@@ -27,9 +32,8 @@
 }
 
 impl Strangers {
-    /// Whether a token is known to belong to no target that lives; `synced` is when all that was
-    /// published was last known to be here.
-    pub fn is_dead(&mut self, token: Token, now: Moment, synced: Option<Moment>) -> bool {
+    /// Whether a token is known to belong to no target that lives.
+    pub fn is_dead(&mut self, token: Token, now: Moment, freshness: Freshness) -> bool {
         let first = match self.seen.binary_search_by_key(&token, |(token, _)| *token) {
             Ok(at) => self.seen[at].1,
             Err(at) => {
@@ -38,7 +42,8 @@
                 now
             }
         };
-        synced.is_some_and(|synced| synced >= first.after(MARGIN))
+        let is_heard = |synced| synced >= first.after(MARGIN);
+        freshness.synced.is_some_and(is_heard) && freshness.is_settled()
     }
 
     /// Forgets tokens that became known or were seen long ago.
