--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -90,14 +90,13 @@
 
     /// Takes news; false when they are too old.
     fn take(&self, news: News, address: SocketAddr, now: Moment) -> bool {
+        let synced = news.synced(now);
         let Some(changes) = news.changes else {
             return false;
         };
         if news.age > STALE_AGE {
             return false;
         }
-        let age = news.age.as_millis() as u64;
-        let synced = Moment::from_millis(now.as_millis().saturating_sub(age));
         let mut node = self.node.borrow_mut();
         // Only a copy that holds all that is held here tells that this is all there is.
         Some(changes.upto) >= node.replica().upto()
--- a/crates/entry/src/packets.rs
+++ b/crates/entry/src/packets.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bambooseam_observe::LogLimit;
 use bambooseam_platform::packet::{
@@ -157,44 +157,36 @@
 
     /// Logs a decision, a few of each kind a second.
     fn note(&self, head: &Head, verdict: &Verdict, now: Moment) {
-        let flow = head.flow;
+        let limit = match verdict {
+            Verdict::Forward { opening: None, .. } => return,
+            Verdict::Forward { .. } => &PLACED,
+            Verdict::Reset(_) => &RESET,
+            Verdict::Drop(_) => &DROPPED,
+        };
+        let Some(suppressed) = limit.admit(Instant::now()) else {
+            return;
+        };
+        let (flow, age, named) = (head.flow, self.age(now), Shown(head.token));
         match verdict {
-            Verdict::Forward { opening: None, .. } => {}
             Verdict::Forward {
                 address,
                 token,
-                opening: Some(opening),
+                opening,
                 ..
-            } => {
-                if let Some(suppressed) = PLACED.admit(std::time::Instant::now()) {
-                    let age = self.age(now);
-                    log::info!(
-                        "event=flow_{opening} flow={flow} target={address} token={token} \
-                         copy={} view_age_ms={age} suppressed={suppressed}",
-                        head.ack
-                    );
-                }
-            }
-            Verdict::Reset(cause) => {
-                if let Some(suppressed) = RESET.admit(std::time::Instant::now()) {
-                    let age = self.age(now);
-                    log::info!(
-                        "event=flow_reset flow={flow} cause={cause} token={} view_age_ms={age} \
-                         suppressed={suppressed}",
-                        Shown(head.token)
-                    );
-                }
-            }
-            Verdict::Drop(cause) => {
-                if let Some(suppressed) = DROPPED.admit(std::time::Instant::now()) {
-                    let age = self.age(now);
-                    log::info!(
-                        "event=packet_dropped flow={flow} cause={cause} token={} \
-                         view_age_ms={age} suppressed={suppressed}",
-                        Shown(head.token)
-                    );
-                }
-            }
+            } => log::info!(
+                "event=flow_{} flow={flow} target={address} token={token} copy={} \
+                 view_age_ms={age} suppressed={suppressed}",
+                Shown(*opening),
+                head.ack
+            ),
+            Verdict::Reset(cause) => log::info!(
+                "event=flow_reset flow={flow} cause={cause} token={named} view_age_ms={age} \
+                 suppressed={suppressed}"
+            ),
+            Verdict::Drop(cause) => log::info!(
+                "event=packet_dropped flow={flow} cause={cause} token={named} view_age_ms={age} \
+                 suppressed={suppressed}"
+            ),
         }
     }
 
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -165,14 +165,13 @@
             peers.note_named(peer);
         }
     }
+    let synced = news.synced(asked);
     let Some(changes) = news.changes else {
         return true;
     };
     let mut node = node.borrow_mut();
     // A peer that is behind knows nothing of what was published since.
     let is_behind = Some(changes.upto) < node.replica().upto();
-    let age = u64::try_from(news.age.as_millis()).unwrap_or(u64::MAX);
-    let synced = Moment::from_millis(asked.as_millis().saturating_sub(age));
     if !is_behind {
         node.take(changes, synced, now, Source::Peer(address));
     }
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bambooseam_replica::{Change, Changes};
-use bambooseam_types::{Revision, ZoneId};
+use bambooseam_types::{Moment, Revision, ZoneId};
 use tokio::net::TcpListener;
 
 use crate::replica_capnp::{change, changes, copy, news, peer, replica};
@@ -51,6 +51,14 @@
     pub peers: Vec<PeerInfo>,
 }
 
+impl News {
+    /// When the copy was last known to be current, of news that were told at `at` or later.
+    pub fn synced(&self, at: Moment) -> Moment {
+        let age = u64::try_from(self.age.as_millis()).unwrap_or(u64::MAX);
+        Moment::from_millis(at.as_millis().saturating_sub(age))
+    }
+}
+
 /// Port towards the VM that answers its peers.
 pub trait ReplicaService: 'static {
     /// Tells a peer what it lacks, once there is something or its wait is over.
