Draw series of faults and calm between them in the soak

Change: series of faults, then 12 s in which changes alone are made; targets write lapsed entries again over 1.5 s.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -27,9 +27,12 @@
 /// Calm at the end, in which all recovers and is checked.
 const CALM_END: Duration = Duration::from_secs(16);
 
-/// Time between a target's announcement and its end: above the time in which it must get no more
-/// new flows.
-const DRAIN: Duration = Duration::from_secs(4);
+/// Time between two series of faults, in which changes alone are made and bounds in time hold.
+const CALM: Duration = Duration::from_secs(12);
+
+/// Time between a target's announcement and its end: twice the time after which it must get no
+/// more new flows.
+const DRAIN: Duration = Duration::from_secs(6);
 
 /// How large a run is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -148,8 +151,16 @@
         let last = size.length.saturating_sub(CALM_END);
         let mut at = CALM_START;
         while at < last {
-            draw.step(at, last);
-            at += draw.time(100, 2_500);
+            let series = (at + draw.time(4_000, 12_000)).min(last);
+            while at < series {
+                draw.step(at, series);
+                at += draw.time(100, 2_500);
+            }
+            let calm = (series.max(at) + CALM).min(last);
+            while at < calm {
+                draw.change(at);
+                at += draw.time(100, 2_000);
+            }
         }
         if draw.random.random_bool(0.5) {
             draw.kill_all(last);
@@ -181,10 +192,9 @@
 }
 
 impl Draw {
-    /// Draws one thing that begins at `at` and is over at `last`.
+    /// Draws a fault or change that begins at `at` and is over at `last`.
     fn step(&mut self, at: Duration, last: Duration) {
         let vm = self.random.random_range(0..self.plan.size.vms);
-        let number = self.random.random_range(0..64);
         match self.random.random_range(0..100) {
             0..12 => self.process(vm, at, last, Event::Kill(vm), Event::Start(vm)),
             12..24 => self.stop(vm, at, last),
@@ -202,20 +212,31 @@
             }
             55..58 => self.store_away(at, last),
             58..61 => self.add(at, Event::Compact),
-            61..77 => {
+            61..65 => {
+                let number = self.random.random_range(0..64);
+                self.add(at, Event::Crash(number));
+            }
+            _ => self.change(at),
+        }
+    }
+
+    /// Draws planned work.
+    fn change(&mut self, at: Duration) {
+        let number = self.random.random_range(0..64);
+        match self.random.random_range(0..10) {
+            0..4 => {
                 self.routes += 1;
                 self.add(at, Event::AddRoute);
             }
-            77..84 if self.routes > 0 => {
+            4..6 if self.routes > 0 => {
                 self.routes -= 1;
                 self.add(at, Event::RemoveRoute);
             }
-            77..90 => self.add(at, Event::AddTarget(number)),
-            90..96 => {
+            4..8 => self.add(at, Event::AddTarget(number)),
+            _ => {
                 self.add(at, Event::Drain(number));
                 self.add(at + DRAIN, Event::Leave);
             }
-            _ => self.add(at, Event::Crash(number)),
         }
     }
 
--- a/crates/soak/src/regressions.rs
+++ b/crates/soak/src/regressions.rs
@@ -1,4 +1,7 @@
 //! Seeds that once found a fault, kept with their cause.
+//!
+//! A seed gives the same plan as long as [`crate::plan`] draws alike. Where that has changed since,
+//! the cause names the test that replays the fault without a seed.
 
 use std::time::Duration;
 
@@ -22,7 +25,8 @@
         length: Duration::from_secs(45),
         vms: 6,
     },
-    cause: "a VM that started while entries had lapsed reset flows whose target it did not know",
+    cause: "a VM that started while entries had lapsed reset flows whose target it did not know; \
+            test steer::vm_that_starts_while_entries_come_back_resets_and_refuses_nothing",
 }];
 
 /// The usual size of a run.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::check::{ChangeCheck, OPEN_TIME};
-use crate::plan::{CONTACT, RECOVERY};
+use crate::plan::RECOVERY;
 use crate::{Broken, Event, Outcome, Plan, Sample};
 
 /// Zones of a site.
@@ -44,10 +44,6 @@
 /// Longest wait for what a VM shows of itself.
 const STATUS_TIME: Duration = Duration::from_millis(100);
 
-/// Time in which a target may get a flow after it has left on paper: the stand-in counts it as late
-/// then, whether or not a VM was in touch.
-const LATE_SPAN: Duration = Duration::from_secs(8);
-
 type Findings = Arc<Mutex<Vec<Broken>>>;
 
 /// A run at work.
@@ -297,7 +293,9 @@
             let before = before.map_or(0, |(_, count)| *count);
             // A leaving target may get new work from a VM that has not heard of it.
             let is_bound = promise != "late_to_leaving"
-                || self.plan.are_all_in_touch(at.saturating_sub(LATE_SPAN), at);
+                || self
+                    .plan
+                    .are_all_in_touch(at.saturating_sub(SAMPLE_PAUSE), at);
             if count > before && is_bound {
                 add(
                     &self.findings,
@@ -371,6 +369,3 @@
     }
     bar
 }
-
-/// Longest span before a change in which a fault keeps a VM from being checked.
-const _: () = assert!(CONTACT.as_secs() >= CONFIG_BOUND.as_secs());
--- a/crates/standin/src/site/target.rs
+++ b/crates/standin/src/site/target.rs
@@ -23,6 +23,10 @@
 /// Time that an earlier target has to leave an address.
 const BIND_TIME: Duration = Duration::from_secs(2);
 
+/// Targets write lapsed entries again one after the other, over 1.5 s after the store's return.
+const RETURN_STEP: Duration = Duration::from_millis(150);
+const RETURN_STEPS: u64 = 11;
+
 /// Beats without which an entry lapses.
 const BEATS: u32 = 3;
 
@@ -173,6 +177,7 @@
                 if again.store.renew(&again.key(), again.plan.beat * BEATS) {
                     continue;
                 }
+                sleep(RETURN_STEP * (again.shared.born / 1_000 % RETURN_STEPS) as u32).await;
                 let state = match *again.shared.leaving() {
                     Some(_) => "draining",
                     None => "ready",
