Read targets before the configuration, and let open flows go on meanwhile

Cause: after the last fault of a grown site VMs wait 0.42 s for the first view, most of it 1,565 routes on links of 10 Mbit/s; packets inside open flows name their target and need no route.

Change: the first reading takes targets, then the configuration. Packets inside flows pass once targets are known, openings are held until the view is there (1,024 at the most, 0.5 s). Targets that were seen early and are not in the first whole copy are taken for removed.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -43,6 +43,10 @@
     steering: Steering,
     config: Option<(u64, Revision)>,
     ready: watch::Sender<bool>,
+    /// Whether targets are known, so that packets inside flows can pass.
+    passing: watch::Sender<bool>,
+    /// Targets that were taken before the first whole copy.
+    previewed: Vec<TargetId>,
     synced: watch::Sender<Option<Moment>>,
     outage: Option<Moment>,
     is_stopping: bool,
@@ -68,6 +72,8 @@
             steering,
             config: None,
             ready: watch::Sender::new(false),
+            passing: watch::Sender::new(false),
+            previewed: Vec::new(),
             synced: watch::Sender::new(None),
             outage: None,
             is_stopping: false,
@@ -81,22 +87,42 @@
             Taken::Newer(newer) => newer,
             Taken::Gap => return false,
         };
-        let mut removed = Vec::new();
+        // What was seen early and is not in the copy has gone meanwhile.
+        let mut removed = std::mem::take(&mut self.previewed);
         for change in newer {
             match Kind::of_key(&change.key) {
                 Ok(Kind::Config) => self.take_config(&change, source),
                 Ok(Kind::Target(id)) if change.value.is_none() => removed.push(id),
-                Ok(Kind::Target(id)) => self.take_target(&id, &change, now, source),
+                Ok(Kind::Target(id)) => {
+                    removed.retain(|held| *held != id);
+                    self.take_target(&id, &change, now, source);
+                }
                 Err(error) => UNREADABLE.report(error),
             }
         }
         self.remove(&removed, now, source);
         self.steering.note_sync(synced);
         self.synced.send_replace(Some(synced));
+        self.passing.send_replace(true);
         self.update_ready();
         true
     }
 
+    /// Takes targets before the first whole copy is there: flows that name them can go on.
+    pub fn preview(&mut self, targets: &[Change], now: Moment) {
+        if self.replica.upto().is_some() {
+            return;
+        }
+        for change in targets {
+            let Ok(Kind::Target(id)) = Kind::of_key(&change.key) else {
+                continue;
+            };
+            self.take_target(&id, change, now, Source::Store);
+            self.previewed.push(id);
+        }
+        self.passing.send_replace(true);
+    }
+
     /// Notes that the store is away, or has answered again after it was.
     pub fn note_outage(&mut self, now: Moment) {
         self.outage = Some(now);
@@ -142,6 +168,11 @@
         self.ready.subscribe()
     }
 
+    /// Whether packets inside flows can pass, as it changes.
+    pub fn passing(&self) -> watch::Receiver<bool> {
+        self.passing.subscribe()
+    }
+
     /// When the copy was last known to be current, as it changes.
     pub fn synced(&self) -> watch::Receiver<Option<Moment>> {
         self.synced.subscribe()
--- a/crates/entry/src/packets.rs
+++ b/crates/entry/src/packets.rs
@@ -29,6 +29,9 @@
 /// Longest time that packets wait for the first view: a caller has repeated most of them by then.
 const HOLD_TIME: Duration = Duration::from_millis(500);
 
+/// Openings held until the first view: those of ten seconds at the target size.
+const HELD_OPENINGS: usize = 1_024;
+
 /// Packets that are none.
 static MALFORMED: LogLimit = LogLimit::new("packets_malformed", 5);
 /// Placed flows; a VM of the target size opens 105 a second.
@@ -77,7 +80,7 @@
     pub async fn run(self, quiet: Quiet) {
         // The label goes before the packet, which then needs no copy.
         let mut buffer = [0; DATAGRAM_LIMIT + 1];
-        self.wait_for_view(&mut buffer).await;
+        self.wait_for_view(&mut buffer, &quiet).await;
         loop {
             if let Err(error) = self.socket.readable().await {
                 UNSENT.report(error);
@@ -95,16 +98,50 @@
         }
     }
 
-    /// Leaves packets in the kernel until the view is there, a few milliseconds after the start.
+    /// Serves what can be served until the view is there, a few milliseconds after the start, or
+    /// half a second with a large configuration on a narrow link.
     ///
-    /// After an outage callers repeat packets at long intervals: one that is dropped now comes
-    /// again after a second or more.
-    async fn wait_for_view(&self, buffer: &mut [u8]) {
+    /// Packets stay in the kernel until targets are known. Then those inside flows pass, as they
+    /// name their target; openings are held, as they need routes. After an outage callers repeat
+    /// packets at long intervals: one that is dropped now comes again after a second or more.
+    async fn wait_for_view(&self, buffer: &mut [u8], quiet: &Quiet) {
         let mut ready = self.node.borrow().ready();
-        loop {
-            match timeout(HOLD_TIME, ready.wait_for(|is_ready| *is_ready)).await {
-                Err(_) => while self.receive(buffer).is_some() {},
-                Ok(_) => return,
+        let mut passing = self.node.borrow().passing();
+        while !*passing.borrow_and_update() {
+            if timeout(HOLD_TIME, passing.changed()).await.is_err() {
+                while self.receive(buffer).is_some() {}
+            }
+        }
+        let mut openings: Vec<(Moment, Vec<u8>)> = Vec::new();
+        while !*ready.borrow_and_update() {
+            tokio::select! {
+                _ = ready.changed() => {}
+                _ = self.socket.readable() => self.pass_early(buffer, &mut openings, quiet),
+            }
+        }
+        let now = BootClock.now();
+        for (held, mut datagram) in openings {
+            if now.since(held) <= HOLD_TIME {
+                self.handle(&mut datagram, now);
+            }
+        }
+    }
+
+    /// Passes packets inside flows, and holds those that open one.
+    fn pass_early(&self, buffer: &mut [u8], openings: &mut Vec<(Moment, Vec<u8>)>, quiet: &Quiet) {
+        let now = BootClock.now();
+        for _ in 0..BATCH {
+            let Some(len) = self.receive(buffer) else {
+                return;
+            };
+            quiet.note(now);
+            let datagram = &mut buffer[..LABEL_BYTES + len];
+            let is_opening =
+                read_head(&datagram[LABEL_BYTES..]).is_ok_and(|head| head.is_opening());
+            match is_opening {
+                true if openings.len() < HELD_OPENINGS => openings.push((now, datagram.to_vec())),
+                true => self.drops.increment(1),
+                false => self.handle(datagram, now),
             }
         }
     }
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -1,10 +1,11 @@
 //! Rounds that read or watch the platform's store.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bambooseam_peer::Backoff;
 use bambooseam_platform::{Store, StoreError};
-use bambooseam_replica::Changes;
+use bambooseam_replica::{Change, Changes};
 use bambooseam_types::{Clock, Moment};
 use tokio::time::sleep;
 
@@ -59,7 +60,13 @@
         let asked = BootClock.now();
         let result = match after {
             Some(after) => self.store.watch(after, WATCH_TIME).await,
-            None => self.store.read_all().await,
+            None => {
+                let node = Rc::clone(&self.node);
+                let early = |targets: &[Change]| {
+                    node.borrow_mut().preview(targets, BootClock.now());
+                };
+                self.store.read_all(early).await
+            }
         };
         let now = BootClock.now();
         note_call(&result, asked, now);
--- a/tests/tests/entry.rs
+++ b/tests/tests/entry.rs
@@ -416,6 +416,29 @@
     running.check();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn open_flow_goes_on_before_the_configuration_is_there() {
+    use bambooseam_standin::site::Fault;
+    let mut running = Running::start(&[1], 1).await;
+    let opened = running.site.callers[0].open(running.orders, None).await;
+    let mut flow = opened.expect("a flow");
+    let work = Duration::from_millis(1);
+    let answered = flow.request("f1", work, 100, PATIENCE).await;
+    answered.expect("an answer");
+    let vm = &mut running.site.vms[0];
+    vm.kill().await;
+    // Half a second for the targets, and as long again for the configuration.
+    vm.door.set_fault(Fault::Slow(Duration::from_millis(500)));
+    vm.start().expect("a start");
+    let answered = flow.request("f2", work, 100, PATIENCE).await;
+    answered.expect("an answer");
+    let reply = http::get(running.site.vms[0].ready(), "/api/readiness").await;
+    let status = reply.expect("an answer").status;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    flow.close().await;
+    running.check();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn packet_that_comes_before_the_view_is_served_with_it() {
     use bambooseam_standin::site::{Fault, Flags, Packet};
