Bring nothing back from an older whole copy

Cause: a VM that reads the whole list while a peer's newer copy arrives first took from the older list what had been removed since: the newer copy lacks it and has no word of its removal. The target then stays published there for good.

Change: what was written up to the revision that is held and is not here was removed.

--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -127,8 +127,9 @@
         let mut removed = self.removed.iter().rev();
         match removed.find(|removed| removed.key == change.key) {
             Some(removed) => removed.revision >= change.revision,
-            // A removal of what was never held is still news to peers that hold it.
-            None => false,
+            // What was written by then and is not here was removed since, as a newer whole copy
+            // lacked it. A removal of what was never held is still news to peers that hold it.
+            None => change.value.is_some() && self.upto >= Some(change.revision),
         }
     }
 
--- a/tests/tests/replica.rs
+++ b/tests/tests/replica.rs
@@ -72,6 +72,20 @@
     assert_eq!(revision_of(&replica, "a"), Some(9));
 }
 
+#[test]
+fn older_whole_copy_brings_nothing_back() {
+    let mut replica = Replica::new();
+    let newer = whole(9, vec![change("a", 5, Some("1"))]);
+    assert!(matches!(replica.take(newer), Taken::Newer(list) if list.len() == 1));
+    // "b" was removed at 8 or so; the copy that lacks it has no word of it.
+    let older = vec![change("a", 5, Some("1")), change("b", 6, Some("2"))];
+    assert!(matches!(replica.take(whole(7, older)), Taken::Newer(list) if list.is_empty()));
+    assert_eq!(revision_of(&replica, "b"), None);
+    // One that is written after all that was held is news.
+    let later = whole(8, vec![change("c", 10, Some("3"))]);
+    assert!(matches!(replica.take(later), Taken::Newer(list) if list.len() == 1));
+}
+
 #[test]
 fn written_between_two_pages_stays() {
     // The second page shows a document that is newer than the revision of the first.
