--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -1,9 +1,13 @@
 //! A loopback network of one's own.
 
+use std::future::Future;
+use std::io;
 use std::net::{Ipv4Addr, TcpListener};
+use std::time::{Duration, Instant};
+
+use tokio::time::sleep;
 
 use crate::deployment::AGENT_PORT;
-use crate::site::STORE_PORT;
 
 /// First network that is tried.
 const FIRST: u8 = 120;
@@ -11,6 +15,10 @@
 /// Port whose listener marks a network as taken.
 const MARK_PORT: u16 = 6999;
 
+/// Time that an earlier run has to leave its addresses, and the pause between two looks.
+const BIND_TIME: Duration = Duration::from_secs(2);
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
 /// A network `127.x` that no other run uses while this value lives.
 #[derive(Debug)]
 pub struct Network {
@@ -30,14 +38,8 @@
             let Ok(mark) = TcpListener::bind((address, MARK_PORT)) else {
                 continue;
             };
-            // A fleet that was given its network by hand has no mark, and the doors of a site
-            // close a moment after it.
-            let in_use = [
-                ([127, second, 1, 1], AGENT_PORT),
-                ([127, second, 9, 1], STORE_PORT),
-            ];
-            let is_free = |(address, port)| TcpListener::bind((Ipv4Addr::from(address), port));
-            if in_use.map(is_free).iter().any(Result::is_err) {
+            // A fleet that was given its network by hand has no mark.
+            if TcpListener::bind((Ipv4Addr::new(127, second, 1, 1), AGENT_PORT)).is_err() {
                 continue;
             }
             return Self {
@@ -53,3 +55,23 @@
         [127, self.second]
     }
 }
+
+/// Binds an address that an earlier run or target may be about to leave.
+///
+/// # Errors
+///
+/// An error when it is still taken after two seconds, or can't be bound at all.
+pub async fn bind_patiently<T, F>(bind: impl Fn() -> F) -> io::Result<T>
+where
+    F: Future<Output = io::Result<T>>,
+{
+    let deadline = Instant::now() + BIND_TIME;
+    loop {
+        match bind().await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < deadline => {
+                sleep(BIND_PAUSE).await;
+            }
+            result => return result,
+        }
+    }
+}
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -24,7 +24,7 @@
 pub use history::{Event, Gone, History, Item};
 pub use router::Router;
 pub use settings::render;
-pub use stage::{STORE_PORT, Site, SitePlan};
+pub use stage::{Site, SitePlan};
 pub use store::Store;
 pub use tally::Tally;
 pub use target::{FlowTarget, TargetPlan};
--- a/crates/standin/src/site/caller.rs
+++ b/crates/standin/src/site/caller.rs
@@ -14,6 +14,7 @@
 
 use super::end::End;
 use super::{Flags, Packet, Router, Tally};
+use crate::bind_patiently;
 
 /// When copies of an opening packet are sent, and when the caller gives up.
 const COPIES: [Duration; 3] = [
@@ -87,7 +88,7 @@
         let host = Arc::new(Self {
             address,
             zone: zone.into(),
-            socket: UdpSocket::bind((address, port)).await?,
+            socket: bind_patiently(|| UdpSocket::bind((address, port))).await?,
             router: Arc::clone(router),
             ports: Ports::default(),
             next: AtomicU16::new(FIRST_PORT),
--- a/crates/standin/src/site/stage.rs
+++ b/crates/standin/src/site/stage.rs
@@ -15,8 +15,7 @@
 use super::{CallerHost, Door, FlowTarget, Router, Store, Tally, TargetPlan, Vm};
 use crate::Network;
 
-/// Port of the store's doors.
-pub const STORE_PORT: u16 = 8169;
+const STORE_PORT: u16 = 8169;
 const TARGET_PORT: u16 = 8080;
 
 /// Time between two beats of a target.
--- a/crates/standin/src/site/target.rs
+++ b/crates/standin/src/site/target.rs
@@ -13,6 +13,7 @@
 
 use super::end::End;
 use super::{Flags, Packet, Store, Tally};
+use crate::bind_patiently;
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(5);
@@ -20,9 +21,6 @@
 /// Time after which a leaving target must get no new flow.
 const DRAIN_TIME: Duration = Duration::from_secs(3);
 
-/// Time that an earlier target has to leave an address.
-const BIND_TIME: Duration = Duration::from_secs(2);
-
 /// Targets write lapsed entries again one after the other, over 1.5 s after the store's return.
 const RETURN_STEP: Duration = Duration::from_millis(150);
 const RETURN_STEPS: u64 = 11;
@@ -91,7 +89,8 @@
         tally: &Arc<Tally>,
         allowed: &Allowed,
     ) -> io::Result<Self> {
-        let socket = bind(plan.address).await?;
+        let address = SocketAddr::from(plan.address);
+        let socket = bind_patiently(|| UdpSocket::bind(address)).await?;
         let target = Self {
             shared: Arc::new(Shared {
                 born,
@@ -195,19 +194,6 @@
     }
 }
 
-/// Binds an address that an earlier target may be about to leave.
-async fn bind(address: SocketAddrV4) -> io::Result<UdpSocket> {
-    let deadline = Instant::now() + BIND_TIME;
-    loop {
-        match UdpSocket::bind(SocketAddr::from(address)).await {
-            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < deadline => {
-                sleep(TICK).await;
-            }
-            result => return result,
-        }
-    }
-}
-
 /// The task that answers packets.
 struct Serving {
     plan: TargetPlan,
