Reset the flows of targets and zones that acknowledge no data

Change: steer::stall. Callers' own retransmissions are the evidence: two callers, one of them with its second retransmission, or a lone caller with its third while no other target is suspected; another target reached over the same path has responded since. Two stalled targets of a remote zone of which none responds show a failed path. While the evidence is recent every request to the target is reset at once, so its caller retries in time.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -154,11 +154,16 @@
                 .record(time.as_secs_f64());
         });
         for event in self.steering.sweep(now) {
+            if let SteeringEvent::StallEnded { .. } = event {
+                metrics::counter!("stalls_ended").increment(1);
+            }
             let limit = match event {
                 SteeringEvent::TimedOut { .. } => &UNANSWERED,
                 SteeringEvent::Ended(_)
                 | SteeringEvent::Unresponsive { .. }
                 | SteeringEvent::Recovered(_)
+                | SteeringEvent::Stalled { .. }
+                | SteeringEvent::StallEnded { .. }
                 | SteeringEvent::ZoneUnresponsive { .. }
                 | SteeringEvent::ZoneRecovered(_) => &TARGET_CHANGES,
             };
--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -54,6 +54,9 @@
     /// The target has ended, or has been restarted and no longer holds the flow.
     #[display("target_gone")]
     TargetGone,
+    /// The target does not acknowledge data.
+    #[display("target_stalled")]
+    TargetStalled,
     /// The token belongs to no known target.
     #[display("unknown_token")]
     UnknownToken,
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 
 use crate::FlowId;
+use crate::stall::StallEvidence;
 
 /// A change in the state of a target or zone, or a request that was abandoned.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
@@ -26,6 +27,29 @@
     /// An unresponsive target answers or is probed again.
     #[display("event=target_trusted target={_0}")]
     Recovered(TargetId),
+    /// A target does not acknowledge data, and its flows with requests are reset.
+    #[display(
+        "event=target_stalled target={target} callers={} retransmissions={} stalled_ms={}",
+        evidence.callers,
+        evidence.retransmissions,
+        elapsed.as_millis()
+    )]
+    Stalled {
+        /// The target.
+        target: TargetId,
+        /// Evidence at the first reset.
+        evidence: StallEvidence,
+        /// Time since the first unacknowledged data was sent.
+        elapsed: Duration,
+    },
+    /// A target answers whose flows were reset because it was stalled.
+    #[display("event=target_stall_ended target={target} resets={resets}")]
+    StallEnded {
+        /// The target.
+        target: TargetId,
+        /// Number of flows that this VM has reset.
+        resets: u32,
+    },
     /// Several targets of a zone are unresponsive and no target of the zone has responded
     /// since; no target of the zone takes new flows for some time.
     #[display("event=zone_silent zone={zone} targets={targets}")]
--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -10,6 +10,7 @@
 
 use bambooseam_types::{Moment, Token};
 
+use crate::stall::Retransmissions;
 use crate::target_table::TargetIndex;
 use crate::{FlowId, PacketHeader};
 
@@ -41,6 +42,8 @@
     acked: u32,
     /// When the request in progress began.
     busy_since: Option<Moment>,
+    /// Retransmissions of the last data.
+    retransmissions: Retransmissions,
     /// Longest time that a request may take, from the route.
     timeout: Duration,
     /// When the first packet of the flow was seen.
@@ -71,6 +74,8 @@
     pub was_busy: bool,
     /// A request or opening is in progress after the packet.
     pub is_busy: bool,
+    /// Retransmissions of the last data, if the packet is one that counts.
+    pub retransmissions: Option<Retransmissions>,
     /// The caller ended the flow.
     pub is_ended: bool,
     /// Flow with the same addresses that this flow replaced.
@@ -92,6 +97,13 @@
     pub is_removed: bool,
 }
 
+impl Signals {
+    /// Whether the packet shows a response of the target.
+    pub fn has_response(&self) -> bool {
+        self.is_opened || self.response_time.is_some()
+    }
+}
+
 impl Flows {
     /// Creates a table of at most `limit` flows.
     pub fn new(limit: usize) -> Self {
@@ -194,15 +206,21 @@
             }
             Phase::Open if is_after(header.ack, state.acked) => {
                 state.acked = header.ack;
+                state.retransmissions.record_progress();
                 signals.response_time = state.busy_since.take().map(|since| now.since(since));
             }
             Phase::Open | Phase::Ended => {}
         }
         let end = header.seq.wrapping_add(u32::from(header.len));
-        if header.len > 0 && is_after(end, state.next_seq) && state.phase == Phase::Open {
-            state.next_seq = end;
-            signals.has_request = true;
-            state.busy_since.get_or_insert(now);
+        if header.len > 0 && state.phase == Phase::Open {
+            if is_after(end, state.next_seq) {
+                state.next_seq = end;
+                signals.has_request = true;
+                state.busy_since.get_or_insert(now);
+                state.retransmissions.record_data(now);
+            } else if state.retransmissions.record_repeated(now) {
+                signals.retransmissions = Some(state.retransmissions);
+            }
         }
         if (header.flags.fin || header.flags.rst) && state.phase == Phase::Open {
             state.phase = Phase::Ended;
@@ -213,6 +231,12 @@
         signals
     }
 
+    /// Removes a flow that was reset.
+    pub fn remove(&mut self, flow: &FlowId) -> Option<Released> {
+        let state = self.table.remove(flow)?;
+        Some(state.released(true))
+    }
+
     /// Removes flows that ended or are idle, and abandons requests whose timeout has passed. Calls
     /// `release` for each of these.
     pub fn sweep(
@@ -259,6 +283,7 @@
             next_seq: header.seq,
             acked: header.ack,
             busy_since: None,
+            retransmissions: Retransmissions::default(),
             timeout,
             started: now,
             last_seen: now,
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! Each part of the decision has its own module: [`placement`] selects the target of a new flow,
 //! [`responsiveness`] detects targets that do not answer, [`zone`] detects zones that do not
-//! answer, [`missing_entry`] handles targets whose published entry was removed, and
+//! answer, [`stall`] detects targets that do not acknowledge data, [`missing_entry`] handles targets whose published entry was removed, and
 //! [`unknown_token`] handles tokens that belong to no known target.
 
 mod decision;
@@ -20,6 +20,7 @@
 pub mod placement;
 pub mod responsiveness;
 mod route;
+pub mod stall;
 mod steering;
 mod target;
 mod target_table;
--- a/crates/steer/src/load.rs
+++ b/crates/steer/src/load.rs
@@ -5,6 +5,7 @@
 use bambooseam_types::Moment;
 
 use crate::responsiveness::Responsiveness;
+use crate::stall::Stall;
 
 /// Load of one target as observed by this VM.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -15,6 +16,8 @@
     pub busy: u32,
     /// Openings and requests sent since the last response.
     pub responsiveness: Responsiveness,
+    /// Retransmissions since the last response.
+    pub stall: Stall,
     /// Whether the target was unresponsive at the last update.
     pub was_unresponsive: bool,
     /// When the target last responded.
@@ -27,6 +30,7 @@
     /// Records that a packet has shown a response of the target.
     pub fn record_response(&mut self, now: Moment) {
         self.responsiveness.record_response();
+        self.stall = Stall::default();
         self.last_response = Some(now);
     }
 
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -14,10 +14,13 @@
 use crate::flows::{Flows, Released, Signals};
 use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
 use crate::placement::{Candidate, place};
+use crate::stall::{PathState, StallEvidence, is_confirmed};
 use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
 use crate::unknown_token::UnknownTokens;
 use crate::zone::UnresponsiveZones;
-use crate::{Decision, DropCause, PacketHeader, Placement, ResetCause, Route, Routes};
+use crate::{
+    Decision, DropCause, PacketHeader, Placement, ResetCause, Route, Routes, SteeringEvent,
+};
 
 /// Largest age at which a view counts as current: the largest age of a replica that may be followed
 /// (1.15 s), plus one failed synchronisation round and one retry.
@@ -58,6 +61,8 @@
     targets: TargetTable,
     /// Targets that have ended since the last sweep.
     ended: Vec<TargetId>,
+    /// Events since the last sweep.
+    events: Vec<SteeringEvent>,
     /// Times from requests to the first sign of a response, since the last drain.
     response_times: Vec<(TargetIndex, Duration)>,
     flows: Flows,
@@ -92,6 +97,7 @@
             removed_frontends: Vec::new(),
             targets: TargetTable::default(),
             ended: Vec::new(),
+            events: Vec::new(),
             response_times: Vec::new(),
             freshness: Freshness::default(),
             outage: StoreOutage::default(),
@@ -219,7 +225,23 @@
         let signals = self
             .flows
             .record_packet(header, (index, token), timeout, now);
+        self.report_stall_end(index, signals);
         apply_signals(&mut self.targets, index, signals, now);
+        if let Some(retransmissions) = signals.retransmissions
+            && let Some(record) = self.targets.get_mut(index)
+        {
+            let caller = *header.flow.caller.ip();
+            record.load.stall.record(caller, retransmissions);
+        }
+        if header.len > 0
+            && let Some(evidence) = self.stall_evidence(index, now)
+        {
+            self.report_stall(index, evidence, now);
+            if let Some(released) = self.flows.remove(&header.flow) {
+                release(&mut self.targets, released);
+            }
+            return Decision::Reset(ResetCause::TargetStalled);
+        }
         if let Some(time) = signals.response_time
             && self.response_times.len() < MAX_RESPONSE_TIMES
         {
@@ -236,6 +258,53 @@
         }
     }
 
+    /// Evidence that the flows of a target have stalled and that a retry would reach another target.
+    fn stall_evidence(&self, index: TargetIndex, now: Moment) -> Option<StallEvidence> {
+        let record = self.targets.get(index)?;
+        let evidence = record.load.stall.evidence(now)?;
+        let others = self.targets.iter().filter(|(other, _)| *other != index);
+        let is_remote = record.target.zone != self.settings.zone;
+        let mut paths = PathState::default();
+        for (_, other) in others {
+            let has_responded = other.load.last_response > Some(evidence.since);
+            let is_suspected = other.load.stall.is_suspected(now);
+            paths.is_local_working |= has_responded && other.target.zone == self.settings.zone;
+            paths.is_zone_working |= has_responded && other.target.zone == record.target.zone;
+            paths.suspects += u32::from(is_suspected);
+            paths.zone_suspects +=
+                u32::from(is_suspected && other.target.zone == record.target.zone);
+        }
+        is_confirmed(&evidence, &paths, is_remote).then_some(evidence)
+    }
+
+    /// Counts a reset at a stalled target, and reports the target at the first one.
+    fn report_stall(&mut self, index: TargetIndex, evidence: StallEvidence, now: Moment) {
+        let Some(record) = self.targets.get_mut(index) else {
+            return;
+        };
+        record.load.stall.resets += 1;
+        if record.load.stall.resets == 1 {
+            self.events.push(SteeringEvent::Stalled {
+                target: record.target.id.clone(),
+                evidence,
+                elapsed: now.since(evidence.since),
+            });
+        }
+    }
+
+    /// Reports a target that responds after flows were reset because it was stalled.
+    fn report_stall_end(&mut self, index: TargetIndex, signals: Signals) {
+        if let Some(record) = self.targets.get(index)
+            && record.load.stall.resets > 0
+            && signals.has_response()
+        {
+            self.events.push(SteeringEvent::StallEnded {
+                target: record.target.id.clone(),
+                resets: record.load.stall.resets,
+            });
+        }
+    }
+
     /// Target of a token; of several targets, the one whose service belongs to the route.
     fn resolve(&self, token: Token, route: Option<&Route>) -> Option<TargetIndex> {
         let mut indexes = self.targets.with_token(token);
@@ -323,7 +392,7 @@
         (true, false) => load.busy = load.busy.saturating_sub(1),
         _ => {}
     }
-    if signals.is_opened || signals.response_time.is_some() {
+    if signals.has_response() {
         load.record_response(now);
     }
     if signals.has_request {
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -92,7 +92,7 @@
 
     /// Removes expired flows, tokens and targets. Returns the events since the last sweep.
     pub fn sweep(&mut self, now: Moment) -> Vec<SteeringEvent> {
-        let mut events = Vec::new();
+        let mut events = std::mem::take(&mut self.events);
         let idle_time = self.routes.as_ref().and_then(|routes| routes.idle_time);
         let targets = &mut self.targets;
         self.flows.sweep(
--- /dev/null
+++ b/tests/tests/steer_stall.rs
@@ -0,0 +1,253 @@
+//! Resets of flows whose target does not acknowledge data: from the callers' retransmissions alone,
+//! and never for a target that may be running.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use bambooseam_steer::{
+    Decision, FlowId, PacketHeader, ResetCause, Steering, SteeringEvent, Target,
+};
+use bambooseam_tests::steering::*;
+use bambooseam_types::{Moment, Token};
+
+/// Intervals between a request and its transmissions, in milliseconds.
+const TRANSMISSIONS: [u64; 4] = [0, 200, 600, 1_400];
+
+/// Returns a flow from port 1000 of caller `number`.
+fn flow_of(number: u8) -> FlowId {
+    FlowId {
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, number), 1_000),
+        frontend: ORDERS,
+    }
+}
+
+/// Returns the request in the flow of caller `number` to target `target`.
+fn request(number: u8, target: &Target) -> PacketHeader {
+    flow_packet(flow_of(number), target.token(), 101, 501, 40)
+}
+
+/// Returns target `number` in zone `b`, which is remote.
+fn remote_target(number: u8) -> Target {
+    Target {
+        zone: "b".parse().expect("a zone"),
+        ..target(number)
+    }
+}
+
+/// Sends a request of caller `number` and the acknowledgement of its response.
+fn exchange(steering: &mut Steering, number: u8, target: &Target, now: Moment) {
+    steering.decide(&request(number, target), now);
+    let acknowledgement = flow_packet(flow_of(number), target.token(), 141, 900, 0);
+    steering.decide(&acknowledgement, now.after(Duration::from_millis(30)));
+}
+
+fn is_stall_reset(decision: Decision) -> bool {
+    decision == Decision::Reset(ResetCause::TargetStalled)
+}
+
+/// Sends the transmissions of requests, each given by caller, target and time of the first
+/// transmission, in order of time. Returns the time and the caller of each reset.
+fn transmit(steering: &mut Steering, requests: &[(u8, &Target, u64)]) -> Vec<(u64, u8)> {
+    let mut packets = Vec::new();
+    for &(number, target, first) in requests {
+        let times = TRANSMISSIONS.iter().map(|delay| first + delay);
+        packets.extend(times.map(|time| (time, number, request(number, target))));
+    }
+    packets.sort_by_key(|(time, number, _)| (*time, *number));
+    let mut resets = Vec::new();
+    for (time, number, packet) in packets {
+        if resets.iter().any(|(_, reset)| *reset == number) {
+            continue;
+        }
+        if is_stall_reset(steering.decide(&packet, at(time))) {
+            resets.push((time, number));
+        }
+    }
+    resets
+}
+
+#[test]
+fn two_callers_without_acknowledgement_find_a_target_stalled() {
+    let (stalled, running) = (target(1), target(2));
+    let mut steering = steering([stalled.clone(), running.clone()]);
+    steering.decide(&request(1, &stalled), at(0));
+    steering.decide(&request(2, &stalled), at(50));
+    exchange(&mut steering, 3, &running, at(100));
+    assert!(!is_stall_reset(
+        steering.decide(&request(1, &stalled), at(200))
+    ));
+    assert!(!is_stall_reset(
+        steering.decide(&request(2, &stalled), at(250))
+    ));
+    assert!(is_stall_reset(
+        steering.decide(&request(1, &stalled), at(600))
+    ));
+    // A later request is not sent to the target at all, and its caller retries at once.
+    assert!(is_stall_reset(
+        steering.decide(&request(4, &stalled), at(610))
+    ));
+    // Once the evidence is old, a request reaches the target again.
+    assert!(!is_stall_reset(
+        steering.decide(&request(5, &stalled), at(2_700))
+    ));
+}
+
+#[test]
+fn lone_caller_needs_three_retransmissions() {
+    let (stalled, running) = (target(1), target(2));
+    let mut steering = steering([stalled.clone(), running.clone()]);
+    steering.decide(&request(1, &stalled), at(0));
+    exchange(&mut steering, 2, &running, at(100));
+    let resets = transmit(&mut steering, &[(1, &stalled, 0)]);
+    assert_eq!(resets, [(1_400, 1)]);
+}
+
+#[test]
+fn lone_callers_of_several_targets_are_not_evidence() {
+    // One caller at each of three targets, since the same instant: the callers' side has failed.
+    let targets = [target(1), target(2), target(3)];
+    let running = target(4);
+    let mut steering = steering(targets.iter().cloned().chain([running.clone()]));
+    exchange(&mut steering, 9, &running, at(1_300));
+    let requests = [
+        (1, &targets[0], 0),
+        (2, &targets[1], 0),
+        (3, &targets[2], 0),
+    ];
+    let resets = transmit(&mut steering, &requests);
+    assert_eq!(resets, []);
+}
+
+#[test]
+fn one_callers_flows_count_once() {
+    let (stalled, running) = (target(1), target(2));
+    let mut steering = steering([stalled.clone(), running.clone()]);
+    exchange(&mut steering, 9, &running, at(100));
+    for port in 1..=3 {
+        let mut flow = flow_of(1);
+        flow.caller.set_port(port);
+        for delay in &TRANSMISSIONS[..3] {
+            let packet = flow_packet(flow, stalled.token(), 101, 501, 40);
+            assert!(!is_stall_reset(
+                steering.decide(&packet, at(*delay + u64::from(port)))
+            ));
+        }
+    }
+}
+
+#[test]
+fn slow_response_is_not_evidence() {
+    // A target that works for a long time acknowledges the first retransmission, so no caller sends
+    // a second one.
+    let (slow, running) = (target(1), target(2));
+    let mut steering = steering([slow.clone(), running.clone()]);
+    for number in 1..=8 {
+        steering.decide(&request(number, &slow), at(0));
+        steering.decide(&request(number, &slow), at(200));
+    }
+    exchange(&mut steering, 9, &running, at(300));
+    for number in 11..=18 {
+        assert!(!is_stall_reset(
+            steering.decide(&request(number, &slow), at(900))
+        ));
+    }
+}
+
+#[test]
+fn response_takes_the_suspicion_back() {
+    let (stalled, running) = (target(1), target(2));
+    let mut steering = steering([stalled.clone(), running.clone()]);
+    exchange(&mut steering, 9, &running, at(100));
+    let resets = transmit(&mut steering, &[(1, &stalled, 0), (2, &stalled, 10)]);
+    assert_eq!(resets, [(600, 1), (610, 2)]);
+    let events = steering.sweep(at(700));
+    let id = stalled.id.clone();
+    assert!(
+        events
+            .iter()
+            .any(|event| matches!(event, SteeringEvent::Stalled { target, .. } if *target == id)),
+        "{events:?}"
+    );
+    steering.decide(&request(3, &stalled), at(2_700));
+    let acknowledgement = flow_packet(flow_of(3), stalled.token(), 141, 900, 0);
+    steering.decide(&acknowledgement, at(2_730));
+    let ended = SteeringEvent::StallEnded {
+        target: id,
+        resets: 2,
+    };
+    assert!(steering.sweep(at(2_800)).contains(&ended));
+    assert!(!is_stall_reset(
+        steering.decide(&request(4, &stalled), at(2_810))
+    ));
+}
+
+#[test]
+fn packets_delayed_by_a_pause_of_the_vm_are_not_evidence() {
+    let (target_1, running) = (target(1), target(2));
+    let mut steering = steering([target_1.clone(), running.clone()]);
+    // The VM resumes at 2 s and handles everything that was sent meanwhile.
+    for delay in 0..3 {
+        for number in 1..=4 {
+            let now = at(2_000 + delay);
+            assert!(!is_stall_reset(
+                steering.decide(&request(number, &target_1), now)
+            ));
+        }
+    }
+    exchange(&mut steering, 9, &running, at(2_010));
+    assert!(!is_stall_reset(
+        steering.decide(&request(5, &target_1), at(2_020))
+    ));
+}
+
+#[test]
+fn vm_without_any_response_resets_nothing() {
+    // All targets have stalled at once, so this VM may be cut off.
+    let targets = [target(1), target(2), remote_target(3)];
+    let mut steering = steering(targets.clone());
+    let mut requests = Vec::new();
+    for (index, target) in (0..).zip(&targets) {
+        requests.extend((1..=4).map(|number| (10 * index + number, target, 0)));
+    }
+    assert_eq!(transmit(&mut steering, &requests), []);
+}
+
+#[test]
+fn flows_to_a_zone_that_is_cut_off_are_reset() {
+    let (local, first, second) = (target(1), remote_target(2), remote_target(3));
+    let mut steering = steering([local.clone(), first.clone(), second.clone()]);
+    exchange(&mut steering, 9, &local, at(100));
+    let requests = [
+        (1, &first, 0),
+        (2, &first, 5),
+        (3, &second, 10),
+        (4, &second, 15),
+    ];
+    let resets = transmit(&mut steering, &requests);
+    let mut callers: Vec<u8> = resets.iter().map(|(_, caller)| *caller).collect();
+    callers.sort_unstable();
+    assert_eq!(callers, [1, 2, 3, 4], "{resets:?}");
+}
+
+#[test]
+fn single_remote_target_may_be_behind_a_failed_path() {
+    let (local, remote) = (target(1), remote_target(2));
+    let mut steering = steering([local.clone(), remote.clone()]);
+    exchange(&mut steering, 9, &local, at(100));
+    let requests = [(1, &remote, 0), (2, &remote, 5)];
+    assert_eq!(transmit(&mut steering, &requests), []);
+}
+
+#[test]
+fn reset_flows_leave_no_load() {
+    let (stalled, running) = (target(1), target(2));
+    let mut steering = steering([stalled.clone(), running.clone()]);
+    exchange(&mut steering, 9, &running, at(100));
+    transmit(&mut steering, &[(1, &stalled, 0), (2, &stalled, 10)]);
+    let token: Token = stalled.token();
+    let mut records = steering.targets().iter().map(|(_, record)| record);
+    let record = records
+        .find(|record| record.token == token)
+        .expect("a target");
+    assert_eq!((record.load.flows, record.load.busy), (0, 0));
+}
