Confirm a stalled target by answers to later packets

Change: other targets of the same path must have answered packets that were sent after the retransmission in question, and be twice as many as those that show any sign of delay. Tests: a VM with a full link, a VM that loses packets.

--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -68,6 +68,8 @@
     pub is_opened: bool,
     /// A request began.
     pub has_request: bool,
+    /// When the opening packet or request was first sent whose response the packet shows.
+    pub answered: Option<Moment>,
     /// Time from the request to the start of its response, if a response began.
     pub response_time: Option<Duration>,
     /// A request or opening was in progress before the packet.
@@ -203,11 +205,13 @@
                 state.acked = header.ack;
                 state.next_seq = header.seq;
                 signals.is_opened = true;
+                signals.answered = Some(state.started);
             }
             Phase::Open if is_after(header.ack, state.acked) => {
                 state.acked = header.ack;
                 state.retransmissions.record_progress();
-                signals.response_time = state.busy_since.take().map(|since| now.since(since));
+                signals.answered = state.busy_since.take();
+                signals.response_time = signals.answered.map(|sent| now.since(sent));
             }
             Phase::Open | Phase::Ended => {}
         }
--- a/crates/steer/src/load.rs
+++ b/crates/steer/src/load.rs
@@ -20,6 +20,8 @@
     pub stall: Stall,
     /// Whether the target was unresponsive at the last update.
     pub was_unresponsive: bool,
+    /// When the latest opening packet or request was sent that the target has answered.
+    pub last_answered: Option<Moment>,
     /// When the target last responded.
     pub last_response: Option<Moment>,
     /// End of the time for which the target is slow after its start.
--- a/crates/steer/src/stall.rs
+++ b/crates/steer/src/stall.rs
@@ -12,11 +12,12 @@
 //! is stalled if two callers have retransmitted, or if a single caller has done so for 1.4 s and no
 //! other target shows the same symptom.
 //!
-//! The path between this VM and the target may have failed as well. If another target of the same
-//! zone has responded meanwhile, the path works. If no target of a remote zone has responded and
-//! several have stalled, the zone is cut off from this VM; its flows cannot continue here, and a
-//! retry reaches a target of this zone, provided that one has responded. Without any response this
-//! VM may be cut off itself, and a reset would help no caller.
+//! The path between this VM and the target may have failed as well, or the link of this VM may be
+//! full, so that packets are late or lost. The path works if other targets of the same zone have
+//! answered packets that were sent after the retransmission in question, and if they are at least
+//! twice as many as the targets that show any sign of delay. If no target of a remote zone answers
+//! and several have stalled, the zone is cut off from this VM; its flows cannot continue here, and
+//! a retry reaches a target of this zone, provided that the targets of this zone pass the same test.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -48,6 +49,8 @@
 pub struct Retransmissions {
     /// When the data was first sent through this VM, and when it was last sent.
     span: Option<(Moment, Moment)>,
+    /// When the first retransmission was sent.
+    first_repeated: Option<Moment>,
     count: u32,
 }
 
@@ -65,6 +68,7 @@
     caller: Ipv4Addr,
     first_sent: Moment,
     last_sent: Moment,
+    first_repeated: Moment,
     retransmissions: u32,
 }
 
@@ -77,28 +81,66 @@
     pub retransmissions: u32,
     /// When the first unacknowledged data was sent.
     pub since: Moment,
+    /// When the earliest retransmission was sent that a running target would have acknowledged by
+    /// now.
+    pub repeated: Moment,
 }
 
-/// What the other targets show about the paths from this VM since the first unacknowledged data was
-/// sent.
+/// What one of the other targets shows about the paths from this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetHealth {
+    /// Whether the target has answered a packet sent after the retransmission in question.
+    pub is_answering: bool,
+    /// Whether a packet to the target was retransmitted, or has no answer yet.
+    pub is_suspected: bool,
+    /// Whether a flow of the target has stalled.
+    pub has_stalled: bool,
+}
+
+/// Numbers of other targets that are reached over the same path.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PathState {
-    /// Whether another target of this VM's zone has responded.
-    pub is_local_working: bool,
-    /// Whether another target of the target's zone has responded.
-    pub is_zone_working: bool,
-    /// Other targets with a stalled flow.
-    pub suspects: u32,
-    /// Other targets of the target's zone with a stalled flow.
-    pub zone_suspects: u32,
+    answering: u32,
+    suspected: u32,
+    stalled: u32,
+}
+
+/// The other targets by zone.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Paths {
+    /// Targets of all zones.
+    pub all: PathState,
+    /// Targets of the zone of this VM.
+    pub local: PathState,
+    /// Targets of the zone of the target in question.
+    pub same_zone: PathState,
 }
 
-/// Whether a reset helps the callers of a target with this evidence.
-pub fn is_confirmed(evidence: &StallEvidence, paths: &PathState, is_remote: bool) -> bool {
-    if paths.is_zone_working {
-        return evidence.callers > 1 || paths.suspects == 0;
+/// Whether the other targets show that the target, or its zone, has stalled, and not this VM.
+pub fn is_confirmed(evidence: &StallEvidence, paths: &Paths, is_local: bool) -> bool {
+    // Every answer shows that the path of this VM to its own zone works.
+    let path = match is_local {
+        true => &paths.all,
+        false => &paths.same_zone,
+    };
+    if path.is_working() {
+        return evidence.callers > 1 || paths.all.suspected == 0;
+    }
+    let is_zone_stalled = paths.same_zone.answering == 0 && paths.same_zone.stalled > 0;
+    !is_local && is_zone_stalled && paths.local.is_working()
+}
+
+impl PathState {
+    /// Counts a target.
+    pub fn add(&mut self, health: TargetHealth) {
+        self.answering += u32::from(health.is_answering);
+        self.suspected += u32::from(health.is_suspected && !health.is_answering);
+        self.stalled += u32::from(health.has_stalled);
+    }
+
+    fn is_working(&self) -> bool {
+        self.answering >= (2 * self.suspected).max(1)
     }
-    is_remote && paths.is_local_working && paths.zone_suspects > 0
 }
 
 impl Retransmissions {
@@ -106,7 +148,7 @@
     pub fn record_data(&mut self, now: Moment) {
         *self = Self {
             span: Some((now, now)),
-            count: 0,
+            ..Self::default()
         };
     }
 
@@ -125,6 +167,7 @@
             return false;
         }
         self.span = Some((first_sent, now));
+        self.first_repeated.get_or_insert(now);
         self.count += 1;
         true
     }
@@ -140,6 +183,7 @@
             caller,
             first_sent,
             last_sent,
+            first_repeated: retransmissions.first_repeated.unwrap_or(last_sent),
             retransmissions: retransmissions.count,
         };
         let is_same = |slot: &&mut Option<StalledFlow>| slot.is_some_and(|f| f.caller == caller);
@@ -167,17 +211,26 @@
         let evidence = StallEvidence {
             callers: recent.clone().count() as u32,
             retransmissions: recent.clone().map(|f| f.retransmissions).max()?,
-            since: recent.map(|f| f.first_sent).min()?,
+            since: recent.clone().map(|f| f.first_sent).min()?,
+            repeated: recent
+                .filter(|f| f.retransmissions >= STALLED_RETRANSMISSIONS)
+                .map(|f| f.first_repeated)
+                .min()?,
         };
         let is_shared = evidence.callers > 1 && evidence.retransmissions >= STALLED_RETRANSMISSIONS;
         let is_lone = evidence.retransmissions >= LONE_RETRANSMISSIONS;
         (is_shared || is_lone).then_some(evidence)
     }
 
-    /// Whether a flow of the target has stalled, which is not sufficient evidence by itself.
+    /// Whether data was retransmitted recently.
     pub fn is_suspected(&self, now: Moment) -> bool {
+        self.recent(now).next().is_some()
+    }
+
+    /// Whether a flow of the target has stalled, which is not sufficient evidence by itself.
+    pub fn has_stalled(&self, now: Moment) -> bool {
         self.recent(now)
-            .any(|f| f.retransmissions >= STALLED_RETRANSMISSIONS)
+            .any(|flow| flow.retransmissions >= STALLED_RETRANSMISSIONS)
     }
 
     fn recent(&self, now: Moment) -> impl Iterator<Item = &StalledFlow> + Clone {
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -14,7 +14,7 @@
 use crate::flows::{Flows, Released, Signals};
 use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
 use crate::placement::{Candidate, place};
-use crate::stall::{PathState, StallEvidence, is_confirmed};
+use crate::stall::{Paths, StallEvidence, TargetHealth, is_confirmed};
 use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
 use crate::unknown_token::UnknownTokens;
 use crate::zone::UnresponsiveZones;
@@ -262,19 +262,25 @@
     fn stall_evidence(&self, index: TargetIndex, now: Moment) -> Option<StallEvidence> {
         let record = self.targets.get(index)?;
         let evidence = record.load.stall.evidence(now)?;
+        let mut paths = Paths::default();
         let others = self.targets.iter().filter(|(other, _)| *other != index);
-        let is_remote = record.target.zone != self.settings.zone;
-        let mut paths = PathState::default();
-        for (_, other) in others {
-            let has_responded = other.load.last_response > Some(evidence.since);
-            let is_suspected = other.load.stall.is_suspected(now);
-            paths.is_local_working |= has_responded && other.target.zone == self.settings.zone;
-            paths.is_zone_working |= has_responded && other.target.zone == record.target.zone;
-            paths.suspects += u32::from(is_suspected);
-            paths.zone_suspects +=
-                u32::from(is_suspected && other.target.zone == record.target.zone);
+        for (_, TargetRecord { target, load, .. }) in others {
+            let health = TargetHealth {
+                is_answering: load.last_answered >= Some(evidence.repeated),
+                is_suspected: load.stall.is_suspected(now)
+                    || load.responsiveness.is_unresponsive(now),
+                has_stalled: load.stall.has_stalled(now),
+            };
+            paths.all.add(health);
+            if target.zone == self.settings.zone {
+                paths.local.add(health);
+            }
+            if target.zone == record.target.zone {
+                paths.same_zone.add(health);
+            }
         }
-        is_confirmed(&evidence, &paths, is_remote).then_some(evidence)
+        let is_local = record.target.zone == self.settings.zone;
+        is_confirmed(&evidence, &paths, is_local).then_some(evidence)
     }
 
     /// Counts a reset at a stalled target, and reports the target at the first one.
@@ -394,6 +400,7 @@
     }
     if signals.has_response() {
         load.record_response(now);
+        load.last_answered = load.last_answered.max(signals.answered);
     }
     if signals.has_request {
         load.responsiveness.record_request(now);
--- a/tests/tests/steer_stall.rs
+++ b/tests/tests/steer_stall.rs
@@ -34,11 +34,15 @@
     }
 }
 
-/// Sends a request of caller `number` and the acknowledgement of its response.
-fn exchange(steering: &mut Steering, number: u8, target: &Target, now: Moment) {
-    steering.decide(&request(number, target), now);
-    let acknowledgement = flow_packet(flow_of(number), target.token(), 141, 900, 0);
-    steering.decide(&acknowledgement, now.after(Duration::from_millis(30)));
+/// Opens a flow at `target` at `now`, as its next exchange of packets, and ends the flow.
+fn exchange(steering: &mut Steering, target: &Target, now: Moment) {
+    let mut flow = flow_of(99);
+    flow.caller.set_port(now.as_millis() as u16 + 1);
+    let token = target.token();
+    steering.decide(&flow_packet(flow, token, 101, 501, 40), now);
+    let response_time = now.after(Duration::from_millis(30));
+    steering.decide(&flow_packet(flow, token, 141, 900, 0), response_time);
+    steering.decide(&fin_packet(flow, token, 900), response_time);
 }
 
 fn is_stall_reset(decision: Decision) -> bool {
@@ -46,8 +50,13 @@
 }
 
 /// Sends the transmissions of requests, each given by caller, target and time of the first
-/// transmission, in order of time. Returns the time and the caller of each reset.
-fn transmit(steering: &mut Steering, requests: &[(u8, &Target, u64)]) -> Vec<(u64, u8)> {
+/// transmission, in order of time, and an exchange with each of `running` every 100 ms. Returns the
+/// time and the caller of each reset.
+fn transmit(
+    steering: &mut Steering,
+    requests: &[(u8, &Target, u64)],
+    running: &[&Target],
+) -> Vec<(u64, u8)> {
     let mut packets = Vec::new();
     for &(number, target, first) in requests {
         let times = TRANSMISSIONS.iter().map(|delay| first + delay);
@@ -55,7 +64,14 @@
     }
     packets.sort_by_key(|(time, number, _)| (*time, *number));
     let mut resets = Vec::new();
+    let mut next_exchange = 50;
     for (time, number, packet) in packets {
+        while next_exchange + 30 < time {
+            for target in running {
+                exchange(steering, target, at(next_exchange));
+            }
+            next_exchange += 100;
+        }
         if resets.iter().any(|(_, reset)| *reset == number) {
             continue;
         }
@@ -72,13 +88,13 @@
     let mut steering = steering([stalled.clone(), running.clone()]);
     steering.decide(&request(1, &stalled), at(0));
     steering.decide(&request(2, &stalled), at(50));
-    exchange(&mut steering, 3, &running, at(100));
     assert!(!is_stall_reset(
         steering.decide(&request(1, &stalled), at(200))
     ));
     assert!(!is_stall_reset(
         steering.decide(&request(2, &stalled), at(250))
     ));
+    exchange(&mut steering, &running, at(300));
     assert!(is_stall_reset(
         steering.decide(&request(1, &stalled), at(600))
     ));
@@ -96,9 +112,7 @@
 fn lone_caller_needs_three_retransmissions() {
     let (stalled, running) = (target(1), target(2));
     let mut steering = steering([stalled.clone(), running.clone()]);
-    steering.decide(&request(1, &stalled), at(0));
-    exchange(&mut steering, 2, &running, at(100));
-    let resets = transmit(&mut steering, &[(1, &stalled, 0)]);
+    let resets = transmit(&mut steering, &[(1, &stalled, 0)], &[&running]);
     assert_eq!(resets, [(1_400, 1)]);
 }
 
@@ -108,13 +122,12 @@
     let targets = [target(1), target(2), target(3)];
     let running = target(4);
     let mut steering = steering(targets.iter().cloned().chain([running.clone()]));
-    exchange(&mut steering, 9, &running, at(1_300));
     let requests = [
         (1, &targets[0], 0),
         (2, &targets[1], 0),
         (3, &targets[2], 0),
     ];
-    let resets = transmit(&mut steering, &requests);
+    let resets = transmit(&mut steering, &requests, &[&running]);
     assert_eq!(resets, []);
 }
 
@@ -122,7 +135,7 @@
 fn one_callers_flows_count_once() {
     let (stalled, running) = (target(1), target(2));
     let mut steering = steering([stalled.clone(), running.clone()]);
-    exchange(&mut steering, 9, &running, at(100));
+    exchange(&mut steering, &running, at(100));
     for port in 1..=3 {
         let mut flow = flow_of(1);
         flow.caller.set_port(port);
@@ -145,7 +158,7 @@
         steering.decide(&request(number, &slow), at(0));
         steering.decide(&request(number, &slow), at(200));
     }
-    exchange(&mut steering, 9, &running, at(300));
+    exchange(&mut steering, &running, at(300));
     for number in 11..=18 {
         assert!(!is_stall_reset(
             steering.decide(&request(number, &slow), at(900))
@@ -157,8 +170,8 @@
 fn response_takes_the_suspicion_back() {
     let (stalled, running) = (target(1), target(2));
     let mut steering = steering([stalled.clone(), running.clone()]);
-    exchange(&mut steering, 9, &running, at(100));
-    let resets = transmit(&mut steering, &[(1, &stalled, 0), (2, &stalled, 10)]);
+    let requests = [(1, &stalled, 0), (2, &stalled, 10)];
+    let resets = transmit(&mut steering, &requests, &[&running]);
     assert_eq!(resets, [(600, 1), (610, 2)]);
     let events = steering.sweep(at(700));
     let id = stalled.id.clone();
@@ -194,7 +207,7 @@
             ));
         }
     }
-    exchange(&mut steering, 9, &running, at(2_010));
+    exchange(&mut steering, &running, at(2_010));
     assert!(!is_stall_reset(
         steering.decide(&request(5, &target_1), at(2_020))
     ));
@@ -209,21 +222,63 @@
     for (index, target) in (0..).zip(&targets) {
         requests.extend((1..=4).map(|number| (10 * index + number, target, 0)));
     }
-    assert_eq!(transmit(&mut steering, &requests), []);
+    assert_eq!(transmit(&mut steering, &requests, &[]), []);
+}
+
+#[test]
+fn vm_with_a_full_link_resets_nothing() {
+    // Packets of this VM are late by more than the callers' intervals. Answers still arrive, but to
+    // packets that were sent before the retransmissions.
+    let targets: Vec<_> = (1..=8).map(target).collect();
+    let mut steering = steering(targets.clone());
+    let opened = |number| flow_packet(flow(number, ORDERS), targets[0].token(), 101, 501, 40);
+    for number in 1..=8 {
+        steering.decide(&opened(number), at(0));
+    }
+    let stalled = &targets[7];
+    for time in [10, 210] {
+        for number in [1, 2] {
+            assert!(!is_stall_reset(
+                steering.decide(&request(number, stalled), at(time))
+            ));
+        }
+    }
+    for number in 1..=8 {
+        let mut answered = opened(number);
+        (answered.seq, answered.ack, answered.len) = (141, 900, 0);
+        steering.decide(&answered, at(500));
+    }
+    for number in [1, 2, 3] {
+        assert!(!is_stall_reset(
+            steering.decide(&request(number, stalled), at(610))
+        ));
+    }
+}
+
+#[test]
+fn vm_that_loses_packets_resets_nothing() {
+    // Of seven other targets two answer; the flows of the others were retransmitted as well.
+    let targets: Vec<_> = (1..=8).map(target).collect();
+    let mut steering = steering(targets.clone());
+    let mut requests = Vec::new();
+    for (number, target) in (1..).zip(&targets[..6]) {
+        requests.extend([(2 * number, target, 0), (2 * number + 1, target, 5)]);
+    }
+    let running = [&targets[6], &targets[7]];
+    assert_eq!(transmit(&mut steering, &requests, &running), []);
 }
 
 #[test]
 fn flows_to_a_zone_that_is_cut_off_are_reset() {
     let (local, first, second) = (target(1), remote_target(2), remote_target(3));
     let mut steering = steering([local.clone(), first.clone(), second.clone()]);
-    exchange(&mut steering, 9, &local, at(100));
     let requests = [
         (1, &first, 0),
         (2, &first, 5),
         (3, &second, 10),
         (4, &second, 15),
     ];
-    let resets = transmit(&mut steering, &requests);
+    let resets = transmit(&mut steering, &requests, &[&local]);
     let mut callers: Vec<u8> = resets.iter().map(|(_, caller)| *caller).collect();
     callers.sort_unstable();
     assert_eq!(callers, [1, 2, 3, 4], "{resets:?}");
@@ -233,17 +288,16 @@
 fn single_remote_target_may_be_behind_a_failed_path() {
     let (local, remote) = (target(1), remote_target(2));
     let mut steering = steering([local.clone(), remote.clone()]);
-    exchange(&mut steering, 9, &local, at(100));
     let requests = [(1, &remote, 0), (2, &remote, 5)];
-    assert_eq!(transmit(&mut steering, &requests), []);
+    assert_eq!(transmit(&mut steering, &requests, &[&local]), []);
 }
 
 #[test]
 fn reset_flows_leave_no_load() {
     let (stalled, running) = (target(1), target(2));
     let mut steering = steering([stalled.clone(), running.clone()]);
-    exchange(&mut steering, 9, &running, at(100));
-    transmit(&mut steering, &[(1, &stalled, 0), (2, &stalled, 10)]);
+    let requests = [(1, &stalled, 0), (2, &stalled, 10)];
+    transmit(&mut steering, &requests, &[&running]);
     let token: Token = stalled.token();
     let mut records = steering.targets().iter().map(|(_, record)| record);
     let record = records
