Reset nothing for a stalled target while the path is not prompt

From 38.45 to 39.05 s the link of a VM was full of a large configuration for its followers. When it was free again, other targets answered at once, so that only the flows whose retransmissions had been lost looked stalled.

Change: steer::path counts for each zone and 100 ms the packets sent and those answered without a retransmission. Since the first unacknowledged data more than half must have had a prompt answer. Test: a VM whose link was full until now.

Ruled out: a larger ratio of answering targets, as none was suspected any more at that moment.

--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -46,6 +46,8 @@
     retransmissions: Retransmissions,
     /// Longest time that a request may take, from the route.
     timeout: Duration,
+    /// Whether the opening packet was retransmitted.
+    is_repeated: bool,
     /// When the first packet of the flow was seen.
     started: Moment,
     last_seen: Moment,
@@ -70,6 +72,8 @@
     pub has_request: bool,
     /// When the opening packet or request was first sent whose response the packet shows.
     pub answered: Option<Moment>,
+    /// Whether that packet was answered without a retransmission.
+    pub is_prompt: bool,
     /// Time from the request to the start of its response, if a response began.
     pub response_time: Option<Duration>,
     /// A request or opening was in progress before the packet.
@@ -140,6 +144,13 @@
         is_retransmission.then_some((state.target, state.token))
     }
 
+    /// Records that the opening packet of a flow was retransmitted.
+    pub fn record_repeated_opening(&mut self, flow: &FlowId) {
+        if let Some(state) = self.table.get_mut(flow) {
+            state.is_repeated = true;
+        }
+    }
+
     /// Adds a new flow unless the table is full.
     pub fn open(
         &mut self,
@@ -206,9 +217,11 @@
                 state.next_seq = header.seq;
                 signals.is_opened = true;
                 signals.answered = Some(state.started);
+                signals.is_prompt = !state.is_repeated;
             }
             Phase::Open if is_after(header.ack, state.acked) => {
                 state.acked = header.ack;
+                signals.is_prompt = state.retransmissions.is_empty();
                 state.retransmissions.record_progress();
                 signals.answered = state.busy_since.take();
                 signals.response_time = signals.answered.map(|sent| now.since(sent));
@@ -289,6 +302,7 @@
             busy_since: None,
             retransmissions: Retransmissions::default(),
             timeout,
+            is_repeated: false,
             started: now,
             last_seen: now,
         }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -17,6 +17,7 @@
 mod header;
 mod load;
 pub mod missing_entry;
+mod path;
 pub mod placement;
 pub mod responsiveness;
 mod route;
--- a/crates/steer/src/stall.rs
+++ b/crates/steer/src/stall.rs
@@ -100,6 +100,8 @@
 /// Numbers of other targets that are reached over the same path.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PathState {
+    /// Whether most packets sent since the first unacknowledged data had a prompt answer.
+    pub is_prompt: bool,
     answering: u32,
     suspected: u32,
     stalled: u32,
@@ -108,8 +110,8 @@
 /// The other targets by zone.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Paths {
-    /// Targets of all zones.
-    pub all: PathState,
+    /// Number of targets of all zones that were suspected.
+    pub suspected: u32,
     /// Targets of the zone of this VM.
     pub local: PathState,
     /// Targets of the zone of the target in question.
@@ -118,13 +120,8 @@
 
 /// Whether the other targets show that the target, or its zone, has stalled, and not this VM.
 pub fn is_confirmed(evidence: &StallEvidence, paths: &Paths, is_local: bool) -> bool {
-    // Every answer shows that the path of this VM to its own zone works.
-    let path = match is_local {
-        true => &paths.all,
-        false => &paths.same_zone,
-    };
-    if path.is_working() {
-        return evidence.callers > 1 || paths.all.suspected == 0;
+    if paths.same_zone.is_working() {
+        return evidence.callers > 1 || paths.suspected == 0;
     }
     let is_zone_stalled = paths.same_zone.answering == 0 && paths.same_zone.stalled > 0;
     !is_local && is_zone_stalled && paths.local.is_working()
@@ -139,7 +136,7 @@
     }
 
     fn is_working(&self) -> bool {
-        self.answering >= (2 * self.suspected).max(1)
+        self.is_prompt && self.answering >= (2 * self.suspected).max(1)
     }
 }
 
@@ -152,6 +149,11 @@
         };
     }
 
+    /// Whether the data was not retransmitted.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
     /// Records that the flow made progress.
     pub fn record_progress(&mut self) {
         *self = Self::default();
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -13,6 +13,7 @@
 
 use crate::flows::{Flows, Released, Signals};
 use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
+use crate::path::PathRecord;
 use crate::placement::{Candidate, place};
 use crate::stall::{Paths, StallEvidence, TargetHealth, is_confirmed};
 use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
@@ -70,6 +71,7 @@
     outage: StoreOutage,
     unknown_tokens: UnknownTokens,
     zones: UnresponsiveZones,
+    paths: PathRecord,
 }
 
 impl Freshness {
@@ -103,6 +105,7 @@
             outage: StoreOutage::default(),
             unknown_tokens: UnknownTokens::default(),
             zones: UnresponsiveZones::default(),
+            paths: PathRecord::default(),
         }
     }
 
@@ -164,6 +167,7 @@
             && !(record.load.responsiveness.is_confirmed(now)
                 && has_alternative(&self.targets, service, index, now))
         {
+            self.flows.record_repeated_opening(&header.flow);
             return forward(record, Placement::Retransmitted);
         }
         let (zone, zones) = (&self.settings.zone, &self.zones);
@@ -190,6 +194,9 @@
         };
         record.load.responsiveness.record_opening(now);
         self.zones.record_opening(&record.target.zone, now);
+        if earlier.is_none() {
+            self.paths.record_sent(&record.target.zone, now);
+        }
         let placement = match earlier {
             Some(_) => Placement::Moved,
             None => Placement::Placed,
@@ -197,6 +204,9 @@
         let decision = forward(record, placement);
         let assigned = (index, record.token);
         let signals = self.flows.open(header, assigned, timeout, now);
+        if earlier.is_some() {
+            self.flows.record_repeated_opening(&header.flow);
+        }
         apply_signals(&mut self.targets, index, signals, now);
         decision
     }
@@ -250,6 +260,12 @@
         let Some(record) = self.targets.get(index) else {
             return Decision::Drop(DropCause::TokenNotKnownYet);
         };
+        if signals.has_request {
+            self.paths.record_sent(&record.target.zone, now);
+        }
+        if let Some(sent) = signals.answered.filter(|_| signals.is_prompt) {
+            self.paths.record_answered(&record.target.zone, sent);
+        }
         Decision::Forward {
             address: record.target.address,
             label: record.target.label,
@@ -262,7 +278,10 @@
     fn stall_evidence(&self, index: TargetIndex, now: Moment) -> Option<StallEvidence> {
         let record = self.targets.get(index)?;
         let evidence = record.load.stall.evidence(now)?;
+        let (own, zone) = (&self.settings.zone, &record.target.zone);
         let mut paths = Paths::default();
+        paths.local.is_prompt = self.paths.is_working(own, evidence.since, now);
+        paths.same_zone.is_prompt = self.paths.is_working(zone, evidence.since, now);
         let others = self.targets.iter().filter(|(other, _)| *other != index);
         for (_, TargetRecord { target, load, .. }) in others {
             let health = TargetHealth {
@@ -271,16 +290,15 @@
                     || load.responsiveness.is_unresponsive(now),
                 has_stalled: load.stall.has_stalled(now),
             };
-            paths.all.add(health);
-            if target.zone == self.settings.zone {
+            paths.suspected += u32::from(health.is_suspected);
+            if target.zone == *own {
                 paths.local.add(health);
             }
-            if target.zone == record.target.zone {
+            if target.zone == *zone {
                 paths.same_zone.add(health);
             }
         }
-        let is_local = record.target.zone == self.settings.zone;
-        is_confirmed(&evidence, &paths, is_local).then_some(evidence)
+        is_confirmed(&evidence, &paths, zone == own).then_some(evidence)
     }
 
     /// Counts a reset at a stalled target, and reports the target at the first one.
