--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -73,7 +73,7 @@
         let request = SyncRequest {
             // The first call on a connection already announced this VM to the peer.
             requester: (!is_connected).then(|| self.peers.borrow().own().clone()),
-            upto: self.node.borrow().replica().upto(),
+            held: self.node.borrow().replica().held(),
             wait: MAX_WAIT,
             may_be_large: true,
         };
@@ -105,7 +105,7 @@
         }
         let mut node = self.node.borrow_mut();
         // Only a peer whose replica is at least as new can confirm that this replica is complete.
-        Some(changes.upto) >= node.replica().upto()
+        node.replica().is_covered_by(&changes)
             && node.apply(changes, synced, now, Source::Peer(address))
     }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -12,8 +12,8 @@
 
 use bambooseam_observe::LogLimit;
 use bambooseam_platform::document::Config;
-use bambooseam_platform::{Document, DocumentKind};
-use bambooseam_replica::{ApplyOutcome, Change, Changes, Replica};
+use bambooseam_platform::{Document, DocumentKind, PublishedContent};
+use bambooseam_replica::{ApplyOutcome, Change, Changes, Held, Replica};
 use bambooseam_steer::{Steering, SteeringEvent, Target};
 use bambooseam_types::{Moment, Revision, TargetId};
 use tokio::sync::watch;
@@ -31,6 +31,10 @@
 /// next call with its timeout, and the maximum backoff between the calls.
 const STORE_OUTAGE_TIME: Duration = Duration::from_millis(2_000);
 
+/// Time after which an entry of the store's copy is accepted although it was not written anew: three
+/// heartbeats, after which the store has removed the entries of ended targets, with a reserve.
+const MAX_UNRENEWED_TIME: Duration = Duration::from_secs(10);
+
 /// Origin of received documents.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -43,7 +47,7 @@
 /// Documents and steering state of this VM.
 #[derive(Debug)]
 pub struct Node {
-    replica: Replica,
+    replica: Replica<PublishedContent>,
     steering: Steering,
     /// Version and revision of the configuration in force.
     config: Option<(u64, Revision)>,
@@ -56,6 +60,8 @@
     synced: watch::Sender<Option<Moment>>,
     /// Time of the last store outage, or of its end.
     outage: Option<Moment>,
+    /// When the store's current era began, if this VM had documents of an earlier one.
+    era_begun: Option<Moment>,
     is_stopping: bool,
 }
 
@@ -75,7 +81,7 @@
     /// Creates a node without documents.
     pub fn new(steering: Steering) -> Self {
         Self {
-            replica: Replica::new(),
+            replica: Replica::new(PublishedContent),
             steering,
             config: None,
             ready: watch::Sender::new(false),
@@ -83,6 +89,7 @@
             early_targets: Vec::new(),
             synced: watch::Sender::new(None),
             outage: None,
+            era_begun: None,
             is_stopping: false,
         }
     }
@@ -90,12 +97,17 @@
     /// Applies newer documents. `synced` is the time at which the documents were confirmed to be
     /// complete and current.
     ///
-    /// Returns false when changes between the replica and the offered changes are missing.
+    /// Returns false when changes between the replica and the offered changes are missing, or when
+    /// the changes belong to an earlier era of the store.
     pub fn apply(&mut self, changes: Changes, synced: Moment, now: Moment, source: Source) -> bool {
+        let before = self.replica.held();
         let newer = match self.replica.apply(changes) {
             ApplyOutcome::Newer(newer) => newer,
-            ApplyOutcome::Gap => return false,
+            ApplyOutcome::Gap | ApplyOutcome::Outdated => return false,
         };
+        if before.upto.is_some() && before.era != Some(self.replica.era()) {
+            self.begin_era(&before, now, source);
+        }
         let mut removed = Vec::new();
         let mut present = Vec::new();
         for change in newer {
@@ -148,6 +160,7 @@
 
     /// Removes expired state, and logs the events found since the last call.
     pub fn sweep(&mut self, now: Moment) {
+        self.release_unrenewed(now);
         self.steering.drain_response_times(|service, time| {
             let service = service.to_string();
             metrics::histogram!("progress_seconds", "service" => service)
@@ -203,7 +216,7 @@
     }
 
     /// Returns the replica of the published documents.
-    pub fn replica(&self) -> &Replica {
+    pub fn replica(&self) -> &Replica<PublishedContent> {
         &self.replica
     }
 
@@ -234,6 +247,40 @@
         early_targets
     }
 
+    /// Records that the store returned from an older copy, which lacks some of the entries.
+    fn begin_era(&mut self, before: &Held, now: Moment, source: Source) {
+        let era = self.replica.era();
+        self.era_begun = Some(now);
+        self.record_outage(now);
+        self.steering.restart_settling();
+        metrics::gauge!("store_era").set(era.get() as f64);
+        log::warn!(
+            "event=store_era_changed before={} era={era} upto_before={} upto={} kept={} \
+             source={source}",
+            before.era.unwrap_or_default(),
+            before.upto.unwrap_or_default(),
+            self.replica.upto().unwrap_or_default(),
+            self.replica.kept_count(),
+        );
+    }
+
+    /// Accepts entries of the store's copy that their targets have not written anew in time, since
+    /// a target may have written exactly what the copy contains.
+    fn release_unrenewed(&mut self, now: Moment) {
+        let is_due = |begun| now.since(begun) > MAX_UNRENEWED_TIME;
+        if !self.era_begun.is_some_and(is_due) {
+            return;
+        }
+        self.era_begun = None;
+        for key in self.replica.release_unrenewed() {
+            let Ok(DocumentKind::Target(id)) = DocumentKind::from_key(&key) else {
+                continue;
+            };
+            log::info!("event=entry_accepted target={id} cause=not_written_anew");
+            self.steering.renew_target(&id);
+        }
+    }
+
     fn apply_config(&mut self, change: &Change, source: Source) {
         let Some(value) = &change.value else {
             log::error!(
@@ -257,6 +304,19 @@
             INVALID_DOCUMENTS.report(error);
         }
         let version = config.version;
+        if let Some((in_force, _)) = self.config
+            && version <= in_force
+        {
+            // The operator writes the configuration again after the store returned from a copy.
+            if version == in_force {
+                self.config = Some((version, revision));
+            }
+            log::info!(
+                "event=config_not_newer version={version} in_force={in_force} \
+                 revision={revision} source={source} outcome=kept"
+            );
+            return;
+        }
         let routes = config.routes.len();
         let before = self.config.map_or(0, |(version, _)| version);
         let removed = self.steering.set_routes(config.routes).len();
@@ -274,6 +334,9 @@
             Ok(Document::Target(target)) => {
                 self.log_target(&target, change.revision, source);
                 self.steering.put_target(target, now);
+                if self.replica.is_unrenewed(&change.key) {
+                    self.steering.hold_back_target(id);
+                }
             }
             Ok(Document::Config(_)) => {}
             Err(error) => {
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -72,7 +72,7 @@
             true => Vec::new(),
             false => self.peers.borrow().sample(now),
         };
-        let changes = node.replica().changes_since(request.upto);
+        let changes = node.replica().changes_since(&request.held);
         let changes = changes
             .filter(|changes| request.may_be_large || changes.size() <= SMALL_RESPONSE_BYTES);
         SyncResponse {
@@ -89,7 +89,7 @@
     async fn wait_for_change(&self, request: &SyncRequest) {
         let mut synced = self.node.borrow().synced();
         synced.mark_unchanged();
-        if self.node.borrow().replica().upto() > request.upto {
+        if self.node.borrow().replica().is_ahead_of(&request.held) {
             return;
         }
         // A timeout is answered as well. The channel stays open, because the node outlives the
@@ -142,7 +142,7 @@
 ) -> bool {
     let request = SyncRequest {
         requester: Some(peers.borrow().own().clone()),
-        upto: node.borrow().replica().upto(),
+        held: node.borrow().replica().held(),
         wait: Duration::ZERO,
         may_be_large: node.borrow().is_store_unavailable(BootClock.now()),
     };
@@ -179,8 +179,7 @@
     let mut node = node.borrow_mut();
     // The replica of a peer that is behind this VM contains no newer changes, and does not confirm
     // that this replica is current.
-    let is_behind = Some(changes.upto) < node.replica().upto();
-    if !is_behind {
+    if node.replica().is_covered_by(&changes) {
         node.apply(changes, synced, now, Source::Peer(address));
     }
     true
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -174,6 +174,8 @@
         "program": "entry",
         "version": config.map(|(version, _)| version),
         "revision": config.map(|(_, revision)| revision.get()),
+        "era": node.replica().era().get(),
+        "kept": node.replica().kept_count(),
         "upto": node.replica().upto().map(Revision::get),
         "view_age_ms": node.age(now).map(|age| age.as_millis() as u64),
         "followed": peers.borrow().followed(now).map(|peer| peer.to_string()),
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -59,7 +59,10 @@
 
     /// Makes one call and applies its result, then pauses as the result requires.
     pub(crate) async fn round(&mut self) {
-        let after = self.node.borrow().replica().upto();
+        let (era, after) = {
+            let node = self.node.borrow();
+            (node.replica().era(), node.replica().upto())
+        };
         let after = after.filter(|_| self.has_history);
         let started = BootClock.now();
         let result = match after {
@@ -74,7 +77,19 @@
         };
         let now = BootClock.now();
         record_call(&result, started, now);
+        if after.is_some() && self.store.era() > era {
+            // The store returned from an older copy: the revisions of this VM mean nothing to it.
+            self.has_history = false;
+        }
         match result {
+            Ok(changes) if after.is_some() && !self.has_history => {
+                log::info!(
+                    "event=store_returned era={era} store_era={} after={after:?} upto={} \
+                     outcome=read_all",
+                    self.store.era(),
+                    changes.upto
+                );
+            }
             Ok(changes) => self.apply(changes, started, now).await,
             Err(StoreError::HistoryGone) => {
                 log::info!("event=store_history_gone after={after:?} outcome=read_all");
@@ -103,7 +118,7 @@
             .borrow_mut()
             .apply(changes, synced, now, Source::Store);
         self.has_history = is_applied;
-        if !is_unchanged {
+        if !is_unchanged || !is_applied {
             sleep(BATCH_PAUSE).await;
         }
     }
--- a/crates/measure/src/entry.rs
+++ b/crates/measure/src/entry.rs
@@ -264,6 +264,8 @@
         value: Some(text.into_bytes().into()),
     });
     Changes {
+        era: None,
+        kept: Vec::new(),
         after: None,
         upto: Revision::from(1),
         list: list.into(),
--- a/crates/peer/schema/replica.capnp
+++ b/crates/peer/schema/replica.capnp
@@ -16,12 +16,23 @@
   after @1 :UInt64;
   upto @2 :UInt64;
   list @3 :List(Change);
+  # Era of the store that the revisions belong to; programs without eras set no era.
+  hasEra @4 :Bool;
+  era @5 :UInt64;
+  # Documents known from earlier eras that are newer than the store's. Each replaces the document of
+  # its key up to its revision; a removal marks that document as not renewed by its writer.
+  kept @6 :List(Change);
 }
 
 struct Copy {
   # What the sender holds: nothing yet, or every change up to a revision.
   isEmpty @0 :Bool;
   upto @1 :UInt64;
+  # Era that the revision belongs to; programs without eras set no era.
+  hasEra @2 :Bool;
+  era @3 :UInt64;
+  # Digest of the documents kept from earlier eras; 0 if there are none.
+  keptDigest @4 :UInt64;
 }
 
 struct Peer {
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bambooseam_replica::{Change, Changes};
-use bambooseam_types::{Moment, Revision, ZoneId};
+use bambooseam_replica::{Change, Changes, Held, KeptDocument};
+use bambooseam_types::{Era, Moment, Revision, ZoneId};
 use tokio::net::TcpListener;
 
 use crate::replica_capnp::{change, changes, copy, news, peer, replica};
@@ -33,8 +33,8 @@
     /// The VM that sends the request; `None` when its address or zone can't be parsed, as from a
     /// later version.
     pub requester: Option<PeerInfo>,
-    /// Revision up to which the requester holds every change; `None` when it holds no copy.
-    pub upto: Option<Revision>,
+    /// What the requester holds.
+    pub held: Held,
     /// Longest time to wait for a change.
     pub wait: Duration,
     /// Whether the response may contain a large copy.
@@ -105,7 +105,7 @@
             let params = params.get()?;
             SyncRequest {
                 requester: read_peer(params.get_asker()?)?,
-                upto: read_copy(params.get_copy()?),
+                held: read_held(params.get_copy()?),
                 wait: Duration::from_millis(params.get_wait_ms()).min(WAIT_LIMIT),
                 may_be_large: params.get_is_eager(),
             }
@@ -137,9 +137,7 @@
         if let Some(requester) = &request.requester {
             write_peer(requester, call.get().init_asker());
         }
-        let mut copy = call.get().init_copy();
-        copy.set_is_empty(request.upto.is_none());
-        copy.set_upto(request.upto.unwrap_or_default().get());
+        write_held(&request.held, call.get().init_copy());
         call.get().set_wait_ms(millis(request.wait));
         call.get().set_is_eager(request.may_be_large);
         let results = call.send().promise.await?;
@@ -165,8 +163,20 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn read_copy(reader: copy::Reader<'_>) -> Option<Revision> {
-    (!reader.get_is_empty()).then(|| Revision::from(reader.get_upto()))
+fn write_held(value: &Held, mut builder: copy::Builder<'_>) {
+    builder.set_is_empty(value.upto.is_none());
+    builder.set_upto(value.upto.unwrap_or_default().get());
+    builder.set_has_era(value.era.is_some());
+    builder.set_era(value.era.unwrap_or_default().get());
+    builder.set_kept_digest(value.kept_digest);
+}
+
+fn read_held(reader: copy::Reader<'_>) -> Held {
+    Held {
+        era: reader.get_has_era().then(|| Era::from(reader.get_era())),
+        upto: (!reader.get_is_empty()).then(|| Revision::from(reader.get_upto())),
+        kept_digest: reader.get_kept_digest(),
+    }
 }
 
 fn write_response(value: &SyncResponse, mut builder: news::Builder<'_>) {
@@ -201,15 +211,29 @@
     builder.set_is_whole(value.after.is_none());
     builder.set_after(value.after.unwrap_or_default().get());
     builder.set_upto(value.upto.get());
-    let mut list = builder.init_list(value.list.len() as u32);
+    builder.set_has_era(value.era.is_some());
+    builder.set_era(value.era.unwrap_or_default().get());
+    let mut list = builder.reborrow().init_list(value.list.len() as u32);
     for (index, change) in (0..).zip(&value.list) {
-        let mut builder = list.reborrow().get(index);
-        builder.set_key(change.key.as_ref());
-        builder.set_revision(change.revision.get());
-        builder.set_is_removed(change.value.is_none());
-        if let Some(value) = &change.value {
-            builder.set_value(value);
-        }
+        write_change(change, list.reborrow().get(index));
+    }
+    let mut kept = builder.init_kept(value.kept.len() as u32);
+    for (index, document) in (0..).zip(&value.kept) {
+        let change = Change {
+            key: Arc::clone(&document.key),
+            revision: document.upto,
+            value: document.content.clone(),
+        };
+        write_change(&change, kept.reborrow().get(index));
+    }
+}
+
+fn write_change(value: &Change, mut builder: change::Builder<'_>) {
+    builder.set_key(value.key.as_ref());
+    builder.set_revision(value.revision.get());
+    builder.set_is_removed(value.value.is_none());
+    if let Some(value) = &value.value {
+        builder.set_value(value);
     }
 }
 
@@ -219,10 +243,21 @@
     for change in reader.get_list()? {
         list.push(read_change(change)?);
     }
+    let mut kept = Vec::new();
+    for change in reader.get_kept()? {
+        let change = read_change(change)?;
+        kept.push(KeptDocument {
+            key: change.key,
+            upto: change.revision,
+            content: change.value,
+        });
+    }
     Ok(Changes {
+        era: reader.get_has_era().then(|| Era::from(reader.get_era())),
         after: (!reader.get_is_whole()).then_some(after),
         upto: Revision::from(reader.get_upto()),
         list,
+        kept,
     })
 }
 
--- a/crates/replica/src/changes.rs
+++ b/crates/replica/src/changes.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bambooseam_types::Revision;
+use bambooseam_types::{Era, Revision};
 
 /// Key of a published document in the store.
 pub type Key = Arc<str>;
@@ -19,8 +19,10 @@
 }
 
 /// All changes in a span of revisions.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Changes {
+    /// Era of the revisions; `None` if the source does not know eras.
+    pub era: Option<Era>,
     /// Revision after which the span begins; `None` if the list is a full snapshot with every
     /// document.
     pub after: Option<Revision>,
@@ -29,13 +31,38 @@
     pub upto: Revision,
     /// Changes of the span.
     pub list: Vec<Change>,
+    /// Documents that the source has kept from earlier eras.
+    pub kept: Vec<KeptDocument>,
+}
+
+/// Knowledge from earlier eras that is newer than the document in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptDocument {
+    /// Key of the document.
+    pub key: Key,
+    /// Largest revision of the document in this era that is older than this knowledge.
+    pub upto: Revision,
+    /// Newer content; `None` if the document was removed, and its writer has not written it anew.
+    pub content: Option<Arc<[u8]>>,
+}
+
+/// What a replica holds, as sent to a peer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Held {
+    /// Era of the revision; `None` if the requester does not know eras.
+    pub era: Option<Era>,
+    /// Revision up to which the replica is complete; `None` before the first full snapshot.
+    pub upto: Option<Revision>,
+    /// Digest of the documents kept from earlier eras; 0 if there are none.
+    pub kept_digest: u64,
 }
 
 impl Changes {
     /// Total size of all keys and documents in bytes.
     pub fn size(&self) -> usize {
-        let value = |change: &Change| change.value.as_ref().map_or(0, |value| value.len());
-        let sizes = self.list.iter();
-        sizes.map(|change| change.key.len() + value(change)).sum()
+        let value = |value: &Option<Arc<[u8]>>| value.as_ref().map_or(0, |value| value.len());
+        let changes = self.list.iter().map(|c| c.key.len() + value(&c.value));
+        let kept = self.kept.iter().map(|k| k.key.len() + value(&k.content));
+        changes.chain(kept).sum()
     }
 }
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -1,10 +1,12 @@
 //! The replica itself: applies changes and returns the changes since a revision.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
-use bambooseam_types::Revision;
+use bambooseam_types::{Era, Revision};
 
-use crate::{Change, Changes, Key};
+use crate::kept::{KeptDocuments, Known, keep};
+use crate::{Change, Changes, Content, Held, Key};
 
 /// Largest number of removals kept for peers that lag behind. At the intended fleet size, 420 VMs
 /// and as many targets join and leave per day, so a thousand removals cover hours; a peer that lags
@@ -12,15 +14,30 @@
 const MAX_REMOVALS: usize = 1_024;
 
 /// Replica of the published documents; never becomes older.
-#[derive(Debug, Default)]
-pub struct Replica {
+#[derive(Debug)]
+pub struct Replica<C> {
+    /// Reads the age of documents.
+    content: C,
+    /// Era of the store that the revisions belong to.
+    era: Era,
     /// Documents, sorted by key.
     documents: Vec<Change>,
-    /// Removals, sorted by revision, oldest first.
-    removed: VecDeque<Change>,
+    /// Removals, sorted by era and revision, oldest first.
+    removed: VecDeque<Removal>,
     /// Revision up to which removals may be missing from `removed`.
     compacted_upto: Revision,
     upto: Option<Revision>,
+    /// Documents known from earlier eras that are newer than those in `documents`.
+    kept: KeptDocuments,
+}
+
+/// Removal of a document.
+#[derive(Debug)]
+struct Removal {
+    era: Era,
+    change: Change,
+    /// Content before the removal, if known.
+    last: Option<Arc<[u8]>>,
 }
 
 /// Result of applying changes.
@@ -30,12 +47,22 @@
     Newer(Vec<Change>),
     /// Changes before the offered span are missing: a full snapshot is needed.
     Gap,
+    /// The changes belong to an earlier era.
+    Outdated,
 }
 
-impl Replica {
-    /// Creates an empty replica.
-    pub fn new() -> Self {
-        Self::default()
+impl<C: Content> Replica<C> {
+    /// Creates an empty replica; `content` reads the age of documents.
+    pub fn new(content: C) -> Self {
+        Self {
+            content,
+            era: Era::default(),
+            documents: Vec::new(),
+            removed: VecDeque::new(),
+            compacted_upto: Revision::default(),
+            upto: None,
+            kept: KeptDocuments::default(),
+        }
     }
 
     /// Revision up to which the replica is complete; `None` before the first full snapshot.
@@ -43,23 +70,82 @@
         self.upto
     }
 
-    /// The document under `key`.
+    /// Era of the store that the replica belongs to.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
+    /// What the replica holds, for a request to a peer.
+    pub fn held(&self) -> Held {
+        Held {
+            era: Some(self.era),
+            upto: self.upto,
+            kept_digest: self.kept.digest(),
+        }
+    }
+
+    /// The document under `key`, as in the store.
     pub fn get(&self, key: &str) -> Option<&Change> {
         let at = self.find(key).ok()?;
         Some(&self.documents[at])
     }
 
-    /// All documents, sorted by key.
+    /// Content in force under `key`: that of the store, or newer content from an earlier era.
+    pub fn content(&self, key: &str) -> Option<&Arc<[u8]>> {
+        let kept = self.kept.get(key).and_then(|kept| kept.content.as_ref());
+        kept.or_else(|| self.get(key)?.value.as_ref())
+    }
+
+    /// All documents as in the store, sorted by key.
     pub fn iter(&self) -> std::slice::Iter<'_, Change> {
         self.documents.iter()
     }
 
+    /// Number of documents that are kept from earlier eras.
+    pub fn kept_count(&self) -> usize {
+        self.kept.list().len()
+    }
+
+    /// Whether the document under `key` was removed in an earlier era, and its writer has not
+    /// written it anew.
+    pub fn is_unrenewed(&self, key: &str) -> bool {
+        self.kept
+            .get(key)
+            .is_some_and(|kept| kept.content.is_none())
+    }
+
+    /// Accepts the documents that were not written anew since the era began. Returns their keys.
+    pub fn release_unrenewed(&mut self) -> Vec<Key> {
+        self.kept.release()
+    }
+
+    /// Whether a peer lacks changes that this replica holds.
+    pub fn is_ahead_of(&self, held: &Held) -> bool {
+        let era = held.era.unwrap_or(self.era);
+        self.upto.is_some() && (held.upto.is_none() || (self.era, self.upto) > (era, held.upto))
+    }
+
+    /// Whether changes come from a source that holds at least as much as this replica.
+    pub fn is_covered_by(&self, changes: &Changes) -> bool {
+        let era = changes.era.unwrap_or(self.era);
+        (era, Some(changes.upto)) >= (self.era, self.upto)
+    }
+
     /// Applies the changes that are newer than the replica. Returns the last change of each key.
     pub fn apply(&mut self, changes: Changes) -> ApplyOutcome {
-        let mut missing = Vec::new();
+        if self.upto.is_none() {
+            self.era = changes.era.unwrap_or_default();
+        }
+        let era = changes.era.unwrap_or(self.era);
+        if era < self.era {
+            return ApplyOutcome::Outdated;
+        }
+        let (mut newer, mut missing) = (Vec::new(), Vec::new());
         match changes.after {
+            Some(_) if era > self.era => return ApplyOutcome::Gap,
             Some(after) if self.upto.is_none_or(|upto| after > upto) => return ApplyOutcome::Gap,
             Some(_) => {}
+            None if era > self.era => newer = self.begin_era(era, &changes),
             None => {
                 missing = self.missing(&changes);
                 // A snapshot does not list the documents that were removed before it was taken.
@@ -68,43 +154,132 @@
                 }
             }
         }
-        let mut newer = Vec::new();
         for change in changes.list.into_iter().chain(missing) {
             if self.is_applied(&change) {
                 continue;
             }
             self.apply_change(change.clone());
-            newer.push(change);
+            if !self.kept.holds_back(&change, &self.content) {
+                newer.push(change);
+            }
         }
         // One list may remove a document and write it again; only the last state is returned.
         newer.retain(|change| self.is_latest(change));
         self.upto = self.upto.max(Some(changes.upto));
+        for kept in changes.kept {
+            let document = self.get(&kept.key).cloned();
+            if !self.kept.accepts(&kept, document.as_ref(), &self.content) {
+                continue;
+            }
+            newer.retain(|change| change.key != kept.key);
+            newer.extend(match &kept.content {
+                Some(content) => Some(Change {
+                    key: Arc::clone(&kept.key),
+                    revision: kept.upto,
+                    value: Some(Arc::clone(content)),
+                }),
+                None => document,
+            });
+            self.kept.insert(kept);
+        }
         ApplyOutcome::Newer(newer)
     }
 
-    /// Changes that a replica complete up to `after` lacks; `None` before the first full snapshot.
-    /// If removals since `after` are not kept any more, the changes are a full snapshot.
-    pub fn changes_since(&self, after: Option<Revision>) -> Option<Changes> {
+    /// Changes that a peer lacks; `None` before the first full snapshot. If the peer belongs to an
+    /// earlier era, or if removals since its revision are not kept any more, the changes are a full
+    /// snapshot.
+    pub fn changes_since(&self, held: &Held) -> Option<Changes> {
         let upto = self.upto?;
+        let is_same_era = held.era.is_none_or(|era| era >= self.era);
+        let after = held.upto.filter(|_| is_same_era);
         let after = after.filter(|after| *after >= self.compacted_upto);
         let is_newer = |change: &&Change| after.is_none_or(|after| change.revision > after);
-        let removed = match after {
-            Some(_) => self.removed.iter(),
-            None => Default::default(),
-        };
+        let removed = self
+            .removed
+            .iter()
+            .filter(|removal| removal.era == self.era);
+        let removed = removed.map(|removal| &removal.change);
         let list = self
             .documents
             .iter()
-            .chain(removed)
+            .chain(removed.filter(|_| after.is_some()))
             .filter(is_newer)
             .cloned();
+        let kept = match held.kept_digest == self.kept.digest() {
+            true => Vec::new(),
+            false => self.kept.list().to_vec(),
+        };
         Some(Changes {
+            era: Some(self.era),
             after,
             upto,
             list: list.collect(),
+            kept,
         })
     }
 
+    /// Begins a later era with a full snapshot of the store. Keeps what is known better, forgets
+    /// the documents of the earlier era, and returns the removals of those that the snapshot lacks.
+    fn begin_era(&mut self, era: Era, snapshot: &Changes) -> Vec<Change> {
+        let mut offered: Vec<&Change> = snapshot.list.iter().collect();
+        offered.sort_unstable_by(|a, b| a.key.cmp(&b.key));
+        let find = |key: &Key| {
+            let at = offered
+                .binary_search_by(|change| change.key.cmp(key))
+                .ok()?;
+            Some(offered[at])
+        };
+        let documents = std::mem::take(&mut self.documents);
+        let previous = std::mem::take(&mut self.kept);
+        let mut kept = Vec::new();
+        let mut removals = Vec::new();
+        for document in &documents {
+            let key = &document.key;
+            let value = document.value.as_deref().unwrap_or_default();
+            let known = match previous.get(key).map(|kept| &kept.content) {
+                Some(Some(content)) => Known::Present(content),
+                Some(None) => Known::Removed(Some(value)),
+                None => Known::Present(value),
+            };
+            let offered = find(key);
+            let keep = keep(key, known, offered, snapshot.upto, &self.content);
+            if keep.is_none() && offered.is_none() {
+                removals.push(Removal {
+                    era,
+                    change: Change {
+                        key: Arc::clone(key),
+                        revision: snapshot.upto,
+                        value: None,
+                    },
+                    last: document.value.clone(),
+                });
+            }
+            kept.extend(keep);
+        }
+        // Content kept since earlier eras, of which the store had no document.
+        let is_known = |key: &Key| documents.binary_search_by(|d| d.key.cmp(key)).is_ok();
+        for document in previous.list().iter().filter(|kept| !is_known(&kept.key)) {
+            let known = Known::Present(document.content.as_deref().unwrap_or_default());
+            let key = &document.key;
+            kept.extend(keep(key, known, find(key), snapshot.upto, &self.content));
+        }
+        for removal in &self.removed {
+            let key = &removal.change.key;
+            let known = Known::Removed(removal.last.as_deref());
+            kept.extend(keep(key, known, find(key), snapshot.upto, &self.content));
+        }
+        self.kept = kept.into();
+        self.era = era;
+        self.upto = None;
+        self.compacted_upto = snapshot.upto;
+        let mut changes = Vec::new();
+        for removal in removals {
+            changes.push(removal.change.clone());
+            self.record_removal(removal);
+        }
+        changes
+    }
+
     /// Removals of the documents that are in the replica but not in a newer full snapshot.
     fn missing(&self, snapshot: &Changes) -> Vec<Change> {
         if self.upto.is_some_and(|upto| upto > snapshot.upto) {
@@ -132,8 +307,10 @@
             return document.revision >= change.revision;
         }
         let mut removed = self.removed.iter().rev();
-        match removed.find(|removed| removed.key == change.key) {
-            Some(removed) => removed.revision >= change.revision,
+        let is_same =
+            |removal: &&Removal| removal.era == self.era && removal.change.key == change.key;
+        match removed.find(is_same) {
+            Some(removal) => removal.change.revision >= change.revision,
             // A write up to `upto` of a document that the replica does not have is outdated: a
             // newer snapshot lacked the document, so it was removed since. The removal of a
             // document that was never in this replica is still applied, for peers that have the
@@ -154,24 +331,35 @@
     fn apply_change(&mut self, change: Change) {
         let found = self.find(&change.key);
         if change.value.is_some() {
-            self.removed.retain(|removed| removed.key != change.key);
+            self.removed
+                .retain(|removal| removal.change.key != change.key);
             match found {
                 Ok(at) => self.documents[at] = change,
                 Err(at) => self.documents.insert(at, change),
             }
             return;
         }
-        if let Ok(at) = found {
-            self.documents.remove(at);
-        }
-        self.removed.retain(|removed| removed.key != change.key);
-        let revision = change.revision;
-        let at = self.removed.partition_point(|r| r.revision <= revision);
-        self.removed.insert(at, change);
+        let last = match found {
+            Ok(at) => self.documents.remove(at).value,
+            Err(_) => None,
+        };
+        let era = self.era;
+        self.record_removal(Removal { era, change, last });
+    }
+
+    fn record_removal(&mut self, removal: Removal) {
+        let key = &removal.change.key;
+        self.removed.retain(|other| other.change.key != *key);
+        let order = |removal: &Removal| (removal.era, removal.change.revision);
+        let at = self
+            .removed
+            .partition_point(|other| order(other) <= order(&removal));
+        self.removed.insert(at, removal);
         if self.removed.len() > MAX_REMOVALS
             && let Some(oldest) = self.removed.pop_front()
+            && oldest.era == self.era
         {
-            self.compacted_upto = self.compacted_upto.max(oldest.revision);
+            self.compacted_upto = self.compacted_upto.max(oldest.change.revision);
         }
     }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -72,6 +72,10 @@
                 .value_parser(value_parser!(u64).range(1..=MAX_VMS))
                 .help("Number of VMs, distributed over three zones"),
         )
+        .arg(flag(
+            "drills",
+            "Let the store return from older copies at times",
+        ))
         .arg(flag("plan", "Print the plan without running it"))
         .arg(flag("replay", "Run all kept regression seeds instead"))
         .arg(path(
@@ -92,6 +96,7 @@
     let size = PlanSize {
         length: seconds.map_or(DEFAULT_SIZE.length, Duration::from_secs),
         vms: number("vms").map_or(DEFAULT_SIZE.vms, |vms| vms as usize),
+        has_drills: matches.get_flag("drills"),
     };
     let first = number("seed").unwrap_or(1);
     let count = number("seeds").unwrap_or(1);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -43,6 +43,8 @@
     pub length: Duration,
     /// Number of VMs, distributed over three zones.
     pub vms: usize,
+    /// Whether the store returns from an older copy at times.
+    pub has_drills: bool,
 }
 
 /// An action on the site from outside the programs.
@@ -81,6 +83,9 @@
     /// Makes the store unavailable to all VMs and writers while entries expire, or available again.
     #[display("store_away {_0}")]
     StoreUnavailable(bool),
+    /// Returns the store to a copy of this age, and makes it available to writers.
+    #[display("store_returns copy_age_ms={}", _0.as_millis())]
+    StoreReturns(Duration),
     /// Compacts the history of the store.
     #[display("compact")]
     Compact,
@@ -169,6 +174,9 @@
         if generator.random.random_bool(0.5) {
             generator.add_kill_all(last);
         }
+        if size.has_drills {
+            generator.add_drills(last);
+        }
         let mut plan = generator.plan;
         plan.events.sort_by_key(|(at, _)| *at);
         plan
@@ -308,6 +316,22 @@
         self.add_event(until, Event::StoreUnavailable(false));
     }
 
+    /// Adds drills, in which the store is away and returns from a copy; some come soon one after the
+    /// other, or while other faults last. Drawn after all else, so that the rest of a seed's plan is
+    /// the same without drills.
+    fn add_drills(&mut self, last: Duration) {
+        let mut at = QUIET_START + self.random_time(1_000, 8_000);
+        while at < last {
+            let until = (at + self.random_time(100, 1_500)).min(last);
+            let age = self.random_time(1_000, 8_000);
+            self.add_disturbance(None, at, until);
+            self.add_event(at, Event::StoreUnavailable(true));
+            self.add_event(until, Event::StoreReturns(age));
+            self.add_event(until, Event::StoreUnavailable(false));
+            at = until + self.random_time(1_000, 15_000);
+        }
+    }
+
     fn add_kill_all(&mut self, at: Duration) {
         let until = at + self.random_time(200, 1_500);
         self.add_disturbance(None, at, until);
@@ -332,7 +356,7 @@
 
 impl Display for Plan {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let PlanSize { length, vms } = self.size;
+        let PlanSize { length, vms, .. } = self.size;
         let seconds = length.as_secs();
         writeln!(f, "plan seed={} seconds={seconds} vms={vms}", self.seed)?;
         for (at, event) in &self.events {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -174,6 +174,7 @@
                     vm.store_server.set_fault(fault);
                 }
             }
+            Event::StoreReturns(age) => self.site.restore_store(age),
             Event::Compact => self.site.store.compact(),
             Event::AddRoute => {
                 let frontend = self.site.add_route("orders");
--- a/crates/standin/src/site/cluster.rs
+++ b/crates/standin/src/site/cluster.rs
@@ -233,6 +233,18 @@
     /// unavailable.
     pub fn publish(&mut self) -> Option<u64> {
         self.version += 3;
+        self.write_config()
+    }
+
+    /// Returns the store to a copy that is `age` old or older. The operator then writes the
+    /// configuration again, and each target its entry.
+    pub fn restore_store(&self, age: Duration) {
+        self.store.restore(age);
+        self.store.set_unavailable(false);
+        self.write_config();
+    }
+
+    fn write_config(&self) -> Option<u64> {
         let mut route_history = self
             .route_history
             .lock()
--- a/crates/standin/src/site/history.rs
+++ b/crates/standin/src/site/history.rs
@@ -1,7 +1,7 @@
 //! Items of the metadata store and their change history, numbered by one revision counter.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The current version of an item.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,6 +31,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Compacted;
 
+/// Interval between two copies, from which the store may return, and the number of copies kept.
+const COPY_INTERVAL: Duration = Duration::from_millis(250);
+const MAX_COPIES: usize = 40;
+
+/// Least lifetime of the entries after the store has returned from a copy.
+const RESTORED_LIFETIME: Duration = Duration::from_secs(2);
+
+/// The items at an earlier time.
+#[derive(Debug)]
+struct HistoryCopy {
+    time: Instant,
+    items: BTreeMap<String, Item>,
+    revision: u64,
+}
+
 /// All items, and the events since the last compaction.
 #[derive(Debug)]
 pub struct History {
@@ -39,6 +54,9 @@
     revision: u64,
     /// Revision of the last event that a compaction removed.
     compacted: u64,
+    /// Number of times that the store has returned from a copy.
+    era: u64,
+    copies: VecDeque<HistoryCopy>,
 }
 
 impl Default for History {
@@ -49,6 +67,8 @@
             // The revision counter starts above 0.
             revision: 1,
             compacted: 1,
+            era: 0,
+            copies: VecDeque::new(),
         }
     }
 }
@@ -59,6 +79,46 @@
         self.revision
     }
 
+    /// Returns the number of times that the store has returned from a copy.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Makes a copy of the items if the last one is old enough.
+    pub fn copy(&mut self, now: Instant) {
+        let last = self.copies.back().map(|copy| copy.time);
+        if last.is_some_and(|last| now.duration_since(last) < COPY_INTERVAL) {
+            return;
+        }
+        if self.copies.len() >= MAX_COPIES {
+            self.copies.pop_front();
+        }
+        self.copies.push_back(HistoryCopy {
+            time: now,
+            items: self.items.clone(),
+            revision: self.revision,
+        });
+    }
+
+    /// Returns to the newest copy that is at least as old as `age`, or to the oldest one. Later
+    /// changes are lost, and their revisions are given out again.
+    pub fn restore(&mut self, now: Instant, age: Duration) {
+        self.era += 1;
+        let is_old = |copy: &HistoryCopy| now.duration_since(copy.time) >= age;
+        let at = self.copies.iter().rposition(is_old).unwrap_or(0);
+        let Some(copy) = self.copies.get(at) else {
+            return;
+        };
+        self.items = copy.items.clone();
+        self.revision = copy.revision;
+        for item in self.items.values_mut() {
+            item.expiry = item
+                .expiry
+                .map(|expiry| expiry.max(now + RESTORED_LIFETIME));
+        }
+        self.compact();
+    }
+
     /// Returns the item under a key.
     pub fn get(&self, key: &str) -> Option<&Item> {
         self.items.get(key)
@@ -131,9 +191,10 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Compacted`] if a compaction has removed some of the events.
+    /// Returns [`Compacted`] if a compaction has removed some of the events, or if the store does not
+    /// have the revision.
     pub fn since(&self, prefix: &str, after: u64) -> Result<Vec<&Event>, Compacted> {
-        if after < self.compacted {
+        if after < self.compacted || after > self.revision {
             return Err(Compacted);
         }
         let events = self.events.iter();
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -71,6 +71,17 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the store to a copy that is `age` old or older.
+    pub fn restore(&self, age: Duration) {
+        self.lock().restore(Instant::now(), age);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the number of times that the store has returned from a copy.
+    pub fn era(&self) -> u64 {
+        self.lock().era()
+    }
+
     /// Locks the history.
     pub fn lock(&self) -> MutexGuard<'_, History> {
         self.history.lock().unwrap_or_else(PoisonError::into_inner)
@@ -81,11 +92,15 @@
         let _ = tokio::time::timeout(limit, self.changed.notified()).await;
     }
 
-    /// Removes expired documents until the future is dropped.
+    /// Makes copies and removes expired documents until the future is dropped.
     pub async fn expire(self) {
         loop {
             tokio::time::sleep(Duration::from_millis(20)).await;
-            let has_expired = self.lock().expire(Instant::now());
+            let has_expired = {
+                let (mut history, now) = (self.lock(), Instant::now());
+                history.copy(now);
+                history.expire(now)
+            };
             if has_expired {
                 self.changed.notify_waiters();
             }
--- a/crates/standin/src/site/store_server.rs
+++ b/crates/standin/src/site/store_server.rs
@@ -117,6 +117,17 @@
         self: Arc<Self>,
         connection: u64,
         request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, ServeError> {
+        let mut response = self.respond(connection, request).await?;
+        let headers = response.headers_mut();
+        headers.insert("store-era", self.store.era().into());
+        Ok(response)
+    }
+
+    async fn respond(
+        &self,
+        connection: u64,
+        request: Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, ServeError> {
         let call = self.calls.fetch_add(1, Ordering::Relaxed);
         self.apply_fault(connection).await?;
@@ -182,11 +193,14 @@
     async fn watch(&self, query: &Query) -> Response<Full<Bytes>> {
         let prefix = query.text("prefix");
         let after = query.number("after");
+        let era = self.store.era();
         let end = Instant::now() + Duration::from_millis(query.number("wait_ms").min(30_000));
         loop {
             {
                 let history = self.store.lock();
-                let Ok(events) = history.since(&prefix, after) else {
+                // A watch that was waiting while the store returned from a copy has no history.
+                let events = history.since(&prefix, after);
+                let Some(events) = events.ok().filter(|_| history.era() == era) else {
                     return text_response(StatusCode::GONE, "");
                 };
                 if !events.is_empty() || Instant::now() >= end {
--- a/crates/standin/src/site/target.rs
+++ b/crates/standin/src/site/target.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -60,6 +61,8 @@
 #[derive(Debug)]
 struct Shared {
     incarnation: u64,
+    /// Number of the target's writes to the store.
+    sequence: AtomicU64,
     draining_since: Mutex<Option<Instant>>,
     counters: Arc<Counters>,
     route_history: RouteHistory,
@@ -96,6 +99,7 @@
         let target = Self {
             shared: Arc::new(Shared {
                 incarnation,
+                sequence: AtomicU64::new(0),
                 draining_since: Mutex::default(),
                 counters: Arc::clone(counters),
                 route_history: Arc::clone(route_history),
@@ -154,10 +158,11 @@
 
     /// Writes the entry to the store.
     fn write_entry(&self, state: &str) {
+        let sequence = self.shared.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let entry = json!({
             "service": self.plan.service, "address": self.plan.address.to_string(),
             "zone": self.plan.zone, "config_version": "v1", "capacity": 2, "state": state,
-            "warmup_left_ms": 0, "sequence": 1, "born": self.shared.incarnation,
+            "warmup_left_ms": 0, "sequence": sequence, "born": self.shared.incarnation,
         });
         self.store.put(
             &self.key(),
@@ -166,7 +171,8 @@
         );
     }
 
-    /// Renews the entry at each heartbeat, and writes the entry again after it has expired.
+    /// Renews the entry at each heartbeat, and writes the entry again after it has expired or after
+    /// the store has returned from a copy.
     fn refresh_entry(&self) {
         let writer = Self {
             plan: self.plan.clone(),
@@ -176,14 +182,16 @@
         };
         let stop = self.stop.clone();
         let refresh = async move {
+            let mut era = writer.store.era();
             loop {
                 sleep(writer.plan.heartbeat).await;
-                if writer
+                let is_renewed = writer
                     .store
-                    .renew(&writer.key(), writer.plan.heartbeat * TTL_HEARTBEATS)
-                {
+                    .renew(&writer.key(), writer.plan.heartbeat * TTL_HEARTBEATS);
+                if is_renewed && writer.store.era() == era {
                     continue;
                 }
+                era = writer.store.era();
                 sleep(REWRITE_STEP * (writer.shared.incarnation / 1_000 % REWRITE_STEPS) as u32)
                     .await;
                 let state = match *writer.shared.draining_since() {
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -48,6 +48,31 @@
         }
     }
 
+    /// Records that the entry of a target comes from an older copy of the store, although it had
+    /// been removed. The target keeps its flows, and takes new flows only as a last resort.
+    pub fn hold_back_target(&mut self, id: &TargetId) {
+        if let Some(index) = self.targets.find(id) {
+            self.targets.set_status(index, EntryStatus::Unrenewed);
+        }
+    }
+
+    /// Accepts an entry that was held back.
+    pub fn renew_target(&mut self, id: &TargetId) {
+        let Some(index) = self.targets.find(id) else {
+            return;
+        };
+        let status = self.targets.get(index).map(|record| record.status);
+        if status == Some(EntryStatus::Unrenewed) {
+            self.targets.set_status(index, EntryStatus::Published);
+        }
+    }
+
+    /// Records that the view has to settle anew: entries that the store has lost may not have been
+    /// published again yet.
+    pub fn restart_settling(&mut self) {
+        self.freshness.first_synced = None;
+    }
+
     /// Applies the removals of one batch. Returns the new status of each target that is kept.
     ///
     /// A target that had announced that it is leaving has ended, unless the store was recently
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -43,6 +43,10 @@
         /// Time at which the target is treated as ended unless it responds again.
         until: Moment,
     },
+    /// The store returned from an older copy with an entry that had been removed, and the target
+    /// has not written the entry anew.
+    #[display("unrenewed")]
+    Unrenewed,
     /// The entry was replaced by a document that does not describe a valid target.
     #[display("unreadable")]
     Unreadable,
@@ -90,7 +94,7 @@
             Self::Unconfirmed { until } | Self::Lapsed { until } | Self::Unlisted { until } => {
                 Some(until)
             }
-            Self::Published | Self::Unreadable => None,
+            Self::Published | Self::Unrenewed | Self::Unreadable => None,
         }
     }
 }
@@ -109,7 +113,7 @@
     pub fn is_fallback(&self) -> bool {
         let is_kept = matches!(
             self.status,
-            EntryStatus::Unconfirmed { .. } | EntryStatus::Unlisted { .. }
+            EntryStatus::Unconfirmed { .. } | EntryStatus::Unlisted { .. } | EntryStatus::Unrenewed
         );
         is_kept && self.may_accept()
     }
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -90,6 +90,11 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
 pub struct Revision(u64);
 
+/// Number of times the platform's store has returned from an older copy. Revisions are comparable
+/// only within one era.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+pub struct Era(u64);
+
 /// Number of one start of a process on a VM, or of a target; a later start has a larger number.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
 pub struct Incarnation(u64);
@@ -205,6 +210,27 @@
     }
 }
 
+impl Era {
+    /// Returns the number.
+    pub fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl From<u64> for Era {
+    fn from(number: u64) -> Self {
+        Self(number)
+    }
+}
+
+impl FromStr for Era {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        parse_number(text, NUMBER_ALLOWED).map(Self)
+    }
+}
+
 impl Incarnation {
     /// Returns the number.
     pub fn get(self) -> u64 {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,7 +13,7 @@
 pub use clock::{Clock, Moment, SystemClock};
 pub use finding::{Finding, Findings, Location};
 pub use id::{
-    Digest, FlowPort, Incarnation, ParseIdError, PresetName, RequestId, Revision, ServiceId,
+    Digest, Era, FlowPort, Incarnation, ParseIdError, PresetName, RequestId, Revision, ServiceId,
     ServiceName, TargetId, VmId, ZoneId,
 };
 pub use net::{Flow, Protocol};
--- a/tests/tests/entry.rs
+++ b/tests/tests/entry.rs
@@ -205,6 +205,92 @@
         running.check();
     }
 
+    /// Returns the store to a copy while its VMs cannot reach it.
+    async fn drill(running: &mut RunningSite, age: Duration) {
+        for vm in &running.site.vms {
+            vm.store_server.set_fault(Fault::Silent);
+        }
+        running.site.store.set_unavailable(true);
+        pause(300).await;
+        running.site.restore_store(age);
+        for vm in &running.site.vms {
+            vm.store_server.set_fault(Fault::None);
+        }
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn store_that_returns_from_a_copy_undoes_no_change() {
+        let mut running = RunningSite::start(&[1, 1], 3).await;
+        let traffic = running.traffic(4, 2);
+        pause(2_500).await;
+        let added = running.site.add_route("orders");
+        running.targets[0].drain();
+        let left = running.targets.remove(1);
+        left.drain();
+        pause(700).await;
+        left.leave();
+        for vm in [0, 1] {
+            assert!(running.serves(vm, added).await, "VM {vm}");
+        }
+        // The copies lack the route and both announcements; the second one comes soon after.
+        for _ in 0..2 {
+            drill(&mut running, Duration::from_millis(2_000)).await;
+            for _ in 0..10 {
+                pause(150).await;
+                for vm in [0, 1] {
+                    assert!(running.serves(vm, added).await, "VM {vm}");
+                }
+            }
+        }
+        let time = running.time_change(&[0, 1]).await;
+        assert!(
+            time < CONFIG_BOUND,
+            "the change took {time:?}, less than {CONFIG_BOUND:?} allowed"
+        );
+        pause(2_500).await;
+        traffic.stop().await;
+        running.check();
+        assert_served(&running, 200, LOW_LOAD_LOSS_PERCENT);
+        for vm in &running.site.vms {
+            assert!(vm.log().contains("event=store_era_changed"), "{}", vm.log());
+        }
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn vm_that_cannot_reach_the_store_learns_of_its_return_from_peers() {
+        let mut running = RunningSite::start(&[1, 1], 2).await;
+        pause(2_500).await;
+        running.site.add_route("orders");
+        pause(1_000).await;
+        drill(&mut running, Duration::from_millis(2_000)).await;
+        running.site.vms[0].store_server.set_fault(Fault::Silent);
+        let time = running.time_change(&[0, 1]).await;
+        assert!(
+            time < CONFIG_BOUND,
+            "the change took {time:?}, less than {CONFIG_BOUND:?} allowed"
+        );
+        running.check();
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn vm_that_starts_after_a_drill_reads_the_copy_and_what_peers_know() {
+        let mut running = RunningSite::start(&[2, 1], 2).await;
+        pause(2_500).await;
+        let added = running.site.add_route("orders");
+        pause(1_000).await;
+        running.site.vms[0].kill().await;
+        // The operator does not write the configuration again.
+        running.site.store.restore(Duration::from_millis(2_000));
+        pause(500).await;
+        running.site.vms[0].start().expect("the VM starts");
+        running.wait_served(0).await;
+        pause(1_500).await;
+        for vm in [0, 1, 2] {
+            assert!(running.serves(vm, added).await, "VM {vm}");
+        }
+        running.check();
+    }
+
     #[tokio::test(flavor = "multi_thread")]
     async fn vm_that_starts_without_the_store_gets_its_copy_from_peers() {
         let mut running = RunningSite::start(&[2, 1], 2).await;
--- a/tests/tests/node.rs
+++ b/tests/tests/node.rs
@@ -31,6 +31,8 @@
 
 fn full_copy(upto: u64, list: Vec<Change>) -> Changes {
     Changes {
+        era: None,
+        kept: Vec::new(),
         after: None,
         upto: Revision::from(upto),
         list,
--- a/tests/tests/replica.rs
+++ b/tests/tests/replica.rs
@@ -3,12 +3,30 @@
 
 use std::sync::Arc;
 
-use bambooseam_replica::{ApplyOutcome, Change, Changes, Replica};
-use bambooseam_types::Revision;
+use bambooseam_replica::{ApplyOutcome, Change, Changes, Content, ContentAge, Held, Replica};
+use bambooseam_types::{Era, Revision};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+/// Documents without an age of their own.
+#[derive(Debug, Clone, Copy)]
+struct Unaged;
+
+impl Content for Unaged {
+    fn age(&self, _: &str, _: &[u8]) -> Option<ContentAge> {
+        None
+    }
+}
+
+/// What a peer without eras holds.
+fn held(upto: Option<u64>) -> Held {
+    Held {
+        upto: upto.map(Revision::from),
+        ..Held::default()
+    }
+}
+
 fn change(key: &str, revision: u64, value: Option<&str>) -> Change {
     Change {
         key: key.into(),
@@ -19,6 +37,8 @@
 
 fn changes(after: Option<u64>, upto: u64, list: Vec<Change>) -> Changes {
     Changes {
+        era: None,
+        kept: Vec::new(),
         after: after.map(Revision::from),
         upto: upto.into(),
         list,
@@ -29,13 +49,13 @@
     changes(None, upto, list)
 }
 
-fn revision_of(replica: &Replica, key: &str) -> Option<u64> {
+fn revision_of(replica: &Replica<Unaged>, key: &str) -> Option<u64> {
     replica.get(key).map(|document| document.revision.get())
 }
 
 #[test]
 fn older_changes_are_not_applied() {
-    let mut replica = Replica::new();
+    let mut replica = Replica::new(Unaged);
     replica.apply(full(5, vec![change("a", 5, Some("new"))]));
     let outcome = replica.apply(changes(Some(2), 4, vec![change("a", 4, Some("old"))]));
     assert_eq!(outcome, ApplyOutcome::Newer(vec![]));
@@ -45,7 +65,7 @@
 
 #[test]
 fn changes_after_a_gap_are_not_applied() {
-    let mut replica = Replica::new();
+    let mut replica = Replica::new(Unaged);
     assert_eq!(
         replica.apply(changes(Some(3), 4, vec![])),
         ApplyOutcome::Gap
@@ -58,7 +78,7 @@
 
 #[test]
 fn full_copy_removes_documents_that_it_lacks() {
-    let mut replica = Replica::new();
+    let mut replica = Replica::new(Unaged);
     replica.apply(full(
         3,
         vec![change("a", 1, Some("x")), change("b", 3, Some("x"))],
@@ -70,7 +90,7 @@
 
 #[test]
 fn older_full_copy_removes_nothing() {
-    let mut replica = Replica::new();
+    let mut replica = Replica::new(Unaged);
     replica.apply(full(9, vec![change("a", 9, Some("x"))]));
     assert_eq!(replica.apply(full(4, vec![])), ApplyOutcome::Newer(vec![]));
     assert_eq!(revision_of(&replica, "a"), Some(9));
@@ -78,7 +98,7 @@
 
 #[test]
 fn older_full_copy_restores_nothing() {
-    let mut replica = Replica::new();
+    let mut replica = Replica::new(Unaged);
     let newer = full(9, vec![change("a", 5, Some("1"))]);
     assert!(matches!(replica.apply(newer), ApplyOutcome::Newer(list) if list.len() == 1));
     // "b" was removed after revision 7. The newer copy lacks "b" and does not list the removal.
@@ -93,7 +113,7 @@
 #[test]
 fn document_written_between_two_pages_is_kept() {
     // The second page of a read contains a document newer than the revision of the first page.
-    let mut replica = Replica::new();
+    let mut replica = Replica::new(Unaged);
     replica.apply(full(10, vec![change("a", 12, Some("x"))]));
     // Another full read began and ended before that write.
     replica.apply(full(11, vec![]));
@@ -102,7 +122,7 @@
 
 #[test]
 fn removal_is_not_undone_by_an_older_write() {
-    let mut replica = Replica::new();
+    let mut replica = Replica::new(Unaged);
     replica.apply(full(3, vec![change("a", 3, Some("x"))]));
     replica.apply(changes(Some(3), 5, vec![change("a", 5, None)]));
     replica.apply(changes(Some(2), 4, vec![change("a", 4, Some("late"))]));
@@ -115,11 +135,11 @@
 fn peer_older_than_a_full_copy_gets_a_full_copy() {
     // Documents removed before the full copy are not listed in the copy, and the peer may still
     // hold "b".
-    let mut replica = Replica::new();
+    let mut replica = Replica::new(Unaged);
     replica.apply(full(10, vec![change("a", 4, Some("x"))]));
-    let update = replica.changes_since(Some(7.into())).expect("changes");
+    let update = replica.changes_since(&held(Some(7))).expect("changes");
     assert_eq!(update.after, None);
-    let mut peer = Replica::new();
+    let mut peer = Replica::new(Unaged);
     peer.apply(full(
         7,
         vec![change("a", 4, Some("x")), change("b", 7, Some("x"))],
@@ -127,13 +147,17 @@
     peer.apply(update);
     assert_eq!(revision_of(&peer, "b"), None);
     // After the full copy, changes suffice.
-    let update = replica.changes_since(Some(10.into())).expect("changes");
-    assert_eq!(update, changes(Some(10), 10, vec![]));
+    let update = replica.changes_since(&held(Some(10))).expect("changes");
+    let expected = Changes {
+        era: Some(Era::default()),
+        ..changes(Some(10), 10, vec![])
+    };
+    assert_eq!(update, expected);
 }
 
 #[test]
 fn document_restored_within_one_update_is_not_removed() {
-    let mut replica = Replica::new();
+    let mut replica = Replica::new(Unaged);
     replica.apply(full(3, vec![change("a", 3, Some("x"))]));
     let restored = change("a", 5, Some("x"));
     let list = vec![change("a", 4, None), restored.clone()];
@@ -176,7 +200,11 @@
     for seed in 0..300 {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut history = History(Vec::new());
-        let mut replicas = [Replica::new(), Replica::new(), Replica::new()];
+        let mut replicas = [
+            Replica::new(Unaged),
+            Replica::new(Unaged),
+            Replica::new(Unaged),
+        ];
         let keys = ["a", "b", "c", "d"];
         for _ in 0..120 {
             match rng.random_range(0..4) {
@@ -200,7 +228,9 @@
                 _ => {
                     let (from, to) = (rng.random_range(0..3), rng.random_range(0..3));
                     let upto = replicas[to].upto();
-                    if let Some(update) = replicas[from].changes_since(upto) {
+                    if let Some(update) =
+                        replicas[from].changes_since(&held(upto.map(Revision::get)))
+                    {
                         replicas[to].apply(update);
                     }
                 }
@@ -213,7 +243,7 @@
 }
 
 /// Asserts that a copy equals the store's contents at the copy's revision.
-fn check_against(replica: &Replica, history: &History, seed: u64) {
+fn check_against(replica: &Replica<Unaged>, history: &History, seed: u64) {
     let Some(upto) = replica.upto() else {
         return;
     };
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -9,6 +9,7 @@
 const SHORT: PlanSize = PlanSize {
     length: Duration::from_secs(30),
     vms: 4,
+    has_drills: false,
 };
 
 /// Seeds of the short runs, which run in parallel.
@@ -100,6 +101,41 @@
     }
 }
 
+#[test]
+fn drills_are_added_to_the_plan_of_a_seed() {
+    let size = PlanSize {
+        has_drills: true,
+        ..DEFAULT_SIZE
+    };
+    for seed in 0..50 {
+        let plan = Plan::generate(seed, DEFAULT_SIZE);
+        let with_drills = Plan::generate(seed, size);
+        let is_drill = |event: &Event| matches!(event, Event::StoreReturns(_));
+        let drills = with_drills
+            .events
+            .iter()
+            .filter(|(_, event)| is_drill(event));
+        assert!(drills.count() > 0, "seed {seed}");
+        let is_kept = |event: &(Duration, Event)| with_drills.events.contains(event);
+        assert!(plan.events.iter().all(is_kept), "seed {seed}");
+        assert!(with_drills.faults_end() + Duration::from_secs(12) < size.length);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn short_run_with_drills_violates_no_invariant() {
+    let size = PlanSize {
+        has_drills: true,
+        ..SHORT
+    };
+    let plan = Plan::generate(SEEDS[0], size);
+    let outcome = run(&plan, program("bambooseam-entry"))
+        .await
+        .expect("a run");
+    assert!(outcome.violations.is_empty(), "{outcome}");
+    assert!(outcome.served > 500, "{outcome}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn short_runs_violate_no_invariant() {
     let program = program("bambooseam-entry");
