Let request timeouts and the cost of cold targets follow observed responses

Cause: REQUEST_TIMEOUT (500 ms) and COLD_PERCENT (160) were figures of the first users' work. Where work takes four times as long, targets were found unresponsive while they worked; where it is shorter, late.

Change: steer::timing keeps the longest response time of 10 to 20 s for each service, without those delayed by lost packets; the timeout is 1.5 times that, 300 to 1,500 ms. The cost of a cold target is the ratio of the mean response times of cold and warm targets, 100 to 400 percent, 160 until both are known.

Also: data sent during a large transfer to or from a peer is no evidence of a stalled target. A process test for a listed target that falls silent.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -31,6 +31,9 @@
 /// next call with its timeout, and the maximum backoff between the calls.
 const STORE_OUTAGE_TIME: Duration = Duration::from_millis(2_000);
 
+/// Size of a transfer in bytes from which it may delay packets noticeably: 25 ms at 10 Mbit/s.
+const LARGE_TRANSFER_BYTES: usize = 32 << 10;
+
 /// Time after which an entry of the store's copy is accepted although it was not written anew: three
 /// heartbeats, after which the store has removed the entries of ended targets, with a reserve.
 const MAX_UNRENEWED_TIME: Duration = Duration::from_secs(10);
@@ -100,6 +103,7 @@
     /// Returns false when changes between the replica and the offered changes are missing, or when
     /// the changes belong to an earlier era of the store.
     pub fn apply(&mut self, changes: Changes, synced: Moment, now: Moment, source: Source) -> bool {
+        self.record_transfer(changes.size(), now);
         let before = self.replica.held();
         let newer = match self.replica.apply(changes) {
             ApplyOutcome::Newer(newer) => newer,
@@ -247,6 +251,14 @@
         early_targets
     }
 
+    /// Records a transfer of documents from or to another machine, which may fill the link of this
+    /// VM if it is large.
+    pub fn record_transfer(&mut self, size: usize, now: Moment) {
+        if size >= LARGE_TRANSFER_BYTES {
+            self.steering.record_transfer(now);
+        }
+    }
+
     /// Records that the store returned from an older copy, which lacks some of the entries.
     fn begin_era(&mut self, before: &Held, now: Moment, source: Source) {
         let era = self.replica.era();
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -75,9 +75,16 @@
         let changes = node.replica().changes_since(&request.held);
         let changes = changes
             .filter(|changes| request.may_be_large || changes.size() <= SMALL_RESPONSE_BYTES);
+        let now = BootClock.now();
+        drop(node);
+        if let Some(changes) = &changes {
+            let mut node = self.node.borrow_mut();
+            node.record_transfer(changes.size(), now);
+        }
+        let node = self.node.borrow();
         SyncResponse {
             changes,
-            age: node.age(BootClock.now()).unwrap_or(Duration::MAX),
+            age: node.age(now).unwrap_or(Duration::MAX),
             peers,
         }
     }
--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -72,8 +72,8 @@
     pub has_request: bool,
     /// When the opening packet or request was first sent whose response the packet shows.
     pub answered: Option<Moment>,
-    /// Whether that packet was answered without a retransmission.
-    pub is_prompt: bool,
+    /// Number of times that the caller retransmitted that packet before the answer.
+    pub repeats: u32,
     /// Time from the request to the start of its response, if a response began.
     pub response_time: Option<Duration>,
     /// A request or opening was in progress before the packet.
@@ -217,11 +217,11 @@
                 state.next_seq = header.seq;
                 signals.is_opened = true;
                 signals.answered = Some(state.started);
-                signals.is_prompt = !state.is_repeated;
+                signals.repeats = u32::from(state.is_repeated);
             }
             Phase::Open if is_after(header.ack, state.acked) => {
                 state.acked = header.ack;
-                signals.is_prompt = state.retransmissions.is_empty();
+                signals.repeats = state.retransmissions.count();
                 state.retransmissions.record_progress();
                 signals.answered = state.busy_since.take();
                 signals.response_time = signals.answered.map(|sent| now.since(sent));
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -25,10 +25,6 @@
 /// this VM.
 const REMOTE_COST: u64 = 1_500;
 
-/// Cost of a request at a target that was started recently, in percent of the usual cost: the
-/// users' targets take 1.6 times as long during that time.
-const COLD_PERCENT: u64 = 160;
-
 /// A target that may take a new flow.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a> {
@@ -38,6 +34,8 @@
     pub load: &'a Load,
     /// Number of requests that the target processes at a time.
     pub capacity: u32,
+    /// Cost of a request while the target is slow after its start, in percent of the usual cost.
+    pub cold_percent: u64,
     /// Whether the target is in the zone of this VM.
     pub is_local: bool,
     /// Whether the target or its zone is unresponsive.
@@ -69,7 +67,7 @@
     let load = candidate.load;
     let capacity = u64::from(candidate.capacity.max(1));
     let percent = match load.is_cold(now) {
-        true => COLD_PERCENT,
+        true => candidate.cold_percent,
         false => 100,
     };
     // Includes the request to be placed, so that an idle cold target costs more than an idle warm
--- a/crates/steer/src/responsiveness.rs
+++ b/crates/steer/src/responsiveness.rs
@@ -19,14 +19,10 @@
 
 use bambooseam_types::Moment;
 
-/// Time after which an opening packet counts as unanswered: 15 round trips between a zone and a
-/// caller, and less than the 200 ms after which callers retransmit.
+/// Time after which an opening packet counts as unanswered: less than the 200 ms after which callers
+/// retransmit, so that the retransmission can move.
 pub const OPENING_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Time after which a request counts as unanswered: more than the longest processing time that the
-/// users publish (350 ms) with a round trip.
-pub const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Time after which an unresponsive target is probed again: more than the 1.4 s for which callers
 /// retransmit an opening packet.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(2_000);
@@ -42,6 +38,8 @@
     opening: Option<Moment>,
     /// When the oldest of these requests was sent.
     request: Option<Moment>,
+    /// Time after which that request counts as unanswered.
+    request_timeout: Duration,
     /// Number of these openings and requests.
     flows: u32,
     /// Whether the target was found unresponsive, so that later flows are probes.
@@ -59,11 +57,14 @@
         self.flows = self.flows.saturating_add(1);
     }
 
-    /// Records that a request was sent to the target.
-    pub fn record_request(&mut self, now: Moment) {
+    /// Records that a request was sent to the target, which counts as unanswered after `timeout`.
+    pub fn record_request(&mut self, now: Moment, timeout: Duration) {
         self.expire(now);
         self.first_sent.get_or_insert(now);
-        self.request.get_or_insert(now);
+        if self.request.is_none() {
+            self.request = Some(now);
+            self.request_timeout = timeout;
+        }
         self.flows = self.flows.saturating_add(1);
     }
 
@@ -103,7 +104,7 @@
 
     fn is_unanswered(&self, now: Moment) -> bool {
         is_pending(self.opening, now, OPENING_TIMEOUT)
-            || is_pending(self.request, now, REQUEST_TIMEOUT)
+            || is_pending(self.request, now, self.request_timeout)
     }
 
     /// Drops openings and requests older than [`PROBE_INTERVAL`], so that the target is probed
--- a/crates/steer/src/stall.rs
+++ b/crates/steer/src/stall.rs
@@ -18,6 +18,9 @@
 //! twice as many as the targets that show any sign of delay. If no target of a remote zone answers
 //! and several have stalled, the zone is cut off from this VM; its flows cannot continue here, and
 //! a retry reaches a target of this zone, provided that the targets of this zone pass the same test.
+//!
+//! Large transfers to peers fill the link of this VM for some time. Data sent during that time is no
+//! evidence.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -149,9 +152,9 @@
         };
     }
 
-    /// Whether the data was not retransmitted.
-    pub fn is_empty(&self) -> bool {
-        self.count == 0
+    /// Number of retransmissions that count.
+    pub fn count(&self) -> u32 {
+        self.count
     }
 
     /// Records that the flow made progress.
@@ -207,9 +210,11 @@
         }
     }
 
-    /// Evidence that the target is stalled; `None` if there is not enough.
-    pub fn evidence(&self, now: Moment) -> Option<StallEvidence> {
+    /// Evidence that the target is stalled, from data sent after `quiet_since`; `None` if there is not
+    /// enough.
+    pub fn evidence(&self, now: Moment, quiet_since: Moment) -> Option<StallEvidence> {
         let recent = self.recent(now);
+        let recent = recent.filter(|flow| flow.first_sent >= quiet_since);
         let evidence = StallEvidence {
             callers: recent.clone().count() as u32,
             retransmissions: recent.clone().map(|f| f.retransmissions).max()?,
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -17,6 +17,7 @@
 use crate::placement::{Candidate, place};
 use crate::stall::{Paths, StallEvidence, TargetHealth, is_confirmed};
 use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
+use crate::timing::{Response, ServiceTimings};
 use crate::unknown_token::UnknownTokens;
 use crate::zone::UnresponsiveZones;
 use crate::{
@@ -72,6 +73,9 @@
     unknown_tokens: UnknownTokens,
     zones: UnresponsiveZones,
     paths: PathRecord,
+    timings: ServiceTimings,
+    /// End of the time in which large transfers may have filled the link of this VM.
+    quiet_since: Moment,
 }
 
 impl Freshness {
@@ -106,6 +110,8 @@
             unknown_tokens: UnknownTokens::default(),
             zones: UnresponsiveZones::default(),
             paths: PathRecord::default(),
+            timings: ServiceTimings::default(),
+            quiet_since: Moment::default(),
         }
     }
 
@@ -171,6 +177,7 @@
             return forward(record, Placement::Retransmitted);
         }
         let (zone, zones) = (&self.settings.zone, &self.zones);
+        let cold_percent = self.timings.get(service).cold_percent();
         let choose = |is_eligible: fn(&TargetRecord) -> bool| {
             let records = self.targets.of_service(service);
             let candidates = records.filter(|(_, record)| is_eligible(record));
@@ -178,6 +185,7 @@
                 target,
                 load: &record.load,
                 capacity: record.target.capacity,
+                cold_percent,
                 is_local: record.target.zone == *zone,
                 is_unresponsive: record.load.responsiveness.is_unresponsive(now)
                     || zones.is_unresponsive(&record.target.zone, now),
@@ -252,6 +260,22 @@
             }
             return Decision::Reset(ResetCause::TargetStalled);
         }
+        if let Some(record) = self.targets.get_mut(index)
+            && signals.has_request
+        {
+            let timeout = self.timings.get(&record.target.service).request_timeout();
+            record.load.responsiveness.record_request(now, timeout);
+        }
+        if let Some(time) = signals.response_time
+            && let Some(record) = self.targets.get(index)
+        {
+            let response = Response {
+                time,
+                retransmissions: signals.repeats,
+                is_cold: record.load.is_cold(now),
+            };
+            self.timings.record(&record.target.service, response, now);
+        }
         if let Some(time) = signals.response_time
             && self.response_times.len() < MAX_RESPONSE_TIMES
         {
@@ -263,7 +287,7 @@
         if signals.has_request {
             self.paths.record_sent(&record.target.zone, now);
         }
-        if let Some(sent) = signals.answered.filter(|_| signals.is_prompt) {
+        if let Some(sent) = signals.answered.filter(|_| signals.repeats == 0) {
             self.paths.record_answered(&record.target.zone, sent);
         }
         Decision::Forward {
@@ -277,7 +301,7 @@
     /// Evidence that the flows of a target have stalled and that a retry would reach another target.
     fn stall_evidence(&self, index: TargetIndex, now: Moment) -> Option<StallEvidence> {
         let record = self.targets.get(index)?;
-        let evidence = record.load.stall.evidence(now)?;
+        let evidence = record.load.stall.evidence(now, self.quiet_since)?;
         let (own, zone) = (&self.settings.zone, &record.target.zone);
         let mut paths = Paths::default();
         paths.local.is_prompt = self.paths.is_working(own, evidence.since, now);
@@ -420,9 +444,6 @@
         load.record_response(now);
         load.last_answered = load.last_answered.max(signals.answered);
     }
-    if signals.has_request {
-        load.responsiveness.record_request(now);
-    }
 }
 
 /// Subtracts the load of a removed flow or an abandoned request from its target.
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -13,6 +13,10 @@
 /// Idle time after which a flow may be removed if the configuration does not set one.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(15);
 
+/// Time for which a large transfer may fill the link: eight copies of a configuration of 250 KB take
+/// 1.6 s at 10 Mbit/s.
+const TRANSFER_TIME: Duration = Duration::from_secs(2);
+
 /// Largest number of remembered frontends whose route was removed.
 const MAX_REMOVED_FRONTENDS: usize = 4_096;
 
@@ -73,6 +77,11 @@
         self.freshness.first_synced = None;
     }
 
+    /// Records that a large transfer has begun, which may fill the link of this VM.
+    pub fn record_transfer(&mut self, now: Moment) {
+        self.quiet_since = now.after(TRANSFER_TIME);
+    }
+
     /// Applies the removals of one batch. Returns the new status of each target that is kept.
     ///
     /// A target that had announced that it is leaving has ended, unless the store was recently
--- a/tests/tests/entry.rs
+++ b/tests/tests/entry.rs
@@ -483,6 +483,53 @@
     running.check();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn flow_of_a_target_that_falls_silent_is_reset_while_the_target_is_listed() {
+    let mut running = RunningSite::start(&[1], 4).await;
+    let caller = std::sync::Arc::clone(&running.site.callers[0]);
+    let silent = running.targets.remove(0);
+    let timeout = Duration::from_secs(8);
+    let (mut stalled, mut others) = (None, Vec::new());
+    for number in 0.. {
+        if stalled.is_some() && others.len() >= 3 {
+            break;
+        }
+        let mut flow = caller.open(running.orders, None).await.expect("a flow");
+        let id = format!("first-{number}");
+        flow.request(&id, Duration::ZERO, 10, timeout)
+            .await
+            .expect("a response");
+        match flow.target() == Some(silent.name().as_str()) {
+            true => stalled = Some(flow),
+            false => others.push(flow),
+        }
+    }
+    let key = format!("servers/{}", silent.plan().id);
+    let item = running.site.store.lock().get(&key).cloned();
+    silent.crash();
+    // Without a lifetime the entry stays.
+    let entry = item.expect("the entry").value;
+    running.site.store.put_bytes(&key, entry, None);
+    // The other flows show that the VM reaches the other targets.
+    let feed = tokio::spawn(async move {
+        for number in 0.. {
+            for (at, flow) in others.iter_mut().enumerate() {
+                let id = format!("feed-{at}-{number}");
+                let response = flow.request(&id, Duration::ZERO, 10, timeout).await;
+                response.expect("a response");
+            }
+            pause(50).await;
+        }
+    });
+    let mut stalled = stalled.expect("a flow of the silent target");
+    let error = stalled.request("last", Duration::ZERO, 10, timeout).await;
+    feed.abort();
+    let log = running.site.vms[0].log();
+    assert_eq!(error, Err(FlowError::SystemReset), "{log}");
+    assert!(log.contains("cause=target_stalled"), "{log}");
+    running.check();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn address_used_again_by_another_service_gets_none_of_its_flows() {
     let mut running = RunningSite::start(&[1, 1], 3).await;
