--- a/crates/measure/src/demo/platform.rs
+++ b/crates/measure/src/demo/platform.rs
@@ -27,6 +27,9 @@
 const START_TIME: Duration = Duration::from_secs(10);
 /// Time within which a change must be in force on all VMs.
 const CONFIG_TIME: Duration = Duration::from_secs(3);
+/// Time for which the store is away before it returns from a copy, and the age of the copy.
+const AWAY_TIME: Duration = Duration::from_secs(1);
+const COPY_AGE: Duration = Duration::from_secs(3);
 /// Time within which a planned stop must end.
 const STOP_TIME: Duration = Duration::from_secs(6);
 /// Timeout for opening a flow through a VM; a VM that can serve the flow answers sooner.
@@ -118,6 +121,14 @@
         let time = self.change().await;
         sleep(self.period).await;
         self.report("store_away", Some(time));
+        progress("returning the store to a copy that lacks the last change");
+        self.change().await;
+        self.site.store.set_unavailable(true);
+        sleep(AWAY_TIME).await;
+        self.site.restore_store(COPY_AGE);
+        let time = self.change().await;
+        sleep(self.period).await;
+        self.report("store_returns", Some(time));
         progress("killing all VMs at once");
         self.kill_all().await?;
         self.report("kill_all", None);
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -4,6 +4,8 @@
 //! detectors. This module handles packets; the submodule `update` handles published documents and
 //! the passing of time.
 
+mod signals;
+mod stalled;
 mod update;
 
 use std::net::SocketAddrV4;
@@ -11,13 +13,13 @@
 
 use bambooseam_types::{Moment, ServiceName, TargetId, Token, ZoneId};
 
-use crate::flows::{Flows, Released, Signals};
+use self::signals::apply_signals;
+use crate::flows::Flows;
 use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
 use crate::path::PathRecord;
 use crate::placement::{Candidate, place};
-use crate::stall::{Paths, StallEvidence, TargetHealth, is_confirmed};
 use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
-use crate::timing::{Response, ServiceTimings};
+use crate::timing::ServiceTimings;
 use crate::unknown_token::UnknownTokens;
 use crate::zone::UnresponsiveZones;
 use crate::{
@@ -245,51 +247,14 @@
             .record_packet(header, (index, token), timeout, now);
         self.report_stall_end(index, signals);
         apply_signals(&mut self.targets, index, signals, now);
-        if let Some(retransmissions) = signals.retransmissions
-            && let Some(record) = self.targets.get_mut(index)
-        {
-            let caller = *header.flow.caller.ip();
-            record.load.stall.record(caller, retransmissions);
-        }
-        if header.len > 0
-            && let Some(evidence) = self.stall_evidence(index, now)
-        {
-            self.report_stall(index, evidence, now);
-            if let Some(released) = self.flows.remove(&header.flow) {
-                release(&mut self.targets, released);
-            }
+        if self.is_stalled(header, index, signals, now) {
+            self.reset_stalled(header);
             return Decision::Reset(ResetCause::TargetStalled);
         }
-        if let Some(record) = self.targets.get_mut(index)
-            && signals.has_request
-        {
-            let timeout = self.timings.get(&record.target.service).request_timeout();
-            record.load.responsiveness.record_request(now, timeout);
-        }
-        if let Some(time) = signals.response_time
-            && let Some(record) = self.targets.get(index)
-        {
-            let response = Response {
-                time,
-                retransmissions: signals.repeats,
-                is_cold: record.load.is_cold(now),
-            };
-            self.timings.record(&record.target.service, response, now);
-        }
-        if let Some(time) = signals.response_time
-            && self.response_times.len() < MAX_RESPONSE_TIMES
-        {
-            self.response_times.push((index, time));
-        }
+        self.observe(index, signals, now);
         let Some(record) = self.targets.get(index) else {
             return Decision::Drop(DropCause::TokenNotKnownYet);
         };
-        if signals.has_request {
-            self.paths.record_sent(&record.target.zone, now);
-        }
-        if let Some(sent) = signals.answered.filter(|_| signals.repeats == 0) {
-            self.paths.record_answered(&record.target.zone, sent);
-        }
         Decision::Forward {
             address: record.target.address,
             label: record.target.label,
@@ -298,61 +263,6 @@
         }
     }
 
-    /// Evidence that the flows of a target have stalled and that a retry would reach another target.
-    fn stall_evidence(&self, index: TargetIndex, now: Moment) -> Option<StallEvidence> {
-        let record = self.targets.get(index)?;
-        let evidence = record.load.stall.evidence(now, self.quiet_since)?;
-        let (own, zone) = (&self.settings.zone, &record.target.zone);
-        let mut paths = Paths::default();
-        paths.local.is_prompt = self.paths.is_working(own, evidence.since, now);
-        paths.same_zone.is_prompt = self.paths.is_working(zone, evidence.since, now);
-        let others = self.targets.iter().filter(|(other, _)| *other != index);
-        for (_, TargetRecord { target, load, .. }) in others {
-            let health = TargetHealth {
-                is_answering: load.last_answered >= Some(evidence.repeated),
-                is_suspected: load.stall.is_suspected(now)
-                    || load.responsiveness.is_unresponsive(now),
-                has_stalled: load.stall.has_stalled(now),
-            };
-            paths.suspected += u32::from(health.is_suspected);
-            if target.zone == *own {
-                paths.local.add(health);
-            }
-            if target.zone == *zone {
-                paths.same_zone.add(health);
-            }
-        }
-        is_confirmed(&evidence, &paths, zone == own).then_some(evidence)
-    }
-
-    /// Counts a reset at a stalled target, and reports the target at the first one.
-    fn report_stall(&mut self, index: TargetIndex, evidence: StallEvidence, now: Moment) {
-        let Some(record) = self.targets.get_mut(index) else {
-            return;
-        };
-        record.load.stall.resets += 1;
-        if record.load.stall.resets == 1 {
-            self.events.push(SteeringEvent::Stalled {
-                target: record.target.id.clone(),
-                evidence,
-                elapsed: now.since(evidence.since),
-            });
-        }
-    }
-
-    /// Reports a target that responds after flows were reset because it was stalled.
-    fn report_stall_end(&mut self, index: TargetIndex, signals: Signals) {
-        if let Some(record) = self.targets.get(index)
-            && record.load.stall.resets > 0
-            && signals.has_response()
-        {
-            self.events.push(SteeringEvent::StallEnded {
-                target: record.target.id.clone(),
-                resets: record.load.stall.resets,
-            });
-        }
-    }
-
     /// Target of a token; of several targets, the one whose service belongs to the route.
     fn resolve(&self, token: Token, route: Option<&Route>) -> Option<TargetIndex> {
         let mut indexes = self.targets.with_token(token);
@@ -419,45 +329,3 @@
         placement: Some(placement),
     }
 }
-
-/// Updates the load of a target with the signals of a packet.
-fn apply_signals(targets: &mut TargetTable, index: TargetIndex, signals: Signals, now: Moment) {
-    if let Some(replaced) = signals.replaced {
-        release(targets, replaced);
-    }
-    let Some(record) = targets.get_mut(index) else {
-        return;
-    };
-    let load = &mut record.load;
-    if signals.is_new {
-        load.flows += 1;
-    }
-    if signals.is_ended {
-        load.flows = load.flows.saturating_sub(1);
-    }
-    match (signals.was_busy, signals.is_busy) {
-        (false, true) => load.busy += 1,
-        (true, false) => load.busy = load.busy.saturating_sub(1),
-        _ => {}
-    }
-    if signals.has_response() {
-        load.record_response(now);
-        load.last_answered = load.last_answered.max(signals.answered);
-    }
-}
-
-/// Subtracts the load of a removed flow or an abandoned request from its target.
-fn release(targets: &mut TargetTable, released: Released) {
-    let Some(record) = targets.get_mut(released.target) else {
-        return;
-    };
-    if record.token != released.token {
-        return;
-    }
-    if released.busy_since.is_some() {
-        record.load.busy = record.load.busy.saturating_sub(1);
-    }
-    if released.is_removed && !released.was_ended {
-        record.load.flows = record.load.flows.saturating_sub(1);
-    }
-}
--- /dev/null
+++ b/crates/steer/src/steering/signals.rs
@@ -0,0 +1,85 @@
+//! What the signals of a packet show about its target: load, response times and paths.
+
+use bambooseam_types::Moment;
+
+use super::{MAX_RESPONSE_TIMES, Steering};
+use crate::flows::{Released, Signals};
+use crate::target_table::{TargetIndex, TargetTable};
+use crate::timing::Response;
+
+impl Steering {
+    /// Records requests and responses for timeouts, path health and metrics.
+    pub(super) fn observe(&mut self, index: TargetIndex, signals: Signals, now: Moment) {
+        let Some(record) = self.targets.get_mut(index) else {
+            return;
+        };
+        let (service, zone) = (&record.target.service, &record.target.zone);
+        if signals.has_request {
+            let timeout = self.timings.get(service).request_timeout();
+            self.paths.record_sent(zone, now);
+            record.load.responsiveness.record_request(now, timeout);
+        }
+        if let Some(sent) = signals.answered.filter(|_| signals.repeats == 0) {
+            self.paths.record_answered(zone, sent);
+        }
+        let Some(time) = signals.response_time else {
+            return;
+        };
+        let response = Response {
+            time,
+            retransmissions: signals.repeats,
+            is_cold: record.load.is_cold(now),
+        };
+        self.timings.record(service, response, now);
+        if self.response_times.len() < MAX_RESPONSE_TIMES {
+            self.response_times.push((index, time));
+        }
+    }
+}
+
+/// Updates the load of a target with the signals of a packet.
+pub(super) fn apply_signals(
+    targets: &mut TargetTable,
+    index: TargetIndex,
+    signals: Signals,
+    now: Moment,
+) {
+    if let Some(replaced) = signals.replaced {
+        release(targets, replaced);
+    }
+    let Some(record) = targets.get_mut(index) else {
+        return;
+    };
+    let load = &mut record.load;
+    if signals.is_new {
+        load.flows += 1;
+    }
+    if signals.is_ended {
+        load.flows = load.flows.saturating_sub(1);
+    }
+    match (signals.was_busy, signals.is_busy) {
+        (false, true) => load.busy += 1,
+        (true, false) => load.busy = load.busy.saturating_sub(1),
+        _ => {}
+    }
+    if signals.has_response() {
+        load.record_response(now);
+        load.last_answered = load.last_answered.max(signals.answered);
+    }
+}
+
+/// Subtracts the load of a removed flow or an abandoned request from its target.
+pub(super) fn release(targets: &mut TargetTable, released: Released) {
+    let Some(record) = targets.get_mut(released.target) else {
+        return;
+    };
+    if record.token != released.token {
+        return;
+    }
+    if released.busy_since.is_some() {
+        record.load.busy = record.load.busy.saturating_sub(1);
+    }
+    if released.is_removed && !released.was_ended {
+        record.load.flows = record.load.flows.saturating_sub(1);
+    }
+}
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -5,7 +5,8 @@
 
 use bambooseam_types::{Moment, ServiceName, TargetId};
 
-use super::{Steering, release};
+use super::Steering;
+use super::signals::release;
 use crate::missing_entry::RemovalCount;
 use crate::target_table::{EntryStatus, TargetIndex};
 use crate::{Routes, SteeringEvent, Target};
