--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -73,7 +73,7 @@
                 .help("Number of VMs, distributed over three zones"),
         )
         .arg(flag(
-            "drills",
+            "restores",
             "Let the store return from older copies at times",
         ))
         .arg(flag("plan", "Print the plan without running it"))
@@ -96,7 +96,7 @@
     let size = PlanSize {
         length: seconds.map_or(DEFAULT_SIZE.length, Duration::from_secs),
         vms: number("vms").map_or(DEFAULT_SIZE.vms, |vms| vms as usize),
-        has_drills: matches.get_flag("drills"),
+        has_restores: matches.get_flag("restores"),
     };
     let first = number("seed").unwrap_or(1);
     let count = number("seeds").unwrap_or(1);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -44,7 +44,7 @@
     /// Number of VMs, distributed over three zones.
     pub vms: usize,
     /// Whether the store returns from an older copy at times.
-    pub has_drills: bool,
+    pub has_restores: bool,
 }
 
 /// An action on the site from outside the programs.
@@ -174,8 +174,8 @@
         if generator.random.random_bool(0.5) {
             generator.add_kill_all(last);
         }
-        if size.has_drills {
-            generator.add_drills(last);
+        if size.has_restores {
+            generator.add_restores(last);
         }
         let mut plan = generator.plan;
         plan.events.sort_by_key(|(at, _)| *at);
@@ -316,10 +316,10 @@
         self.add_event(until, Event::StoreUnavailable(false));
     }
 
-    /// Adds drills, in which the store is away and returns from a copy; some come soon one after the
+    /// Adds times at which the store is away and returns from a copy; some come soon one after the
     /// other, or while other faults last. Drawn after all else, so that the rest of a seed's plan is
-    /// the same without drills.
-    fn add_drills(&mut self, last: Duration) {
+    /// the same without them.
+    fn add_restores(&mut self, last: Duration) {
         let mut at = QUIET_START + self.random_time(1_000, 8_000);
         while at < last {
             let until = (at + self.random_time(100, 1_500)).min(last);
--- a/tests/tests/entry.rs
+++ b/tests/tests/entry.rs
@@ -206,7 +206,7 @@
     }
 
     /// Returns the store to a copy while its VMs cannot reach it.
-    async fn drill(running: &mut RunningSite, age: Duration) {
+    async fn restore(running: &mut RunningSite, age: Duration) {
         for vm in &running.site.vms {
             vm.store_server.set_fault(Fault::Silent);
         }
@@ -234,7 +234,7 @@
         }
         // The copies lack the route and both announcements; the second one comes soon after.
         for _ in 0..2 {
-            drill(&mut running, Duration::from_millis(2_000)).await;
+            restore(&mut running, Duration::from_millis(2_000)).await;
             for _ in 0..10 {
                 pause(150).await;
                 for vm in [0, 1] {
@@ -262,7 +262,7 @@
         pause(2_500).await;
         running.site.add_route("orders");
         pause(1_000).await;
-        drill(&mut running, Duration::from_millis(2_000)).await;
+        restore(&mut running, Duration::from_millis(2_000)).await;
         running.site.vms[0].store_server.set_fault(Fault::Silent);
         let time = running.time_change(&[0, 1]).await;
         assert!(
@@ -273,7 +273,7 @@
     }
 
     #[tokio::test(flavor = "multi_thread")]
-    async fn vm_that_starts_after_a_drill_reads_the_copy_and_what_peers_know() {
+    async fn vm_that_starts_after_a_restore_reads_the_copy_and_what_peers_know() {
         let mut running = RunningSite::start(&[2, 1], 2).await;
         pause(2_500).await;
         let added = running.site.add_route("orders");
--- a/tests/tests/replica_eras.rs
+++ b/tests/tests/replica_eras.rs
@@ -120,7 +120,7 @@
     let mut replica = replica();
     newer(replica.apply(changes(1, None, 2, vec![])));
     assert_eq!(content(&replica, "config").as_deref(), Some("v 7"));
-    // A second drill in a row, and a peer that starts from the copy.
+    // The store returns a second time, and a peer that starts from the copy.
     newer(replica.apply(changes(2, None, 2, vec![change("config", 1, Some("v 3"))])));
     assert_eq!(content(&replica, "config").as_deref(), Some("v 7"));
     let mut peer = Replica::new(Words);
@@ -251,7 +251,7 @@
 type Documents = BTreeMap<&'static str, (u64, String)>;
 
 /// A store that returns from older copies, and its writers.
-struct DrilledStore {
+struct RestoredStore {
     era: u64,
     revision: u64,
     documents: Documents,
@@ -267,7 +267,7 @@
 
 const TARGETS: [&str; 3] = ["t1", "t2", "t3"];
 
-impl DrilledStore {
+impl RestoredStore {
     fn new() -> Self {
         let mut store = Self {
             era: 0,
@@ -334,7 +334,7 @@
     }
 
     /// Returns to one of the copies.
-    fn drill(&mut self, rng: &mut StdRng) {
+    fn restore(&mut self, rng: &mut StdRng) {
         let Some((revision, documents)) = self.copies.choose(rng).cloned() else {
             return;
         };
@@ -386,7 +386,7 @@
 /// Runs one random interleaving; returns the number of steps.
 fn run_interleaving(seed: u64) -> usize {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut store = DrilledStore::new();
+    let mut store = RestoredStore::new();
     let mut replicas = [
         Replica::new(Words),
         Replica::new(Words),
@@ -399,7 +399,7 @@
     for _ in 0..steps {
         match rng.random_range(0..12) {
             0..4 => store.step(&mut rng),
-            4 => store.drill(&mut rng),
+            4 => store.restore(&mut rng),
             5 => store.rewrite(),
             6..8 => {
                 let at = rng.random_range(0..3);
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -9,7 +9,7 @@
 const SHORT: PlanSize = PlanSize {
     length: Duration::from_secs(30),
     vms: 4,
-    has_drills: false,
+    has_restores: false,
 };
 
 /// Seeds of the short runs, which run in parallel.
@@ -102,30 +102,30 @@
 }
 
 #[test]
-fn drills_are_added_to_the_plan_of_a_seed() {
+fn restores_are_added_to_the_plan_of_a_seed() {
     let size = PlanSize {
-        has_drills: true,
+        has_restores: true,
         ..DEFAULT_SIZE
     };
     for seed in 0..50 {
         let plan = Plan::generate(seed, DEFAULT_SIZE);
-        let with_drills = Plan::generate(seed, size);
-        let is_drill = |event: &Event| matches!(event, Event::StoreReturns(_));
-        let drills = with_drills
+        let with_restores = Plan::generate(seed, size);
+        let is_restore = |event: &Event| matches!(event, Event::StoreReturns(_));
+        let restores = with_restores
             .events
             .iter()
-            .filter(|(_, event)| is_drill(event));
-        assert!(drills.count() > 0, "seed {seed}");
-        let is_kept = |event: &(Duration, Event)| with_drills.events.contains(event);
+            .filter(|(_, event)| is_restore(event));
+        assert!(restores.count() > 0, "seed {seed}");
+        let is_kept = |event: &(Duration, Event)| with_restores.events.contains(event);
         assert!(plan.events.iter().all(is_kept), "seed {seed}");
-        assert!(with_drills.faults_end() + Duration::from_secs(12) < size.length);
+        assert!(with_restores.faults_end() + Duration::from_secs(12) < size.length);
     }
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn short_run_with_drills_violates_no_invariant() {
+async fn short_run_with_restores_violates_no_invariant() {
     let size = PlanSize {
-        has_drills: true,
+        has_restores: true,
         ..SHORT
     };
     let plan = Plan::generate(SEEDS[0], size);
