--- a/crates/measure/src/demo/platform.rs
+++ b/crates/measure/src/demo/platform.rs
@@ -30,6 +30,8 @@
 /// Time for which the store is away before it returns from a copy, and the age of the copy.
 const AWAY_TIME: Duration = Duration::from_secs(1);
 const COPY_AGE: Duration = Duration::from_secs(3);
+/// Time after which the operator then writes the configuration again.
+const REWRITE_TIME: Duration = Duration::from_millis(500);
 /// Time within which a planned stop must end.
 const STOP_TIME: Duration = Duration::from_secs(6);
 /// Timeout for opening a flow through a VM; a VM that can serve the flow answers sooner.
@@ -126,6 +128,8 @@
         self.site.store.set_unavailable(true);
         sleep(AWAY_TIME).await;
         self.site.restore_store(COPY_AGE);
+        sleep(REWRITE_TIME).await;
+        self.site.write_config();
         let time = self.change().await;
         sleep(self.period).await;
         self.report("store_returns", Some(time));
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -36,6 +36,10 @@
 /// target must receive no new flow.
 const DRAIN_TIME: Duration = Duration::from_secs(6);
 
+/// Longest time from the start of an outage, after which the store returns from an older copy, to the
+/// operator's next write.
+const MAX_RESTORE_TIME: Duration = Duration::from_secs(3);
+
 /// Size of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlanSize {
@@ -86,6 +90,9 @@
     /// Returns the store to a copy of this age, and makes it available to writers.
     #[display("store_returns copy_age_ms={}", _0.as_millis())]
     StoreReturns(Duration),
+    /// Writes the configuration again.
+    #[display("write_config")]
+    WriteConfig,
     /// Compacts the history of the store.
     #[display("compact")]
     Compact,
@@ -321,13 +328,16 @@
     /// the same without them.
     fn add_restores(&mut self, last: Duration) {
         let mut at = QUIET_START + self.random_time(1_000, 8_000);
-        while at < last {
-            let until = (at + self.random_time(100, 1_500)).min(last);
+        while at + MAX_RESTORE_TIME < last {
+            let until = at + self.random_time(100, 1_500);
             let age = self.random_time(1_000, 8_000);
             self.add_disturbance(None, at, until);
             self.add_event(at, Event::StoreUnavailable(true));
             self.add_event(until, Event::StoreReturns(age));
             self.add_event(until, Event::StoreUnavailable(false));
+            let rewritten = until + self.random_time(0, 1_500);
+            self.add_disturbance(None, until, rewritten);
+            self.add_event(rewritten, Event::WriteConfig);
             at = until + self.random_time(1_000, 15_000);
         }
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -65,6 +65,8 @@
     violations: Violations,
     checks: JoinSet<()>,
     outcome: Outcome,
+    /// Latest configuration version of each VM since the start of its process.
+    versions: Vec<Option<u64>>,
     /// Violation counters of the previous sample.
     previous: Vec<(&'static str, u64)>,
 }
@@ -107,6 +109,7 @@
         violations: Violations::default(),
         checks: JoinSet::new(),
         outcome: Outcome::default(),
+        versions: vec![None; plan.size.vms],
         previous: Vec::new(),
         site,
     };
@@ -150,6 +153,7 @@
             }
             Event::Start(vm) => {
                 self.site.vms[vm].kill().await;
+                self.versions[vm] = None;
                 self.site.vms[vm].start()?;
                 self.expected[vm] = true;
             }
@@ -175,6 +179,9 @@
                 }
             }
             Event::StoreReturns(age) => self.site.restore_store(age),
+            Event::WriteConfig => {
+                self.site.write_config();
+            }
             Event::Compact => self.site.store.compact(),
             Event::AddRoute => {
                 let frontend = self.site.add_route("orders");
@@ -280,6 +287,7 @@
                 reply.and_then(|reply| serde_json::from_str::<serde_json::Value>(&reply.text).ok());
             versions.push(value.and_then(|value| value["version"].as_u64()));
         }
+        self.check_versions(&versions, at);
         for (index, vm) in self.site.vms.iter_mut().enumerate() {
             if self.expected[index] && !vm.is_running() {
                 self.expected[index] = false;
@@ -321,6 +329,18 @@
         self.previous = counts;
     }
 
+    /// Checks that no process returns to an earlier configuration.
+    fn check_versions(&mut self, versions: &[Option<u64>], at: Duration) {
+        for (index, version) in versions.iter().enumerate() {
+            let (vm, latest) = (&self.site.vms[index].id, &mut self.versions[index]);
+            if *version < *latest && version.is_some() {
+                let detail = format!("{vm}: version {version:?} after {latest:?}");
+                add_violation(&self.violations, at, "reverted", detail);
+            }
+            *latest = version.or(*latest);
+        }
+    }
+
     /// Checks that every VM serves when the recovery time has passed since the last fault.
     async fn check_recovery(&mut self) {
         let due = self.plan.faults_end() + RECOVERY_TIME;
--- a/crates/standin/src/site/cluster.rs
+++ b/crates/standin/src/site/cluster.rs
@@ -236,15 +236,16 @@
         self.write_config()
     }
 
-    /// Returns the store to a copy that is `age` old or older. The operator then writes the
-    /// configuration again, and each target its entry.
+    /// Returns the store to a copy that is `age` old or older, and makes it available. Each target
+    /// then writes its entry again.
     pub fn restore_store(&self, age: Duration) {
         self.store.restore(age);
         self.store.set_unavailable(false);
-        self.write_config();
     }
 
-    fn write_config(&self) -> Option<u64> {
+    /// Writes the configuration with its present version; returns `None` while the store is
+    /// unavailable.
+    pub fn write_config(&self) -> Option<u64> {
         let mut route_history = self
             .route_history
             .lock()
--- a/tests/tests/entry.rs
+++ b/tests/tests/entry.rs
@@ -216,6 +216,9 @@
         for vm in &running.site.vms {
             vm.store_server.set_fault(Fault::None);
         }
+        // The operator writes the configuration again after some time.
+        pause(200).await;
+        running.site.write_config();
     }
 
     #[tokio::test(flavor = "multi_thread")]
