--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -265,7 +265,6 @@
         self.era_begun = Some(now);
         self.record_outage(now);
         self.steering.restart_settling();
-        metrics::gauge!("store_era").set(era.get() as f64);
         log::warn!(
             "event=store_era_changed before={} era={era} upto_before={} upto={} kept={} \
              source={source}",
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -12,6 +12,7 @@
 
 use bambooseam_peer::replica::{ReplicaClient, ReplicaService, SyncRequest, SyncResponse};
 use bambooseam_peer::{Meter, jitter};
+use bambooseam_replica::Changes;
 use bambooseam_types::{Clock, Moment};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -66,22 +67,17 @@
         if is_waiting {
             self.wait_for_change(&request).await;
         }
-        let node = self.node.borrow();
         let peers = match is_waiting {
             // A follower calls about once a second, and receives peers with its other calls.
             true => Vec::new(),
             false => self.peers.borrow().sample(now),
         };
-        let changes = node.replica().changes_since(&request.held);
+        let changes = self.node.borrow().replica().changes_since(&request.held);
         let changes = changes
             .filter(|changes| request.may_be_large || changes.size() <= SMALL_RESPONSE_BYTES);
         let now = BootClock.now();
-        drop(node);
-        if let Some(changes) = &changes {
-            let mut node = self.node.borrow_mut();
-            node.record_transfer(changes.size(), now);
-        }
-        let node = self.node.borrow();
+        let mut node = self.node.borrow_mut();
+        node.record_transfer(changes.as_ref().map_or(0, Changes::size), now);
         SyncResponse {
             changes,
             age: node.age(now).unwrap_or(Duration::MAX),
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -158,6 +158,7 @@
         if let Some(age) = node.age(now) {
             metrics::histogram!("view_age_seconds").record(age.as_secs_f64());
         }
+        metrics::gauge!("store_era").set(node.replica().era().get() as f64);
         metrics::gauge!("flows").set(node.steering().flow_count() as f64);
         metrics::counter!("peer_bytes_sent").absolute(meter.sent().get());
         metrics::counter!("peer_bytes_received").absolute(meter.received().get());
