Ask the successor when an owner of slots does not respond

Cause: an owner that did not respond within 250 ms counted as an expected wait of 1 s, which is above 40% of the queue limit of 2 s, so the request was refused as overloaded although the successor had free slots.

A second way to the same refusal: the first completed request of a new owner was its whole estimate of the service time, so one slow response refused what waited behind it (test: 2.7 s expected for 28 requests of 10 ms). The initial estimate now counts for four samples.

Change: Refusal says that the owner was lost; the finder then asks the successor, at most three in all, and waits within the limit when none responds. The limit now includes the probes.

--- a/crates/proxy/src/peers/ask.rs
+++ b/crates/proxy/src/peers/ask.rs
@@ -30,9 +30,6 @@
 /// Scale of fractions on the wire, which are sent in thousandths.
 pub const FRACTION_SCALE: f64 = 1_000.0;
 
-/// Expected wait that is reported when an owner can't be reached.
-const LOST_OWNER_WAIT: Duration = Duration::from_secs(1);
-
 /// Handle on the thread that communicates with other proxies.
 #[derive(Debug)]
 pub struct Peers {
@@ -128,16 +125,16 @@
         };
         metrics::counter!("peer_messages", "kind" => "acquire").increment(1);
         if self.calls.try_send(call).is_err() {
-            return Err(Refusal::new(LOST_OWNER_WAIT));
+            return Err(Refusal::lost_owner());
         }
         match response.await {
             Ok(Ok(lease)) => Ok(lease),
             Ok(Err(AcquireError::Refused(refusal))) => Err(refusal),
             Ok(Err(AcquireError::Unreachable(error))) => {
                 self.mark_down(to, &error);
-                Err(Refusal::new(LOST_OWNER_WAIT))
+                Err(Refusal::lost_owner())
             }
-            Err(_) => Err(Refusal::new(LOST_OWNER_WAIT)),
+            Err(_) => Err(Refusal::lost_owner()),
         }
     }
 
@@ -307,7 +304,11 @@
         slot_capnp::answer::Refusal(wait) => {
             let wait = Duration::from_millis(wait.into());
             let has_suspect = response.get_is_doubtful();
-            Ok(Err(AcquireError::Refused(Refusal { wait, has_suspect })))
+            let refusal = Refusal {
+                has_suspect,
+                ..Refusal::new(wait)
+            };
+            Ok(Err(AcquireError::Refused(refusal)))
         }
         slot_capnp::answer::Slot(slot) => {
             let target = response.get_target()?.to_str()?.parse();
--- a/crates/proxy/src/slots/finder.rs
+++ b/crates/proxy/src/slots/finder.rs
@@ -8,7 +8,7 @@
 use bambooseam_types::TargetId;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::{Grant, Refusal, SlotOwner, SlotRequest, WorkOutcome};
 
@@ -19,6 +19,9 @@
 /// Expected wait that is reported when no owner responds.
 const NO_OWNER_WAIT: Duration = Duration::from_secs(5);
 
+/// Maximum number of probes of one zone's owner and its successors.
+const MAX_PROBES: u32 = 3;
+
 /// Pause before a failed owner, or its successor, is asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -77,7 +80,8 @@
     /// Waits for a slot for at most `limit`.
     ///
     /// Owners are asked in turn for a free slot until an owner expects to have one in time. Then
-    /// the request waits at all owners at once and uses the first grant.
+    /// the request waits at all owners at once and uses the first grant. It also waits if an owner
+    /// and its successors did not respond, because nothing is known of their slots.
     ///
     /// # Errors
     ///
@@ -85,14 +89,19 @@
     /// time, otherwise when `limit` has passed.
     pub async fn find(&self, request: SlotRequest, limit: Duration) -> Result<S::Lease, Refusal> {
         let mut best = Refusal::new(NO_OWNER_WAIT);
+        let deadline = Instant::now() + limit;
         for (index, source) in self.sources.iter().enumerate() {
             let probe = SlotRequest {
                 may_wait: false,
                 is_remote: index > 0,
                 ..request.clone()
             };
-            match source.acquire(probe).await {
+            let Ok(result) = timeout_at(deadline, acquire_now(source, probe)).await else {
+                return Err(best);
+            };
+            match result {
                 Ok(lease) => return Ok(lease),
+                Err(refusal) if refusal.is_lost => best.is_lost = true,
                 Err(refusal) if refusal.has_suspect => best.has_suspect = true,
                 Err(refusal) => best.wait = best.wait.min(refusal.wait),
             }
@@ -102,10 +111,11 @@
         }
         // If slots are free only on targets that have failed recently, trying such a target is
         // better than refusing the request.
-        if best.wait > limit.mul_f64(ADMIT_FRACTION) && !best.has_suspect {
+        let may_start = best.has_suspect || best.is_lost;
+        if best.wait > limit.mul_f64(ADMIT_FRACTION) && !may_start {
             return Err(best);
         }
-        let waiting = timeout(limit, self.wait(request));
+        let waiting = timeout_at(deadline, self.wait(request));
         waiting.await.unwrap_or(Err(best))
     }
 
@@ -135,6 +145,18 @@
     }
 }
 
+/// Asks an owner for a free slot. If the owner does not respond, its successor is asked, which takes
+/// over the slots.
+async fn acquire_now<S: SlotSource>(source: &S, request: SlotRequest) -> Result<S::Lease, Refusal> {
+    for _ in 1..MAX_PROBES {
+        match source.acquire(request.clone()).await {
+            Err(refusal) if refusal.is_lost => {}
+            result => return result,
+        }
+    }
+    source.acquire(request).await
+}
+
 /// Asks an owner until a slot is granted. If the owner fails, its successor is asked.
 async fn acquire_until_granted<S: SlotSource>(source: &S, mut request: SlotRequest) -> S::Lease {
     let began = Instant::now();
--- a/crates/proxy/src/slots/load.rs
+++ b/crates/proxy/src/slots/load.rs
@@ -8,6 +8,10 @@
 /// Weight of one service time in the moving mean.
 const MEAN_WEIGHT: f64 = 1.0 / 32.0;
 
+/// Number of samples that the initial estimate of a service time counts for, so that one slow
+/// response of a new owner does not refuse the requests that wait behind it.
+const PRIOR_SAMPLES: u32 = 4;
+
 /// Number of windows that must pass before the averages are reliable.
 const WARM_UP_WINDOWS: u32 = 2;
 
@@ -53,7 +57,7 @@
             busy: [0; 2],
             average: [0.0; 2],
             arrivals: 0.0,
-            means: [Mean::default(); 2],
+            means: [Mean::with_prior(PRIOR_SAMPLES); 2],
         }
     }
 
@@ -77,11 +81,11 @@
         Duration::from_secs_f64(self.means[class_index(class)].value)
     }
 
-    /// Uses the service time reported by a proxy as the mean of a class until work of the class has
-    /// ended here.
+    /// Uses the service time reported by a proxy as the initial estimate of a class, until work of
+    /// the class has ended here.
     pub fn seed_mean(&mut self, class: WorkClass, time: Duration) {
         let mean = &mut self.means[class_index(class)];
-        if mean.count == 0 {
+        if mean.count <= PRIOR_SAMPLES {
             mean.value = time.as_secs_f64();
         }
     }
@@ -130,6 +134,14 @@
 }
 
 impl Mean {
+    /// Creates a mean of zero that counts for `samples` samples.
+    pub const fn with_prior(samples: u32) -> Self {
+        Self {
+            value: 0.0,
+            count: samples,
+        }
+    }
+
     /// Adds a sample. The weight of a sample falls to `min_weight` as the number of samples grows.
     pub fn add(&mut self, value: f64, min_weight: f64) {
         self.count = self.count.saturating_add(1);
--- a/crates/proxy/src/slots/owner.rs
+++ b/crates/proxy/src/slots/owner.rs
@@ -22,6 +22,9 @@
 /// Expected wait that is reported when no target accepts work.
 const NO_TARGET_WAIT: Duration = Duration::from_secs(5);
 
+/// Expected wait that is reported when an owner can't be reached.
+const LOST_OWNER_WAIT: Duration = Duration::from_secs(1);
+
 /// A request for a slot.
 #[derive(Debug, Clone)]
 pub struct SlotRequest {
@@ -51,6 +54,8 @@
     pub wait: Duration,
     /// Whether a slot is free on a target that has failed recently.
     pub has_suspect: bool,
+    /// Whether the owner did not respond, so that the wait is unknown.
+    pub is_lost: bool,
 }
 
 impl Refusal {
@@ -59,6 +64,15 @@
         Self {
             wait,
             has_suspect: false,
+            is_lost: false,
+        }
+    }
+
+    /// Creates the refusal that stands for an owner that did not respond.
+    pub const fn lost_owner() -> Self {
+        Self {
+            is_lost: true,
+            ..Self::new(LOST_OWNER_WAIT)
         }
     }
 }
--- a/crates/proxy/src/slots/owner/state.rs
+++ b/crates/proxy/src/slots/owner/state.rs
@@ -105,7 +105,10 @@
     pub(super) fn refusal(&self, wait: Duration) -> Refusal {
         let mut free = self.targets.iter().filter(|target| target.free() > 0);
         let has_suspect = free.any(|target| target.health.is_suspect());
-        Refusal { wait, has_suspect }
+        Refusal {
+            has_suspect,
+            ..Refusal::new(wait)
+        }
     }
 
     /// Adds a proxy's report of the short fraction to the average.
--- a/tests/tests/requests_schedule.rs
+++ b/tests/tests/requests_schedule.rs
@@ -8,7 +8,8 @@
 use bambooseam_measure::requests::crest::{Failure, run, run_naive};
 use bambooseam_proxy::RetryBudget;
 use bambooseam_proxy::slots::{
-    ClassEstimator, DrainMeter, Health, Policy, SlotOwner, SlotRequest, TargetSlots, WorkOutcome,
+    ClassEstimator, DrainMeter, Health, Policy, Refusal, SlotOwner, SlotRequest, TargetSlots,
+    WorkOutcome,
 };
 use tokio::time::{advance, timeout};
 
@@ -120,6 +121,39 @@
     assert_eq!(owner.status().busy, 0);
 }
 
+#[tokio::test(start_paused = true)]
+async fn one_slow_response_of_a_new_owner_refuses_nobody() {
+    let owner = SlotOwner::new(Policy::DEFAULT);
+    owner.update(Policy::DEFAULT, targets(1), Health::warm);
+    let acquire = |may_wait| {
+        owner.acquire(SlotRequest {
+            may_wait,
+            ..slot_request(WorkClass::Short)
+        })
+    };
+    let first = acquire(false).await.expect("a slot");
+    let _second = acquire(false).await.expect("a slot");
+    let mut queue = tokio::task::JoinSet::new();
+    for _ in 0..28 {
+        let owner = std::sync::Arc::clone(&owner);
+        queue.spawn(async move {
+            let request = SlotRequest {
+                may_wait: true,
+                ..slot_request(WorkClass::Short)
+            };
+            let grant = owner.acquire(request).await?;
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            grant.finish(WorkOutcome::Served);
+            Ok::<(), Refusal>(())
+        });
+    }
+    advance(Duration::from_millis(200)).await;
+    first.finish(WorkOutcome::Served);
+    let refusal = acquire(false).await.expect_err("all slots are busy");
+    // The proxy refuses a request whose expected wait exceeds 40% of its limit of 2 s.
+    assert!(refusal.wait <= Duration::from_millis(800), "{refusal:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn failing_target_is_ejected_within_the_limit_and_returns_with_one_slot() {
     let owner = SlotOwner::new(Policy::DEFAULT);
