Send differences after the store dropped its history

Cause: when the store no longer keeps the history, the reader reads everything anew, and its followers, which hold what it held before, each received a full copy.

It keeps the span that it skipped as a gap. Peers that were complete before the gap receive differences and take over the gap, peers inside it receive a full copy. Changes after a revision now also tell of documents that they should list and do not. Programs that do not know gaps receive full copies as before.

Tests: peer_that_holds_the_state_before_a_full_copy_gets_differences failed first; document_read_ahead_and_removed_since_is_removed_by_differences; random_reads_in_pages_converge, 6,000 interleavings of reads in pages, watches and peers.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -105,10 +105,14 @@
     pub fn apply(&mut self, changes: Changes, synced: Moment, now: Moment, source: Source) -> bool {
         self.record_transfer(changes.size(), now);
         let before = self.replica.held();
+        let is_watch = source == Source::Store && changes.after.is_some();
         let newer = match self.replica.apply(changes) {
             ApplyOutcome::Newer(newer) => newer,
             ApplyOutcome::Gap | ApplyOutcome::Outdated => return false,
         };
+        if is_watch {
+            self.replica.confirm_exact();
+        }
         if before.upto.is_some() && before.era != Some(self.replica.era()) {
             self.begin_era(&before, now, source);
         }
--- a/crates/measure/src/entry.rs
+++ b/crates/measure/src/entry.rs
@@ -266,6 +266,7 @@
     Changes {
         era: None,
         kept: Vec::new(),
+        gap: None,
         after: None,
         upto: Revision::from(1),
         list: list.into(),
--- a/crates/peer/schema/replica.capnp
+++ b/crates/peer/schema/replica.capnp
@@ -22,6 +22,13 @@
   # Documents known from earlier eras that are newer than the store's. Each replaces the document of
   # its key up to its revision; a removal marks that document as not renewed by its writer.
   kept @6 :List(Change);
+  # Span of revisions, without its ends, in which documents may have been written and removed again
+  # that the list does not contain.
+  hasGap @7 :Bool;
+  gapAfter @8 :UInt64;
+  gapBefore @9 :UInt64;
+  # The list as a compressed message; `list` is then empty.
+  packed @10 :Data;
 }
 
 struct Copy {
@@ -33,6 +40,8 @@
   era @3 :UInt64;
   # Digest of the documents kept from earlier eras; 0 if there are none.
   keptDigest @4 :UInt64;
+  # Whether the sender takes over gaps; other programs receive a full copy instead.
+  knowsGaps @5 :Bool;
 }
 
 struct Peer {
@@ -48,11 +57,15 @@
   ageMs @1 :UInt64;
   # VMs known from recent messages.
   peers @2 :List(Peer);
+  # Whether the responder sends the requester on to `peers`.
+  isReferral @3 :Bool;
 }
 
 interface Replica {
   # Compares copies; `asker` is the address on which the requester serves this interface. When the
   # requester lacks nothing, the response waits for a change, at most `waitMs` milliseconds. A
   # requester that is not eager receives no large copy, since it expects one from another source.
-  sync @0 (asker :Peer, copy :Copy, waitMs :UInt64, isEager :Bool) -> (news :News);
+  # Only a requester that accepts packed lists receives them.
+  sync @0 (asker :Peer, copy :Copy, waitMs :UInt64, isEager :Bool, acceptsPacked :Bool)
+      -> (news :News);
 }
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bambooseam_replica::{Change, Changes, Held, KeptDocument};
+use bambooseam_replica::{Change, Changes, Gap, Held, KeptDocument};
 use bambooseam_types::{Era, Moment, Revision, ZoneId};
 use tokio::net::TcpListener;
 
@@ -169,6 +169,7 @@
     builder.set_has_era(value.era.is_some());
     builder.set_era(value.era.unwrap_or_default().get());
     builder.set_kept_digest(value.kept_digest);
+    builder.set_knows_gaps(value.knows_gaps);
 }
 
 fn read_held(reader: copy::Reader<'_>) -> Held {
@@ -176,6 +177,7 @@
         era: reader.get_has_era().then(|| Era::from(reader.get_era())),
         upto: (!reader.get_is_empty()).then(|| Revision::from(reader.get_upto())),
         kept_digest: reader.get_kept_digest(),
+        knows_gaps: reader.get_knows_gaps(),
     }
 }
 
@@ -213,6 +215,11 @@
     builder.set_upto(value.upto.get());
     builder.set_has_era(value.era.is_some());
     builder.set_era(value.era.unwrap_or_default().get());
+    if let Some(gap) = value.gap {
+        builder.set_has_gap(true);
+        builder.set_gap_after(gap.after.get());
+        builder.set_gap_before(gap.before.get());
+    }
     let mut list = builder.reborrow().init_list(value.list.len() as u32);
     for (index, change) in (0..).zip(&value.list) {
         write_change(change, list.reborrow().get(index));
@@ -252,12 +259,17 @@
             content: change.value,
         });
     }
+    let gap = Gap {
+        after: Revision::from(reader.get_gap_after()),
+        before: Revision::from(reader.get_gap_before()),
+    };
     Ok(Changes {
         era: reader.get_has_era().then(|| Era::from(reader.get_era())),
         after: (!reader.get_is_whole()).then_some(after),
         upto: Revision::from(reader.get_upto()),
         list,
         kept,
+        gap: reader.get_has_gap().then_some(gap),
     })
 }
 
--- a/crates/replica/src/changes.rs
+++ b/crates/replica/src/changes.rs
@@ -33,6 +33,20 @@
     pub list: Vec<Change>,
     /// Documents that the source has kept from earlier eras.
     pub kept: Vec<KeptDocument>,
+    /// Part of the span in which changes may be missing.
+    pub gap: Option<Gap>,
+}
+
+/// Span of revisions, without its ends, that a replica skipped by reading a full snapshot.
+///
+/// The replica knows which of its documents were removed in the span, but it never saw a document
+/// that was both written and removed there. Another replica may have it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Gap {
+    /// Revision up to which the replica was complete before.
+    pub after: Revision,
+    /// Revision of the snapshot.
+    pub before: Revision,
 }
 
 /// Knowledge from earlier eras that is newer than the document in the store.
@@ -55,6 +69,15 @@
     pub upto: Option<Revision>,
     /// Digest of the documents kept from earlier eras; 0 if there are none.
     pub kept_digest: u64,
+    /// Whether the replica takes over the gaps of changes.
+    pub knows_gaps: bool,
+}
+
+impl Gap {
+    /// Whether a revision lies in the span.
+    pub fn contains(&self, revision: Revision) -> bool {
+        self.after < revision && revision < self.before
+    }
 }
 
 impl Changes {
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -11,6 +11,6 @@
 mod kept;
 mod replica;
 
-pub use changes::{Change, Changes, Held, KeptDocument, Key};
+pub use changes::{Change, Changes, Gap, Held, KeptDocument, Key};
 pub use content::{Content, ContentAge};
 pub use replica::{ApplyOutcome, Replica};
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -6,7 +6,7 @@
 use bambooseam_types::{Era, Revision};
 
 use crate::kept::{KeptDocuments, Known, keep};
-use crate::{Change, Changes, Content, Held, Key};
+use crate::{Change, Changes, Content, Gap, Held, Key};
 
 /// Largest number of removals kept for peers that lag behind. At the intended fleet size, 420 VMs
 /// and as many targets join and leave per day, so a thousand removals cover hours; a peer that lags
@@ -26,6 +26,11 @@
     removed: VecDeque<Removal>,
     /// Revision up to which removals may be missing from `removed`.
     compacted_upto: Revision,
+    /// The last span that the replica skipped.
+    gap: Option<Gap>,
+    /// Whether the replica holds exactly the documents of its revision. Those that were removed while
+    /// a full snapshot was read may be missing.
+    is_exact: bool,
     upto: Option<Revision>,
     /// Documents known from earlier eras that are newer than those in `documents`.
     kept: KeptDocuments,
@@ -60,6 +65,8 @@
             documents: Vec::new(),
             removed: VecDeque::new(),
             compacted_upto: Revision::default(),
+            gap: None,
+            is_exact: false,
             upto: None,
             kept: KeptDocuments::default(),
         }
@@ -81,6 +88,7 @@
             era: Some(self.era),
             upto: self.upto,
             kept_digest: self.kept.digest(),
+            knows_gaps: true,
         }
     }
 
@@ -144,14 +152,17 @@
         match changes.after {
             Some(_) if era > self.era => return ApplyOutcome::Gap,
             Some(after) if self.upto.is_none_or(|upto| after > upto) => return ApplyOutcome::Gap,
-            Some(_) => {}
+            Some(_) => {
+                missing = self.missing(&changes);
+                self.adopt_gap(changes.gap);
+                if self.upto < Some(changes.upto) {
+                    self.is_exact = changes.gap.is_none_or(|gap| gap.before < changes.upto);
+                }
+            }
             None if era > self.era => newer = self.begin_era(era, &changes),
             None => {
                 missing = self.missing(&changes);
-                // A snapshot does not list the documents that were removed before it was taken.
-                if self.upto.is_none_or(|upto| upto < changes.upto) {
-                    self.compacted_upto = self.compacted_upto.max(changes.upto);
-                }
+                self.skip_to(changes.upto);
             }
         }
         for change in changes.list.into_iter().chain(missing) {
@@ -185,26 +196,36 @@
         ApplyOutcome::Newer(newer)
     }
 
+    /// Records that the store itself confirmed the replica by its changes since the replica's
+    /// revision.
+    pub fn confirm_exact(&mut self) {
+        self.is_exact = self.upto.is_some();
+    }
+
     /// Changes that a peer lacks; `None` before the first full snapshot. If the peer belongs to an
-    /// earlier era, or if removals since its revision are not kept any more, the changes are a full
-    /// snapshot.
+    /// earlier era, or if removals since its revision are not known or not kept any more, the
+    /// changes are a full snapshot.
     pub fn changes_since(&self, held: &Held) -> Option<Changes> {
         let upto = self.upto?;
         let is_same_era = held.era.is_none_or(|era| era >= self.era);
         let after = held.upto.filter(|_| is_same_era);
         let after = after.filter(|after| *after >= self.compacted_upto);
+        let after = after.filter(|after| !self.gap.is_some_and(|gap| gap.contains(*after)));
+        let gap = self
+            .gap
+            .filter(|gap| after.is_some_and(|after| after < gap.before));
+        let after = after.filter(|_| gap.is_none() || held.knows_gaps);
         let is_newer = |change: &&Change| after.is_none_or(|after| change.revision > after);
-        let removed = self
-            .removed
-            .iter()
-            .filter(|removal| removal.era == self.era);
+        let documents = self.documents.iter().filter(is_newer);
+        // A removal that a full snapshot showed has the revision of the snapshot, and may have
+        // happened shortly after it. A peer of that very revision still has the document.
+        let is_unknown = |removal: &&Removal| {
+            let revision = removal.change.revision;
+            removal.era == self.era && after.is_some_and(|after| revision >= after)
+        };
+        let removed = self.removed.iter().filter(is_unknown);
         let removed = removed.map(|removal| &removal.change);
-        let list = self
-            .documents
-            .iter()
-            .chain(removed.filter(|_| after.is_some()))
-            .filter(is_newer)
-            .cloned();
+        let list = documents.chain(removed).cloned();
         let kept = match held.kept_digest == self.kept.digest() {
             true => Vec::new(),
             false => self.kept.list().to_vec(),
@@ -215,6 +236,7 @@
             upto,
             list: list.collect(),
             kept,
+            gap: gap.filter(|_| after.is_some()),
         })
     }
 
@@ -272,6 +294,8 @@
         self.era = era;
         self.upto = None;
         self.compacted_upto = snapshot.upto;
+        self.gap = None;
+        self.is_exact = false;
         let mut changes = Vec::new();
         for removal in removals {
             changes.push(removal.change.clone());
@@ -280,21 +304,57 @@
         changes
     }
 
-    /// Removals of the documents that are in the replica but not in a newer full snapshot.
-    fn missing(&self, snapshot: &Changes) -> Vec<Change> {
-        if self.upto.is_some_and(|upto| upto > snapshot.upto) {
+    /// Records that a full snapshot up to a later revision is applied. It does not list the documents
+    /// that were removed before it was taken.
+    fn skip_to(&mut self, upto: Revision) {
+        if self.upto.is_some_and(|held| held >= upto) {
+            return;
+        }
+        match (self.upto, &mut self.gap) {
+            (Some(held), _) if self.is_exact => self.adopt_gap(Some(Gap {
+                after: held,
+                before: upto,
+            })),
+            (Some(_), Some(gap)) => gap.before = upto,
+            _ => self.compacted_upto = self.compacted_upto.max(upto),
+        }
+        self.is_exact = false;
+    }
+
+    /// Takes over a gap. Only one is kept: peers that held less than the end of an earlier one need
+    /// a full snapshot.
+    fn adopt_gap(&mut self, gap: Option<Gap>) {
+        let Some(gap) = gap.filter(|gap| self.upto < Some(gap.before)) else {
+            return;
+        };
+        if let Some(earlier) = self.gap.replace(gap) {
+            self.compacted_upto = self.compacted_upto.max(earlier.before);
+        }
+    }
+
+    /// Removals of the documents that are in the replica but not in newer changes, although these
+    /// cover the revision of the document.
+    fn missing(&self, changes: &Changes) -> Vec<Change> {
+        if self.upto.is_some_and(|upto| upto > changes.upto) {
             return Vec::new();
         }
-        let mut keys: Vec<&Key> = snapshot.list.iter().map(|change| &change.key).collect();
-        keys.sort_unstable();
+        let listed = changes.list.iter();
+        let mut listed: Vec<_> = listed.map(|c| (&c.key, c.revision)).collect();
+        listed.sort_unstable();
+        let is_listed = |document: &Change| {
+            let at = listed.partition_point(|entry| *entry < (&document.key, document.revision));
+            listed.get(at).is_some_and(|(key, _)| **key == document.key)
+        };
         let mut missing = Vec::new();
         for document in &self.documents {
-            if document.revision > snapshot.upto || keys.binary_search(&&document.key).is_ok() {
+            let is_after = changes.after.is_none_or(|after| document.revision > after);
+            let is_covered = is_after && document.revision <= changes.upto;
+            if !is_covered || is_listed(document) {
                 continue;
             }
             missing.push(Change {
                 key: document.key.clone(),
-                revision: snapshot.upto,
+                revision: changes.upto,
                 value: None,
             });
         }
@@ -304,7 +364,9 @@
     /// Whether a change, or a newer change of the same key, was already applied.
     fn is_applied(&self, change: &Change) -> bool {
         if let Some(document) = self.get(&change.key) {
-            return document.revision >= change.revision;
+            // A removal that a full snapshot showed may have the revision of the last write.
+            let is_same = change.value.is_some() && document.revision == change.revision;
+            return document.revision > change.revision || is_same;
         }
         let mut removed = self.removed.iter().rev();
         let is_same =
@@ -359,7 +421,8 @@
             && let Some(oldest) = self.removed.pop_front()
             && oldest.era == self.era
         {
-            self.compacted_upto = self.compacted_upto.max(oldest.change.revision);
+            let next = Revision::from(oldest.change.revision.get() + 1);
+            self.compacted_upto = self.compacted_upto.max(next);
         }
     }
 
--- a/tests/tests/node.rs
+++ b/tests/tests/node.rs
@@ -33,6 +33,7 @@
     Changes {
         era: None,
         kept: Vec::new(),
+        gap: None,
         after: None,
         upto: Revision::from(upto),
         list,
--- a/tests/tests/replica.rs
+++ b/tests/tests/replica.rs
@@ -23,6 +23,7 @@
 fn held(upto: Option<u64>) -> Held {
     Held {
         upto: upto.map(Revision::from),
+        knows_gaps: true,
         ..Held::default()
     }
 }
@@ -39,6 +40,7 @@
     Changes {
         era: None,
         kept: Vec::new(),
+        gap: None,
         after: after.map(Revision::from),
         upto: upto.into(),
         list,
@@ -155,6 +157,49 @@
     assert_eq!(update, expected);
 }
 
+#[test]
+fn peer_that_holds_the_state_before_a_full_copy_gets_differences() {
+    let mut replica = Replica::new(Unaged);
+    let documents = ["a", "b", "c"].map(|key| change(key, 4, Some("x")));
+    replica.apply(full(6, documents.to_vec()));
+    replica.confirm_exact();
+    // The store dropped its history, so everything was read again: "b" is gone, "d" is new.
+    let documents = ["a", "c"].map(|key| change(key, 4, Some("x")));
+    let added = change("d", 9, Some("x"));
+    replica.apply(full(10, [documents.to_vec(), vec![added.clone()]].concat()));
+    let update = replica.changes_since(&held(Some(6))).expect("changes");
+    assert_eq!(update.after, Some(6.into()));
+    assert_eq!(update.list, vec![added, change("b", 10, None)]);
+    // A peer in between may hold a document that this replica never saw.
+    let update = replica.changes_since(&held(Some(8))).expect("changes");
+    assert_eq!(update.after, None);
+    // A program that does not know gaps could not pass on that this replica has one.
+    let unaware = Held {
+        knows_gaps: false,
+        ..held(Some(6))
+    };
+    let update = replica.changes_since(&unaware).expect("changes");
+    assert_eq!(update.after, None);
+}
+
+#[test]
+fn document_read_ahead_and_removed_since_is_removed_by_differences() {
+    // "d" was written after the first page of the peer's read, and removed before the replica
+    // read everything again.
+    let mut peer = Replica::new(Unaged);
+    peer.apply(full(
+        6,
+        vec![change("a", 4, Some("x")), change("d", 8, Some("x"))],
+    ));
+    let mut replica = Replica::new(Unaged);
+    replica.apply(full(6, vec![change("a", 4, Some("x"))]));
+    replica.confirm_exact();
+    replica.apply(full(10, vec![change("a", 4, Some("x"))]));
+    let update = replica.changes_since(&held(Some(6))).expect("changes");
+    peer.apply(update);
+    assert_eq!(revision_of(&peer, "d"), None);
+}
+
 #[test]
 fn document_restored_within_one_update_is_not_removed() {
     let mut replica = Replica::new(Unaged);
@@ -175,6 +220,14 @@
 struct History(Vec<Change>);
 
 impl History {
+    /// Writes or removes a random document.
+    fn write(&mut self, rng: &mut StdRng, keys: &[&str]) {
+        let key = keys.choose(rng).expect("a key");
+        let value = rng.random_bool(0.6).then_some("x");
+        let revision = self.upto() + 1;
+        self.0.push(change(key, revision, value));
+    }
+
     fn upto(&self) -> u64 {
         self.0.len() as u64
     }
@@ -242,6 +295,64 @@
     }
 }
 
+#[test]
+fn random_reads_in_pages_converge() {
+    for seed in 0..6_000 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut history = History(Vec::new());
+        let mut replicas = [
+            Replica::new(Unaged),
+            Replica::new(Unaged),
+            Replica::new(Unaged),
+        ];
+        let keys = ["a", "b", "c", "d"];
+        for _ in 0..60 {
+            match rng.random_range(0..5) {
+                0 | 1 => history.write(&mut rng, &keys),
+                2 => {
+                    // Each page is read at a later revision than the one before.
+                    let upto = history.upto();
+                    let mut list = Vec::new();
+                    for key in keys {
+                        let page = history.full().list;
+                        list.extend(page.into_iter().filter(|change| *change.key == *key));
+                        if rng.random_bool(0.4) {
+                            history.write(&mut rng, &keys);
+                        }
+                    }
+                    replicas[rng.random_range(0..3)].apply(full(upto, list));
+                }
+                3 => {
+                    let replica = &mut replicas[rng.random_range(0..3)];
+                    if let Some(upto) = replica.upto() {
+                        replica.apply(history.since(upto.get()));
+                        replica.confirm_exact();
+                    }
+                }
+                _ => {
+                    let (from, to) = (rng.random_range(0..3), rng.random_range(0..3));
+                    update_from(&mut replicas, from, to);
+                }
+            }
+        }
+        replicas[0].apply(history.full());
+        for to in [1, 2] {
+            update_from(&mut replicas, 0, to);
+        }
+        for replica in &replicas {
+            check_against(replica, &history, seed);
+        }
+    }
+}
+
+/// Applies what one replica lacks of another.
+fn update_from(replicas: &mut [Replica<Unaged>; 3], from: usize, to: usize) {
+    let upto = replicas[to].upto().map(Revision::get);
+    if let Some(update) = replicas[from].changes_since(&held(upto)) {
+        replicas[to].apply(update);
+    }
+}
+
 /// Asserts that a copy equals the store's contents at the copy's revision.
 fn check_against(replica: &Replica<Unaged>, history: &History, seed: u64) {
     let Some(upto) = replica.upto() else {
--- a/tests/tests/replica_eras.rs
+++ b/tests/tests/replica_eras.rs
@@ -45,6 +45,7 @@
         upto: upto.into(),
         list,
         kept: Vec::new(),
+        gap: None,
     }
 }
 
