Compress large lists of changes between VMs

Cause: a full copy of 600 targets takes more than 50 ms of a link of 20 Mbit/s.

Change: a list of 4 KB or more is sent as one message compressed with LZ4 (lz4_flex, without unsafe code) to requesters that say that they accept it; earlier programs receive plain lists. The server remembers which VM called on a connection. The encoding of changes has its own file.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -76,6 +76,7 @@
             held: self.node.borrow().replica().held(),
             wait: MAX_WAIT,
             may_be_large: true,
+            is_starting: false,
         };
         let client = match self.client.take() {
             Some((peer, client)) if peer == address => client,
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -82,6 +82,7 @@
             changes,
             age: node.age(now).unwrap_or(Duration::MAX),
             peers,
+            is_referral: false,
         }
     }
 }
@@ -148,6 +149,7 @@
         held: node.borrow().replica().held(),
         wait: Duration::ZERO,
         may_be_large: node.borrow().is_store_unavailable(BootClock.now()),
+        is_starting: false,
     };
     let call = async {
         let client = ReplicaClient::connect(address, meter).await?;
--- a/crates/peer/schema/replica.capnp
+++ b/crates/peer/schema/replica.capnp
@@ -65,7 +65,8 @@
   # Compares copies; `asker` is the address on which the requester serves this interface. When the
   # requester lacks nothing, the response waits for a change, at most `waitMs` milliseconds. A
   # requester that is not eager receives no large copy, since it expects one from another source.
-  # Only a requester that accepts packed lists receives them.
-  sync @0 (asker :Peer, copy :Copy, waitMs :UInt64, isEager :Bool, acceptsPacked :Bool)
-      -> (news :News);
+  # Only a requester that accepts packed lists receives them. A requester that is starting asks where
+  # to get its first copy.
+  sync @0 (asker :Peer, copy :Copy, waitMs :UInt64, isEager :Bool, acceptsPacked :Bool,
+      isStarting :Bool) -> (news :News);
 }
--- a/crates/peer/src/connect.rs
+++ b/crates/peer/src/connect.rs
@@ -210,7 +210,7 @@
 }
 
 /// Limits on the size and depth of one message.
-fn read_limits() -> capnp::message::ReaderOptions {
+pub(crate) fn read_limits() -> capnp::message::ReaderOptions {
     let mut options = capnp::message::ReaderOptions::new();
     options
         .traversal_limit_in_words(Some(MESSAGE_LIMIT_WORDS))
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod agent;
 mod backoff;
+mod changes;
 mod connect;
 mod error;
 pub mod feed;
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -1,15 +1,17 @@
 //! Calls between entry VMs, by which each VM keeps its copy of the published documents current.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bambooseam_replica::{Change, Changes, Gap, Held, KeptDocument};
+use bambooseam_replica::{Changes, Held};
 use bambooseam_types::{Era, Moment, Revision, ZoneId};
 use tokio::net::TcpListener;
 
-use crate::replica_capnp::{change, changes, copy, news, peer, replica};
+use crate::changes::{read_changes, write_changes};
+use crate::replica_capnp::{copy, news, peer, replica};
 use crate::{Link, Meter, PeerError, connect_metered, serve_metered};
 
 /// Longest wait for a change that a server accepts.
@@ -30,8 +32,8 @@
 /// Request for the changes that the requester's copy lacks.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SyncRequest {
-    /// The VM that sends the request; `None` when its address or zone can't be parsed, as from a
-    /// later version.
+    /// The VM that sends the request, which names itself in the first request of a connection;
+    /// `None` when its address or zone can't be parsed, as from a later version.
     pub requester: Option<PeerInfo>,
     /// What the requester holds.
     pub held: Held,
@@ -39,6 +41,8 @@
     pub wait: Duration,
     /// Whether the response may contain a large copy.
     pub may_be_large: bool,
+    /// Whether the requester has no copy yet and asks where to get it.
+    pub is_starting: bool,
 }
 
 /// Response to a [`SyncRequest`].
@@ -50,6 +54,8 @@
     pub age: Duration,
     /// VMs known from recent messages.
     pub peers: Vec<PeerInfo>,
+    /// Whether the responder sends the requester on to `peers`.
+    pub is_referral: bool,
 }
 
 impl SyncResponse {
@@ -83,6 +89,7 @@
     serve_metered(listener, meter, |_| {
         let server = Server {
             service: Rc::clone(&service),
+            requester: RefCell::default(),
         };
         let client: replica::Client = capnp_rpc::new_client(server);
         client.client
@@ -93,6 +100,8 @@
 /// The object that a peer calls.
 struct Server<S> {
     service: Rc<S>,
+    /// The VM that calls. It may name itself only in the first call on its connection.
+    requester: RefCell<Option<PeerInfo>>,
 }
 
 impl<S: ReplicaService> replica::Server for Server<S> {
@@ -101,17 +110,22 @@
         params: replica::SyncParams,
         mut results: replica::SyncResults,
     ) -> Result<(), capnp::Error> {
-        let request = {
+        let (request, accepts_packed) = {
             let params = params.get()?;
-            SyncRequest {
-                requester: read_peer(params.get_asker()?)?,
+            if let Some(requester) = read_peer(params.get_asker()?)? {
+                self.requester.replace(Some(requester));
+            }
+            let request = SyncRequest {
+                requester: self.requester.borrow().clone(),
                 held: read_held(params.get_copy()?),
                 wait: Duration::from_millis(params.get_wait_ms()).min(WAIT_LIMIT),
                 may_be_large: params.get_is_eager(),
-            }
+                is_starting: params.get_is_starting(),
+            };
+            (request, params.get_accepts_packed())
         };
         let response = self.service.sync(request).await;
-        write_response(&response, results.get().init_news());
+        write_response(&response, accepts_packed, results.get().init_news());
         Ok(())
     }
 }
@@ -140,6 +154,8 @@
         write_held(&request.held, call.get().init_copy());
         call.get().set_wait_ms(millis(request.wait));
         call.get().set_is_eager(request.may_be_large);
+        call.get().set_accepts_packed(true);
+        call.get().set_is_starting(request.is_starting);
         let results = call.send().promise.await?;
         let response = read_response(results.get()?.get_news()?)?;
         Ok(response)
@@ -181,15 +197,16 @@
     }
 }
 
-fn write_response(value: &SyncResponse, mut builder: news::Builder<'_>) {
+fn write_response(value: &SyncResponse, accepts_packed: bool, mut builder: news::Builder<'_>) {
     builder.set_age_ms(millis(value.age));
+    builder.set_is_referral(value.is_referral);
     let count = PEER_LIMIT.min(value.peers.len() as u32);
     let mut peers = builder.reborrow().init_peers(count);
     for (index, peer) in (0..count).zip(&value.peers) {
         write_peer(peer, peers.reborrow().get(index));
     }
     if let Some(changes) = &value.changes {
-        write_changes(changes, builder.init_changes());
+        write_changes(changes, accepts_packed, builder.init_changes());
     }
 }
 
@@ -206,81 +223,6 @@
         changes,
         age: Duration::from_millis(reader.get_age_ms()),
         peers,
-    })
-}
-
-fn write_changes(value: &Changes, mut builder: changes::Builder<'_>) {
-    builder.set_is_whole(value.after.is_none());
-    builder.set_after(value.after.unwrap_or_default().get());
-    builder.set_upto(value.upto.get());
-    builder.set_has_era(value.era.is_some());
-    builder.set_era(value.era.unwrap_or_default().get());
-    if let Some(gap) = value.gap {
-        builder.set_has_gap(true);
-        builder.set_gap_after(gap.after.get());
-        builder.set_gap_before(gap.before.get());
-    }
-    let mut list = builder.reborrow().init_list(value.list.len() as u32);
-    for (index, change) in (0..).zip(&value.list) {
-        write_change(change, list.reborrow().get(index));
-    }
-    let mut kept = builder.init_kept(value.kept.len() as u32);
-    for (index, document) in (0..).zip(&value.kept) {
-        let change = Change {
-            key: Arc::clone(&document.key),
-            revision: document.upto,
-            value: document.content.clone(),
-        };
-        write_change(&change, kept.reborrow().get(index));
-    }
-}
-
-fn write_change(value: &Change, mut builder: change::Builder<'_>) {
-    builder.set_key(value.key.as_ref());
-    builder.set_revision(value.revision.get());
-    builder.set_is_removed(value.value.is_none());
-    if let Some(value) = &value.value {
-        builder.set_value(value);
-    }
-}
-
-fn read_changes(reader: changes::Reader<'_>) -> Result<Changes, capnp::Error> {
-    let after = Revision::from(reader.get_after());
-    let mut list = Vec::new();
-    for change in reader.get_list()? {
-        list.push(read_change(change)?);
-    }
-    let mut kept = Vec::new();
-    for change in reader.get_kept()? {
-        let change = read_change(change)?;
-        kept.push(KeptDocument {
-            key: change.key,
-            upto: change.revision,
-            content: change.value,
-        });
-    }
-    let gap = Gap {
-        after: Revision::from(reader.get_gap_after()),
-        before: Revision::from(reader.get_gap_before()),
-    };
-    Ok(Changes {
-        era: reader.get_has_era().then(|| Era::from(reader.get_era())),
-        after: (!reader.get_is_whole()).then_some(after),
-        upto: Revision::from(reader.get_upto()),
-        list,
-        kept,
-        gap: reader.get_has_gap().then_some(gap),
-    })
-}
-
-fn read_change(reader: change::Reader<'_>) -> Result<Change, capnp::Error> {
-    let value = match reader.get_is_removed() {
-        true => None,
-        false => Some(Arc::from(reader.get_value()?)),
-    };
-    Ok(Change {
-        key: reader.get_key()?.to_str()?.into(),
-        revision: Revision::from(reader.get_revision()),
-        value,
+        is_referral: reader.get_is_referral(),
     })
 }
