Pass first copies from VM to VM when a fleet starts

Cause: after all VMs of a fleet were killed, each read all targets from the store. With 300 VMs and 3,000 targets (6 pages of 500 entries, about 165 KB each) that fills the store's link of 1,000 Mbit/s for 2 s; a VM is ready only then.

Hypothesis: with one reader a zone and seed, and copies of a tenth of the bytes passed on along trees, all VMs are ready within a second.

Change: a VM that starts asks a seed where to get its copy (first_copy). The seed refers it to an earlier VM of its zone that asked, three for each, or to the store; a VM of another zone that is known to have a copy is preferred over the seed. Until the copy is there the VM reads nothing for 0.3 s, then the first page, after 0.7 s everything (starter). Seeds read the store. Copies are compressed with deflate (21,448 bytes for 600 targets) in place of LZ4 (27,856).

--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -15,6 +15,7 @@
 use crate::node::SharedNode;
 use crate::peering::SharedPeers;
 use crate::reader::Reader;
+use crate::starter::{ReadPermit, Starter};
 
 /// Age above which a replica is stale. A VM with a stale replica is not followed, and reads the
 /// store instead of waiting for a peer. The value covers a watch of 0.8 s, the pause of 0.3 s after
@@ -66,7 +67,13 @@
 }
 
 /// Runs rounds until the future is dropped; must run in a `LocalSet`.
-pub async fn run(mut reader: Reader, mut follower: Follower, node: SharedNode, peers: SharedPeers) {
+pub async fn run(
+    mut reader: Reader,
+    mut follower: Follower,
+    starter: Starter,
+    node: SharedNode,
+    peers: SharedPeers,
+) {
     let mut previous = None;
     loop {
         let now = BootClock.now();
@@ -83,7 +90,22 @@
         }
         match step {
             Step::Follow(address) => follower.round(address).await,
-            Step::Read => reader.round().await,
+            Step::Read if state.upto.is_some() => reader.round().await,
+            Step::Read => start(&mut reader, &starter).await,
         }
     }
 }
+
+/// Obtains the first copy from a peer or from the store, whichever has it first.
+async fn start(reader: &mut Reader, starter: &Starter) {
+    let copy = async {
+        let is_applied = starter.run().await;
+        starter.permit(ReadPermit::All);
+        is_applied
+    };
+    tokio::select! {
+        true = copy => {}
+        () = reader.round() => {}
+    }
+    starter.permit(ReadPermit::All);
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod clock;
 pub mod feed;
+pub mod first_copy;
 mod follower;
 mod node;
 pub mod packets;
@@ -15,6 +16,7 @@
 mod process;
 mod reader;
 mod reload;
+mod starter;
 mod stop;
 
 pub use clock::BootClock;
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -8,15 +8,19 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use bambooseam_peer::replica::{ReplicaClient, ReplicaService, SyncRequest, SyncResponse};
+use bambooseam_observe::LogLimit;
+use bambooseam_peer::replica::{
+    PeerInfo, ReplicaClient, ReplicaService, SyncRequest, SyncResponse,
+};
 use bambooseam_peer::{Meter, jitter};
 use bambooseam_replica::Changes;
 use bambooseam_types::{Clock, Moment};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use crate::first_copy::{CopyAssignments, CopySource};
 use crate::node::{SharedNode, Source};
 use crate::{BootClock, Peers};
 
@@ -48,13 +52,17 @@
 /// The peers known to this VM, shared by the tasks of one thread.
 pub type SharedPeers = Rc<RefCell<Peers>>;
 
+/// Limits log lines about referrals, which are frequent while a fleet starts.
+static REFERRALS: LogLimit = LogLimit::new("referrals", 20);
+
 /// Answers calls from peers with this VM's replica.
 #[derive(Debug)]
 pub struct ReplicaServer {
     /// Documents and steering state of this VM.
-    pub node: SharedNode,
+    node: SharedNode,
     /// Peers of this VM.
-    pub peers: SharedPeers,
+    peers: SharedPeers,
+    assignments: RefCell<CopyAssignments>,
 }
 
 impl ReplicaService for ReplicaServer {
@@ -64,6 +72,12 @@
             self.peers.borrow_mut().record_requester(requester, now);
         }
         let is_waiting = !request.wait.is_zero();
+        if request.is_starting
+            && !is_waiting
+            && let Some(referral) = self.refer_starting(&request, now)
+        {
+            return referral;
+        }
         if is_waiting {
             self.wait_for_change(&request).await;
         }
@@ -88,6 +102,52 @@
 }
 
 impl ReplicaServer {
+    /// Creates a server for the documents of `node`.
+    pub fn new(node: SharedNode, peers: SharedPeers) -> Self {
+        let own = peers.borrow().own().clone();
+        Self {
+            node,
+            peers,
+            assignments: RefCell::new(CopyAssignments::new(own)),
+        }
+    }
+
+    /// Assigns a starting VM the source of its first copy. Returns `None` if that is this VM, which
+    /// has a copy.
+    fn refer_starting(&self, request: &SyncRequest, now: Moment) -> Option<SyncResponse> {
+        let requester = request.requester.as_ref()?;
+        let has_copy = self.node.borrow().replica().upto().is_some();
+        let local = self.peers.borrow().active_in(&requester.zone, now);
+        let mut assignments = self.assignments.borrow_mut();
+        let source = assignments.assign(requester, has_copy, local, now);
+        if let Some(suppressed) = REFERRALS.admit(Instant::now()) {
+            log::info!(
+                "event=first_copy_referred requester={} zone={} source={source} \
+                 has_copy={has_copy} suppressed={suppressed}",
+                requester.address,
+                requester.zone
+            );
+        }
+        let address = match source {
+            CopySource::Own if has_copy => return None,
+            CopySource::Own => self.peers.borrow().own().address,
+            CopySource::Peer(address) => address,
+            CopySource::Store => {
+                return Some(SyncResponse {
+                    age: Duration::MAX,
+                    peers: self.peers.borrow().sample(now),
+                    ..SyncResponse::default()
+                });
+            }
+        };
+        let zone = requester.zone.clone();
+        Some(SyncResponse {
+            peers: vec![PeerInfo { address, zone }],
+            is_referral: true,
+            ..SyncResponse::default()
+        })
+    }
+
     /// Waits until this VM has changes that the requester lacks, or until the replica is confirmed
     /// to be current again.
     async fn wait_for_change(&self, request: &SyncRequest) {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -38,6 +38,9 @@
 /// Time since the last contact after which a peer is no longer announced to others.
 const RECENT_TIME: Duration = Duration::from_secs(30);
 
+/// Time since the last contact within which a peer counts as active: two long polls.
+const ACTIVE_TIME: Duration = Duration::from_secs(3);
+
 /// Number of peers in a sample, besides the peer with the lowest address.
 const SAMPLE_SIZE: usize = 16;
 
@@ -50,6 +53,8 @@
 #[derive(Debug)]
 pub struct Peers {
     own: PeerInfo,
+    /// Whether this VM is a seed of other VMs.
+    is_seed: bool,
     list: Vec<Peer>,
 }
 
@@ -75,6 +80,7 @@
     pub fn new(own: PeerInfo, seeds: &[SocketAddr]) -> Self {
         let mut peers = Self {
             own,
+            is_seed: false,
             list: Vec::new(),
         };
         peers.set_seeds(seeds);
@@ -88,6 +94,7 @@
 
     /// Replaces the seeds with those of newer settings.
     pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.is_seed = seeds.contains(&self.own.address);
         for peer in &mut self.list {
             peer.is_seed = seeds.contains(&peer.address);
         }
@@ -98,6 +105,27 @@
         }
     }
 
+    /// Returns the seeds that assign this VM the source of its first copy, in the order in which they
+    /// are asked. The order differs from VM to VM. A seed asks none, because seeds could wait for
+    /// each other.
+    pub fn seeds_to_ask(&self) -> Vec<SocketAddr> {
+        let seeds = self
+            .list
+            .iter()
+            .filter(|peer| peer.is_seed && !self.is_seed);
+        let mut seeds: Vec<SocketAddr> = seeds.map(|peer| peer.address).collect();
+        seeds.sort_by_key(|seed| self.rank(*seed));
+        seeds
+    }
+
+    /// Returns a peer of a zone that called or answered within the last seconds.
+    pub fn active_in(&self, zone: &ZoneId, now: Moment) -> Option<SocketAddr> {
+        let is_active = |peer: &&Peer| peer.seen.is_some_and(|s| now.since(s) <= ACTIVE_TIME);
+        let active = self.list.iter().filter(is_active);
+        let mut local = active.filter(|peer| peer.zone.as_ref() == Some(zone));
+        local.next().map(|peer| peer.address)
+    }
+
     /// Records a peer that another peer announced.
     pub fn record_gossiped(&mut self, info: &PeerInfo) {
         if let Some(peer) = self.add(info.address) {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -18,6 +18,7 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
@@ -27,6 +28,7 @@
 use crate::peering::{self, ReplicaServer, SharedPeers};
 use crate::reader::Reader;
 use crate::reload::FileChange;
+use crate::starter::{ReadPermit, Starter};
 use crate::stop::LastPacket;
 use crate::{BootClock, Node, Peers, SettingsFile, Stop, Stopping, feed};
 
@@ -127,10 +129,7 @@
 ) -> Result<(), ProcessError> {
     let ready = node.borrow().ready();
     spawn_local(ready::serve(TcpListener::bind(entry.ready).await?, ready));
-    let server = ReplicaServer {
-        node: Rc::clone(node),
-        peers: Rc::clone(peers),
-    };
+    let server = ReplicaServer::new(Rc::clone(node), Rc::clone(peers));
     let listener = TcpListener::bind(entry.peer).await?;
     spawn_local(serve_replica(listener, Arc::clone(meter), server));
     spawn_local(peering::run(
@@ -140,9 +139,11 @@
     ));
     // The list is not empty: the check of the settings rejects an empty list.
     if let Some(&address) = settings.platform.addresses.first() {
-        let reader = Reader::new(Store::new(address), Rc::clone(node));
+        let permit = watch::Sender::new(ReadPermit::Nothing);
+        let reader = Reader::new(Store::new(address), Rc::clone(node), permit.subscribe());
         let follower = Follower::new(Rc::clone(node), Rc::clone(peers), Arc::clone(meter));
-        let feed = feed::run(reader, follower, Rc::clone(node), Rc::clone(peers));
+        let starter = Starter::new(Rc::clone(node), Rc::clone(peers), Arc::clone(meter), permit);
+        let feed = feed::run(reader, follower, starter, Rc::clone(node), Rc::clone(peers));
         spawn_local(feed);
     }
     Ok(())
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -7,10 +7,12 @@
 use bambooseam_platform::{Store, StoreError};
 use bambooseam_replica::{Change, Changes};
 use bambooseam_types::{Clock, Moment};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::BootClock;
 use crate::node::{SharedNode, Source};
+use crate::starter::ReadPermit;
 
 /// Maximum wait of one watch. When this VM receives no answer, its followers detect this shortly
 /// after that time, and read the store themselves.
@@ -29,6 +31,8 @@
 pub struct Reader {
     store: Store,
     node: SharedNode,
+    /// How much of a full read may be done.
+    permit: watch::Receiver<ReadPermit>,
     backoff: Backoff,
     /// Whether the store can return the changes since the replica's revision; otherwise everything
     /// is read.
@@ -40,11 +44,12 @@
 }
 
 impl Reader {
-    /// Creates a reader that applies changes to `node`.
-    pub fn new(store: Store, node: SharedNode) -> Self {
+    /// Creates a reader that applies changes to `node`, and reads everything only as `permit` allows.
+    pub fn new(store: Store, node: SharedNode, permit: watch::Receiver<ReadPermit>) -> Self {
         Self {
             store,
             node,
+            permit,
             backoff: Backoff::new(MIN_BACKOFF, MAX_BACKOFF),
             has_history: true,
             last_error: None,
@@ -64,6 +69,13 @@
             (node.replica().era(), node.replica().upto())
         };
         let after = after.filter(|_| self.has_history);
+        let mut permit = self.permit.clone();
+        if after.is_none() {
+            // An error means that nothing changes the permit any more.
+            let _ = permit
+                .wait_for(|permit| *permit >= ReadPermit::FirstPage)
+                .await;
+        }
         let started = BootClock.now();
         let result = match after {
             Some(after) => self.store.watch(after, MAX_WATCH_WAIT).await,
@@ -72,7 +84,10 @@
                 let on_targets = |targets: &[Change]| {
                     node.borrow_mut().apply_early(targets, BootClock.now());
                 };
-                self.store.read_all(on_targets).await
+                let turn = async || {
+                    let _ = permit.wait_for(|permit| *permit == ReadPermit::All).await;
+                };
+                self.store.read_all(on_targets, turn).await
             }
         };
         let now = BootClock.now();
--- /dev/null
+++ b/crates/entry/src/starter.rs
@@ -0,0 +1,182 @@
+//! Client that obtains the first copy from another VM.
+//!
+//! A seed is asked first. If it assigns a peer as the source, this VM leaves the store to others
+//! until the peer fails or takes long, and then reads it in steps ([`ReadPermit`]) while it still
+//! waits for the peer.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bambooseam_peer::replica::{ReplicaClient, SyncRequest, SyncResponse};
+use bambooseam_peer::{Meter, PeerError, jitter};
+use bambooseam_types::Clock;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::BootClock;
+use crate::feed::STALE_AGE;
+use crate::node::{SharedNode, Source};
+use crate::peering::SharedPeers;
+
+/// Time for which reading waits for the answer of a seed. A seed that starts at the same time answers
+/// when it has accepted the connections of the whole fleet.
+const SEED_PAUSE: Duration = Duration::from_millis(150);
+
+/// Timeout for the answer of a seed.
+const SEED_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Pause before the next seed is asked.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time for which nothing is read while a copy is expected. The VM at the end of a zone's tree has
+/// its copy by then in today's fleets.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+
+/// Further time for which only the first page is read. In it, copies pass through a zone of the
+/// intended size.
+const NEXT_PAUSE: Duration = Duration::from_millis(400);
+
+/// Largest wait for a copy.
+const MAX_WAIT: Duration = Duration::from_secs(3);
+
+/// How much of the store a VM without a copy reads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ReadPermit {
+    /// Nothing, because a copy is expected from a peer.
+    Nothing,
+    /// The first page, which may be all there is.
+    FirstPage,
+    /// Everything.
+    All,
+}
+
+/// Obtains the first copy from another VM.
+pub struct Starter {
+    node: SharedNode,
+    peers: SharedPeers,
+    meter: Arc<Meter>,
+    permit: watch::Sender<ReadPermit>,
+}
+
+impl Starter {
+    /// Creates a starter that sets `permit` to what may be read meanwhile.
+    pub fn new(
+        node: SharedNode,
+        peers: SharedPeers,
+        meter: Arc<Meter>,
+        permit: watch::Sender<ReadPermit>,
+    ) -> Self {
+        Self {
+            node,
+            peers,
+            meter,
+            permit,
+        }
+    }
+
+    /// Obtains a copy; returns false when this VM must read the store.
+    pub(crate) async fn run(&self) -> bool {
+        let seeds = self.peers.borrow().seeds_to_ask();
+        for seed in seeds.iter().cycle() {
+            match self.ask(*seed).await {
+                Ok(response) if response.is_referral => return self.wait_for(response).await,
+                Ok(response) => return self.apply(response, *seed),
+                // The seed may not have started yet.
+                Err(error) => log::debug!(
+                    "event=seed_call_failed peer={seed} cause={:?}",
+                    error.to_string()
+                ),
+            }
+            self.permit(ReadPermit::All);
+            sleep(jitter(RETRY_PAUSE)).await;
+        }
+        false
+    }
+
+    /// Sets how much of the store may be read.
+    pub(crate) fn permit(&self, permit: ReadPermit) {
+        self.permit.send_replace(permit);
+    }
+
+    /// Asks a seed where to get the copy.
+    async fn ask(&self, seed: SocketAddr) -> Result<SyncResponse, PeerError> {
+        let mut answer = pin!(self.request(seed, Duration::ZERO));
+        if let Ok(answer) = timeout(SEED_PAUSE, &mut answer).await {
+            return answer;
+        }
+        self.permit(ReadPermit::All);
+        let answer = timeout(SEED_TIMEOUT - SEED_PAUSE, answer).await;
+        answer.unwrap_or(Err(PeerError::Io(std::io::ErrorKind::TimedOut.into())))
+    }
+
+    /// Waits for the copy of the peer in a referral.
+    async fn wait_for(&self, referral: SyncResponse) -> bool {
+        let Some(source) = referral.peers.first() else {
+            return false;
+        };
+        let address = source.address;
+        log::info!("event=first_copy_assigned peer={address}");
+        self.peers.borrow_mut().record_gossiped(source);
+        let mut copy = pin!(self.request(address, MAX_WAIT));
+        let steps = [
+            (ReadPermit::Nothing, FIRST_PAUSE),
+            (ReadPermit::FirstPage, NEXT_PAUSE),
+            (ReadPermit::All, MAX_WAIT),
+        ];
+        for (permit, time) in steps {
+            self.permit(permit);
+            let Ok(result) = timeout(time, &mut copy).await else {
+                log::info!("event=first_copy_late peer={address} read={permit:?}");
+                continue;
+            };
+            return match result {
+                Ok(response) => self.apply(response, address),
+                Err(error) => {
+                    let cause = error.to_string();
+                    log::info!("event=first_copy_failed peer={address} cause={cause:?}");
+                    false
+                }
+            };
+        }
+        false
+    }
+
+    async fn request(
+        &self,
+        address: SocketAddr,
+        wait: Duration,
+    ) -> Result<SyncResponse, PeerError> {
+        let request = SyncRequest {
+            requester: Some(self.peers.borrow().own().clone()),
+            held: self.node.borrow().replica().held(),
+            wait,
+            may_be_large: true,
+            is_starting: true,
+        };
+        let client = ReplicaClient::connect(address, Arc::clone(&self.meter)).await?;
+        client.sync(&request).await
+    }
+
+    /// Applies a copy, unless it is older than copies that may be followed while the store answers.
+    fn apply(&self, response: SyncResponse, address: SocketAddr) -> bool {
+        let now = BootClock.now();
+        let mut peers = self.peers.borrow_mut();
+        peers.record_call(address, now, true);
+        for peer in &response.peers {
+            peers.record_gossiped(peer);
+        }
+        let (age, synced) = (response.age, response.synced(now));
+        let Some(changes) = response.changes else {
+            return false;
+        };
+        let mut node = self.node.borrow_mut();
+        if age > STALE_AGE && !node.is_store_unavailable(now) {
+            return false;
+        }
+        let (upto, count) = (changes.upto, changes.list.len());
+        log::info!("event=first_copy peer={address} upto={upto} documents={count} age={age:?}");
+        node.apply(changes, synced, now, Source::Peer(address))
+    }
+}
--- a/crates/peer/src/changes.rs
+++ b/crates/peer/src/changes.rs
@@ -3,13 +3,16 @@
 //! Published entries differ from each other in a few values only, so a compressed list takes a
 //! fraction of the bytes of its entries. A copy then fills a narrow link for a shorter time.
 
-use std::fmt::Display;
+use std::io::{Read, Write};
 use std::sync::Arc;
 
 use bambooseam_replica::{Change, Changes, Gap, KeptDocument};
 use bambooseam_types::{Era, Revision};
 use capnp::message::Builder;
 use capnp::serialize::{read_message, write_message_to_words};
+use flate2::Compression;
+use flate2::read::ZlibDecoder;
+use flate2::write::ZlibEncoder;
 
 use crate::connect::read_limits;
 use crate::replica_capnp::{change, changes};
@@ -18,14 +21,22 @@
 const MIN_PACKED_BYTES: usize = 4 << 10;
 
 /// Largest size of a list in bytes before compression: four documents of 1 MiB and their framing.
-const MAX_UNPACKED_BYTES: usize = 5 << 20;
+const MAX_UNPACKED_BYTES: u64 = 5 << 20;
 
-/// Writes changes into a message, with a large list compressed if the requester accepts it.
+/// The list that was compressed last. When a fleet starts, the same list goes to several VMs.
+#[derive(Debug, Default)]
+pub(crate) struct PackedList {
+    list: Vec<Change>,
+    packed: Vec<u8>,
+}
+
+/// Writes changes into a message. A large list is compressed if the requester accepts it, and then
+/// `packed` is given.
 pub(crate) fn write_changes(
     value: &Changes,
-    accepts_packed: bool,
+    packed: Option<&mut PackedList>,
     mut builder: changes::Builder<'_>,
-) {
+) -> Result<(), capnp::Error> {
     builder.set_is_whole(value.after.is_none());
     builder.set_after(value.after.unwrap_or_default().get());
     builder.set_upto(value.upto.get());
@@ -36,9 +47,9 @@
         builder.set_gap_after(gap.after.get());
         builder.set_gap_before(gap.before.get());
     }
-    match accepts_packed && value.size() >= MIN_PACKED_BYTES {
-        true => builder.set_packed(&pack(&value.list)),
-        false => write_list(&value.list, builder.reborrow()),
+    match packed.filter(|_| value.size() >= MIN_PACKED_BYTES) {
+        Some(packed) => builder.set_packed(packed.of(&value.list)?),
+        None => write_list(&value.list, builder.reborrow()),
     }
     let mut kept = builder.init_kept(value.kept.len() as u32);
     for (index, document) in (0..).zip(&value.kept) {
@@ -49,6 +60,7 @@
         };
         write_change(&change, kept.reborrow().get(index));
     }
+    Ok(())
 }
 
 fn write_list(list: &[Change], builder: changes::Builder<'_>) {
@@ -114,25 +126,37 @@
 }
 
 /// Compresses a list.
-fn pack(list: &[Change]) -> Vec<u8> {
+fn pack(list: &[Change]) -> Result<Vec<u8>, capnp::Error> {
     let mut message = Builder::new_default();
     write_list(list, message.init_root());
-    lz4_flex::compress_prepend_size(&write_message_to_words(&message))
+    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(&write_message_to_words(&message))?;
+    Ok(encoder.finish()?)
 }
 
 /// Restores a compressed list.
 fn unpack(bytes: &[u8]) -> Result<Vec<Change>, capnp::Error> {
-    let (size, compressed) = lz4_flex::block::uncompressed_size(bytes).map_err(invalid)?;
-    if size > MAX_UNPACKED_BYTES {
-        return Err(invalid(format!(
-            "{size} bytes are declared, at most {MAX_UNPACKED_BYTES} are allowed"
+    let mut words = Vec::new();
+    let decoder = ZlibDecoder::new(bytes);
+    decoder
+        .take(MAX_UNPACKED_BYTES + 1)
+        .read_to_end(&mut words)?;
+    if words.len() as u64 > MAX_UNPACKED_BYTES {
+        return Err(capnp::Error::failed(format!(
+            "packed list has more than {MAX_UNPACKED_BYTES} bytes"
         )));
     }
-    let words = lz4_flex::decompress(compressed, size).map_err(invalid)?;
     let message = read_message(words.as_slice(), read_limits())?;
     read_list(message.get_root()?)
 }
 
-fn invalid(cause: impl Display) -> capnp::Error {
-    capnp::Error::failed(format!("packed list is invalid: {cause}"))
+impl PackedList {
+    /// Returns the compressed form of `list`, which is kept for the next requester.
+    fn of(&mut self, list: &[Change]) -> Result<&[u8], capnp::Error> {
+        if self.list != list {
+            self.packed = pack(list)?;
+            self.list = list.to_vec();
+        }
+        Ok(&self.packed)
+    }
 }
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -10,7 +10,7 @@
 use bambooseam_types::{Era, Moment, Revision, ZoneId};
 use tokio::net::TcpListener;
 
-use crate::changes::{read_changes, write_changes};
+use crate::changes::{PackedList, read_changes, write_changes};
 use crate::replica_capnp::{copy, news, peer, replica};
 use crate::{Link, Meter, PeerError, connect_metered, serve_metered};
 
@@ -86,10 +86,12 @@
     service: S,
 ) {
     let service = Rc::new(service);
+    let packed = Rc::default();
     serve_metered(listener, meter, |_| {
         let server = Server {
             service: Rc::clone(&service),
             requester: RefCell::default(),
+            packed: Rc::clone(&packed),
         };
         let client: replica::Client = capnp_rpc::new_client(server);
         client.client
@@ -102,6 +104,7 @@
     service: Rc<S>,
     /// The VM that calls. It may name itself only in the first call on its connection.
     requester: RefCell<Option<PeerInfo>>,
+    packed: Rc<RefCell<PackedList>>,
 }
 
 impl<S: ReplicaService> replica::Server for Server<S> {
@@ -125,8 +128,9 @@
             (request, params.get_accepts_packed())
         };
         let response = self.service.sync(request).await;
-        write_response(&response, accepts_packed, results.get().init_news());
-        Ok(())
+        let mut packed = self.packed.borrow_mut();
+        let packed = accepts_packed.then_some(&mut *packed);
+        write_response(&response, packed, results.get().init_news())
     }
 }
 
@@ -197,7 +201,11 @@
     }
 }
 
-fn write_response(value: &SyncResponse, accepts_packed: bool, mut builder: news::Builder<'_>) {
+fn write_response(
+    value: &SyncResponse,
+    packed: Option<&mut PackedList>,
+    mut builder: news::Builder<'_>,
+) -> Result<(), capnp::Error> {
     builder.set_age_ms(millis(value.age));
     builder.set_is_referral(value.is_referral);
     let count = PEER_LIMIT.min(value.peers.len() as u32);
@@ -206,8 +214,9 @@
         write_peer(peer, peers.reborrow().get(index));
     }
     if let Some(changes) = &value.changes {
-        write_changes(changes, accepts_packed, builder.init_changes());
+        write_changes(changes, packed, builder.init_changes())?;
     }
+    Ok(())
 }
 
 fn read_response(reader: news::Reader<'_>) -> Result<SyncResponse, capnp::Error> {
--- /dev/null
+++ b/tests/tests/fleet_start.rs
@@ -0,0 +1,195 @@
+//! Fleets of which all VMs start at once: who reads the store, and who copies from whom.
+//!
+//! The model runs the decisions of each VM ([`CopyAssignments`], [`Peers`]) without
+//! input and output. It draws the order of messages, which VMs are lost before they have a copy,
+//! and which calls fail.
+
+use std::net::{IpAddr, SocketAddr};
+
+use bambooseam_entry::Peers;
+use bambooseam_entry::first_copy::{CopyAssignments, CopySource, FAN_OUT};
+use bambooseam_peer::replica::PeerInfo;
+use bambooseam_tests::inputs;
+use bambooseam_types::Moment;
+use bolero::produce;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+
+/// Number of availability zones of the modelled fleets.
+const ZONES: usize = 5;
+
+/// Number of seeds in the settings of each VM.
+const SEEDS: usize = 3;
+
+/// Numbers of VMs of the modelled fleets; the largest is the intended size.
+const SIZES: [usize; 3] = [30, 300, 850];
+
+fn vm(number: usize) -> PeerInfo {
+    let zone = number % ZONES;
+    let address = format!("10.{zone}.{}.{}:7720", number / 200, number % 200);
+    PeerInfo {
+        address: address.parse().expect("a valid address"),
+        zone: format!("z{zone}").parse().expect("a valid zone"),
+    }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(1_000_000 + ms)
+}
+
+/// Where each VM of a fleet got its first copy, and how it went.
+struct Start {
+    vms: Vec<PeerInfo>,
+    /// Source of each VM; `None` is the store.
+    sources: Vec<Option<usize>>,
+    /// Whether a VM was lost before it had a copy.
+    lost: Vec<bool>,
+}
+
+impl Start {
+    /// Starts a fleet; `loss` is the share of VMs that are lost, seeds among them.
+    fn run(count: usize, loss: f64, rng: &mut StdRng) -> Self {
+        let vms: Vec<PeerInfo> = (0..count).map(vm).collect();
+        let mut seeds: Vec<usize> = (0..count).collect();
+        seeds.shuffle(rng);
+        seeds.truncate(SEEDS);
+        let lost: Vec<bool> = vms.iter().map(|_| rng.random_bool(loss)).collect();
+        let mut assignments: Vec<CopyAssignments> = vms
+            .iter()
+            .map(|vm| CopyAssignments::new(vm.clone()))
+            .collect();
+        let addresses: Vec<SocketAddr> = seeds.iter().map(|&seed| vms[seed].address).collect();
+        let mut sources = vec![None; count];
+        let mut order: Vec<usize> = (0..count).collect();
+        order.shuffle(rng);
+        for requester in order {
+            let peers = Peers::new(vms[requester].clone(), &addresses);
+            for seed in peers.seeds_to_ask() {
+                let seed = number(seed);
+                if lost[seed] {
+                    continue;
+                }
+                let source = assignments[seed].assign(&vms[requester], false, None, at(0));
+                sources[requester] = match source {
+                    CopySource::Own => Some(seed),
+                    CopySource::Peer(address) => Some(number(address)),
+                    CopySource::Store => None,
+                };
+                break;
+            }
+        }
+        // A VM whose source is lost reads the store.
+        for source in &mut sources {
+            *source = source.filter(|source| !lost[*source]);
+        }
+        Self { vms, sources, lost }
+    }
+
+    /// Number of copies that pass before a VM has one; panics if it never gets one.
+    fn depth(&self, vm: usize) -> usize {
+        let mut depth = 0;
+        let mut at = vm;
+        while let Some(source) = self.sources[at] {
+            depth += 1;
+            assert!(depth <= self.vms.len(), "VM {vm} waits in a circle");
+            at = source;
+        }
+        depth
+    }
+
+    fn copies_of(&self, vm: usize) -> usize {
+        let sources = self.sources.iter().enumerate();
+        let receivers =
+            sources.filter(|(receiver, source)| **source == Some(vm) && !self.lost[*receiver]);
+        receivers.count()
+    }
+}
+
+/// Number of the VM with an address.
+fn number(address: SocketAddr) -> usize {
+    let IpAddr::V4(ip) = address.ip() else {
+        panic!("{address} is not an address of the model");
+    };
+    let [.., high, low] = ip.octets();
+    usize::from(high) * 200 + usize::from(low)
+}
+
+#[test]
+fn every_vm_gets_a_copy_over_few_steps_and_passes_on_few() {
+    let mut runs = 0;
+    inputs::for_each_input(&produce::<u64>(), |seed| {
+        // The smallest fleets are cheap, so that most runs are of them.
+        let count = SIZES[[0, 0, 0, 0, 0, 0, 1, 2][*seed as usize % 8]];
+        let mut rng = StdRng::seed_from_u64(*seed);
+        let loss = [0.0, 0.1, 0.5][rng.random_range(0..3)];
+        let start = Start::run(count, loss, &mut rng);
+        let mut readers = 0;
+        for vm in 0..count {
+            if start.lost[vm] {
+                continue;
+            }
+            readers += usize::from(start.sources[vm].is_none());
+            // With three children each, seven levels hold 3,280 VMs of one zone and seed.
+            assert!(
+                start.depth(vm) <= 7,
+                "seed {seed}: {} steps",
+                start.depth(vm)
+            );
+            assert!(start.copies_of(vm) <= FAN_OUT, "seed {seed}");
+        }
+        if loss == 0.0 {
+            assert!(
+                readers <= SEEDS * (ZONES + 1),
+                "seed {seed}: {readers} readers"
+            );
+        }
+        runs += 1;
+    });
+    println!("runs={runs}");
+}
+
+#[test]
+fn vm_that_asks_again_reads_the_store() {
+    let mut assignments = CopyAssignments::new(vm(0));
+    let other = vm(5);
+    assert_eq!(
+        assignments.assign(&other, false, None, at(0)),
+        CopySource::Own
+    );
+    assert_eq!(
+        assignments.assign(&other, false, None, at(100)),
+        CopySource::Store
+    );
+    // Once this VM has a copy, it passes it on.
+    assert_eq!(
+        assignments.assign(&other, true, None, at(200)),
+        CopySource::Own
+    );
+}
+
+#[test]
+fn copy_crosses_zones_once() {
+    let mut assignments = CopyAssignments::new(vm(0));
+    // No VM of the zone is known to have a copy.
+    let source = assignments.assign(&vm(1), true, None, at(0));
+    assert_eq!(source, CopySource::Own);
+    for number in 1..=FAN_OUT {
+        let source = assignments.assign(&vm(1 + ZONES * number), true, None, at(0));
+        assert_eq!(source, CopySource::Peer(vm(1).address));
+    }
+    // A VM of the zone that has a copy is known.
+    let local = vm(7).address;
+    let source = assignments.assign(&vm(2), true, Some(local), at(0));
+    assert_eq!(source, CopySource::Peer(local));
+}
+
+#[test]
+fn later_start_begins_a_new_list() {
+    let mut assignments = CopyAssignments::new(vm(0));
+    for number in 1..9 {
+        assignments.assign(&vm(1 + ZONES * number), false, None, at(0));
+    }
+    let later = assignments.assign(&vm(1), true, None, at(60_000));
+    assert_eq!(later, CopySource::Own);
+}
