Bound the followers of a VM and refer the others to them

Cause: a VM may have about ln N followers, 9 of 850 VMs, which is 3.5 KB/s at rest; after a restart, when VMs know the seeds alone, a seed has many times that.

Change: a VM keeps the six followers with the lowest addresses. Others are referred to them at once, also while they wait, and do not ask again for a minute (followers). As VMs follow lower addresses only, no cycle arises. The rank of a peer is computed once.

Test: followers_stay_few_without_circles_while_vms_are_lost_and_return, fleets of 30, 300 and 850 VMs, three runs each of 100 rounds with a third of the VMs lost and returned: six followers at most at any time, at most ten readers.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -47,6 +47,9 @@
         let cause = match result {
             Ok(Ok(response)) => {
                 self.peers.borrow_mut().record_call(address, now, true);
+                if response.is_referral {
+                    return self.leave(response, address, now);
+                }
                 match self.apply(response, address, now) {
                     true => return,
                     false => "behind".to_owned(),
@@ -64,6 +67,19 @@
         log::info!("event=peer_shunned peer={address} cause={cause:?}");
     }
 
+    /// Leaves a peer that refers this VM to its other followers.
+    fn leave(&mut self, response: SyncResponse, address: SocketAddr, now: Moment) {
+        self.client = None;
+        let mut peers = self.peers.borrow_mut();
+        for peer in &response.peers {
+            peers.record_gossiped(peer);
+        }
+        peers.exclude_referring(address, now);
+        drop(peers);
+        log::info!("event=peer_full peer={address}");
+        self.apply(response, address, now);
+    }
+
     /// Sends one long poll, over the open connection if it belongs to the same peer.
     async fn poll(&mut self, address: SocketAddr) -> Result<SyncResponse, PeerError> {
         let is_connected = self
@@ -94,7 +110,7 @@
         connected.map_err(|_| PeerError::Io(std::io::ErrorKind::TimedOut.into()))?
     }
 
-    /// Applies the answer of a peer; returns false when the replica of the peer is missing, stale
+    /// Applies the answer of a peer. Returns false when the replica of the peer is missing, stale
     /// or behind.
     fn apply(&self, response: SyncResponse, address: SocketAddr, now: Moment) -> bool {
         let synced = response.synced(now);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod feed;
 pub mod first_copy;
 mod follower;
+pub mod followers;
 mod node;
 pub mod packets;
 pub mod peering;
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -17,10 +17,12 @@
 use bambooseam_peer::{Meter, jitter};
 use bambooseam_replica::Changes;
 use bambooseam_types::{Clock, Moment};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use crate::first_copy::{CopyAssignments, CopySource};
+use crate::followers::{Admission, Followers};
 use crate::node::{SharedNode, Source};
 use crate::{BootClock, Peers};
 
@@ -63,6 +65,9 @@
     /// Peers of this VM.
     peers: SharedPeers,
     assignments: RefCell<CopyAssignments>,
+    followers: RefCell<Followers>,
+    /// Number of followers that others have replaced.
+    replaced: watch::Sender<u64>,
 }
 
 impl ReplicaService for ReplicaServer {
@@ -78,13 +83,12 @@
         {
             return referral;
         }
-        if is_waiting {
-            self.wait_for_change(&request).await;
-        }
-        let peers = match is_waiting {
+        let is_referral = is_waiting && !self.wait(&request, now).await;
+        let peers = match (is_referral, is_waiting) {
+            (true, _) => self.followers.borrow().peers(),
             // A follower calls about once a second, and receives peers with its other calls.
-            true => Vec::new(),
-            false => self.peers.borrow().sample(now),
+            (false, true) => Vec::new(),
+            (false, false) => self.peers.borrow().sample(now),
         };
         let changes = self.node.borrow().replica().changes_since(&request.held);
         let changes = changes
@@ -96,7 +100,7 @@
             changes,
             age: node.age(now).unwrap_or(Duration::MAX),
             peers,
-            is_referral: false,
+            is_referral,
         }
     }
 }
@@ -109,6 +113,8 @@
             node,
             peers,
             assignments: RefCell::new(CopyAssignments::new(own)),
+            followers: RefCell::default(),
+            replaced: watch::Sender::new(0),
         }
     }
 
@@ -148,6 +154,33 @@
         })
     }
 
+    /// Waits until the requester can be answered; returns false if it should follow another VM.
+    async fn wait(&self, request: &SyncRequest, now: Moment) -> bool {
+        let follower = request.requester.as_ref().filter(|_| !request.is_starting);
+        let Some(follower) = follower else {
+            self.wait_for_change(request).await;
+            return true;
+        };
+        let mut replaced = self.replaced.subscribe();
+        let admission = self.followers.borrow_mut().admit(follower, now);
+        metrics::gauge!("followers").set(self.followers.borrow().len() as f64);
+        if admission == Admission::Replaced {
+            self.replaced.send_modify(|count| *count += 1);
+        }
+        let is_replaced =
+            replaced.wait_for(|_| !self.followers.borrow().contains(follower.address));
+        let is_admitted = tokio::select! {
+            biased;
+            _ = is_replaced => false,
+            () = self.wait_for_change(request) => true,
+        };
+        if !is_admitted && let Some(suppressed) = REFERRALS.admit(Instant::now()) {
+            let address = follower.address;
+            log::info!("event=follower_referred requester={address} suppressed={suppressed}");
+        }
+        is_admitted
+    }
+
     /// Waits until this VM has changes that the requester lacks, or until the replica is confirmed
     /// to be current again.
     async fn wait_for_change(&self, request: &SyncRequest) {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -41,6 +41,9 @@
 /// Time since the last contact within which a peer counts as active: two long polls.
 const ACTIVE_TIME: Duration = Duration::from_secs(3);
 
+/// Time for which a peer that refers its followers to others is not followed.
+const REFERRAL_TIME: Duration = Duration::from_secs(60);
+
 /// Number of peers in a sample, besides the peer with the lowest address.
 const SAMPLE_SIZE: usize = 16;
 
@@ -61,6 +64,8 @@
 #[derive(Debug, Clone)]
 struct Peer {
     address: SocketAddr,
+    /// Hash of this VM's and the peer's address.
+    rank: u64,
     /// Availability zone; unknown for a seed until the seed calls or is announced.
     zone: Option<ZoneId>,
     is_seed: bool,
@@ -113,9 +118,9 @@
             .list
             .iter()
             .filter(|peer| peer.is_seed && !self.is_seed);
-        let mut seeds: Vec<SocketAddr> = seeds.map(|peer| peer.address).collect();
-        seeds.sort_by_key(|seed| self.rank(*seed));
-        seeds
+        let mut seeds: Vec<&Peer> = seeds.collect();
+        seeds.sort_by_key(|seed| seed.rank);
+        seeds.iter().map(|seed| seed.address).collect()
     }
 
     /// Returns a peer of a zone that called or answered within the last seconds.
@@ -165,6 +170,13 @@
         }
     }
 
+    /// Excludes a peer that refers its followers to others.
+    pub fn exclude_referring(&mut self, address: SocketAddr, now: Moment) {
+        if let Ok(at) = self.find(address) {
+            self.list[at].excluded_until = Some(now.after(REFERRAL_TIME));
+        }
+    }
+
     /// Returns the peer to follow; `None` when this VM must read the store itself.
     pub fn followed(&self, now: Moment) -> Option<SocketAddr> {
         let mut best = None;
@@ -174,7 +186,7 @@
                 continue;
             }
             let is_same_zone = peer.zone.as_ref() == Some(&self.own.zone);
-            let rank = (is_same_zone, self.rank(peer.address), peer.address);
+            let rank = (is_same_zone, peer.rank, peer.address);
             best = best.max(Some(rank));
         }
         best.map(|(.., address)| address)
@@ -248,6 +260,7 @@
         if self.find(address).is_err() {
             self.insert(Peer {
                 address,
+                rank: self.rank(address),
                 zone: None,
                 is_seed: false,
                 is_calling: false,
@@ -271,7 +284,7 @@
         }
         let sampled = self.list.iter().enumerate().skip(LOWEST_KEPT);
         let sampled = sampled.filter(|(_, peer)| !peer.is_seed);
-        if let Some((last, _)) = sampled.min_by_key(|(_, peer)| self.rank(peer.address)) {
+        if let Some((last, _)) = sampled.min_by_key(|(_, peer)| peer.rank) {
             self.list.remove(last);
         }
     }
--- a/tests/tests/fleet_start.rs
+++ b/tests/tests/fleet_start.rs
@@ -1,6 +1,7 @@
-//! Fleets of which all VMs start at once: who reads the store, and who copies from whom.
+//! Fleets of which all VMs start at once: who reads the store, who copies from whom, and who
+//! follows whom afterwards.
 //!
-//! The model runs the decisions of each VM ([`CopyAssignments`], [`Peers`]) without
+//! The model runs the decisions of each VM ([`CopyAssignments`], [`Followers`], [`Peers`]) without
 //! input and output. It draws the order of messages, which VMs are lost before they have a copy,
 //! and which calls fail.
 
@@ -8,6 +9,7 @@
 
 use bambooseam_entry::Peers;
 use bambooseam_entry::first_copy::{CopyAssignments, CopySource, FAN_OUT};
+use bambooseam_entry::followers::{Admission, Followers, MAX_FOLLOWERS};
 use bambooseam_peer::replica::PeerInfo;
 use bambooseam_tests::inputs;
 use bambooseam_types::Moment;
@@ -25,6 +27,12 @@
 /// Numbers of VMs of the modelled fleets; the largest is the intended size.
 const SIZES: [usize; 3] = [30, 300, 850];
 
+/// Runs of each size that lose VMs and have them return.
+const RUNS: u64 = 3;
+
+/// Rounds of long polls, each of a second, after which followers have found their peers.
+const ROUNDS: u64 = 20;
+
 fn vm(number: usize) -> PeerInfo {
     let zone = number % ZONES;
     let address = format!("10.{zone}.{}.{}:7720", number / 200, number % 200);
@@ -193,3 +201,175 @@
     let later = assignments.assign(&vm(1), true, None, at(60_000));
     assert_eq!(later, CopySource::Own);
 }
+
+#[test]
+fn highest_followers_are_referred_to_the_others() {
+    let mut followers = Followers::default();
+    let other = |number: usize| vm(10 * number);
+    for number in 1..=MAX_FOLLOWERS {
+        assert_eq!(followers.admit(&other(number), at(0)), Admission::Admitted);
+    }
+    // A lower one takes the place of the highest.
+    let highest = other(MAX_FOLLOWERS);
+    assert_eq!(followers.admit(&vm(5), at(100)), Admission::Replaced);
+    assert!(!followers.contains(highest.address));
+    assert_eq!(followers.admit(&highest, at(200)), Admission::Referred);
+    let kept = followers.peers();
+    assert_eq!(kept.len(), MAX_FOLLOWERS);
+    assert!(kept.iter().all(|peer| peer.address < highest.address));
+    // Followers that are gone leave their places after a while.
+    assert_eq!(followers.admit(&highest, at(10_000)), Admission::Admitted);
+    assert_eq!(followers.len(), 1);
+}
+
+/// The VMs of a fleet after a start, which know the seeds and learn from referrals and gossip.
+struct Fleet {
+    vms: Vec<PeerInfo>,
+    peers: Vec<Peers>,
+    followers: Vec<Followers>,
+    lost: Vec<bool>,
+}
+
+impl Fleet {
+    fn new(count: usize, rng: &mut StdRng) -> Self {
+        let vms: Vec<PeerInfo> = (0..count).map(vm).collect();
+        let mut seeds: Vec<SocketAddr> = vms.iter().map(|vm| vm.address).collect();
+        seeds.shuffle(rng);
+        seeds.truncate(SEEDS);
+        Self {
+            peers: vms
+                .iter()
+                .map(|vm| Peers::new(vm.clone(), &seeds))
+                .collect(),
+            followers: vms.iter().map(|_| Followers::default()).collect(),
+            lost: vec![false; count],
+            vms,
+        }
+    }
+
+    /// One long poll of each VM in random order, and of each VM that another one replaced; every
+    /// third round each VM also calls a peer. Returns whom each VM follows.
+    fn round(&mut self, round: u64, rng: &mut StdRng) -> Vec<Option<usize>> {
+        let now = at(1_000 * round);
+        let mut followed = vec![None; self.vms.len()];
+        let mut order: Vec<usize> = (0..self.vms.len()).filter(|vm| !self.lost[*vm]).collect();
+        order.shuffle(rng);
+        while let Some(vm) = order.pop() {
+            followed[vm] = self.follow(vm, now, &mut order);
+            if round % 3 == vm as u64 % 3 {
+                self.call(vm, now);
+            }
+        }
+        followed
+    }
+
+    /// Sends a long poll. A VM that is replaced by it must poll again.
+    fn follow(&mut self, vm: usize, now: Moment, pending: &mut Vec<usize>) -> Option<usize> {
+        loop {
+            let address = self.peers[vm].followed(now)?;
+            let peer = number(address);
+            if self.lost[peer] {
+                self.peers[vm].record_call(address, now, false);
+                self.peers[vm].exclude(address, now);
+                continue;
+            }
+            let own = self.vms[vm].clone();
+            self.peers[peer].record_requester(&own, now);
+            let before = self.followers[peer].peers();
+            let admission = self.followers[peer].admit(&own, now);
+            for other in before {
+                if !self.followers[peer].contains(other.address) {
+                    let other = number(other.address);
+                    self.refer(other, peer, now);
+                    pending.push(other);
+                }
+            }
+            if admission != Admission::Referred {
+                return Some(peer);
+            }
+            self.refer(vm, peer, now);
+        }
+    }
+
+    /// Refers a VM from the peer that it follows to that peer's followers.
+    fn refer(&mut self, vm: usize, peer: usize, now: Moment) {
+        for other in self.followers[peer].peers() {
+            self.peers[vm].record_gossiped(&other);
+        }
+        self.peers[vm].exclude_referring(self.vms[peer].address, now);
+    }
+
+    fn call(&mut self, vm: usize, now: Moment) {
+        let Some(address) = self.peers[vm].next_call(now) else {
+            return;
+        };
+        let peer = number(address);
+        let is_answered = !self.lost[peer];
+        if is_answered {
+            let own = self.vms[vm].clone();
+            self.peers[peer].record_requester(&own, now);
+            for other in self.peers[peer].sample(now) {
+                self.peers[vm].record_gossiped(&other);
+            }
+        }
+        self.peers[vm].finish_call(address, now, is_answered);
+    }
+
+    /// Asserts that no VM follows itself over others, and that none has too many followers.
+    fn check(&self, followed: &[Option<usize>], seed: u64) {
+        let mut counts = vec![0; self.vms.len()];
+        for (vm, peer) in followed.iter().enumerate() {
+            let Some(peer) = *peer else { continue };
+            assert!(
+                self.vms[peer].address < self.vms[vm].address,
+                "seed {seed}: VM {vm} follows a higher address"
+            );
+            counts[peer] += 1;
+        }
+        let most = counts.iter().max().copied().unwrap_or_default();
+        assert!(most <= MAX_FOLLOWERS, "seed {seed}: {most} followers");
+    }
+
+    /// Number of VMs that follow nobody, and so read the store.
+    fn readers(&self, followed: &[Option<usize>]) -> usize {
+        let vms = followed.iter().zip(&self.lost);
+        vms.filter(|(peer, lost)| peer.is_none() && !**lost).count()
+    }
+}
+
+#[test]
+fn followers_stay_few_without_circles_while_vms_are_lost_and_return() {
+    let mut runs = 0;
+    for count in SIZES {
+        for seed in 0..RUNS {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let mut fleet = Fleet::new(count, &mut rng);
+            for round in 0..ROUNDS {
+                let followed = fleet.round(round, &mut rng);
+                fleet.check(&followed, seed);
+            }
+            // A third is lost, among them the readers; the others take over.
+            for vm in 0..count {
+                fleet.lost[vm] = rng.random_bool(0.3);
+            }
+            fleet.lost[0] = true;
+            for round in ROUNDS..2 * ROUNDS {
+                let followed = fleet.round(round, &mut rng);
+                fleet.check(&followed, seed);
+            }
+            fleet.lost.fill(false);
+            let mut readers = 0;
+            for round in 2 * ROUNDS..5 * ROUNDS {
+                let followed = fleet.round(round, &mut rng);
+                fleet.check(&followed, seed);
+                readers = fleet.readers(&followed);
+            }
+            assert!(
+                readers <= 2 * ZONES,
+                "{count} VMs, seed {seed}: {readers} read the store"
+            );
+            runs += 1;
+        }
+    }
+    println!("runs={runs}");
+}
