Let the quiet time after a transfer follow its bytes

Change: the time is that of the bytes on the wire at half of 10 Mbit/s, 2 s at most; transfers add up. Sizes are those of the messages, which may be compressed, and of the store's responses.

Tests: data_sent_after_a_smaller_transfer_is_evidence failed first; the test of a large transfer names a size that fills a link for the 2 s that it states.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -114,13 +114,14 @@
     /// or behind.
     fn apply(&self, response: SyncResponse, address: SocketAddr, now: Moment) -> bool {
         let synced = response.synced(now);
+        let mut node = self.node.borrow_mut();
+        node.record_transfer(response.size, now);
         let Some(changes) = response.changes else {
             return false;
         };
         if response.age > STALE_AGE {
             return false;
         }
-        let mut node = self.node.borrow_mut();
         // Only a peer whose replica is at least as new can confirm that this replica is complete.
         node.replica().is_covered_by(&changes)
             && node.apply(changes, synced, now, Source::Peer(address))
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -103,7 +103,6 @@
     /// Returns false when changes between the replica and the offered changes are missing, or when
     /// the changes belong to an earlier era of the store.
     pub fn apply(&mut self, changes: Changes, synced: Moment, now: Moment, source: Source) -> bool {
-        self.record_transfer(changes.size(), now);
         let before = self.replica.held();
         let is_watch = source == Source::Store && changes.after.is_some();
         let newer = match self.replica.apply(changes) {
@@ -255,11 +254,11 @@
         early_targets
     }
 
-    /// Records a transfer of documents from or to another machine, which may fill the link of this
+    /// Records a transfer of `size` bytes from or to another machine, which may fill the link of this
     /// VM if it is large.
     pub fn record_transfer(&mut self, size: usize, now: Moment) {
         if size >= LARGE_TRANSFER_BYTES {
-            self.steering.record_transfer(now);
+            self.steering.record_transfer(size, now);
         }
     }
 
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -15,7 +15,6 @@
     PeerInfo, ReplicaClient, ReplicaService, SyncRequest, SyncResponse,
 };
 use bambooseam_peer::{Meter, jitter};
-use bambooseam_replica::Changes;
 use bambooseam_types::{Clock, Moment};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -93,16 +92,20 @@
         let changes = self.node.borrow().replica().changes_since(&request.held);
         let changes = changes
             .filter(|changes| request.may_be_large || changes.size() <= SMALL_RESPONSE_BYTES);
-        let now = BootClock.now();
-        let mut node = self.node.borrow_mut();
-        node.record_transfer(changes.as_ref().map_or(0, Changes::size), now);
+        let age = self.node.borrow().age(BootClock.now());
         SyncResponse {
             changes,
-            age: node.age(now).unwrap_or(Duration::MAX),
+            age: age.unwrap_or(Duration::MAX),
             peers,
             is_referral,
+            size: 0,
         }
     }
+
+    fn record_sent(&self, size: usize) {
+        let mut node = self.node.borrow_mut();
+        node.record_transfer(size, BootClock.now());
+    }
 }
 
 impl ReplicaServer {
@@ -273,10 +276,11 @@
         }
     }
     let synced = response.synced(called);
+    let mut node = node.borrow_mut();
+    node.record_transfer(response.size, now);
     let Some(changes) = response.changes else {
         return true;
     };
-    let mut node = node.borrow_mut();
     // The replica of a peer that is behind this VM contains no newer changes, and does not confirm
     // that this replica is current.
     if node.replica().is_covered_by(&changes) {
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -22,6 +22,9 @@
 /// is a tenth of the shortest time limit for a change (3 s).
 const BATCH_PAUSE: Duration = Duration::from_millis(300);
 
+/// Size of the store's responses in percent of the documents in them: Base64 and JSON.
+const STORE_SIZE_PERCENT: usize = 160;
+
 /// Minimum and maximum backoff after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
@@ -128,10 +131,11 @@
             Some(_) => now,
             None => started,
         };
-        let is_applied = self
-            .node
-            .borrow_mut()
-            .apply(changes, synced, now, Source::Store);
+        let is_applied = {
+            let mut node = self.node.borrow_mut();
+            node.record_transfer(changes.size() * STORE_SIZE_PERCENT / 100, now);
+            node.apply(changes, synced, now, Source::Store)
+        };
         self.has_history = is_applied;
         if !is_unchanged || !is_applied {
             sleep(BATCH_PAUSE).await;
--- a/crates/entry/src/starter.rs
+++ b/crates/entry/src/starter.rs
@@ -168,10 +168,11 @@
             peers.record_gossiped(peer);
         }
         let (age, synced) = (response.age, response.synced(now));
+        let mut node = self.node.borrow_mut();
+        node.record_transfer(response.size, now);
         let Some(changes) = response.changes else {
             return false;
         };
-        let mut node = self.node.borrow_mut();
         if age > STALE_AGE && !node.is_store_unavailable(now) {
             return false;
         }
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -56,6 +56,8 @@
     pub peers: Vec<PeerInfo>,
     /// Whether the responder sends the requester on to `peers`.
     pub is_referral: bool,
+    /// Size of a received response in bytes.
+    pub size: usize,
 }
 
 impl SyncResponse {
@@ -72,6 +74,9 @@
     /// Returns the changes that a peer lacks, as soon as there is one or the peer's wait has
     /// elapsed.
     fn sync(&self, request: SyncRequest) -> impl Future<Output = SyncResponse>;
+
+    /// Records that a response of `size` bytes is sent.
+    fn record_sent(&self, size: usize);
 }
 
 /// A connection to a peer; closes when dropped.
@@ -130,7 +135,10 @@
         let response = self.service.sync(request).await;
         let mut packed = self.packed.borrow_mut();
         let packed = accepts_packed.then_some(&mut *packed);
-        write_response(&response, packed, results.get().init_news())
+        write_response(&response, packed, results.get().init_news())?;
+        let size = results.get().into_reader().total_size()?;
+        self.service.record_sent(bytes(size));
+        Ok(())
     }
 }
 
@@ -179,6 +187,11 @@
     Ok(peer.map(|(address, zone)| PeerInfo { address, zone }))
 }
 
+/// Size of a message in bytes.
+fn bytes(size: capnp::MessageSize) -> usize {
+    usize::try_from(size.word_count * 8).unwrap_or(usize::MAX)
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
@@ -233,5 +246,6 @@
         age: Duration::from_millis(reader.get_age_ms()),
         peers,
         is_referral: reader.get_is_referral(),
+        size: bytes(reader.total_size()?),
     })
 }
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -14,9 +14,14 @@
 /// Idle time after which a flow may be removed if the configuration does not set one.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(15);
 
-/// Time for which a large transfer may fill the link: eight copies of a configuration of 250 KB take
-/// 1.6 s at 10 Mbit/s.
-const TRANSFER_TIME: Duration = Duration::from_secs(2);
+/// Rate of the narrowest links, 10 Mbit/s, in bytes per second.
+const LINK_RATE: f64 = 1_250_000.0;
+
+/// Share of the link that a transfer gets beside packets.
+const TRANSFER_SHARE: f64 = 0.5;
+
+/// Longest time for which transfers count as filling the link.
+const MAX_TRANSFER_TIME: Duration = Duration::from_secs(2);
 
 /// Largest number of remembered frontends whose route was removed.
 const MAX_REMOVED_FRONTENDS: usize = 4_096;
@@ -78,9 +83,12 @@
         self.freshness.first_synced = None;
     }
 
-    /// Records that a large transfer has begun, which may fill the link of this VM.
-    pub fn record_transfer(&mut self, now: Moment) {
-        self.quiet_since = now.after(TRANSFER_TIME);
+    /// Records that a large transfer of `size` bytes has begun, which fills the link of this VM for a
+    /// time.
+    pub fn record_transfer(&mut self, size: usize, now: Moment) {
+        let time = Duration::from_secs_f64(size as f64 / (LINK_RATE * TRANSFER_SHARE));
+        let begun = self.quiet_since.max(now);
+        self.quiet_since = begun.after(time).min(now.after(MAX_TRANSFER_TIME));
     }
 
     /// Applies the removals of one batch. Returns the new status of each target that is kept.
--- a/tests/tests/replica_wire.rs
+++ b/tests/tests/replica_wire.rs
@@ -37,6 +37,8 @@
             ..SyncResponse::default()
         }
     }
+
+    fn record_sent(&self, _: usize) {}
 }
 
 /// A VM of a version that knows neither packed lists nor starting VMs.
--- a/tests/tests/steer_stall.rs
+++ b/tests/tests/steer_stall.rs
@@ -261,7 +261,8 @@
 fn data_sent_during_a_large_transfer_is_not_evidence() {
     let (stalled, running) = (target(1), target(2));
     let mut steering = steering([stalled.clone(), running.clone()]);
-    steering.record_transfer(at(0));
+    // 2 s of half a link of 10 Mbit/s.
+    steering.record_transfer(1_250_000, at(0));
     let requests = [(1, &stalled, 0), (2, &stalled, 10), (3, &stalled, 900)];
     assert_eq!(transmit(&mut steering, &requests, &[&running]), []);
     let requests = [(4, &stalled, 2_000), (5, &stalled, 2_010)];
@@ -269,6 +270,18 @@
     assert_eq!(resets, [(2_600, 4), (2_610, 5)]);
 }
 
+#[test]
+fn data_sent_after_a_smaller_transfer_is_evidence() {
+    let (stalled, running) = (target(1), target(2));
+    let mut steering = steering([stalled.clone(), running.clone()]);
+    // 0.1 s of half a link of 10 Mbit/s, twice.
+    steering.record_transfer(62_500, at(0));
+    steering.record_transfer(62_500, at(10));
+    let requests = [(1, &stalled, 50), (2, &stalled, 210), (3, &stalled, 220)];
+    let resets = transmit(&mut steering, &requests, &[&running]);
+    assert_eq!(resets, [(810, 2), (820, 3), (1_450, 1)]);
+}
+
 #[test]
 fn vm_whose_link_was_full_until_now_resets_nothing() {
     // From 0 to 500 ms all packets are lost. Then callers' retransmissions are answered at once,
