Wait only for VMs of the same list, and document first copies

Cause, found by thinking a herd of kills through: the seed could refer the first VM of a zone to another VM of that zone that it had heard lately. If that VM had just started too, and had asked another seed, both could wait for each other until reading begins.

Change: the first VM of a zone gets the seed's copy. A VM now waits only for earlier ones of one list.

--- a/crates/entry/src/first_copy.rs
+++ b/crates/entry/src/first_copy.rs
@@ -71,20 +71,9 @@
         }
     }
 
-    /// Assigns a source to a VM. `has_copy` tells whether this VM has a copy, and `local` is a VM of
-    /// the requester's zone that is known to have one.
-    pub fn assign(
-        &mut self,
-        requester: &PeerInfo,
-        has_copy: bool,
-        local: Option<SocketAddr>,
-        now: Moment,
-    ) -> CopySource {
+    /// Assigns a source to a VM. `has_copy` tells whether this VM has a copy.
+    pub fn assign(&mut self, requester: &PeerInfo, has_copy: bool, now: Moment) -> CopySource {
         let is_same_zone = requester.zone == self.own.zone;
-        let own_or_store = match has_copy {
-            true => CopySource::Own,
-            false => CopySource::Store,
-        };
         let own = self.own.address;
         let list = self.list(&requester.zone, now);
         if is_same_zone && list.vms.is_empty() {
@@ -93,19 +82,20 @@
         }
         // A VM that asks again has lost its source.
         if list.vms.contains(&requester.address) || list.vms.len() >= MAX_LISTED {
-            return own_or_store;
+            return match has_copy {
+                true => CopySource::Own,
+                false => CopySource::Store,
+            };
         }
         let position = list.vms.len();
         list.vms.push(requester.address);
-        match position.checked_sub(1) {
-            None => match local.filter(|local| has_copy && *local != requester.address) {
-                Some(local) => CopySource::Peer(local),
-                None => CopySource::Own,
-            },
-            Some(earlier) => match list.vms[earlier / FAN_OUT] {
-                source if source == own => CopySource::Own,
-                source => CopySource::Peer(source),
-            },
+        // Each VM waits for an earlier one of the same list, so none waits for itself.
+        let Some(earlier) = position.checked_sub(1) else {
+            return CopySource::Own;
+        };
+        match list.vms[earlier / FAN_OUT] {
+            source if source == own => CopySource::Own,
+            source => CopySource::Peer(source),
         }
     }
 
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -126,9 +126,8 @@
     fn refer_starting(&self, request: &SyncRequest, now: Moment) -> Option<SyncResponse> {
         let requester = request.requester.as_ref()?;
         let has_copy = self.node.borrow().replica().upto().is_some();
-        let local = self.peers.borrow().active_in(&requester.zone, now);
         let mut assignments = self.assignments.borrow_mut();
-        let source = assignments.assign(requester, has_copy, local, now);
+        let source = assignments.assign(requester, has_copy, now);
         if let Some(suppressed) = REFERRALS.admit(Instant::now()) {
             log::info!(
                 "event=first_copy_referred requester={} zone={} source={source} \
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -38,9 +38,6 @@
 /// Time since the last contact after which a peer is no longer announced to others.
 const RECENT_TIME: Duration = Duration::from_secs(30);
 
-/// Time since the last contact within which a peer counts as active: two long polls.
-const ACTIVE_TIME: Duration = Duration::from_secs(3);
-
 /// Time for which a peer that refers its followers to others is not followed.
 const REFERRAL_TIME: Duration = Duration::from_secs(60);
 
@@ -123,14 +120,6 @@
         seeds.iter().map(|seed| seed.address).collect()
     }
 
-    /// Returns a peer of a zone that called or answered within the last seconds.
-    pub fn active_in(&self, zone: &ZoneId, now: Moment) -> Option<SocketAddr> {
-        let is_active = |peer: &&Peer| peer.seen.is_some_and(|s| now.since(s) <= ACTIVE_TIME);
-        let active = self.list.iter().filter(is_active);
-        let mut local = active.filter(|peer| peer.zone.as_ref() == Some(zone));
-        local.next().map(|peer| peer.address)
-    }
-
     /// Records a peer that another peer announced.
     pub fn record_gossiped(&mut self, info: &PeerInfo) {
         if let Some(peer) = self.add(info.address) {
--- a/tests/tests/replica_wire.rs
+++ b/tests/tests/replica_wire.rs
@@ -12,6 +12,7 @@
 use bambooseam_peer::replica_capnp::replica;
 use bambooseam_peer::{Meter, connect};
 use bambooseam_replica::{Change, Changes, Held};
+use bambooseam_tests::inputs::for_many_bytes;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::net::TcpListener;
@@ -61,6 +62,22 @@
     }
 }
 
+/// A VM that answers each request with the same bytes as its packed list.
+struct PackedService(Rc<RefCell<Vec<u8>>>);
+
+impl replica::Server for PackedService {
+    async fn sync(
+        self: Rc<Self>,
+        _: replica::SyncParams,
+        mut results: replica::SyncResults,
+    ) -> Result<(), capnp::Error> {
+        let mut changes = results.get().init_news().init_changes();
+        changes.set_is_whole(true);
+        changes.set_packed(&self.0.borrow());
+        Ok(())
+    }
+}
+
 /// A full copy of the large fleet.
 fn copy() -> Changes {
     let mut random = StdRng::seed_from_u64(1);
@@ -178,3 +195,49 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+#[tokio::test]
+async fn invalid_packed_lists_are_refused() {
+    let run = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let packed = Rc::new(RefCell::new(Vec::new()));
+        let served = Rc::clone(&packed);
+        spawn_local(bambooseam_peer::serve(listener, move |_| {
+            let client: replica::Client = capnp_rpc::new_client(PackedService(Rc::clone(&served)));
+            client.client
+        }));
+        let client = client(address, &Arc::default()).await;
+        let mut inputs = vec![Vec::new(), zlib(&[]), zlib(&vec![0; 64 << 20])];
+        for_many_bytes(1_000, 4 << 10, |bytes| {
+            inputs.push(bytes.to_vec());
+            inputs.push(zlib(bytes));
+        });
+        let mut refused = 0;
+        for input in inputs {
+            packed.replace(input);
+            // Random bytes may be a valid list without an entry.
+            match client.sync(&request()).await {
+                Ok(response) => {
+                    let changes = response.changes.expect("changes");
+                    assert!(changes.list.len() < 1_000);
+                }
+                Err(_) => refused += 1,
+            }
+        }
+        println!("refused={refused}");
+        assert!(
+            refused > 1_000,
+            "{refused} of about 2,000 lists are refused"
+        );
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+fn zlib(bytes: &[u8]) -> Vec<u8> {
+    use std::io::Write;
+
+    let mut encoder = flate2::write::ZlibEncoder::new(Vec::new(), flate2::Compression::fast());
+    encoder.write_all(bytes).expect("memory takes all bytes");
+    encoder.finish().expect("memory takes all bytes")
+}
