Deliver no answer that belongs to another request

Cause: a target that sends its answer a second time, when the connection is in use again, answered the next request with it; the proxy even put the next request's id on it.

Ruled out: bytes that arrive while the connection is idle (hyper ends it).

Change: a response that names another request (X-Request-Id) is discarded with the connection, a counter and a log line; an idempotent request may be sent again within the retry budget, others have an unknown outcome. A connection is used again only if its last response named its request. Both stand-in targets repeat the header, as operators are asked to let theirs.

--- a/crates/measure/src/requests/target.rs
+++ b/crates/measure/src/requests/target.rs
@@ -214,7 +214,12 @@
             if shared.epoch.load(Ordering::Relaxed) > epoch {
                 std::future::pending::<()>().await;
             }
-            shared.respond(request).await
+            let id = request.headers().get("x-request-id").cloned();
+            let mut response = shared.respond(request).await?;
+            if let Some(id) = id {
+                response.headers_mut().insert("x-request-id", id);
+            }
+            Ok::<_, io::Error>(response)
         }
     });
     let _ = hyper::server::conn::http1::Builder::new()
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::body::RequestBody;
-use crate::head::{OUTCOME, TARGET_SHED};
+use crate::head::{OUTCOME, REQUEST_ID, TARGET_SHED};
 use crate::pool::{Connection, Pool};
 
 /// Maximum idle time of a connection that is reused for a non-idempotent request.
@@ -33,10 +33,11 @@
     Shed,
     /// No byte was sent; contains the unsent request.
     NotSent(Box<Request<RequestBody>>),
-    /// The connection was lost after bytes may have been sent, and no response arrived.
+    /// The connection was lost after bytes may have been sent, and no response to this request
+    /// arrived.
     Disconnected,
-    /// A reused connection was lost or did not respond in time, although the target itself may be
-    /// healthy.
+    /// A reused connection was lost, did not respond in time or returned the response to another
+    /// request, although the target itself may be healthy.
     Unresponsive,
     /// No response arrived before the deadline.
     TimedOut,
@@ -65,6 +66,7 @@
     let Some(mut connection) = connect(pool, target, limits).await else {
         return AttemptResult::NotSent(Box::new(request));
     };
+    let id = request.headers().get(&REQUEST_ID).cloned();
     let may_resend = limits.is_repeatable && connection.is_reused;
     let reused_until = Instant::now() + REUSED_RESPONSE_TIMEOUT;
     let until = if may_resend {
@@ -85,6 +87,19 @@
         Err(_) if may_resend && until < limits.deadline => return AttemptResult::Unresponsive,
         Err(_) => return AttemptResult::TimedOut,
     };
+    let mut named = response.headers().get_all(&REQUEST_ID).iter();
+    connection.names_request = response.headers().contains_key(&REQUEST_ID);
+    if named.any(|named| Some(named) != id.as_ref()) {
+        metrics::counter!("answers_crossed").increment(1);
+        log::warn!(
+            "event=answer_crossed target={} request={id:?} outcome=discarded",
+            target.entry.id
+        );
+        return match may_resend {
+            true => AttemptResult::Unresponsive,
+            false => AttemptResult::Disconnected,
+        };
+    }
     if is_shed(&response) {
         return AttemptResult::Shed;
     }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -1,4 +1,7 @@
 //! Pool of idle connections to targets.
+//!
+//! A target that sends an answer a second time, when the connection is in use again, would answer the
+//! next request with it. A connection is therefore reused only if its answers name their requests.
 
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -41,6 +44,8 @@
     pub sender: SendRequest<RequestBody>,
     /// Whether the connection has carried a request before.
     pub is_reused: bool,
+    /// Whether the last response named its request.
+    pub names_request: bool,
     address: SocketAddr,
     target: TargetId,
     opened: Instant,
@@ -78,6 +83,7 @@
         Ok(Self {
             sender,
             is_reused: false,
+            names_request: false,
             address,
             target: target.clone(),
             opened: now,
@@ -108,9 +114,10 @@
         }
     }
 
-    /// Returns a connection whose response has ended to the pool.
+    /// Returns a connection whose response has ended to the pool, unless it may not be reused.
     pub fn put(&self, mut connection: Connection) {
-        if connection.sender.is_closed() || connection.opened.elapsed() > MAX_AGE {
+        let is_old = connection.opened.elapsed() > MAX_AGE;
+        if !connection.names_request || connection.sender.is_closed() || is_old {
             return;
         }
         connection.idle_since = Instant::now();
--- a/crates/standin/src/target/response.rs
+++ b/crates/standin/src/target/response.rs
@@ -24,7 +24,7 @@
 /// Path prefix of long requests.
 pub const LONG_PATH: &str = "/full/";
 /// Header that identifies one attempt of a caller.
-const REQUEST_HEADER: &str = "X-Request-Id";
+const REQUEST_HEADER: &str = "x-request-id";
 /// Header that identifies a request over all its attempts.
 const KEY_HEADER: &str = "Idempotency-Key";
 /// Header that holds the remaining time of the caller, in milliseconds.
@@ -99,6 +99,10 @@
     } else {
         short_response(guard, body, time, deadline).await
     };
+    if !id.is_empty() {
+        let value = HeaderValue::from_str(&id)?;
+        response.headers_mut().insert(REQUEST_HEADER, value);
+    }
     if response.status() == StatusCode::OK {
         let value = HeaderValue::from_str(&checksum)?;
         response.headers_mut().insert(CHECKSUM_HEADER, value);
