--- a/crates/entry/src/first_copy.rs
+++ b/crates/entry/src/first_copy.rs
@@ -5,7 +5,7 @@
 //! of each availability zone in the order in which they ask, and refers each one to an earlier VM of
 //! its list, so that the lists become trees below the seed: each VM passes its copy on to [`FAN_OUT`]
 //! others of its zone, and the seed also to one VM of each other zone. Only the seeds read the store,
-//! and VMs whose source fails.
+//! and VMs whose source fails. Lists that fit on the store's first page are read by each VM itself.
 
 use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
@@ -14,8 +14,8 @@
 use bambooseam_peer::replica::PeerInfo;
 use bambooseam_types::{Moment, ZoneId};
 
-/// Number of VMs to which one VM passes its copy on. With three, the last VM of a tree receives its
-/// copy soonest if the time is spent on the link of each VM.
+/// Number of VMs to which one VM passes its copy on. Its link carries their copies at the same time,
+/// so more would delay each level of the tree, and fewer would add levels.
 pub const FAN_OUT: usize = 3;
 
 /// Time after the last request of a zone after which its list begins anew.
