Revert "Read short lists from the store before asking for a copy"

It also left the permit to read at the first page: a list that had grown was never read whole again (test list_that_has_grown_is_read_whole_after_the_history_was_compacted failed with it).

--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -6,11 +6,9 @@
 //! there are none, therefore propagate from VM to VM without a pause.
 
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::time::Duration;
 
 use bambooseam_types::{Clock, Revision};
-use tokio::time::timeout;
 
 use crate::BootClock;
 use crate::follower::Follower;
@@ -28,10 +26,6 @@
 /// Time after a failed store call in which the store is not called if a peer can be followed.
 const STORE_BACKOFF: Duration = Duration::from_millis(1_000);
 
-/// Time in which a VM that starts reads a short list from the store. A copy from a peer takes longer
-/// on a slow VM; reading a long list would keep the store's link from the seeds.
-const SHORT_READ_TIME: Duration = Duration::from_millis(80);
-
 /// Action of a round.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
@@ -97,26 +91,13 @@
         match step {
             Step::Follow(address) => follower.round(address).await,
             Step::Read if state.upto.is_some() => reader.round().await,
-            Step::Read => start(&mut reader, &starter, &node).await,
+            Step::Read => start(&mut reader, &starter).await,
         }
     }
 }
 
-/// Obtains the first copy from the store if its list is short, otherwise from a peer or from the
-/// store, whichever has it first.
-async fn start(reader: &mut Reader, starter: &Starter, node: &SharedNode) {
-    if starter.has_seeds() {
-        starter.permit(ReadPermit::FirstPage);
-        let mut read = pin!(reader.round());
-        let is_read = timeout(SHORT_READ_TIME, &mut read).await.is_ok();
-        if !is_read && *node.borrow().forwarding().borrow() {
-            // All targets were on the first page.
-            read.await;
-        }
-        if node.borrow().replica().upto().is_some() {
-            return;
-        }
-    }
+/// Obtains the first copy from a peer or from the store, whichever has it first.
+async fn start(reader: &mut Reader, starter: &Starter) {
     let copy = async {
         let is_applied = starter.run().await;
         starter.permit(ReadPermit::All);
--- a/crates/entry/src/first_copy.rs
+++ b/crates/entry/src/first_copy.rs
@@ -5,7 +5,7 @@
 //! of each availability zone in the order in which they ask, and refers each one to an earlier VM of
 //! its list, so that the lists become trees below the seed: each VM passes its copy on to [`FAN_OUT`]
 //! others of its zone, and the seed also to one VM of each other zone. Only the seeds read the store,
-//! and VMs whose source fails. Lists that fit on the store's first page are read by each VM itself.
+//! and VMs whose source fails.
 
 use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
--- a/crates/entry/src/starter.rs
+++ b/crates/entry/src/starter.rs
@@ -78,11 +78,7 @@
 
     /// Obtains a copy; returns false when this VM must read the store.
     pub(crate) async fn run(&self) -> bool {
-        self.permit(ReadPermit::Nothing);
         let seeds = self.peers.borrow().seeds_to_ask();
-        if seeds.is_empty() {
-            return false;
-        }
         for seed in seeds.iter().cycle() {
             match self.ask(*seed).await {
                 Ok(response) if response.is_referral => return self.wait_for(response).await,
@@ -99,11 +95,6 @@
         false
     }
 
-    /// Whether this VM can ask a seed.
-    pub(crate) fn has_seeds(&self) -> bool {
-        !self.peers.borrow().seeds_to_ask().is_empty()
-    }
-
     /// Sets how much of the store may be read.
     pub(crate) fn permit(&self, permit: ReadPermit) {
         self.permit.send_replace(permit);
--- a/tests/tests/entry_fleet.rs
+++ b/tests/tests/entry_fleet.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bambooseam_tests::site::{RunningSite, WAIT_TIMEOUT, pause};
+use bambooseam_tests::site::{CONFIG_BOUND, RunningSite, WAIT_TIMEOUT, pause};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -67,6 +67,38 @@
     assert_change_arrives(Fall::StoreSilent).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn list_that_has_grown_is_read_whole_after_the_history_was_compacted() {
+    let mut running = RunningSite::prepare(&[1], 2).await;
+    // No VM is at this address, so that the VM reads the store.
+    let seed = "127.0.0.1:9".parse().expect("a valid address");
+    running
+        .site
+        .set_seeds(&[seed])
+        .expect("settings are written");
+    running.site.start_all().expect("the VM starts");
+    assert!(running.site.wait_ready(1, WAIT_TIMEOUT).await);
+    // More than a page of the stand-in store.
+    put_entries(&running, 40);
+    running.site.store.compact();
+    let time = running.time_change(&[0]).await;
+    assert!(time < CONFIG_BOUND, "the change took {time:?}");
+    running.check();
+}
+
+/// Publishes entries of targets that take no flows.
+fn put_entries(running: &RunningSite, count: u32) {
+    for number in 0..count {
+        let entry = json!({
+            "service": "reserve", "address": format!("10.9.{}.{}:8080", number / 250, number % 250),
+            "zone": "zone-1", "config_version": "v1", "capacity": 2, "state": "ready",
+            "warmup_left_ms": 0, "sequence": 4, "born": 1_790_000_000_123_u64 + u64::from(number),
+        });
+        let key = format!("servers/i-{:08x}", number.wrapping_mul(2_654_435_761));
+        running.site.store.put(&key, &entry, None);
+    }
+}
+
 /// Whether a VM answers a readiness probe with success.
 async fn is_ready(address: SocketAddr) -> bool {
     let probe = async {
@@ -83,15 +115,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn fleet_killed_at_once_is_ready_within_a_second_beside_a_store_with_a_narrow_link() {
     let mut running = RunningSite::start(&FLEET, 2).await;
-    for number in 0..ENTRIES {
-        let entry = json!({
-            "service": "reserve", "address": format!("10.9.{}.{}:8080", number / 250, number % 250),
-            "zone": "zone-1", "config_version": "v1", "capacity": 2, "state": "ready",
-            "warmup_left_ms": 0, "sequence": 4, "born": 1_790_000_000_123_u64 + u64::from(number),
-        });
-        let key = format!("servers/i-{:08x}", number.wrapping_mul(2_654_435_761));
-        running.site.store.put(&key, &entry, None);
-    }
+    put_entries(&running, ENTRIES);
     // The followers have received the entries.
     pause(2_000).await;
     for vm in &mut running.site.vms {
