--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -104,13 +104,16 @@
     /// the changes belong to an earlier era of the store.
     pub fn apply(&mut self, changes: Changes, synced: Moment, now: Moment, source: Source) -> bool {
         let before = self.replica.held();
-        let is_watch = source == Source::Store && changes.after.is_some();
+        let watched = changes
+            .after
+            .filter(|_| source == Source::Store)
+            .map(|_| changes.upto);
         let newer = match self.replica.apply(changes) {
             ApplyOutcome::Newer(newer) => newer,
             ApplyOutcome::Gap | ApplyOutcome::Outdated => return false,
         };
-        if is_watch {
-            self.replica.confirm_exact();
+        if let Some(upto) = watched {
+            self.replica.confirm_exact(upto);
         }
         if before.upto.is_some() && before.era != Some(self.replica.era()) {
             self.begin_era(&before, now, source);
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -196,10 +196,10 @@
         ApplyOutcome::Newer(newer)
     }
 
-    /// Records that the store itself confirmed the replica by its changes since the replica's
-    /// revision.
-    pub fn confirm_exact(&mut self) {
-        self.is_exact = self.upto.is_some();
+    /// Records that the store itself confirmed the replica, by a watch that was applied and ended at
+    /// `upto`. A watch that ended before a snapshot from a peer confirms nothing of the snapshot.
+    pub fn confirm_exact(&mut self, upto: Revision) {
+        self.is_exact |= self.upto == Some(upto);
     }
 
     /// Changes that a peer lacks; `None` before the first full snapshot. If the peer belongs to an
--- a/tests/tests/replica.rs
+++ b/tests/tests/replica.rs
@@ -162,7 +162,7 @@
     let mut replica = Replica::new(Unaged);
     let documents = ["a", "b", "c"].map(|key| change(key, 4, Some("x")));
     replica.apply(full(6, documents.to_vec()));
-    replica.confirm_exact();
+    replica.confirm_exact(6.into());
     // The store dropped its history, so everything was read again: "b" is gone, "d" is new.
     let documents = ["a", "c"].map(|key| change(key, 4, Some("x")));
     let added = change("d", 9, Some("x"));
@@ -193,13 +193,28 @@
     ));
     let mut replica = Replica::new(Unaged);
     replica.apply(full(6, vec![change("a", 4, Some("x"))]));
-    replica.confirm_exact();
+    replica.confirm_exact(6.into());
     replica.apply(full(10, vec![change("a", 4, Some("x"))]));
     let update = replica.changes_since(&held(Some(6))).expect("changes");
     peer.apply(update);
     assert_eq!(revision_of(&peer, "d"), None);
 }
 
+#[test]
+fn watch_that_ends_before_a_full_copy_does_not_confirm_it() {
+    let mut replica = Replica::new(Unaged);
+    replica.apply(full(6, vec![change("a", 4, Some("x"))]));
+    replica.confirm_exact(6.into());
+    // A peer's copy arrives while the watch is on its way. The copy may lack a document that was
+    // removed while it was read.
+    replica.apply(full(10, vec![change("a", 4, Some("x"))]));
+    replica.apply(changes(Some(6), 8, vec![]));
+    replica.confirm_exact(8.into());
+    replica.apply(full(15, vec![change("a", 4, Some("x"))]));
+    let update = replica.changes_since(&held(Some(10))).expect("changes");
+    assert_eq!(update.after, None);
+}
+
 #[test]
 fn document_restored_within_one_update_is_not_removed() {
     let mut replica = Replica::new(Unaged);
@@ -326,7 +341,7 @@
                     let replica = &mut replicas[rng.random_range(0..3)];
                     if let Some(upto) = replica.upto() {
                         replica.apply(history.since(upto.get()));
-                        replica.confirm_exact();
+                        replica.confirm_exact(history.upto().into());
                     }
                 }
                 _ => {
