Refer no follower of an earlier version

Found by reading the change again: an earlier program does not know referrals. It would take the immediate answer for a change and poll again without a pause, during a roll of a large fleet.

Change: only programs that say that they accept packed lists, which came with referrals, are counted and referred; others wait as before.

Tests: follower_of_an_earlier_version_is_not_referred failed first (one of seven polls took 0 s in place of 1 s); follower_beyond_the_limit_is_referred_at_once.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -93,6 +93,7 @@
             wait: MAX_WAIT,
             may_be_large: true,
             is_starting: false,
+            accepts_referral: true,
         };
         let client = match self.client.take() {
             Some((peer, client)) if peer == address => client,
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -160,8 +160,8 @@
 
     /// Waits until the requester can be answered; returns false if it should follow another VM.
     async fn wait(&self, request: &SyncRequest, now: Moment) -> bool {
-        let follower = request.requester.as_ref().filter(|_| !request.is_starting);
-        let Some(follower) = follower else {
+        let may_refer = request.accepts_referral && !request.is_starting;
+        let Some(follower) = request.requester.as_ref().filter(|_| may_refer) else {
             self.wait_for_change(request).await;
             return true;
         };
@@ -247,6 +247,7 @@
         wait: Duration::ZERO,
         may_be_large: node.borrow().is_store_unavailable(BootClock.now()),
         is_starting: false,
+        accepts_referral: true,
     };
     let call = async {
         let client = ReplicaClient::connect(address, meter).await?;
--- a/crates/entry/src/starter.rs
+++ b/crates/entry/src/starter.rs
@@ -154,6 +154,7 @@
             wait,
             may_be_large: true,
             is_starting: true,
+            accepts_referral: true,
         };
         let client = ReplicaClient::connect(address, Arc::clone(&self.meter)).await?;
         client.sync(&request).await
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -43,6 +43,8 @@
     pub may_be_large: bool,
     /// Whether the requester has no copy yet and asks where to get it.
     pub is_starting: bool,
+    /// Whether the requester takes a referral; an earlier program would take it for a change.
+    pub accepts_referral: bool,
 }
 
 /// Response to a [`SyncRequest`].
@@ -129,6 +131,8 @@
                 wait: Duration::from_millis(params.get_wait_ms()).min(WAIT_LIMIT),
                 may_be_large: params.get_is_eager(),
                 is_starting: params.get_is_starting(),
+                // Packed lists and referrals came with the same version.
+                accepts_referral: params.get_accepts_packed(),
             };
             (request, params.get_accepts_packed())
         };
@@ -166,7 +170,7 @@
         write_held(&request.held, call.get().init_copy());
         call.get().set_wait_ms(millis(request.wait));
         call.get().set_is_eager(request.may_be_large);
-        call.get().set_accepts_packed(true);
+        call.get().set_accepts_packed(request.accepts_referral);
         call.get().set_is_starting(request.is_starting);
         let results = call.send().promise.await?;
         let response = read_response(results.get()?.get_news()?)?;
--- a/tests/tests/fleet_start.rs
+++ b/tests/tests/fleet_start.rs
@@ -5,18 +5,26 @@
 //! input and output. It draws the order of messages, which VMs are lost before they have a copy,
 //! and which calls fail.
 
+use std::cell::RefCell;
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
 
-use bambooseam_entry::Peers;
 use bambooseam_entry::first_copy::{CopyAssignments, CopySource, FAN_OUT};
 use bambooseam_entry::followers::{Admission, Followers, MAX_FOLLOWERS};
-use bambooseam_peer::replica::PeerInfo;
+use bambooseam_entry::peering::ReplicaServer;
+use bambooseam_entry::{Node, Peers};
+use bambooseam_peer::replica::{PeerInfo, ReplicaService, SyncRequest};
+use bambooseam_replica::Held;
+use bambooseam_steer::{Steering, SteeringSettings};
 use bambooseam_tests::inputs;
 use bambooseam_types::Moment;
 use bolero::produce;
+use futures::future::join_all;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
+use tokio::time::Instant;
 
 /// Number of availability zones of the modelled fleets.
 const ZONES: usize = 5;
@@ -27,6 +35,9 @@
 /// Numbers of VMs of the modelled fleets; the largest is the intended size.
 const SIZES: [usize; 3] = [30, 300, 850];
 
+/// Wait of a long poll.
+const POLL_TIME: Duration = Duration::from_secs(1);
+
 /// Runs of each size that lose VMs and have them return.
 const RUNS: u64 = 3;
 
@@ -363,3 +374,54 @@
     }
     println!("runs={runs}");
 }
+
+/// A long poll of a VM that has no copy.
+fn poll(number: usize, accepts_referral: bool) -> SyncRequest {
+    SyncRequest {
+        requester: Some(vm(number)),
+        held: Held::default(),
+        wait: POLL_TIME,
+        may_be_large: true,
+        is_starting: false,
+        accepts_referral,
+    }
+}
+
+/// Sends a long poll of each VM at the same time; returns how long each took, by number.
+async fn poll_all(accepts_referral: bool) -> Vec<Duration> {
+    let steering = Steering::new(SteeringSettings {
+        zone: vm(0).zone,
+        flow_limit: 16,
+    });
+    let node = Rc::new(RefCell::new(Node::new(steering)));
+    let peers = Rc::new(RefCell::new(Peers::new(vm(0), &[])));
+    let server = ReplicaServer::new(node, peers);
+    let polls = (1..=MAX_FOLLOWERS + 1).map(|number| {
+        let request = poll(number, accepts_referral);
+        let server = &server;
+        async move {
+            let begun = Instant::now();
+            server.sync(request).await;
+            begun.elapsed()
+        }
+    });
+    join_all(polls).await
+}
+
+#[tokio::test(start_paused = true)]
+async fn follower_beyond_the_limit_is_referred_at_once() {
+    let mut times = poll_all(true).await;
+    times.sort_unstable();
+    assert_eq!(times[0], Duration::ZERO);
+    assert!(
+        times[1..].iter().all(|time| *time >= POLL_TIME),
+        "{times:?}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn follower_of_an_earlier_version_is_not_referred() {
+    // It would take the answer for a change and poll again without a pause.
+    let times = poll_all(false).await;
+    assert!(times.iter().all(|time| *time >= POLL_TIME), "{times:?}");
+}
--- a/tests/tests/replica_wire.rs
+++ b/tests/tests/replica_wire.rs
@@ -114,6 +114,7 @@
         wait: Duration::ZERO,
         may_be_large: true,
         is_starting: true,
+        accepts_referral: true,
     }
 }
 
