Record samples of peers and read all documents in one place each

The loop over a response's peers stood three times (record_sample). The full read of the store has its own function, so that a watch no longer clones the permit. The random tests of the replica share their operations, the message tests their listeners. No behaviour changes.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -70,12 +70,11 @@
     /// Leaves a peer that refers this VM to its other followers.
     fn leave(&mut self, response: SyncResponse, address: SocketAddr, now: Moment) {
         self.client = None;
-        let mut peers = self.peers.borrow_mut();
-        for peer in &response.peers {
-            peers.record_gossiped(peer);
+        {
+            let mut peers = self.peers.borrow_mut();
+            peers.record_sample(&response.peers);
+            peers.exclude_referring(address, now);
         }
-        peers.exclude_referring(address, now);
-        drop(peers);
         log::info!("event=peer_full peer={address}");
         self.apply(response, address, now);
     }
@@ -111,7 +110,7 @@
         connected.map_err(|_| PeerError::Io(std::io::ErrorKind::TimedOut.into()))?
     }
 
-    /// Applies the answer of a peer. Returns false when the replica of the peer is missing, stale
+    /// Applies the answer of a peer; returns false when the replica of the peer is missing, stale
     /// or behind.
     fn apply(&self, response: SyncResponse, address: SocketAddr, now: Moment) -> bool {
         let synced = response.synced(now);
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -98,7 +98,7 @@
             age: age.unwrap_or(Duration::MAX),
             peers,
             is_referral,
-            size: 0,
+            ..SyncResponse::default()
         }
     }
 
@@ -269,12 +269,7 @@
         }
     };
     let now = BootClock.now();
-    {
-        let mut peers = peers.borrow_mut();
-        for peer in &response.peers {
-            peers.record_gossiped(peer);
-        }
-    }
+    peers.borrow_mut().record_sample(&response.peers);
     let synced = response.synced(called);
     let mut node = node.borrow_mut();
     node.record_transfer(response.size, now);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -111,11 +111,10 @@
     /// are asked. The order differs from VM to VM. A seed asks none, because seeds could wait for
     /// each other.
     pub fn seeds_to_ask(&self) -> Vec<SocketAddr> {
-        let seeds = self
-            .list
-            .iter()
-            .filter(|peer| peer.is_seed && !self.is_seed);
-        let mut seeds: Vec<&Peer> = seeds.collect();
+        if self.is_seed {
+            return Vec::new();
+        }
+        let mut seeds: Vec<&Peer> = self.list.iter().filter(|peer| peer.is_seed).collect();
         seeds.sort_by_key(|seed| seed.rank);
         seeds.iter().map(|seed| seed.address).collect()
     }
@@ -127,6 +126,13 @@
         }
     }
 
+    /// Records the peers that another peer announced.
+    pub fn record_sample(&mut self, sample: &[PeerInfo]) {
+        for peer in sample {
+            self.record_gossiped(peer);
+        }
+    }
+
     /// Records a call from a peer.
     pub fn record_requester(&mut self, requester: &PeerInfo, now: Moment) {
         self.record_gossiped(requester);
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -1,6 +1,5 @@
 //! Client that reads and watches the platform's store, one call per round.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use bambooseam_peer::Backoff;
@@ -72,26 +71,13 @@
             (node.replica().era(), node.replica().upto())
         };
         let after = after.filter(|_| self.has_history);
-        let mut permit = self.permit.clone();
         if after.is_none() {
-            // An error means that nothing changes the permit any more.
-            let _ = permit
-                .wait_for(|permit| *permit >= ReadPermit::FirstPage)
-                .await;
+            self.wait_for_permit().await;
         }
         let started = BootClock.now();
         let result = match after {
             Some(after) => self.store.watch(after, MAX_WATCH_WAIT).await,
-            None => {
-                let node = Rc::clone(&self.node);
-                let on_targets = |targets: &[Change]| {
-                    node.borrow_mut().apply_early(targets, BootClock.now());
-                };
-                let turn = async || {
-                    let _ = permit.wait_for(|permit| *permit == ReadPermit::All).await;
-                };
-                self.store.read_all(on_targets, turn).await
-            }
+            None => self.read_all().await,
         };
         let now = BootClock.now();
         record_call(&result, started, now);
@@ -117,6 +103,26 @@
         }
     }
 
+    /// Waits until a full read may begin.
+    async fn wait_for_permit(&mut self) {
+        let first_page = |permit: &ReadPermit| *permit >= ReadPermit::FirstPage;
+        // An error means that nothing changes the permit any more.
+        let _ = self.permit.wait_for(first_page).await;
+    }
+
+    /// Reads everything, page by page as the permit allows.
+    async fn read_all(&mut self) -> Result<Changes, StoreError> {
+        let on_targets = |targets: &[Change]| {
+            let mut node = self.node.borrow_mut();
+            node.apply_early(targets, BootClock.now());
+        };
+        let permit = &mut self.permit;
+        let turn = async || {
+            let _ = permit.wait_for(|permit| *permit == ReadPermit::All).await;
+        };
+        self.store.read_all(on_targets, turn).await
+    }
+
     async fn apply(&mut self, changes: Changes, started: Moment, now: Moment) {
         if let Some(error) = self.last_error.take() {
             self.node.borrow_mut().record_outage(now);
--- a/crates/entry/src/starter.rs
+++ b/crates/entry/src/starter.rs
@@ -163,10 +163,10 @@
     /// Applies a copy, unless it is older than copies that may be followed while the store answers.
     fn apply(&self, response: SyncResponse, address: SocketAddr) -> bool {
         let now = BootClock.now();
-        let mut peers = self.peers.borrow_mut();
-        peers.record_call(address, now, true);
-        for peer in &response.peers {
-            peers.record_gossiped(peer);
+        {
+            let mut peers = self.peers.borrow_mut();
+            peers.record_call(address, now, true);
+            peers.record_sample(&response.peers);
         }
         let (age, synced) = (response.age, response.synced(now));
         let mut node = self.node.borrow_mut();
--- a/tests/tests/replica.rs
+++ b/tests/tests/replica.rs
@@ -268,20 +268,11 @@
     for seed in 0..300 {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut history = History(Vec::new());
-        let mut replicas = [
-            Replica::new(Unaged),
-            Replica::new(Unaged),
-            Replica::new(Unaged),
-        ];
+        let mut replicas = std::array::from_fn(|_| Replica::new(Unaged));
         let keys = ["a", "b", "c", "d"];
         for _ in 0..120 {
             match rng.random_range(0..4) {
-                0 => {
-                    let key = keys.choose(&mut rng).expect("a key");
-                    let value = rng.random_bool(0.6).then_some("x");
-                    let revision = history.upto() + 1;
-                    history.0.push(change(key, revision, value));
-                }
+                0 => history.write(&mut rng, &keys),
                 1 => {
                     let at = rng.random_range(0..3);
                     replicas[at].apply(history.full());
@@ -295,12 +286,7 @@
                 }
                 _ => {
                     let (from, to) = (rng.random_range(0..3), rng.random_range(0..3));
-                    let upto = replicas[to].upto();
-                    if let Some(update) =
-                        replicas[from].changes_since(&held(upto.map(Revision::get)))
-                    {
-                        replicas[to].apply(update);
-                    }
+                    update_from(&mut replicas, from, to);
                 }
             }
             for replica in &replicas {
@@ -315,11 +301,7 @@
     for seed in 0..6_000 {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut history = History(Vec::new());
-        let mut replicas = [
-            Replica::new(Unaged),
-            Replica::new(Unaged),
-            Replica::new(Unaged),
-        ];
+        let mut replicas = std::array::from_fn(|_| Replica::new(Unaged));
         let keys = ["a", "b", "c", "d"];
         for _ in 0..60 {
             match rng.random_range(0..5) {
--- a/tests/tests/replica_wire.rs
+++ b/tests/tests/replica_wire.rs
@@ -120,8 +120,7 @@
 
 /// Serves `changes` on an address of its own.
 async fn serve(changes: Changes) -> (SocketAddr, Rc<RefCell<Option<SyncRequest>>>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("a bound address");
+    let (listener, address) = bind().await;
     let request = Rc::default();
     let service = FixedService {
         changes,
@@ -131,6 +130,24 @@
     (address, request)
 }
 
+/// Serves the calls of each connection by a service of its own, on an address of its own.
+async fn serve_calls<S: replica::Server + 'static>(
+    service: impl Fn() -> S + 'static,
+) -> SocketAddr {
+    let (listener, address) = bind().await;
+    spawn_local(bambooseam_peer::serve(listener, move |_| {
+        let client: replica::Client = capnp_rpc::new_client(service());
+        client.client
+    }));
+    address
+}
+
+async fn bind() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    (listener, address)
+}
+
 async fn client(address: SocketAddr, meter: &Arc<Meter>) -> ReplicaClient {
     let client = ReplicaClient::connect(address, Arc::clone(meter)).await;
     client.expect("a listening VM")
@@ -182,12 +199,7 @@
 #[tokio::test]
 async fn answer_of_an_earlier_program_is_applied() {
     let run = async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("a bound address");
-        spawn_local(bambooseam_peer::serve(listener, |_| {
-            let client: replica::Client = capnp_rpc::new_client(EarlierService);
-            client.client
-        }));
+        let address = serve_calls(|| EarlierService).await;
         let client = client(address, &Arc::default()).await;
         let response = client.sync(&request()).await.expect("an answer");
         assert!(!response.is_referral);
@@ -200,14 +212,9 @@
 #[tokio::test]
 async fn invalid_packed_lists_are_refused() {
     let run = async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("a bound address");
         let packed = Rc::new(RefCell::new(Vec::new()));
         let served = Rc::clone(&packed);
-        spawn_local(bambooseam_peer::serve(listener, move |_| {
-            let client: replica::Client = capnp_rpc::new_client(PackedService(Rc::clone(&served)));
-            client.client
-        }));
+        let address = serve_calls(move || PackedService(Rc::clone(&served))).await;
         let client = client(address, &Arc::default()).await;
         let mut inputs = vec![Vec::new(), zlib(&[]), zlib(&vec![0; 64 << 20])];
         for_many_bytes(1_000, 4 << 10, |bytes| {
