Plan the parts for full load, and let openings wait for a decision

Change: the selection moves into a module of its own; candidates carry the requests in progress; a decision can hold an opening, whose datagram the entry program buffers. No part holds openings yet, so nothing changes for callers.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod first_copy;
 mod follower;
 pub mod followers;
+pub mod held;
 mod node;
 pub mod packets;
 pub mod peering;
--- a/crates/entry/src/packets.rs
+++ b/crates/entry/src/packets.rs
@@ -2,6 +2,7 @@
 //! [`Steering`](bambooseam_steer::Steering) decides whether the task forwards the packet, answers
 //! with a reset or drops the packet.
 
+use std::cell::RefCell;
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::{Duration, Instant};
@@ -18,6 +19,7 @@
 use tokio::time::timeout;
 
 use crate::BootClock;
+use crate::held::HeldOpenings;
 use crate::node::SharedNode;
 use crate::stop::LastPacket;
 
@@ -32,6 +34,10 @@
 /// the packets by then.
 const MAX_HOLD_TIME: Duration = Duration::from_millis(500);
 
+/// Interval between two checks whether waiting openings are decided: short against the time that a
+/// request takes.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Maximum number of opening packets held until the first view: those of ten seconds at the
 /// intended fleet size.
 const MAX_OPENINGS: usize = 1_024;
@@ -53,6 +59,8 @@
 pub struct Packets {
     socket: UdpSocket,
     node: SharedNode,
+    /// Openings that wait for their decision.
+    held: RefCell<HeldOpenings>,
     /// Port to which resets are sent: callers receive at the same port number as this VM.
     reply_port: u16,
     forwarded: Counter,
@@ -74,6 +82,7 @@
         Ok(Self {
             socket,
             node,
+            held: RefCell::default(),
             reply_port: address.port(),
             forwarded: counter!("packets_forwarded"),
             resets: counter!("packets_reset"),
@@ -88,8 +97,7 @@
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
         self.serve_until_ready(&mut buffer, &last_packet).await;
         loop {
-            if let Err(error) = self.socket.readable().await {
-                UNSENT.report(error);
+            if !self.wait_for_work().await {
                 continue;
             }
             let now = BootClock.now();
@@ -100,10 +108,44 @@
                 last_packet.record(now);
                 self.handle(&mut buffer[..LABEL_BYTES + len], now);
             }
+            self.release_held(now);
             tokio::task::yield_now().await;
         }
     }
 
+    /// Waits until packets have arrived, or until waiting openings are due for a check; returns
+    /// false after an error.
+    async fn wait_for_work(&self) -> bool {
+        let readable = self.socket.readable();
+        let is_idle = self.held.borrow().is_empty();
+        let result = match is_idle {
+            true => readable.await,
+            false => timeout(RELEASE_INTERVAL, readable).await.unwrap_or(Ok(())),
+        };
+        if let Err(error) = &result {
+            UNSENT.report(error);
+        }
+        result.is_ok()
+    }
+
+    /// Sends the waiting openings that have been decided.
+    fn release_held(&self, now: Moment) {
+        if self.held.borrow().is_empty() {
+            return;
+        }
+        let released = self.node.borrow_mut().steering_mut().take_released(now);
+        for released in released {
+            let Some(mut held) = self.held.borrow_mut().take(&released.flow) else {
+                continue;
+            };
+            if let Ok(header) = parse_header(&held.datagram[LABEL_BYTES..]) {
+                self.execute(&header, released.decision, &mut held.datagram, now);
+            }
+        }
+        let expired = self.held.borrow_mut().expire(now);
+        self.drops.increment(expired as u64);
+    }
+
     /// Serves packets as far as possible until the first view is complete: a few milliseconds after
     /// the start, or half a second with a large configuration on a slow link.
     ///
@@ -178,7 +220,12 @@
             Err(error) => return MALFORMED.report(error),
         };
         let decision = self.node.borrow_mut().steering_mut().decide(&header, now);
-        self.log_decision(&header, &decision, now);
+        self.execute(&header, decision, datagram, now);
+    }
+
+    /// Carries out the decision about a packet.
+    fn execute(&self, header: &PacketHeader, decision: Decision, datagram: &mut [u8], now: Moment) {
+        self.log_decision(header, &decision, now);
         match decision {
             Decision::Forward {
                 address,
@@ -193,10 +240,15 @@
             }
             Decision::Reset(_) => {
                 let caller = SocketAddrV4::new(*header.flow.caller.ip(), self.reply_port);
-                self.send(&reset(&header), caller);
+                self.send(&reset(header), caller);
                 self.resets.increment(1);
             }
             Decision::Drop(_) => self.drops.increment(1),
+            Decision::Hold => {
+                if !self.held.borrow_mut().put(header.flow, datagram, now) {
+                    self.drops.increment(1);
+                }
+            }
         }
     }
 
@@ -211,7 +263,8 @@
         let limit = match decision {
             Decision::Forward {
                 placement: None, ..
-            } => return,
+            }
+            | Decision::Hold => return,
             Decision::Forward { .. } => &PLACED,
             Decision::Reset(_) => &RESET,
             Decision::Drop(_) => &DROPPED,
@@ -240,6 +293,7 @@
                 "event=packet_dropped flow={flow} cause={cause} token={received} view_age_ms={age} \
                  suppressed={suppressed}"
             ),
+            Decision::Hold => {}
         }
     }
 
--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -5,6 +5,8 @@
 use bambooseam_types::{TargetLabel, Token};
 use derive_more::Display;
 
+use crate::FlowId;
+
 /// Decision for a packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
@@ -23,6 +25,32 @@
     Reset(ResetCause),
     /// The packet is dropped without an answer.
     Drop(DropCause),
+    /// The opening packet waits until [`Steering::take_released`] returns its flow.
+    ///
+    /// [`Steering::take_released`]: crate::Steering::take_released
+    Hold,
+}
+
+/// VM whose caller sent an opening packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Origin {
+    /// This VM.
+    #[display("own")]
+    Local,
+    /// Another VM, which asks this VM for a target and forwards the packet itself.
+    #[display("{_0}")]
+    Vm(SocketAddrV4),
+}
+
+/// Final decision about an opening packet that was held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Released {
+    /// The flow.
+    pub flow: FlowId,
+    /// VM that holds the packet.
+    pub origin: Origin,
+    /// The decision; never [`Decision::Hold`].
+    pub decision: Decision,
 }
 
 /// How the target of an opening packet was selected.
@@ -87,7 +115,7 @@
     pub fn forwarded(&self) -> Option<(SocketAddrV4, Token)> {
         match *self {
             Self::Forward { address, token, .. } => Some((address, token)),
-            Self::Reset(_) | Self::Drop(_) => None,
+            Self::Reset(_) | Self::Drop(_) | Self::Hold => None,
         }
     }
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -30,7 +30,7 @@
 pub mod unknown_token;
 pub mod zone;
 
-pub use decision::{Decision, DropCause, Placement, ResetCause};
+pub use decision::{Decision, DropCause, Origin, Placement, Released, ResetCause};
 pub use event::SteeringEvent;
 pub use header::{FlowId, PacketFlags, PacketHeader, ParseFlowError};
 pub use load::Load;
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -32,6 +32,8 @@
     pub target: TargetIndex,
     /// Load as observed by this VM.
     pub load: &'a Load,
+    /// Requests in progress, as far as this VM knows.
+    pub in_progress: u32,
     /// Number of requests that the target processes at a time.
     pub capacity: u32,
     /// Cost of a request while the target is slow after its start, in percent of the usual cost.
@@ -72,7 +74,7 @@
     };
     // Includes the request to be placed, so that an idle cold target costs more than an idle warm
     // target.
-    let busy = u64::from(load.busy) + 1;
+    let busy = u64::from(candidate.in_progress) + 1;
     let remote = match candidate.is_local {
         true => 0,
         false => REMOTE_COST,
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -4,6 +4,7 @@
 //! detectors. This module handles packets; the submodule `update` handles published documents and
 //! the passing of time.
 
+mod opening;
 mod signals;
 mod stalled;
 mod update;
@@ -13,17 +14,18 @@
 
 use bambooseam_types::{Moment, ServiceName, TargetId, Token, ZoneId};
 
+use self::opening::{Selector, select};
 use self::signals::apply_signals;
 use crate::flows::Flows;
 use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
 use crate::path::PathRecord;
-use crate::placement::{Candidate, place};
 use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
 use crate::timing::ServiceTimings;
 use crate::unknown_token::UnknownTokens;
 use crate::zone::UnresponsiveZones;
 use crate::{
-    Decision, DropCause, PacketHeader, Placement, ResetCause, Route, Routes, SteeringEvent,
+    Decision, DropCause, PacketHeader, Placement, Released, ResetCause, Route, Routes,
+    SteeringEvent,
 };
 
 /// Largest age at which a view counts as current: the largest age of a replica that may be followed
@@ -152,6 +154,11 @@
         }
     }
 
+    /// Removes and returns the held openings that have been decided.
+    pub fn take_released(&mut self, _now: Moment) -> Vec<Released> {
+        Vec::new()
+    }
+
     /// Selects the target of a new flow.
     fn handle_opening(&mut self, header: &PacketHeader, now: Moment) -> Decision {
         let is_current = self.freshness.is_current(now);
@@ -178,24 +185,16 @@
             self.flows.record_repeated_opening(&header.flow);
             return forward(record, Placement::Retransmitted);
         }
-        let (zone, zones) = (&self.settings.zone, &self.zones);
-        let cold_percent = self.timings.get(service).cold_percent();
-        let choose = |is_eligible: fn(&TargetRecord) -> bool| {
-            let records = self.targets.of_service(service);
-            let candidates = records.filter(|(_, record)| is_eligible(record));
-            let candidates = candidates.map(|(target, record)| Candidate {
-                target,
-                load: &record.load,
-                capacity: record.target.capacity,
-                cold_percent,
-                is_local: record.target.zone == *zone,
-                is_unresponsive: record.load.responsiveness.is_unresponsive(now)
-                    || zones.is_unresponsive(&record.target.zone, now),
-            });
-            place(candidates, key.get(), now)
-        };
-        let chosen = choose(TargetRecord::is_open).or_else(|| choose(TargetRecord::is_fallback));
-        let Some(index) = chosen else {
+        let selection = select(&Selector {
+            targets: &self.targets,
+            zones: &self.zones,
+            timings: &self.timings,
+            zone: &self.settings.zone,
+            service,
+            key,
+            now,
+        });
+        let Some(index) = selection else {
             return reject(ResetCause::NoTarget, is_settled);
         };
         let timeout = route.timeout;
