Open no flow at the targets of an evacuated zone

Operators need to take a zone out of use while its targets still run, be- fore planned work or when the zone misbehaves. Draining each target takes the targets' own cooperation.

The key op/evacuate/ZONE of the store evacuates a zone while it exists, whatever its value. The replica distributes the document like any other; Node applies it in the batch that brings it. No opening is placed at a target of the zone: neither at a usual candidate nor at a fall- back, by a probe or by a retransmission that moves. A retransmission whose first transmission was placed before stays, as two targets that accept one opening break the flow.

An evacuation that an older copy of the store lacks stays in force until it is written or removed, for 10 s at most. For this, a VM that starts in an era of which a peer still keeps documents now measures the 10 s as well; before, it held back the unrenewed entries that a peer told it of until their targets wrote anew, without a limit.

--- a/crates/ctl/src/documents.rs
+++ b/crates/ctl/src/documents.rs
@@ -157,7 +157,7 @@
                     findings.append(single_finding(&self.name, error.to_string(), allowed, ""));
                 }
             }
-            Ok(PlatformDocument::Target(_)) => {}
+            Ok(PlatformDocument::Target(_) | PlatformDocument::Evacuation(_)) => {}
             Err(error) => {
                 findings.append(single_finding(&self.name, error.to_string(), allowed, ""))
             }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -15,7 +15,7 @@
 use bambooseam_platform::{Document, DocumentKind, PublishedContent};
 use bambooseam_replica::{ApplyOutcome, Change, Changes, Held, Replica};
 use bambooseam_steer::{Steering, SteeringEvent, Target};
-use bambooseam_types::{Moment, Revision, TargetId};
+use bambooseam_types::{Moment, Revision, TargetId, ZoneId};
 use tokio::sync::watch;
 
 /// Limits warnings about invalid documents, because any user of the store may write one.
@@ -27,6 +27,9 @@
 /// Limits log lines about changes of targets, which are frequent while a fleet is replaced.
 static TARGET_CHANGES: LogLimit = LogLimit::new("target_changes", 50);
 
+/// Limits log lines about evacuations, because any user of the store may write one.
+static EVACUATIONS: LogLimit = LogLimit::new("evacuations", 20);
+
 /// Time after a failed store call for which the store counts as unavailable. The value covers the
 /// next call with its timeout, and the maximum backoff between the calls.
 const STORE_OUTAGE_TIME: Duration = Duration::from_millis(2_000);
@@ -35,7 +38,8 @@
 const LARGE_TRANSFER_BYTES: usize = 32 << 10;
 
 /// Time after which an entry of the store's copy is accepted although it was not written anew: three
-/// heartbeats, after which the store has removed the entries of ended targets, with a reserve.
+/// heartbeats, after which the store has removed the entries of ended targets, with a reserve. An
+/// evacuation that the copy lacks stays in force for the same time.
 const MAX_UNRENEWED_TIME: Duration = Duration::from_secs(10);
 
 /// Origin of received documents.
@@ -63,7 +67,7 @@
     synced: watch::Sender<Option<Moment>>,
     /// Time of the last store outage, or of its end.
     outage: Option<Moment>,
-    /// When the store's current era began, if this VM had documents of an earlier one.
+    /// When this VM learned of the store's current era, if it keeps documents of an earlier one.
     era_begun: Option<Moment>,
     is_stopping: bool,
 }
@@ -118,8 +122,17 @@
         if before.upto.is_some() && before.era != Some(self.replica.era()) {
             self.begin_era(&before, now, source);
         }
+        let kept_digest = self.replica.held().kept_digest;
+        if self.era_begun.is_none()
+            && before.kept_digest != kept_digest
+            && self.replica.has_unrenewed()
+        {
+            // This VM has started in the current era, and a peer has kept documents.
+            self.era_begun = Some(now);
+        }
         let mut removed = Vec::new();
         let mut present = Vec::new();
+        let mut zones = Vec::new();
         for change in newer {
             match DocumentKind::from_key(&change.key) {
                 Ok(DocumentKind::Config) => self.apply_config(&change, source),
@@ -128,11 +141,20 @@
                     self.apply_target(&id, &change, now, source);
                     present.push(id);
                 }
+                Ok(DocumentKind::Evacuation(zone)) => zones.push((zone, change)),
                 Err(error) => INVALID_DOCUMENTS.report(error),
             }
         }
         removed.extend(self.removed_early(present));
         self.remove(&removed, now, source);
+        // Evacuations follow the targets of the same batch, so that the log shows their number.
+        for (zone, change) in zones {
+            let age = now.since(synced);
+            match self.replica.content(&change.key).is_some() {
+                true => self.evacuate(zone, change.revision, age, now, source),
+                false => self.readmit(&zone, change.revision, age, now, source),
+            }
+        }
         self.steering.record_sync(synced);
         self.synced.send_replace(Some(synced));
         self.forwarding.send_replace(true);
@@ -289,15 +311,75 @@
             return;
         }
         self.era_begun = None;
+        let upto = self.replica.upto().unwrap_or_default();
+        let age = self.age(now).unwrap_or_default();
         for key in self.replica.release_unrenewed() {
-            let Ok(DocumentKind::Target(id)) = DocumentKind::from_key(&key) else {
-                continue;
-            };
-            log::info!("event=entry_accepted target={id} cause=not_written_anew");
-            self.steering.renew_target(&id);
+            match DocumentKind::from_key(&key) {
+                Ok(DocumentKind::Target(id)) => {
+                    log::info!("event=entry_accepted target={id} cause=not_written_anew");
+                    self.steering.renew_target(&id);
+                }
+                Ok(DocumentKind::Evacuation(zone)) => {
+                    self.readmit(&zone, upto, age, now, Source::Store);
+                }
+                Ok(DocumentKind::Config) | Err(_) => {}
+            }
         }
     }
 
+    /// Excludes the targets of a zone from new flows. `age` is the age of the documents.
+    fn evacuate(
+        &mut self,
+        zone: ZoneId,
+        revision: Revision,
+        age: Duration,
+        now: Moment,
+        source: Source,
+    ) {
+        if !self.steering.evacuate(zone.clone(), revision, now) {
+            return;
+        }
+        metrics::gauge!("zone_evacuated", "zone" => zone.to_string()).set(1.0);
+        let Some(suppressed) = EVACUATIONS.admit(std::time::Instant::now()) else {
+            return;
+        };
+        let flows = self.steering.zone_flows();
+        let flows = flows.iter().find(|(other, _)| **other == zone);
+        let targets = self.steering.targets().iter();
+        let targets = targets.filter(|(_, record)| record.target.zone == zone);
+        log::info!(
+            "event=zone_evacuated zone={zone} revision={revision} age_ms={} targets={} flows={} \
+             source={source} suppressed={suppressed}",
+            age.as_millis(),
+            targets.count(),
+            flows.map_or(0, |(_, flows)| *flows),
+        );
+    }
+
+    /// Readmits a zone. `age` is the age of the documents.
+    fn readmit(
+        &mut self,
+        zone: &ZoneId,
+        revision: Revision,
+        age: Duration,
+        now: Moment,
+        source: Source,
+    ) {
+        let Some(evacuated) = self.steering.readmit(zone, now) else {
+            return;
+        };
+        metrics::gauge!("zone_evacuated", "zone" => zone.to_string()).set(0.0);
+        let Some(suppressed) = EVACUATIONS.admit(std::time::Instant::now()) else {
+            return;
+        };
+        log::info!(
+            "event=zone_returned zone={zone} revision={revision} age_ms={} evacuated_ms={} \
+             source={source} suppressed={suppressed}",
+            age.as_millis(),
+            evacuated.as_millis(),
+        );
+    }
+
     fn apply_config(&mut self, change: &Change, source: Source) {
         let Some(value) = &change.value else {
             log::error!(
@@ -308,7 +390,7 @@
         };
         match DocumentKind::Config.parse(value) {
             Ok(Document::Config(config)) => self.activate(config, change.revision, source),
-            Ok(Document::Target(_)) => {}
+            Ok(Document::Target(_) | Document::Evacuation(_)) => {}
             Err(error) => {
                 let revision = change.revision;
                 log::error!("event=config_unreadable revision={revision} cause={error:?}");
@@ -355,7 +437,7 @@
                     self.steering.hold_back_target(id);
                 }
             }
-            Ok(Document::Config(_)) => {}
+            Ok(Document::Config(_) | Document::Evacuation(_)) => {}
             Err(error) => {
                 INVALID_DOCUMENTS.report(format_args!(
                     "target {id} at revision {}: {error}",
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -13,7 +13,7 @@
 use bambooseam_peer::replica::{PeerInfo, serve_replica};
 use bambooseam_platform::{Store, ready};
 use bambooseam_steer::{Steering, SteeringSettings};
-use bambooseam_types::{Clock, Moment, Revision};
+use bambooseam_types::{Clock, Moment, Revision, ZoneId};
 use derive_more::{Display, Error, From};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -151,6 +151,7 @@
 
 /// Regularly removes expired state, and updates the metrics and the status.
 async fn sweep(node: SharedNode, peers: SharedPeers, meter: Arc<Meter>, status: Arc<Mutex<Value>>) {
+    let mut zones = Vec::new();
     loop {
         sleep(SWEEP_INTERVAL).await;
         let mut node = node.borrow_mut();
@@ -161,6 +162,7 @@
         }
         metrics::gauge!("store_era").set(node.replica().era().get() as f64);
         metrics::gauge!("flows").set(node.steering().flow_count() as f64);
+        record_zone_flows(&node, &mut zones);
         metrics::counter!("peer_bytes_sent").absolute(meter.sent().get());
         metrics::counter!("peer_bytes_received").absolute(meter.received().get());
         if let Ok(mut status) = status.lock() {
@@ -169,9 +171,41 @@
     }
 }
 
+/// Updates the number of open flows by zone of their target. `zones` are the zones of the last
+/// update; the number of a zone whose last target has ended becomes 0.
+fn record_zone_flows(node: &Node, zones: &mut Vec<ZoneId>) {
+    let flows = node.steering().zone_flows();
+    let gauge = |zone: &ZoneId| metrics::gauge!("zone_flows", "zone" => zone.to_string());
+    zones.retain(|zone| !flows.iter().any(|(other, _)| *other == zone));
+    for zone in &*zones {
+        gauge(zone).set(0.0);
+    }
+    zones.clear();
+    for (zone, count) in flows {
+        gauge(zone).set(count as f64);
+        zones.push(zone.clone());
+    }
+}
+
+/// Returns the evacuated zones, and the open flows by zone of their target, for `/status`.
+fn zones_of(node: &Node, now: Moment) -> (Value, Value) {
+    let evacuations = node.steering().evacuations().iter();
+    let evacuated = evacuations.map(|evacuation| {
+        json!({
+            "zone": evacuation.zone.to_string(),
+            "revision": evacuation.revision.get(),
+            "age_ms": now.since(evacuation.since).as_millis() as u64,
+        })
+    });
+    let flows = node.steering().zone_flows().into_iter();
+    let flows = flows.map(|(zone, count)| (zone.to_string(), json!(count)));
+    (evacuated.collect(), Value::Object(flows.collect()))
+}
+
 /// Returns the document served at `/status`.
 fn status_of(node: &Node, peers: &SharedPeers, now: Moment) -> Value {
     let config = node.config();
+    let (evacuated, zone_flows) = zones_of(node, now);
     json!({
         "program": "entry",
         "version": config.map(|(version, _)| version),
@@ -184,6 +218,8 @@
         "peers": peers.borrow().len(),
         "targets": node.steering().targets().iter().count(),
         "flows": node.steering().flow_count(),
+        "evacuated": evacuated,
+        "zone_flows": zone_flows,
     })
 }
 
--- a/crates/replica/src/content.rs
+++ b/crates/replica/src/content.rs
@@ -2,7 +2,8 @@
 //!
 //! After the store has returned from an older copy, revisions are given out again, and only the
 //! content tells which of two documents is newer: a configuration has a version, and a target's
-//! entry has the start of the target and a sequence number.
+//! entry has the start of the target and a sequence number. An evacuation has no age: the document
+//! counts while it exists.
 
 use bambooseam_types::Incarnation;
 
@@ -20,6 +21,10 @@
         /// Whether the target has announced that it is leaving.
         is_leaving: bool,
     },
+    /// A document that counts by its presence alone, whatever its content. Nothing tells which of
+    /// two is newer, so a document that a copy contains is accepted, and one that a copy lacks is
+    /// kept for a limited time.
+    Presence,
 }
 
 /// Reads the age of documents.
--- a/crates/replica/src/kept.rs
+++ b/crates/replica/src/kept.rs
@@ -4,7 +4,8 @@
 //! replica had. Such a document is not put in force: a configuration never returns to an earlier
 //! version, and a target that was leaving, or whose entry was removed, takes no new flows. The
 //! knowledge is kept until the writer has written the document anew, and is passed to peers, which
-//! may have started from the copy.
+//! may have started from the copy. A document that counts by its presence, and that the copy lacks,
+//! stays in force until it is written or removed again.
 
 use std::hash::Hasher;
 use std::sync::Arc;
@@ -96,20 +97,27 @@
         false
     }
 
-    /// Whether knowledge from a peer adds to what is kept. `document` is the store's document.
+    /// Whether knowledge from a peer adds to what is kept. `document` is the store's document, and
+    /// `removed_at` the revision of its removal in this era, if known.
     pub fn accepts(
         &self,
         offered: &KeptDocument,
         document: Option<&Change>,
+        removed_at: Option<Revision>,
         content: &impl Content,
     ) -> bool {
         let key = &offered.key;
         let offered_age = age_of(content, key, offered.content.as_ref());
         let is_config = matches!(offered_age, Some(ContentAge::Version(_)));
-        if offered.content.is_none() && self.is_released {
+        let is_presence = matches!(offered_age, Some(ContentAge::Presence));
+        if self.is_released && (offered.content.is_none() || is_presence) {
             return false;
         }
         match document {
+            None if is_presence && removed_at > Some(offered.upto) => return false,
+            None if is_presence => {}
+            // The store's own document is in force.
+            Some(_) if is_presence => return false,
             None if !is_config => return false,
             Some(document) if is_config => {
                 let age = age_of(content, key, document.value.as_ref());
@@ -132,17 +140,19 @@
         }
     }
 
-    /// Drops the knowledge about removed documents that were not written anew. Returns their keys.
-    pub fn release(&mut self) -> Vec<Key> {
+    /// Whether there is knowledge that [`release`](Self::release) drops.
+    pub fn has_releasable(&self, content: &impl Content) -> bool {
+        self.list.iter().any(|kept| is_releasable(kept, content))
+    }
+
+    /// Drops the knowledge about removed documents that were not written anew, and documents that
+    /// count by their presence. Returns their keys.
+    pub fn release(&mut self, content: &impl Content) -> Vec<Key> {
         self.is_released = true;
-        let mut released = Vec::new();
-        self.list.retain(|kept| {
-            if kept.content.is_none() {
-                released.push(Arc::clone(&kept.key));
-            }
-            kept.content.is_some()
-        });
-        released
+        let released = self
+            .list
+            .extract_if(.., |kept| is_releasable(kept, content));
+        released.map(|kept| kept.key).collect()
     }
 
     fn find(&self, key: &str) -> Result<usize, usize> {
@@ -166,9 +176,10 @@
         Known::Present(value) => {
             let known_age = age(value);
             let is_config = matches!(known_age, Some(ContentAge::Version(_)));
+            let is_presence = matches!(known_age, Some(ContentAge::Presence));
             let is_kept = match offered {
                 Some(_) => is_outdated(offered_age, known_age),
-                None => is_config,
+                None => is_config || is_presence,
             };
             is_kept.then(|| Some(value.into()))
         }
@@ -192,6 +203,11 @@
     })
 }
 
+fn is_releasable(kept: &KeptDocument, content: &impl Content) -> bool {
+    let age = || age_of(content, &kept.key, kept.content.as_ref());
+    kept.content.is_none() || matches!(age(), Some(ContentAge::Presence))
+}
+
 fn age_of(content: &impl Content, key: &str, value: Option<&Arc<[u8]>>) -> Option<ContentAge> {
     value.and_then(|value| content.age(key, value))
 }
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -122,9 +122,16 @@
             .is_some_and(|kept| kept.content.is_none())
     }
 
-    /// Accepts the documents that were not written anew since the era began. Returns their keys.
+    /// Whether documents are kept that [`release_unrenewed`](Self::release_unrenewed) accepts or
+    /// drops.
+    pub fn has_unrenewed(&self) -> bool {
+        self.kept.has_releasable(&self.content)
+    }
+
+    /// Accepts the documents that were not written anew since the era began, and drops those that
+    /// count by their presence and that the store lacks. Returns their keys.
     pub fn release_unrenewed(&mut self) -> Vec<Key> {
-        self.kept.release()
+        self.kept.release(&self.content)
     }
 
     /// Whether a peer lacks changes that this replica holds.
@@ -179,7 +186,11 @@
         self.upto = self.upto.max(Some(changes.upto));
         for kept in changes.kept {
             let document = self.get(&kept.key).cloned();
-            if !self.kept.accepts(&kept, document.as_ref(), &self.content) {
+            let removed_at = self.removal(&kept.key).map(|change| change.revision);
+            let is_accepted =
+                self.kept
+                    .accepts(&kept, document.as_ref(), removed_at, &self.content);
+            if !is_accepted {
                 continue;
             }
             newer.retain(|change| change.key != kept.key);
@@ -368,11 +379,8 @@
             let is_same = change.value.is_some() && document.revision == change.revision;
             return document.revision > change.revision || is_same;
         }
-        let mut removed = self.removed.iter().rev();
-        let is_same =
-            |removal: &&Removal| removal.era == self.era && removal.change.key == change.key;
-        match removed.find(is_same) {
-            Some(removal) => removal.change.revision >= change.revision,
+        match self.removal(&change.key) {
+            Some(removal) => removal.revision >= change.revision,
             // A write up to `upto` of a document that the replica does not have is outdated: a
             // newer snapshot lacked the document, so it was removed since. The removal of a
             // document that was never in this replica is still applied, for peers that have the
@@ -381,6 +389,14 @@
         }
     }
 
+    /// Removal of the document under `key` in this era, if it is still known.
+    fn removal(&self, key: &str) -> Option<&Change> {
+        let mut removed = self.removed.iter().rev();
+        let is_same =
+            |removal: &&Removal| removal.era == self.era && removal.change.key.as_ref() == key;
+        removed.find(is_same).map(|removal| &removal.change)
+    }
+
     /// Whether no newer change of the same key was applied.
     fn is_latest(&self, change: &Change) -> bool {
         match (&change.value, self.get(&change.key)) {
--- a/crates/standin/src/site/cluster.rs
+++ b/crates/standin/src/site/cluster.rs
@@ -236,6 +236,25 @@
         self.write_config()
     }
 
+    /// Evacuates a zone; returns the revision, or `None` while the store is unavailable.
+    pub fn evacuate(&self, zone: u8) -> Option<u64> {
+        let zone = zone_name(zone);
+        let revision = self.store.put(&evacuation_key(&zone), &json!({}), None)?;
+        self.counters.evacuate(&zone);
+        Some(revision)
+    }
+
+    /// Readmits a zone; returns false while the store is unavailable.
+    pub fn readmit(&self, zone: u8) -> bool {
+        if self.store.is_unavailable() {
+            return false;
+        }
+        let zone = zone_name(zone);
+        self.counters.readmit(&zone);
+        self.store.remove(&evacuation_key(&zone));
+        true
+    }
+
     /// Returns the store to a copy that is `age` old or older, and makes it available. Each target
     /// then writes its entry again.
     pub fn restore_store(&self, age: Duration) {
@@ -327,6 +346,11 @@
     format!("zone-{}", char::from(b'a' + zone))
 }
 
+/// Returns the key under which the evacuation of a zone is written.
+fn evacuation_key(zone: &str) -> String {
+    format!("op/evacuate/{zone}")
+}
+
 /// Returns a route in the operator's format.
 fn route_json((frontend, service): &(SocketAddrV4, String)) -> Value {
     json!({
--- a/crates/standin/src/site/counters.rs
+++ b/crates/standin/src/site/counters.rs
@@ -3,6 +3,11 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// Time after the store has acknowledged an evacuation from which a target of the zone must receive
+/// no new flow.
+const EVACUATION_GRACE: Duration = Duration::from_secs(5);
 
 /// Counters of one run.
 #[derive(Debug, Default)]
@@ -23,6 +28,9 @@
     pub wrong_service: AtomicU64,
     /// Flow openings at a draining target more than 3 s after its announcement.
     pub late_to_leaving: AtomicU64,
+    /// Flow openings at a target of an evacuated zone more than 5 s after the store acknowledged the
+    /// evacuation.
+    pub late_to_evacuated: AtomicU64,
     /// Datagrams labelled for another target at the same address.
     pub misdirected: AtomicU64,
     /// Answers that belong to another request.
@@ -31,6 +39,8 @@
     runs: Mutex<HashMap<String, u32>>,
     /// Names of the running target incarnations.
     alive: Mutex<HashSet<String>>,
+    /// Evacuated zones, with the time at which the store acknowledged each evacuation.
+    evacuated: Mutex<HashMap<String, Instant>>,
 }
 
 impl Counters {
@@ -66,6 +76,29 @@
         self.alive.lock().is_ok_and(|alive| alive.contains(name))
     }
 
+    /// Records that the store has acknowledged the evacuation of a zone.
+    pub fn evacuate(&self, zone: &str) {
+        if let Ok(mut evacuated) = self.evacuated.lock() {
+            evacuated.entry(zone.into()).or_insert_with(Instant::now);
+        }
+    }
+
+    /// Records that the evacuation of a zone is about to be removed.
+    pub fn readmit(&self, zone: &str) {
+        if let Ok(mut evacuated) = self.evacuated.lock() {
+            evacuated.remove(zone);
+        }
+    }
+
+    /// Records that a target of a zone has accepted the opening packet of a flow.
+    pub fn record_opening(&self, zone: &str) {
+        let evacuated = self.evacuated.lock();
+        let since = evacuated.map_or(None, |evacuated| evacuated.get(zone).copied());
+        if since.is_some_and(|since| since.elapsed() > EVACUATION_GRACE) {
+            Self::increment(&self.late_to_evacuated);
+        }
+    }
+
     /// Returns the number of requests that ran more than once.
     pub fn doubled(&self) -> u64 {
         let runs = self.runs.lock();
@@ -82,6 +115,7 @@
             ("forged", Self::value(&self.forged)),
             ("wrong_service", Self::value(&self.wrong_service)),
             ("late_to_leaving", Self::value(&self.late_to_leaving)),
+            ("late_to_evacuated", Self::value(&self.late_to_evacuated)),
             ("crossed", Self::value(&self.crossed)),
             ("doubled", self.doubled()),
         ];
--- a/crates/standin/src/site/target.rs
+++ b/crates/standin/src/site/target.rs
@@ -64,6 +64,8 @@
     /// Number of the target's writes to the store.
     sequence: AtomicU64,
     draining_since: Mutex<Option<Instant>>,
+    /// Number of flows opened at the target.
+    openings: AtomicU64,
     counters: Arc<Counters>,
     route_history: RouteHistory,
     caller_port: u16,
@@ -101,6 +103,7 @@
                 incarnation,
                 sequence: AtomicU64::new(0),
                 draining_since: Mutex::default(),
+                openings: AtomicU64::new(0),
                 counters: Arc::clone(counters),
                 route_history: Arc::clone(route_history),
                 caller_port,
@@ -133,6 +136,11 @@
         format!("{}@{}", self.plan.id, self.shared.incarnation)
     }
 
+    /// Returns the number of flows opened at the target so far.
+    pub fn openings(&self) -> u64 {
+        self.shared.openings.load(Ordering::Relaxed)
+    }
+
     /// Announces that the target drains; the target keeps its open flows.
     pub fn drain(&self) {
         *self.shared.draining_since() = Some(Instant::now());
@@ -316,9 +324,14 @@
             .shared
             .draining_since()
             .is_some_and(|since| since.elapsed() > DRAIN_GRACE);
-        if is_late && !self.flows.contains_key(&(packet.src, packet.dst)) {
+        if self.flows.contains_key(&(packet.src, packet.dst)) {
+            return;
+        }
+        if is_late {
             Counters::increment(&self.shared.counters.late_to_leaving);
         }
+        self.shared.openings.fetch_add(1, Ordering::Relaxed);
+        self.shared.counters.record_opening(&self.plan.zone);
     }
 
     async fn tick(&mut self) {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -9,10 +9,12 @@
 //! Each part of the decision has its own module: [`placement`] selects the target of a new flow,
 //! [`responsiveness`] detects targets that do not answer, [`zone`] detects zones that do not
 //! answer, [`stall`] detects targets that do not acknowledge data, [`timing`] derives timeouts from observed
-//! response times, [`missing_entry`] handles targets whose published entry was removed, and
-//! [`unknown_token`] handles tokens that belong to no known target.
+//! response times, [`missing_entry`] handles targets whose published entry was removed,
+//! [`evacuation`] excludes the targets of evacuated zones from new flows, and [`unknown_token`]
+//! handles tokens that belong to no known target.
 
 mod decision;
+pub mod evacuation;
 mod event;
 mod flows;
 mod header;
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -16,6 +16,7 @@
 
 use self::opening::{Selector, select};
 use self::signals::apply_signals;
+use crate::evacuation::Evacuations;
 use crate::flows::Flows;
 use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
 use crate::path::PathRecord;
@@ -76,6 +77,7 @@
     outage: StoreOutage,
     unknown_tokens: UnknownTokens,
     zones: UnresponsiveZones,
+    evacuations: Evacuations,
     paths: PathRecord,
     timings: ServiceTimings,
     /// End of the time in which large transfers may have filled the link of this VM.
@@ -113,6 +115,7 @@
             outage: StoreOutage::default(),
             unknown_tokens: UnknownTokens::default(),
             zones: UnresponsiveZones::default(),
+            evacuations: Evacuations::default(),
             paths: PathRecord::default(),
             timings: ServiceTimings::default(),
             quiet_since: Moment::default(),
@@ -180,7 +183,7 @@
             && let Some(record) = self.targets.get(index)
             && record.token == token
             && !(record.load.responsiveness.is_confirmed(now)
-                && has_alternative(&self.targets, service, index, now))
+                && self.has_alternative(service, index, now))
         {
             self.flows.record_repeated_opening(&header.flow);
             return forward(record, Placement::Retransmitted);
@@ -188,6 +191,7 @@
         let selection = select(&Selector {
             targets: &self.targets,
             zones: &self.zones,
+            evacuations: &self.evacuations,
             timings: &self.timings,
             zone: &self.settings.zone,
             service,
@@ -278,6 +282,16 @@
         Some(indexes.find(is_match).unwrap_or(first))
     }
 
+    /// Whether a service has another target that takes new flows and is responsive.
+    fn has_alternative(&self, service: &ServiceName, index: TargetIndex, now: Moment) -> bool {
+        self.targets.of_service(service).any(|(other, record)| {
+            other != index
+                && record.is_open()
+                && !self.evacuations.contains(&record.target.zone)
+                && !record.load.responsiveness.is_unresponsive(now)
+        })
+    }
+
     /// Handles a packet whose token belongs to no known target.
     fn handle_unknown_token(
         &mut self,
@@ -298,18 +312,6 @@
     }
 }
 
-/// Whether a service has another target that takes new flows and is responsive.
-fn has_alternative(
-    targets: &TargetTable,
-    service: &ServiceName,
-    index: TargetIndex,
-    now: Moment,
-) -> bool {
-    targets.of_service(service).any(|(other, record)| {
-        other != index && record.is_open() && !record.load.responsiveness.is_unresponsive(now)
-    })
-}
-
 /// Rejects a new flow: with a reset if the view is complete enough to be certain (`is_certain`)
 /// that the flow cannot be served. Otherwise the packet is dropped, so that the caller retransmits.
 fn reject(cause: ResetCause, is_certain: bool) -> Decision {
--- a/crates/steer/src/steering/opening.rs
+++ b/crates/steer/src/steering/opening.rs
@@ -3,6 +3,7 @@
 use bambooseam_types::{Moment, ServiceName, ZoneId};
 use bambooseam_view::FlowKey;
 
+use crate::evacuation::Evacuations;
 use crate::placement::{Candidate, place};
 use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
 use crate::timing::ServiceTimings;
@@ -13,6 +14,7 @@
 pub(super) struct Selector<'a> {
     pub targets: &'a TargetTable,
     pub zones: &'a UnresponsiveZones,
+    pub evacuations: &'a Evacuations,
     pub timings: &'a ServiceTimings,
     /// Zone of this VM.
     pub zone: &'a ZoneId,
@@ -35,7 +37,9 @@
     fn place(&self, is_eligible: fn(&TargetRecord) -> bool) -> Option<TargetIndex> {
         let cold_percent = self.timings.get(self.service).cold_percent();
         let records = self.targets.of_service(self.service);
-        let candidates = records.filter(|(_, record)| is_eligible(record));
+        let candidates = records.filter(|(_, record)| {
+            is_eligible(record) && !self.evacuations.contains(&record.target.zone)
+        });
         let candidates = candidates.map(|(target, record)| Candidate {
             target,
             load: &record.load,
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use bambooseam_types::{Moment, ServiceName, TargetId};
+use bambooseam_types::{Moment, Revision, ServiceName, TargetId, ZoneId};
 
 use super::Steering;
 use super::signals::release;
+use crate::evacuation::Evacuations;
 use crate::missing_entry::RemovalCount;
 use crate::target_table::{EntryStatus, TargetIndex};
 use crate::{Routes, SteeringEvent, Target};
@@ -77,6 +78,42 @@
         }
     }
 
+    /// Excludes the targets of a zone from new flows. Returns false if the zone was already
+    /// evacuated.
+    pub fn evacuate(&mut self, zone: ZoneId, revision: Revision, now: Moment) -> bool {
+        self.evacuations.insert(zone, revision, now)
+    }
+
+    /// Readmits a zone, and returns the time for which it was evacuated; `None` if it was not.
+    pub fn readmit(&mut self, zone: &ZoneId, now: Moment) -> Option<Duration> {
+        let evacuation = self.evacuations.remove(zone)?;
+        Some(now.since(evacuation.since))
+    }
+
+    /// Whether the targets of a zone take no new flows because the zone is evacuated.
+    pub fn is_evacuated(&self, zone: &ZoneId) -> bool {
+        self.evacuations.contains(zone)
+    }
+
+    /// The evacuated zones.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Number of open flows that pass through this VM, by zone of their target, sorted by zone. A
+    /// zone is listed while a target of it is known.
+    pub fn zone_flows(&self) -> Vec<(&ZoneId, u64)> {
+        let mut zones: Vec<(&ZoneId, u64)> = Vec::new();
+        for (_, record) in self.targets.iter() {
+            let (zone, flows) = (&record.target.zone, u64::from(record.load.flows));
+            match zones.binary_search_by(|(other, _)| (*other).cmp(zone)) {
+                Ok(at) => zones[at].1 += flows,
+                Err(at) => zones.insert(at, (zone, flows)),
+            }
+        }
+        zones
+    }
+
     /// Records that the view has to settle anew: entries that the store has lost may not have been
     /// published again yet.
     pub fn restart_settling(&mut self) {
--- a/tests/tests/docs.rs
+++ b/tests/tests/docs.rs
@@ -238,6 +238,7 @@
         "kv-range",
         "kv-watch",
         "op/config",
+        "op/evacuate",
         "servers/",
         "traffic_split",
         "warmup_left_ms",
--- a/tests/tests/platform_documents.rs
+++ b/tests/tests/platform_documents.rs
@@ -38,14 +38,14 @@
     let kind = DocumentKind::from_key("servers/i-7f3a91c2").expect("a key");
     match kind.parse(entry.to_string().as_bytes())? {
         Document::Target(target) => Ok(target),
-        Document::Config(_) => panic!("a target entry was parsed as a configuration"),
+        other => panic!("a target entry was parsed as {other:?}"),
     }
 }
 
 fn parse_config(config: &Value) -> Result<Config, DocumentError> {
     match DocumentKind::Config.parse(config.to_string().as_bytes())? {
         Document::Config(config) => Ok(config),
-        Document::Target(_) => panic!("a configuration was parsed as a target"),
+        other => panic!("a configuration was parsed as {other:?}"),
     }
 }
 
@@ -163,6 +163,34 @@
     }
 }
 
+#[test]
+fn evacuation_counts_with_any_value() {
+    let kind = DocumentKind::from_key("op/evacuate/pnw-a").expect("a key");
+    let zone = "pnw-a".parse().expect("a zone");
+    assert_eq!(kind, DocumentKind::Evacuation(zone));
+    for value in [&b"{}"[..], b"", b"no", b"null", b"\xff", b"{\"a\": 1}"] {
+        assert!(
+            matches!(kind.parse(value), Ok(Document::Evacuation(zone)) if zone.as_str() == "pnw-a"),
+            "{value:?}"
+        );
+    }
+}
+
+#[test]
+fn evacuation_of_an_invalid_zone_name_is_refused() {
+    let long = format!("op/evacuate/{}", "z".repeat(4_096));
+    for key in [
+        "op/evacuate/",
+        "op/evacuate",
+        "op/evacuate/a b",
+        "op/evacuate/a/b",
+        &long,
+    ] {
+        let error = DocumentKind::from_key(key).expect_err(key);
+        assert!(error.to_string().len() < 400, "{error}");
+    }
+}
+
 #[test]
 fn config_is_parsed() {
     let config = parse_config(&config()).expect("a configuration");
--- a/tests/tests/replica_eras.rs
+++ b/tests/tests/replica_eras.rs
@@ -10,7 +10,8 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-/// Reads `v VERSION` and `START SEQUENCE ready|leaving`.
+/// Reads `v VERSION`, `START SEQUENCE ready|leaving`, and `z` for a document that counts by its
+/// presence.
 #[derive(Debug, Clone, Copy)]
 struct Words;
 
@@ -19,6 +20,7 @@
         let text = std::str::from_utf8(value).ok()?;
         let words: Vec<&str> = text.split(' ').collect();
         Some(match words[..] {
+            ["z"] => ContentAge::Presence,
             ["v", version] => ContentAge::Version(version.parse().ok()?),
             [start, sequence, state] => ContentAge::Entry {
                 start: Incarnation::from(start.parse::<u64>().ok()?),
@@ -248,6 +250,62 @@
     assert_eq!(replica.era(), Era::from(4));
 }
 
+#[test]
+fn evacuation_that_the_copy_lacks_stays_in_force_for_a_limited_time() {
+    // Without the rule, a store that returns from a copy would readmit a zone by itself.
+    let mut replica = replica();
+    let written = change("z", 21, Some("z"));
+    replica.apply(changes(0, Some(20), 21, vec![written]));
+    let applied = newer(replica.apply(changes(1, None, 12, vec![])));
+    assert!(applied.iter().all(|change| change.key.as_ref() != "z"));
+    assert!(content(&replica, "z").is_some() && replica.has_unrenewed());
+    // A peer that started from the copy learns of it, also after a second return.
+    for era in [1, 2] {
+        replica.apply(changes(era, None, 12, vec![]));
+        let mut peer = Replica::new(Words);
+        peer.apply(changes(era, None, 12, vec![]));
+        let update = replica.changes_since(&peer.held()).expect("changes");
+        let applied = newer(peer.apply(update));
+        assert!(applied.iter().any(|change| change.key.as_ref() == "z"));
+        assert!(content(&peer, "z").is_some() && peer.has_unrenewed());
+    }
+    let kept = replica.changes_since(&Default::default()).expect("changes");
+    let released = replica.release_unrenewed();
+    assert!(released.iter().any(|key| key.as_ref() == "z"));
+    assert_eq!(content(&replica, "z"), None);
+    // A peer that has not released the document yet does not restore it.
+    replica.apply(kept);
+    assert_eq!(content(&replica, "z"), None);
+}
+
+#[test]
+fn evacuation_kept_from_an_earlier_era_ends_with_its_removal() {
+    let mut replica = replica();
+    replica.apply(changes(0, Some(20), 21, vec![change("z", 21, Some("z"))]));
+    replica.apply(changes(1, None, 12, vec![]));
+    let late = replica.changes_since(&Default::default()).expect("changes");
+    let removal = changes(1, Some(12), 14, vec![change("z", 14, None)]);
+    let applied = newer(replica.apply(removal));
+    assert_eq!(applied, [change("z", 14, None)]);
+    assert_eq!(content(&replica, "z"), None);
+    // An answer of a peer that lags behind the removal.
+    replica.apply(late);
+    assert_eq!(content(&replica, "z"), None);
+    assert!(!replica.has_unrenewed());
+}
+
+#[test]
+fn evacuation_that_the_copy_contains_is_in_force_although_it_had_been_removed() {
+    let mut replica = replica();
+    let list = vec![change("z", 21, Some("z")), change("z", 22, None)];
+    replica.apply(changes(0, Some(20), 22, list));
+    assert_eq!(content(&replica, "z"), None);
+    let copy = vec![change("z", 21, Some("z"))];
+    let applied = newer(replica.apply(changes(1, None, 21, copy)));
+    assert!(applied.contains(&change("z", 21, Some("z"))));
+    assert!(content(&replica, "z").is_some() && !replica.is_unrenewed("z"));
+}
+
 /// Documents by key, with their revisions.
 type Documents = BTreeMap<&'static str, (u64, String)>;
 
@@ -264,10 +322,14 @@
     /// What the writers hold: the version of the operator; start, sequence and state of each target.
     version: u64,
     targets: BTreeMap<&'static str, (u64, u64, &'static str)>,
+    is_evacuated: bool,
 }
 
 const TARGETS: [&str; 3] = ["t1", "t2", "t3"];
 
+/// Key of the document that counts by its presence.
+const ZONE: &str = "z";
+
 impl RestoredStore {
     fn new() -> Self {
         let mut store = Self {
@@ -279,6 +341,7 @@
             copies: Vec::new(),
             version: 0,
             targets: BTreeMap::new(),
+            is_evacuated: false,
         };
         store.write_config(1);
         store
@@ -299,6 +362,16 @@
         self.write("config", Some(format!("v {}", self.version)));
     }
 
+    /// Evacuates the zone or readmits it.
+    fn write_evacuation(&mut self, is_evacuated: bool) {
+        self.is_evacuated = is_evacuated;
+        match is_evacuated {
+            true => self.write(ZONE, Some("z".into())),
+            false if self.documents.contains_key(ZONE) => self.write(ZONE, None),
+            false => {}
+        }
+    }
+
     /// Writes the state of a target with the next sequence number.
     fn write_target(&mut self, key: &'static str) {
         let Some((start, sequence, state)) = self.targets.get_mut(key) else {
@@ -310,6 +383,9 @@
     }
 
     fn step(&mut self, rng: &mut StdRng) {
+        if rng.random_bool(0.1) {
+            return self.write_evacuation(!self.is_evacuated);
+        }
         let key = *TARGETS.choose(rng).expect("a target");
         match (rng.random_range(0..10), self.targets.get(key)) {
             (0..2, _) => self.write_config(1),
@@ -347,6 +423,7 @@
     /// Lets every writer write its state again, and entries without a writer expire.
     fn rewrite(&mut self) {
         self.write_config(0);
+        self.write_evacuation(self.is_evacuated);
         for key in TARGETS {
             match self.targets.contains_key(key) {
                 true => self.write_target(key),
@@ -441,7 +518,11 @@
         replicas[to].apply(update.expect("changes"));
     }
     let expected = store.full().list;
-    for replica in &replicas {
+    for replica in &mut replicas {
+        // An evacuation that the store lacks stays in force for a limited time only.
+        replica.release_unrenewed();
+        let in_force = content(replica, ZONE).is_some();
+        assert_eq!(in_force, store.is_evacuated, "seed {seed}");
         let documents: Vec<Change> = replica.iter().cloned().collect();
         assert_eq!(documents, expected, "seed {seed}");
         for document in &expected {
