Expect the waits that long work causes after a moment without it

Traced with a line for each refusal after 1.9 s: about 20 short requests that arrive within a fraction of a second, expecting 570 to 720 ms, wait their whole 2 s. The estimate counts the slots that long work holds at that instant; under lasting overload long work takes up to 7 of 10 slots again right after.

Change: the estimate counts the larger of the slots held now and their average over the window.

Tests requests_schedule and requests pass.

--- a/crates/proxy/src/slots/owner/state.rs
+++ b/crates/proxy/src/slots/owner/state.rs
@@ -227,8 +227,11 @@
         let busy_long = self.load.busy(WorkClass::Long);
         let (ahead, mean, servers) = match class {
             WorkClass::Short => {
-                let servers = slots.saturating_sub(busy_long).max(1);
-                (self.short.len(), self.load.mean(class), f64::from(servers))
+                // Long work comes and goes while a request waits: the slots that it has left for a
+                // moment do not count.
+                let long = f64::from(busy_long).max(self.load.average(WorkClass::Long));
+                let servers = (f64::from(slots) - long).max(1.0);
+                (self.short.len(), self.load.mean(class), servers)
             }
             WorkClass::Long => {
                 let floor = self.policy.long_floor(slots).max(1);
--- a/tests/tests/requests_schedule.rs
+++ b/tests/tests/requests_schedule.rs
@@ -154,6 +154,45 @@
     assert!(refusal.wait <= Duration::from_millis(800), "{refusal:?}");
 }
 
+/// Guards against requests that are admitted while long work has left its slots for a moment, and
+/// then wait for their whole limit.
+#[tokio::test(start_paused = true)]
+async fn expected_wait_of_short_work_covers_long_work_that_pauses() {
+    let owner = SlotOwner::new(Policy::DEFAULT);
+    owner.update(Policy::DEFAULT, targets(5), Health::warm);
+    let short = SlotRequest {
+        service_time: Duration::from_millis(20),
+        ..slot_request(WorkClass::Short)
+    };
+    let mut long = Vec::new();
+    for _ in 0..7 {
+        let request = slot_request(WorkClass::Long);
+        long.push(owner.acquire(request).await.expect("a slot"));
+    }
+    let mut running = Vec::new();
+    for _ in 0..3 {
+        running.push(owner.acquire(short.clone()).await.expect("a slot"));
+    }
+    advance(Duration::from_secs(5)).await;
+    owner.tick();
+    let mut queue = tokio::task::JoinSet::new();
+    for _ in 0..60 {
+        let owner = std::sync::Arc::clone(&owner);
+        let request = SlotRequest {
+            may_wait: true,
+            ..short.clone()
+        };
+        queue.spawn(async move { owner.acquire(request).await });
+    }
+    advance(Duration::from_millis(1)).await;
+    for grant in long.drain(..6) {
+        grant.finish(WorkOutcome::Cancelled);
+    }
+    let refusal = owner.acquire(short).await.expect_err("all slots are busy");
+    // 54 requests of 20 ms wait for the three slots that long work usually leaves: 360 ms.
+    assert!(refusal.wait >= Duration::from_millis(300), "{refusal:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn failing_target_is_ejected_within_the_limit_and_returns_with_one_slot() {
     let owner = SlotOwner::new(Policy::DEFAULT);
