Limit the openings at cold targets for all VMs together

Cause: a target that has just started may be sent at most its rate times an excess plus a slack of openings in any second, by all VMs together, whether or not they know each other. Nothing limited them so far: in the model of 12 targets with a rate of 20 (limit 35) a cold target gets up to 904 openings in a second when all are replaced under twice the load that can be finished.

Change: steer::cold_budget. A flow opens at a cold target only if a hash of flow and target falls into a share that every VM computes from the same figures: the mean at which random arrivals do not exceed the limit, divided by five times what the published slots can finish without queueing (callers who offer twice that and repeat each refused opening twice send 4.9 times as much). Slots are the most, and the response time the lowest mean, of the last 10 to 20 minutes; in the first 2 minutes a fifth of the response time counts, as a VM may start beside full queues. One VM alone keeps the limit in any case, retransmissions included. Without responses, nothing opens. Without a rate or without settings, decisions are as before.

Event and gauge cold_share, drop cause cold_limit.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -20,7 +20,7 @@
 pub use preset::{ClassRule, Preset, Service, WorkClass};
 pub use published::check_published;
 pub use settings::{
-    AgentSettings, EntrySettings, ForwarderSettings, LogSettings, PlatformSettings, ProxySettings,
-    Settings, TraceSettings, VmSettings,
+    AgentSettings, ColdLimit, EntrySettings, ForwarderSettings, LogSettings, PlatformSettings,
+    ProxySettings, Settings, TraceSettings, VmSettings,
 };
 pub use value::Value;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -108,7 +108,7 @@
 }
 
 /// Section `[entry]`.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct EntrySettings {
     /// Address on which callers' packets arrive; callers receive responses at the same port number.
     pub listen: SocketAddr,
@@ -124,6 +124,17 @@
     pub stop_time: Duration,
     /// Most flows in the table.
     pub flow_limit: u64,
+    /// Margins of the limit on openings at cold targets; no limit when absent.
+    pub cold_limit: Option<ColdLimit>,
+}
+
+/// Margins of the limit on openings at a target that has just started.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdLimit {
+    /// Factor on the rate of the service.
+    pub excess: f64,
+    /// Openings in any second beyond the rate.
+    pub slack: f64,
 }
 
 /// Section `[log]`.
--- a/crates/config/src/settings/read.rs
+++ b/crates/config/src/settings/read.rs
@@ -8,8 +8,8 @@
 use bambooseam_types::{ByteCount, ByteRate, EventRate, Finding, Findings, Location};
 
 use super::{
-    AgentSettings, EntrySettings, ForwarderSettings, LogSettings, PlatformSettings, ProxySettings,
-    VmSettings,
+    AgentSettings, ColdLimit, EntrySettings, ForwarderSettings, LogSettings, PlatformSettings,
+    ProxySettings, VmSettings,
 };
 use crate::fleet::check_address;
 use crate::unique::UniqueKeys;
@@ -44,6 +44,10 @@
 const STOP_TIMES: RangeInclusive<Duration> = Duration::from_millis(100)..=Duration::from_secs(3600);
 /// Default flow limit.
 const DEFAULT_FLOW_LIMIT: u64 = 1_000_000;
+/// Allowed factors on the rate of a cold target.
+const EXCESSES: RangeInclusive<f64> = 0.0..=1_000.0;
+/// Allowed openings in any second beyond the rate.
+const SLACKS: RangeInclusive<f64> = 0.0..=1_000_000.0;
 /// Default connection limit.
 const DEFAULT_CONNECTION_LIMIT: u64 = 20_000;
 /// Default head limit.
@@ -234,6 +238,7 @@
     );
     let stop_time = section.duration_within("stop-time", DEFAULT_STOP_TIME, STOP_TIMES, findings);
     let flow_limit = section.within("flow-limit", DEFAULT_FLOW_LIMIT, 1..=100_000_000, findings);
+    let cold_limit = read_cold_limit(&mut section, findings);
     section.report_unknown_keys(findings);
     Some(EntrySettings {
         listen: listen?,
@@ -243,9 +248,48 @@
         seeds,
         stop_time,
         flow_limit,
+        cold_limit,
     })
 }
 
+/// Reads the margins of the limit on openings at cold targets: both keys or none.
+fn read_cold_limit(section: &mut Section<'_>, findings: &mut Findings) -> Option<ColdLimit> {
+    let before = findings.len();
+    let excess = section.optional::<f64>("cold-excess", findings);
+    let slack = section.optional::<f64>("cold-slack", findings);
+    if findings.len() > before {
+        return None;
+    }
+    if excess.is_some_and(|excess| !EXCESSES.contains(&excess)) {
+        let allowed = format!("a number from {} to {}", EXCESSES.start(), EXCESSES.end());
+        let found = excess.unwrap_or_default().to_string();
+        findings.push(Finding::new(
+            section.location("cold-excess"),
+            found,
+            allowed,
+        ));
+    }
+    if slack.is_some_and(|slack| !SLACKS.contains(&slack)) {
+        let allowed = format!("a number from {} to {}", SLACKS.start(), SLACKS.end());
+        let found = slack.unwrap_or_default().to_string();
+        findings.push(Finding::new(section.location("cold-slack"), found, allowed));
+    }
+    match (excess, slack) {
+        (Some(excess), Some(slack)) => Some(ColdLimit { excess, slack }),
+        (None, None) => None,
+        (excess, _) => {
+            let (present, absent) = match excess {
+                Some(_) => ("cold-excess", "cold-slack"),
+                None => ("cold-slack", "cold-excess"),
+            };
+            let found = format!("no {absent}");
+            let allowed = "cold-excess and cold-slack, or neither";
+            findings.push(Finding::new(section.location(present), found, allowed));
+            None
+        }
+    }
+}
+
 /// Reads `[log]`.
 pub(super) fn read_log(section: &mut Section<'_>, findings: &mut Findings) -> LogSettings {
     let level = section.or("level", "info".to_owned(), findings);
--- a/crates/config/src/value.rs
+++ b/crates/config/src/value.rs
@@ -46,6 +46,7 @@
     Weight: "a whole number from 0 to 10000",
     WorkClass: "short or long",
     ZoneId: "a name of 1 to 63 letters, digits, '-', '_' or '.'",
+    f64: "a number",
     humantime::Duration: "a time such as 250ms or 12h",
     u16: "a whole number from 0 to 65535",
     u64: "a whole number",
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -187,6 +187,7 @@
                 | SteeringEvent::Recovered(_)
                 | SteeringEvent::Stalled { .. }
                 | SteeringEvent::StallEnded { .. }
+                | SteeringEvent::ColdShare { .. }
                 | SteeringEvent::ZoneUnresponsive { .. }
                 | SteeringEvent::ZoneRecovered(_) => &TARGET_CHANGES,
             };
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -12,7 +12,7 @@
 use bambooseam_peer::Meter;
 use bambooseam_peer::replica::{PeerInfo, serve_replica};
 use bambooseam_platform::{Store, ready};
-use bambooseam_steer::{Steering, SteeringSettings};
+use bambooseam_steer::{ColdPolicy, Steering, SteeringSettings};
 use bambooseam_types::{Clock, Moment, Revision};
 use derive_more::{Display, Error, From};
 use serde_json::{Value, json};
@@ -85,6 +85,10 @@
     let steering = Steering::new(SteeringSettings {
         zone: settings.vm.zone.clone(),
         flow_limit: usize::try_from(entry.flow_limit).unwrap_or(usize::MAX),
+        cold_policy: entry.cold_limit.map(|limit| ColdPolicy {
+            excess: limit.excess,
+            slack: limit.slack,
+        }),
     });
     let node = Rc::new(RefCell::new(Node::new(steering)));
     let own = PeerInfo {
@@ -160,6 +164,10 @@
             metrics::histogram!("view_age_seconds").record(age.as_secs_f64());
         }
         metrics::gauge!("store_era").set(node.replica().era().get() as f64);
+        for budget in node.steering().cold_budgets().iter() {
+            let service = budget.service().to_string();
+            metrics::gauge!("cold_share", "service" => service).set(budget.share().fraction());
+        }
         metrics::gauge!("flows").set(node.steering().flow_count() as f64);
         metrics::counter!("peer_bytes_sent").absolute(meter.sent().get());
         metrics::counter!("peer_bytes_received").absolute(meter.received().get());
--- a/crates/steer/benches/steering.rs
+++ b/crates/steer/benches/steering.rs
@@ -47,6 +47,7 @@
     let mut steering = Steering::new(SteeringSettings {
         zone: "zone-0".parse().expect("a name"),
         flow_limit: FLOWS as usize,
+        cold_policy: None,
     });
     let routes = (0..targets.div_ceil(TARGETS_PER_SERVICE)).map(|number| Route {
         frontend: frontend(number),
--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -102,6 +102,9 @@
     /// The token is unknown, and entries that may explain the token have not arrived yet.
     #[display("token_not_known_yet")]
     TokenNotKnownYet,
+    /// A retransmission would exceed the limit on openings at a cold target.
+    #[display("cold_limit")]
+    ColdLimit,
     /// The packet is a reset, and no known target holds its flow.
     #[display("already_ended")]
     AlreadyEnded,
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use bambooseam_types::{TargetId, Token, ZoneId};
+use bambooseam_types::{ServiceName, TargetId, Token, ZoneId};
 use derive_more::Display;
 
 use crate::FlowId;
+use crate::cold_budget::ColdShare;
 use crate::stall::StallEvidence;
 
 /// A change in the state of a target or zone, or a request that was abandoned.
@@ -62,6 +63,23 @@
     /// A target of an unresponsive zone answers.
     #[display("event=zone_trusted zone={_0}")]
     ZoneRecovered(ZoneId),
+    /// The share of flows that may open at a cold target has changed.
+    #[display(
+        "event=cold_share target={target} service={service} share_ppm={} limit={} slots={} \
+         response_us={}",
+        share.ppm(),
+        share.limit,
+        share.slots,
+        share.response_time.as_micros()
+    )]
+    ColdShare {
+        /// The target.
+        target: TargetId,
+        /// Service of the target.
+        service: ServiceName,
+        /// The share and what it is derived from.
+        share: ColdShare,
+    },
     /// A request had no response within the request timeout of its route.
     #[display(
         "event=request_unanswered flow={flow} token={token} waited_ms={}",
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -7,11 +7,13 @@
 //! names its target by a token, and the table only improves the placement of new flows.
 //!
 //! Each part of the decision has its own module: [`placement`] selects the target of a new flow,
+//! [`cold_budget`] limits the openings at targets that have just started,
 //! [`responsiveness`] detects targets that do not answer, [`zone`] detects zones that do not
 //! answer, [`stall`] detects targets that do not acknowledge data, [`timing`] derives timeouts from observed
 //! response times, [`missing_entry`] handles targets whose published entry was removed, and
 //! [`unknown_token`] handles tokens that belong to no known target.
 
+pub mod cold_budget;
 mod decision;
 mod event;
 mod flows;
@@ -30,11 +32,12 @@
 pub mod unknown_token;
 pub mod zone;
 
+pub use cold_budget::ColdPolicy;
 pub use decision::{Decision, DropCause, Origin, Placement, Released, ResetCause};
 pub use event::SteeringEvent;
 pub use header::{FlowId, PacketFlags, PacketHeader, ParseFlowError};
 pub use load::Load;
-pub use route::{Route, Routes, Share};
+pub use route::{Route, Routes, ServiceLimits, Share};
 pub use steering::{Freshness, Steering, SteeringSettings};
 pub use target::Target;
 pub use target_table::{EntryStatus, TargetIndex, TargetRecord, TargetTable};
--- a/crates/steer/src/route.rs
+++ b/crates/steer/src/route.rs
@@ -27,10 +27,21 @@
     pub timeout: Duration,
 }
 
+/// Limits of a service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceLimits {
+    /// The service.
+    pub service: ServiceName,
+    /// Openings per second that a cold target can take; `None` if no rate is given.
+    pub cold_rate: Option<f64>,
+}
+
 /// Routes of one configuration.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Routes {
     sorted: Vec<Route>,
+    /// Sorted by service.
+    services: Vec<ServiceLimits>,
     /// Idle time after which either end may drop a flow.
     pub idle_time: Option<Duration>,
 }
@@ -42,10 +53,24 @@
         routes.dedup_by_key(|route| route.frontend);
         Self {
             sorted: routes,
+            services: Vec::new(),
             idle_time,
         }
     }
 
+    /// Adds the limits of services. Of several entries for one service, the first is used.
+    pub fn with_services(mut self, mut services: Vec<ServiceLimits>) -> Self {
+        services.sort_by(|a, b| a.service.cmp(&b.service));
+        services.dedup_by(|a, b| a.service == b.service);
+        self.services = services;
+        self
+    }
+
+    /// Limits of the services, sorted by service.
+    pub fn services(&self) -> &[ServiceLimits] {
+        &self.services
+    }
+
     /// Route of a frontend.
     pub fn find(&self, frontend: SocketAddrV4) -> Option<&Route> {
         let at = self.sorted.binary_search_by_key(&frontend, |r| r.frontend);
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -12,10 +12,11 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use bambooseam_types::{Moment, ServiceName, TargetId, Token, ZoneId};
+use bambooseam_types::{Moment, TargetId, Token, ZoneId};
 
 use self::opening::{Selector, select};
 use self::signals::apply_signals;
+use crate::cold_budget::{ColdBudgets, ColdPolicy};
 use crate::flows::Flows;
 use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
 use crate::path::PathRecord;
@@ -46,6 +47,8 @@
     pub zone: ZoneId,
     /// Largest number of flows in the flow table.
     pub flow_limit: usize,
+    /// Margins of the limit on openings at cold targets; without them there is no limit.
+    pub cold_policy: Option<ColdPolicy>,
 }
 
 /// How current the view is.
@@ -78,6 +81,7 @@
     zones: UnresponsiveZones,
     paths: PathRecord,
     timings: ServiceTimings,
+    cold_budgets: ColdBudgets,
     /// End of the time in which large transfers may have filled the link of this VM.
     quiet_since: Moment,
 }
@@ -115,6 +119,7 @@
             zones: UnresponsiveZones::default(),
             paths: PathRecord::default(),
             timings: ServiceTimings::default(),
+            cold_budgets: ColdBudgets::default(),
             quiet_since: Moment::default(),
         }
     }
@@ -134,6 +139,11 @@
         &self.targets
     }
 
+    /// Limits on openings at cold targets.
+    pub fn cold_budgets(&self) -> &ColdBudgets {
+        &self.cold_budgets
+    }
+
     /// Number of flows in the flow table.
     pub fn flow_count(&self) -> usize {
         self.flows.len()
@@ -175,32 +185,40 @@
         let Some(service) = route.service_of(key) else {
             return reject(ResetCause::NoTarget, is_settled);
         };
-        let earlier = self.flows.earlier_target(header, now);
-        if let Some((index, token)) = earlier
-            && let Some(record) = self.targets.get(index)
-            && record.token == token
-            && !(record.load.responsiveness.is_confirmed(now)
-                && has_alternative(&self.targets, service, index, now))
-        {
-            self.flows.record_repeated_opening(&header.flow);
-            return forward(record, Placement::Retransmitted);
-        }
-        let selection = select(&Selector {
+        let selector = Selector {
             targets: &self.targets,
             zones: &self.zones,
             timings: &self.timings,
+            cold: self.cold_budgets.service(service),
             zone: &self.settings.zone,
             service,
             key,
             now,
-        });
-        let Some(index) = selection else {
+        };
+        let earlier = self.flows.earlier_target(header, now);
+        if let Some((index, token)) = earlier
+            && let Some(record) = self.targets.get(index)
+            && record.token == token
+            && !(record.load.responsiveness.is_confirmed(now) && selector.has_alternative(index))
+        {
+            let (is_cold, token) = (record.load.is_cold(now), record.token);
+            let decision = forward(record, Placement::Retransmitted);
+            if is_cold && !self.cold_budgets.record_repeated(service, token, now) {
+                return Decision::Drop(DropCause::ColdLimit);
+            }
+            self.flows.record_repeated_opening(&header.flow);
+            return decision;
+        }
+        let Some(index) = select(&selector) else {
             return reject(ResetCause::NoTarget, is_settled);
         };
         let timeout = route.timeout;
         let Some(record) = self.targets.get_mut(index) else {
             return reject(ResetCause::NoTarget, is_settled);
         };
+        if record.load.is_cold(now) {
+            self.cold_budgets.record(service, record.token, now);
+        }
         record.load.responsiveness.record_opening(now);
         self.zones.record_opening(&record.target.zone, now);
         if earlier.is_none() {
@@ -298,18 +316,6 @@
     }
 }
 
-/// Whether a service has another target that takes new flows and is responsive.
-fn has_alternative(
-    targets: &TargetTable,
-    service: &ServiceName,
-    index: TargetIndex,
-    now: Moment,
-) -> bool {
-    targets.of_service(service).any(|(other, record)| {
-        other != index && record.is_open() && !record.load.responsiveness.is_unresponsive(now)
-    })
-}
-
 /// Rejects a new flow: with a reset if the view is complete enough to be certain (`is_certain`)
 /// that the flow cannot be served. Otherwise the packet is dropped, so that the caller retransmits.
 fn reject(cause: ResetCause, is_certain: bool) -> Decision {
--- a/crates/steer/src/steering/opening.rs
+++ b/crates/steer/src/steering/opening.rs
@@ -3,6 +3,7 @@
 use bambooseam_types::{Moment, ServiceName, ZoneId};
 use bambooseam_view::FlowKey;
 
+use crate::cold_budget::ColdBudget;
 use crate::placement::{Candidate, place};
 use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
 use crate::timing::ServiceTimings;
@@ -14,6 +15,8 @@
     pub targets: &'a TargetTable,
     pub zones: &'a UnresponsiveZones,
     pub timings: &'a ServiceTimings,
+    /// Limit on openings at cold targets of the service.
+    pub cold: Option<&'a ColdBudget>,
     /// Zone of this VM.
     pub zone: &'a ZoneId,
     /// Service of the flow.
@@ -35,7 +38,8 @@
     fn place(&self, is_eligible: fn(&TargetRecord) -> bool) -> Option<TargetIndex> {
         let cold_percent = self.timings.get(self.service).cold_percent();
         let records = self.targets.of_service(self.service);
-        let candidates = records.filter(|(_, record)| is_eligible(record));
+        let candidates =
+            records.filter(|(_, record)| is_eligible(record) && self.is_admitted(record));
         let candidates = candidates.map(|(target, record)| Candidate {
             target,
             load: &record.load,
@@ -48,6 +52,25 @@
         place(candidates, self.key.get(), self.now)
     }
 
+    /// Whether the service has another target that takes this flow and is responsive.
+    pub(super) fn has_alternative(&self, index: TargetIndex) -> bool {
+        let mut records = self.targets.of_service(self.service);
+        records.any(|(other, record)| {
+            other != index
+                && record.is_open()
+                && self.is_admitted(record)
+                && !record.load.responsiveness.is_unresponsive(self.now)
+        })
+    }
+
+    /// Whether the limit on openings at cold targets admits the flow at a target.
+    fn is_admitted(&self, record: &TargetRecord) -> bool {
+        !record.load.is_cold(self.now)
+            || self
+                .cold
+                .is_none_or(|cold| cold.admits(self.key, record.token, self.now))
+    }
+
     fn is_unresponsive(&self, record: &TargetRecord) -> bool {
         let zone = &record.target.zone;
         record.load.responsiveness.is_unresponsive(self.now)
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -41,6 +41,8 @@
         self.removed_frontends
             .retain(|removed| routes.find(*removed).is_none());
         self.removed_frontends.truncate(MAX_REMOVED_FRONTENDS);
+        self.cold_budgets
+            .set_rates(&routes, self.settings.cold_policy);
         self.routes = Some(routes);
         removed
     }
@@ -156,6 +158,7 @@
         self.unknown_tokens
             .sweep(now, |token| targets.with_token(token).next().is_some());
         events.extend(self.targets.update_responsiveness(now));
+        events.extend(self.cold_budgets.update(&self.targets, &self.timings, now));
         let local_zone = &self.settings.zone;
         let records = self.targets.iter().map(|(_, record)| record);
         let remote = records.filter(|record| record.target.zone != *local_zone);
--- a/crates/steer/src/timing.rs
+++ b/crates/steer/src/timing.rs
@@ -133,6 +133,11 @@
         (longest * TIMEOUT_PERCENT / 100).clamp(MIN_REQUEST_TIMEOUT, MAX_REQUEST_TIMEOUT)
     }
 
+    /// Mean response time of warm targets; `None` before enough responses were observed.
+    pub fn warm_mean(&self) -> Option<Duration> {
+        (self.warm.count >= MIN_RESPONSES).then_some(self.warm.value)
+    }
+
     /// Cost of a request at a target that was started recently, in percent of the usual cost.
     pub fn cold_percent(&self) -> u64 {
         if self.warm.count < MIN_RESPONSES || self.cold.count < MIN_RESPONSES {
--- a/tests/tests/docs.rs
+++ b/tests/tests/docs.rs
@@ -7,7 +7,7 @@
 use bambooseam_config::{Document, Settings};
 
 /// Keys of settings and documents.
-const KEYS: [&str; 53] = [
+const KEYS: [&str; 55] = [
     "id",
     "zone",
     "address",
@@ -61,6 +61,8 @@
     "peer",
     "seeds",
     "stop-time",
+    "cold-excess",
+    "cold-slack",
 ];
 
 fn root() -> PathBuf {
