Check the users' configuration whole, and against the version in force

Cause: `bambooseam-ctl check` stopped at the first error of a route, named no line, and passed documents whose entries never match or whose limits contradict each other. What a change does to open flows was to be worked out by hand.

The entry programs' own parser runs as well, so that nothing that they refuse passes. `--in-force FILE` lists the differences of a configuration or a preset with their effect on open flows, and reports a version that the programs would not put in force. Exit codes are as before: differences alone are good (0).

--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -1,5 +1,8 @@
 //! `check`: validates settings before use and documents before publication.
 
+mod configuration;
+mod difference;
+
 use std::fmt::{self, Display, Formatter};
 use std::path::{Path, PathBuf};
 
@@ -10,11 +13,15 @@
 use serde_json::{Value, json};
 
 use crate::Outcome;
-use crate::documents::{FileKind, InputFile, Published};
+use crate::documents::{FileKind, InputFile, Published, single_finding};
 use crate::fleet::{ProgramStatus, VmResponse, fetch_all, read_fleet};
 use crate::report::{Report, findings_json, print};
 use crate::status::response_timeout;
 
+pub use configuration::check_configuration;
+pub use difference::{Change, Difference};
+use difference::{compare_configurations, compare_presets};
+
 /// Result of a check.
 #[derive(Debug, Default)]
 pub struct CheckReport {
@@ -22,6 +29,8 @@
     pub files: Vec<String>,
     /// All findings, sorted by location.
     pub findings: Findings,
+    /// Differences from the version in force; `None` if no version in force was given.
+    pub differences: Option<Vec<Difference>>,
     /// Pointers that are valid on their own.
     pointers: Vec<NamedPointer>,
     /// VMs whose agent could not be reached.
@@ -39,7 +48,11 @@
 pub async fn run(matches: &ArgMatches) -> Outcome {
     let paths = matches.get_many::<PathBuf>("files").unwrap_or_default();
     let kind = matches.get_one::<FileKind>("kind").copied();
-    let mut report = check_paths(paths, kind);
+    let paths: Vec<_> = paths.collect();
+    let mut report = check_paths(paths.iter().copied(), kind);
+    if let Some(in_force) = matches.get_one::<PathBuf>("in-force") {
+        report.compare(&paths, kind, in_force);
+    }
     match read_fleet(matches) {
         Ok(vms) => {
             let responses = fetch_all(&vms, response_timeout(matches)).await;
@@ -77,6 +90,28 @@
 }
 
 impl CheckReport {
+    /// Compares the checked file with its version in force.
+    pub fn compare(&mut self, paths: &[&PathBuf], kind: Option<FileKind>, in_force: &Path) {
+        let differences =
+            read_pair(paths, kind, in_force).and_then(|(file, in_force)| match file.kind {
+                FileKind::Configuration => compare_configurations(&in_force, &file),
+                FileKind::Preset => compare_presets(&in_force, &file),
+                kind => Err(single_finding(
+                    &in_force.name,
+                    format!("a file to check of kind {kind}"),
+                    COMPARED,
+                    "",
+                )),
+            });
+        match differences {
+            Ok((differences, findings)) => {
+                self.differences = Some(differences);
+                self.findings.append(findings);
+            }
+            Err(findings) => self.findings.append(findings),
+        }
+    }
+
     /// Compares the checked pointers with the newest revision that any agent of the fleet has in
     /// force.
     ///
@@ -142,6 +177,29 @@
     }
 }
 
+/// What can be compared with its version in force.
+const COMPARED: &str = "one file to check, of kind preset or platform-config";
+
+/// Reads the file to check and its version in force.
+fn read_pair(
+    paths: &[&PathBuf],
+    kind: Option<FileKind>,
+    in_force: &Path,
+) -> Result<(InputFile, InputFile), Findings> {
+    let name = in_force.display().to_string();
+    let path = match paths {
+        [path] if !path.is_dir() => path,
+        _ => {
+            let found = format!("{} files or directories", paths.len());
+            return Err(single_finding(&name, found, COMPARED, ""));
+        }
+    };
+    // A file that cannot be read already has a finding.
+    let file = InputFile::read(path, kind).map_err(|_| Findings::new())?;
+    let in_force = InputFile::read(in_force, Some(file.kind))?;
+    Ok((file, in_force))
+}
+
 /// Checks the consistency of documents that are valid on their own.
 fn check_consistency(published: &Published) -> Result<(), Findings> {
     let vms: VmList = published.vms.parse()?;
@@ -168,15 +226,18 @@
         for finding in &self.findings {
             writeln!(f, "{finding}")?;
         }
+        for difference in self.differences.iter().flatten() {
+            writeln!(f, "{difference}")?;
+        }
         for vm in &self.unreachable {
             writeln!(f, "vm={vm} unreachable=true")?;
         }
         let (files, findings) = (self.files.len(), self.findings.len());
-        write!(
-            f,
-            "files={files} findings={findings} result={}",
-            self.outcome()
-        )
+        write!(f, "files={files} findings={findings} ")?;
+        if let Some(differences) = &self.differences {
+            write!(f, "differences={} ", differences.len())?;
+        }
+        write!(f, "result={}", self.outcome())
     }
 }
 
@@ -185,6 +246,9 @@
         json!({
             "files": self.files,
             "findings": findings_json(&self.findings),
+            "differences": self.differences.as_ref().map(|differences| {
+                differences.iter().map(Difference::to_json).collect::<Vec<_>>()
+            }),
             "unreachable": self.unreachable,
         })
     }
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -74,12 +74,22 @@
             Arg::new("kind")
                 .long("kind")
                 .value_name("KIND")
-                .value_parser(|text: &str| text.parse::<FileKind>().map_err(|_| FileKind::ALLOWED))
+                .value_parser(FileKind::from_argument)
                 .help(format!(
                     "{}; by default detected from the file name and sections",
                     FileKind::ALLOWED
                 )),
         )
+        .arg(
+            Arg::new("in-force")
+                .long("in-force")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help(
+                    "Version in force of the checked preset or platform-config: the differences \
+                     and their effect on open flows are shown",
+                ),
+        )
 }
 
 fn status() -> Command {
--- a/crates/ctl/src/documents.rs
+++ b/crates/ctl/src/documents.rs
@@ -7,11 +7,12 @@
 use std::path::{Path, PathBuf};
 
 use bambooseam_config::{Document, Preset, PresetPointer, Settings, TargetList, VmList};
-use bambooseam_platform::{Document as PlatformDocument, DocumentKind as PlatformKind};
 use bambooseam_types::{Finding, Findings, Location, PresetName, VmId};
 use bambooseam_view::{ViewNumber, ViewSource};
 use derive_more::{Display, FromStr};
 
+use crate::check::check_configuration;
+
 /// Largest document that the platform stores, in bytes.
 const MAX_DOCUMENT_BYTES: usize = 1_000_000;
 
@@ -64,7 +65,15 @@
 
 impl FileKind {
     /// Allowed values, for messages.
-    pub const ALLOWED: &'static str = "settings, preset, pointer, vms, targets or configuration";
+    pub const ALLOWED: &'static str = "settings, preset, pointer, vms, targets or platform-config";
+
+    /// Parses the value of `--kind`. `configuration` is the earlier name of `platform-config`.
+    pub fn from_argument(text: &str) -> Result<Self, &'static str> {
+        match text {
+            "platform-config" => Ok(Self::Configuration),
+            _ => text.parse().map_err(|_| Self::ALLOWED),
+        }
+    }
 
     /// Detects the kind from the file name, or from the section names if the file name is unknown.
     pub fn detect(path: &Path, text: &str) -> Option<Self> {
@@ -81,7 +90,7 @@
             "preset-in-force" => Some(Self::Pointer),
             "vms" => Some(Self::Vms),
             "targets" => Some(Self::Targets),
-            "configuration" => Some(Self::Configuration),
+            "configuration" | "platform-config" => Some(Self::Configuration),
             _ => None,
         }
     }
@@ -140,31 +149,12 @@
             FileKind::Preset => self.parse::<Preset>().err(),
             FileKind::Vms => self.parse::<VmList>().err(),
             FileKind::Targets => self.parse::<TargetList>().err(),
-            FileKind::Configuration => Some(self.check_configuration()),
+            FileKind::Configuration => Some(check_configuration(&self.name, &self.text)),
         };
         findings.append(checked.unwrap_or_default());
         findings
     }
 
-    /// Returns a finding for each part that the entry programs would skip, or one if they would
-    /// reject the whole configuration.
-    fn check_configuration(&self) -> Findings {
-        let mut findings = Findings::new();
-        let allowed = "a configuration in the format of docs/OPERATIONS.md";
-        match PlatformKind::Config.parse(self.text.as_bytes()) {
-            Ok(PlatformDocument::Config(config)) => {
-                for error in config.skipped {
-                    findings.append(single_finding(&self.name, error.to_string(), allowed, ""));
-                }
-            }
-            Ok(PlatformDocument::Target(_)) => {}
-            Err(error) => {
-                findings.append(single_finding(&self.name, error.to_string(), allowed, ""))
-            }
-        }
-        findings
-    }
-
     /// Parses the file as `T`.
     ///
     /// # Errors
