--- a/tests/tests/ctl_platform_check.rs
+++ b/tests/tests/ctl_platform_check.rs
@@ -377,6 +377,10 @@
     assert_eq!(report.outcome(), Outcome::Good);
     let renamed = PRESET.replace("name = ordinary", "name = other");
     let report = compare(FileKind::Preset, PRESET, &renamed);
+    let expected = "preset: name: ordinary -> other; open flows: not affected";
+    assert_eq!(differences(&report), [expected]);
+    let invalid = PRESET.replace("vni = 101", "vni = 0");
+    let report = compare(FileKind::Preset, &invalid, PRESET);
     assert_eq!(
         (report.findings.len(), report.differences.is_none()),
         (1, true)
