--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -209,6 +209,7 @@
                 | SteeringEvent::Recovered(_)
                 | SteeringEvent::Stalled { .. }
                 | SteeringEvent::StallEnded { .. }
+                | SteeringEvent::ColdShare { .. }
                 | SteeringEvent::ZoneUnresponsive { .. }
                 | SteeringEvent::ZoneRecovered(_) => &TARGET_CHANGES,
             };
--- a/tests/tests/entry.rs
+++ b/tests/tests/entry.rs
@@ -527,9 +527,14 @@
     let mut stalled = stalled.expect("a flow of the silent target");
     let error = stalled.request("last", Duration::ZERO, 10, timeout).await;
     feed.abort();
-    let log = running.site.vms[0].log();
-    assert_eq!(error, Err(FlowError::SystemReset), "{log}");
-    assert!(log.contains("cause=target_stalled"), "{log}");
+    let vm = &running.site.vms[0];
+    assert_eq!(error, Err(FlowError::SystemReset), "{}", vm.log());
+    // The program writes its log asynchronously.
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while !vm.log().contains("cause=target_stalled") {
+        assert!(Instant::now() < deadline, "{}", vm.log());
+        pause(50).await;
+    }
     running.check();
 }
 
--- a/tests/tests/evacuation.rs
+++ b/tests/tests/evacuation.rs
@@ -249,6 +249,7 @@
             node: Node::new(Steering::new(SteeringSettings {
                 zone: zone("a"),
                 flow_limit: 1_000,
+                cold_policy: None,
             })),
             opened: 0,
         }
