Learn the speed and the limit of each target from its responses

Targets of one service differ in speed, and some slow down before all slots are in use; published capacities don't show it.

steer::target_speed keeps, for each target, the decaying mean of its response times relative to the usual times of the same route at the same load, with the usual time as prior, and a CUSUM test that discards the history after a change. Requests in progress for three times their expected time count before their response. Not used by steering yet.

--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -9,8 +9,9 @@
 //! Each part of the decision has its own module: [`placement`] selects the target of a new flow,
 //! [`responsiveness`] detects targets that do not answer, [`zone`] detects zones that do not
 //! answer, [`stall`] detects targets that do not acknowledge data, [`timing`] derives timeouts from observed
-//! response times, [`missing_entry`] handles targets whose published entry was removed, and
-//! [`unknown_token`] handles tokens that belong to no known target.
+//! response times, [`target_speed`] learns how fast each target is, [`missing_entry`] handles
+//! targets whose published entry was removed, and [`unknown_token`] handles tokens that belong to no
+//! known target.
 
 mod decision;
 mod event;
@@ -25,6 +26,7 @@
 pub mod stall;
 mod steering;
 mod target;
+pub mod target_speed;
 mod target_table;
 pub mod timing;
 pub mod unknown_token;
--- /dev/null
+++ b/tests/tests/target_speed.rs
@@ -0,0 +1,209 @@
+//! Response times and limits of targets, learned from responses.
+
+use std::time::Duration;
+
+use bambooseam_steer::target_speed::usual::{Level, Plausibility, UsualTimes};
+use bambooseam_steer::target_speed::{Outcome, TargetSpeed};
+use bambooseam_tests::steering::at;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Mean time of a request in the estimator's tests.
+const WORK_MS: f64 = 40.0;
+
+/// Draws a factor with mean 1 and standard deviation one half.
+fn noise(rng: &mut StdRng) -> f64 {
+    let sigma = 1.25_f64.ln().sqrt();
+    let (first, second): (f64, f64) = (rng.random_range(1e-9..1.0), rng.random());
+    let normal = (-2.0 * first.ln()).sqrt() * (std::f64::consts::TAU * second).cos();
+    (sigma * normal - sigma * sigma / 2.0).exp()
+}
+
+/// Returns usual times of a service whose requests take [`WORK_MS`].
+fn usual() -> UsualTimes {
+    let mut usual = UsualTimes::default();
+    for _ in 0..64 {
+        for level in Level::ALL {
+            usual.record(Duration::from_millis(WORK_MS as u64), 500, level);
+        }
+    }
+    usual
+}
+
+/// Replays 10 requests per second at one target until `until`; a request takes [`WORK_MS`] times
+/// noise times the slowness at its start. Calls `check` before each request.
+fn replay(
+    speed: &mut TargetSpeed,
+    seed: u64,
+    until: u64,
+    slowness: impl Fn(u64) -> f64,
+    mut check: impl FnMut(u64, u32),
+) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let usual = usual();
+    let mut running: Vec<(u64, u64)> = Vec::new();
+    for time in 0..until {
+        running.retain(|&(started, ends)| {
+            if ends == time {
+                speed.end(at(started), Outcome::Answered, at(time));
+            }
+            ends != time
+        });
+        if time % 500 == 0 {
+            speed.refresh(2, Some(&usual), 10.0, at(time));
+        }
+        if time % 100 == 0 {
+            check(time, speed.percent(0, at(time)));
+            speed.begin(0, Some(&usual), at(time));
+            let duration = WORK_MS * noise(&mut rng) * slowness(time);
+            running.push((time, time + (duration as u64).max(1)));
+        }
+    }
+}
+
+/// Guards against noise that moves load between equal targets.
+#[test]
+fn noise_of_an_average_target_leaves_it_average() {
+    let (mut checks, mut average) = (0, 0);
+    for seed in 0..20 {
+        let mut speed = TargetSpeed::new(2);
+        let check = |_, percent| {
+            checks += 1;
+            average += u32::from(percent == 100);
+        };
+        replay(&mut speed, seed, 60_000, |_| 1.0, check);
+    }
+    assert!(
+        average * 100 >= checks * 97,
+        "average in {average} of {checks} checks"
+    );
+}
+
+/// Guards against a few responses that make a target slow or fast: one VM of many sees no more.
+#[test]
+fn a_few_responses_change_nothing() {
+    for ratio in [0.25, 0.5, 1.5, 2.0] {
+        let mut speed = TargetSpeed::new(2);
+        for number in 0..3 {
+            speed.record(ratio, Level::Full, at(number * 1_000));
+            assert_eq!(speed.percent(0, at(number * 1_000)), 100, "ratio {ratio}");
+        }
+    }
+}
+
+/// Guards against a slow target that keeps its share, and a fast one that does not get it back.
+#[test]
+fn slow_target_is_found_within_a_second_and_fast_again_within_two() {
+    let (mut checks, mut relapses) = (0, 0);
+    for (seed, slowness) in (0..30).flat_map(|seed| [5.0, 12.0, 30.0].map(|s| (seed, s))) {
+        let mut speed = TargetSpeed::new(2);
+        let slowness_at = |time| match (10_000..20_000).contains(&time) {
+            true => slowness,
+            false => 1.0,
+        };
+        let (mut slow, mut fast) = (None, None);
+        replay(&mut speed, seed, 23_000, slowness_at, |time, percent| {
+            // An idle target of 150 costs as much as a usual one with one request more.
+            if percent >= 150 && time > 10_000 {
+                slow = slow.or(Some(time - 10_000));
+            }
+            if percent == 100 && time > 20_000 {
+                fast = fast.or(Some(time - 20_000));
+            }
+            if time >= 22_000 {
+                checks += 1;
+                relapses += u32::from(percent >= 150);
+            }
+        });
+        assert!(
+            slow.is_some_and(|slow| slow <= 1_000),
+            "slowness {slowness}, seed {seed}: found after {slow:?}"
+        );
+        assert!(
+            fast.is_some_and(|fast| fast <= 2_000),
+            "slowness {slowness}, seed {seed}: fast again after {fast:?}"
+        );
+    }
+    // The same share of noise as at a target that was never slow.
+    assert!(
+        relapses * 100 <= checks * 3,
+        "slow again in {relapses} of {checks} checks"
+    );
+}
+
+/// Guards against long work that makes its target slow while later requests have responses.
+#[test]
+fn long_request_is_no_evidence_once_later_requests_have_responses() {
+    let usual = usual();
+    let mut speed = TargetSpeed::new(2);
+    speed.begin(0, Some(&usual), at(0));
+    assert!(speed.percent(0, at(400)) > 100, "no other request is known");
+    for number in 0..2 {
+        let begun = at(400 + number * 50);
+        speed.begin(1, Some(&usual), begun);
+        speed.end(begun, Outcome::Answered, at(440 + number * 50));
+    }
+    assert_eq!(speed.percent(0, at(500)), 100);
+}
+
+/// Guards against a slow target that is never sent a request again, and against many VMs that each
+/// probe it as often as one would.
+#[test]
+fn slow_target_takes_one_request_in_each_probe_interval() {
+    for (rate, interval) in [(10.0, 1_500), (1.0, 8_000)] {
+        let mut speed = TargetSpeed::new(2);
+        speed.refresh(2, Some(&usual()), rate, at(0));
+        for number in 0..8 {
+            speed.record(12.0, Level::Full, at(number));
+        }
+        speed.record_opening(at(10));
+        assert!(speed.percent(0, at(10 + interval - 1)) > 400);
+        assert_eq!(speed.percent(0, at(10 + interval)), 100);
+        speed.record_opening(at(10 + interval));
+        assert!(speed.percent(0, at(10 + interval + 1)) > 400);
+    }
+}
+
+/// Guards against a target that looks fast because it refuses.
+#[test]
+fn refusals_do_not_make_a_target_fast() {
+    let usual = usual();
+    let judge =
+        |millis, length| usual.plausibility(Duration::from_millis(millis), length, Level::Full);
+    assert_eq!(judge(40, 500), Plausibility::Usual);
+    assert_eq!(judge(20, 300), Plausibility::Usual);
+    assert_eq!(judge(3, 500), Plausibility::Doubtful);
+    assert_eq!(judge(40, 60), Plausibility::Doubtful);
+    assert_eq!(judge(3, 60), Plausibility::Refusal);
+    let mut speed = TargetSpeed::new(2);
+    for number in 0..100 {
+        let begun = at(number * 100);
+        speed.begin(0, Some(&usual), begun);
+        speed.end(begun, Outcome::Refused, at(number * 100 + 3));
+        assert!(speed.percent(0, at(number * 100 + 4)) >= 100);
+    }
+}
+
+/// Guards against limits below what a target can process, and above what it processes well.
+#[test]
+fn limit_follows_the_throughput() {
+    let usual = usual();
+    let learned = |capacity, half: f32, full: f32| {
+        let mut speed = TargetSpeed::new(capacity);
+        for number in 0..100 {
+            speed.record(half, Level::Half, at(number * 100));
+            speed.record(full, Level::Full, at(number * 100));
+        }
+        speed.refresh(capacity, Some(&usual), 10.0, at(10_000));
+        speed
+    };
+    assert_eq!(TargetSpeed::new(8).limit(), 9);
+    assert_eq!(learned(8, 1.0, 1.0).limit(), 9);
+    assert_eq!(learned(8, 1.0, 2.2).limit(), 4, "doubles beyond half");
+    assert_eq!(learned(2, 1.0, 2.2).limit(), 1);
+    assert_eq!(learned(2, 3.3, 3.3).limit(), 3, "slow, but all slots work");
+    assert_eq!(learned(2, 12.0, 12.0).limit(), 1);
+    assert_eq!(learned(1, 30.0, 30.0).limit(), 1);
+    let expected = learned(2, 12.0, 12.0).expected(0).expect("a time");
+    assert!((400..=500).contains(&expected.as_millis()), "{expected:?}");
+}
