Place new flows by expected response times, and publish the limits of targets

Counts of requests alone send a slow target as much as the others until its requests pile up, and one VM of many does not see them pile up.

Placement adds to the cost of a target the difference between its expected response time and that of a usual target with as many requests in progress; the difference is 0 for a target that may be usual, so decisions among equal targets are those of before. Steering measures from the first data of a request to the first progress of its response, by frontend and service. Responses after a pause of the process, after two retransmissions, or from a cold target don't count; responses that are much faster or shorter than usual don't make a target fast. Setting [entry] target-speed, on by default; log line target_limit (10 a second at most), gauges target_expected_seconds, target_limit and targets_limited by service.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -124,6 +124,8 @@
     pub stop_time: Duration,
     /// Most flows in the table.
     pub flow_limit: u64,
+    /// Whether placement follows the learned speeds of targets.
+    pub target_speed: bool,
 }
 
 /// Section `[log]`.
--- a/crates/config/src/settings/read.rs
+++ b/crates/config/src/settings/read.rs
@@ -234,6 +234,7 @@
     );
     let stop_time = section.duration_within("stop-time", DEFAULT_STOP_TIME, STOP_TIMES, findings);
     let flow_limit = section.within("flow-limit", DEFAULT_FLOW_LIMIT, 1..=100_000_000, findings);
+    let target_speed = read_switch(&mut section, "target-speed", true, findings);
     section.report_unknown_keys(findings);
     Some(EntrySettings {
         listen: listen?,
@@ -243,9 +244,27 @@
         seeds,
         stop_time,
         flow_limit,
+        target_speed,
     })
 }
 
+/// Reads a key that is `on` or `off`; returns `default` when the key is absent.
+fn read_switch(
+    section: &mut Section<'_>,
+    key: &'static str,
+    default: bool,
+    findings: &mut Findings,
+) -> bool {
+    let Some(value) = section.optional::<String>(key, findings) else {
+        return default;
+    };
+    if !["on", "off"].contains(&value.as_str()) {
+        let finding = Finding::new(section.location(key), format!("{value:?}"), "on or off");
+        findings.push(finding);
+    }
+    value == "on"
+}
+
 /// Reads `[log]`.
 pub(super) fn read_log(section: &mut Section<'_>, findings: &mut Findings) -> LogSettings {
     let level = section.or("level", "info".to_owned(), findings);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -27,6 +27,9 @@
 /// Limits log lines about changes of targets, which are frequent while a fleet is replaced.
 static TARGET_CHANGES: LogLimit = LogLimit::new("target_changes", 50);
 
+/// Limits log lines about limits of targets, apart from those about failures of targets.
+static LIMIT_CHANGES: LogLimit = LogLimit::new("limit_changes", 10);
+
 /// Time after a failed store call for which the store counts as unavailable. The value covers the
 /// next call with its timeout, and the maximum backoff between the calls.
 const STORE_OUTAGE_TIME: Duration = Duration::from_millis(2_000);
@@ -182,6 +185,7 @@
             }
             let limit = match event {
                 SteeringEvent::TimedOut { .. } => &UNANSWERED,
+                SteeringEvent::LimitChanged { .. } => &LIMIT_CHANGES,
                 SteeringEvent::Ended(_)
                 | SteeringEvent::Unresponsive { .. }
                 | SteeringEvent::Recovered(_)
@@ -196,6 +200,20 @@
         }
     }
 
+    /// Publishes expected response times and limits of targets by service.
+    pub fn publish_speeds(&self) {
+        for (service, summary) in self.steering.speed_summaries() {
+            for (at, of) in ["min", "median", "max"].into_iter().enumerate() {
+                let labels = [("service", service.to_string()), ("of", of.to_owned())];
+                metrics::gauge!("target_expected_seconds", &labels)
+                    .set(summary.expected[at].as_secs_f64());
+                metrics::gauge!("target_limit", &labels).set(f64::from(summary.limit[at]));
+            }
+            metrics::gauge!("targets_limited", "service" => service.to_string())
+                .set(summary.limited as f64);
+        }
+    }
+
     /// Ends readiness permanently, because a planned stop has begun.
     pub fn stop(&mut self) {
         self.is_stopping = true;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -85,6 +85,7 @@
     let steering = Steering::new(SteeringSettings {
         zone: settings.vm.zone.clone(),
         flow_limit: usize::try_from(entry.flow_limit).unwrap_or(usize::MAX),
+        target_speed: entry.target_speed,
     });
     let node = Rc::new(RefCell::new(Node::new(steering)));
     let own = PeerInfo {
@@ -156,6 +157,7 @@
         let mut node = node.borrow_mut();
         let now = BootClock.now();
         node.sweep(now);
+        node.publish_speeds();
         if let Some(age) = node.age(now) {
             metrics::histogram!("view_age_seconds").record(age.as_secs_f64());
         }
--- a/crates/measure/src/entry.rs
+++ b/crates/measure/src/entry.rs
@@ -237,6 +237,7 @@
         let mut node = Node::new(Steering::new(SteeringSettings {
             zone: "a".parse().map_err(io::Error::other)?,
             flow_limit: FLOW_LIMIT,
+            target_speed: true,
         }));
         let now = BootClock.now();
         node.apply(documents(target), now, now, Source::Store);
--- a/crates/steer/benches/steering.rs
+++ b/crates/steer/benches/steering.rs
@@ -16,6 +16,8 @@
 const SIZES: [u32; 3] = [18, 150, 4_600];
 /// Number of targets per service, as in the deployments.
 const TARGETS_PER_SERVICE: u32 = 8;
+/// Numbers of targets of a single service among which an opening packet is placed.
+const SERVICE_SIZES: [u32; 2] = [30, 120];
 /// Number of flows in the table: the share of one VM at the intended fleet size.
 const FLOWS: u32 = 8_192;
 
@@ -27,14 +29,12 @@
     SocketAddrV4::new(Ipv4Addr::from(0xc612_0000 + number), 443)
 }
 
-fn target(number: u32) -> Target {
+fn target(number: u32, per_service: u32) -> Target {
     Target {
         id: format!("i-{number:08x}").parse().expect("an id"),
         label: TargetLabel::new(u64::from(number) + 1).expect("a label"),
         start: Incarnation::from(1_790_000_000_000),
-        service: service(number / TARGETS_PER_SERVICE)
-            .parse()
-            .expect("a name"),
+        service: service(number / per_service).parse().expect("a name"),
         address: SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + number), 8_080),
         zone: format!("zone-{}", number % 6).parse().expect("a name"),
         capacity: 2,
@@ -43,12 +43,13 @@
     }
 }
 
-fn steering(targets: u32) -> Steering {
+fn steering(targets: u32, per_service: u32) -> Steering {
     let mut steering = Steering::new(SteeringSettings {
         zone: "zone-0".parse().expect("a name"),
         flow_limit: FLOWS as usize,
+        target_speed: true,
     });
-    let routes = (0..targets.div_ceil(TARGETS_PER_SERVICE)).map(|number| Route {
+    let routes = (0..targets.div_ceil(per_service)).map(|number| Route {
         frontend: frontend(number),
         shares: vec![Share {
             service: service(number).parse().expect("a name"),
@@ -58,7 +59,7 @@
     });
     steering.set_routes(Routes::new(routes.collect(), None));
     for number in 0..targets {
-        steering.put_target(target(number), Moment::from_millis(0));
+        steering.put_target(target(number, per_service), Moment::from_millis(0));
     }
     steering.record_sync(Moment::from_millis(1));
     steering
@@ -85,7 +86,7 @@
 fn packets(criterion: &mut Criterion) {
     let now = Moment::from_millis(1_000);
     for targets in SIZES {
-        let mut steering = steering(targets);
+        let mut steering = steering(targets, TARGETS_PER_SERVICE);
         let mut caller = 0;
         let mut tokens = Vec::new();
         for _ in 0..FLOWS {
@@ -119,8 +120,25 @@
     }
 }
 
+/// Time of the placement of a new flow.
+fn placements(criterion: &mut Criterion) {
+    let now = Moment::from_millis(1_000);
+    for targets in SERVICE_SIZES {
+        let mut steering = steering(targets, targets);
+        let mut caller = 0;
+        criterion.bench_function(&format!("placement_{targets}"), |bencher| {
+            bencher.iter(|| {
+                // The table is full after a while, so that each opening is placed anew.
+                caller += 1;
+                steering.decide(black_box(&header(caller, frontend(0), None)), now)
+            });
+        });
+    }
+}
+
 fn main() {
     let mut criterion = Criterion::default().configure_from_args();
     packets(&mut criterion);
+    placements(&mut criterion);
     criterion.final_summary();
 }
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -62,6 +62,28 @@
     /// A target of an unresponsive zone answers.
     #[display("event=zone_trusted zone={_0}")]
     ZoneRecovered(ZoneId),
+    /// The number of requests that a target handles well has changed.
+    #[display(
+        "event=target_limit target={target} limit={limit} before={before} capacity={capacity} \
+         factor_percent={factor_percent} responses={responses} expected_ms={}",
+        expected.as_millis()
+    )]
+    LimitChanged {
+        /// The target.
+        target: TargetId,
+        /// The new limit.
+        limit: u32,
+        /// The limit before.
+        before: u32,
+        /// Published capacity.
+        capacity: u32,
+        /// Response times in percent of the service's usual times.
+        factor_percent: u32,
+        /// Weight of the responses that the limit is based on.
+        responses: u32,
+        /// Expected response time of the next request at an idle target.
+        expected: Duration,
+    },
     /// A request had no response within the request timeout of its route.
     #[display(
         "event=request_unanswered flow={flow} token={token} waited_ms={}",
--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -40,8 +40,10 @@
     next_seq: u32,
     /// Sequence number of the next byte that the caller expects.
     acked: u32,
-    /// When the request in progress began.
+    /// When the request in progress began, or the opening before it.
     busy_since: Option<Moment>,
+    /// When the first data of the request in progress was sent.
+    request_since: Option<Moment>,
     /// Retransmissions of the last data.
     retransmissions: Retransmissions,
     /// Longest time that a request may take, from the route.
@@ -74,6 +76,14 @@
     pub answered: Option<Moment>,
     /// Number of times that the caller retransmitted that packet before the answer.
     pub repeats: u32,
+    /// Whether the packet has the first data of a request.
+    pub begins_request: bool,
+    /// When the first data of the request was sent whose response the packet shows.
+    pub answered_request: Option<Moment>,
+    /// Bytes that the caller has received of that response.
+    pub response_len: u32,
+    /// When the first data of the request was sent that the caller gives up with the packet.
+    pub abandoned_request: Option<Moment>,
     /// Time from the request to the start of its response, if a response began.
     pub response_time: Option<Duration>,
     /// A request or opening was in progress before the packet.
@@ -97,6 +107,8 @@
     pub token: Token,
     /// When the request or opening in progress began.
     pub busy_since: Option<Moment>,
+    /// When the first data of the request in progress was sent.
+    pub request_since: Option<Moment>,
     /// Whether the flow was already counted as ended.
     pub was_ended: bool,
     /// Whether the flow was removed; otherwise only its request was abandoned.
@@ -220,6 +232,8 @@
                 signals.repeats = u32::from(state.is_repeated);
             }
             Phase::Open if is_after(header.ack, state.acked) => {
+                signals.response_len = header.ack.wrapping_sub(state.acked);
+                signals.answered_request = state.request_since.take();
                 state.acked = header.ack;
                 signals.repeats = state.retransmissions.count();
                 state.retransmissions.record_progress();
@@ -234,6 +248,8 @@
                 state.next_seq = end;
                 signals.has_request = true;
                 state.busy_since.get_or_insert(now);
+                signals.begins_request = state.request_since.is_none();
+                state.request_since.get_or_insert(now);
                 state.retransmissions.record_data(now);
             } else if state.retransmissions.record_repeated(now) {
                 signals.retransmissions = Some(state.retransmissions);
@@ -242,6 +258,7 @@
         if (header.flags.fin || header.flags.rst) && state.phase == Phase::Open {
             state.phase = Phase::Ended;
             signals.is_ended = true;
+            signals.abandoned_request = state.request_since.take();
             state.busy_since = None;
         }
         signals.is_busy = state.busy_since.is_some();
@@ -279,6 +296,7 @@
             {
                 release(flow, state.released(false));
                 state.busy_since = None;
+                state.request_since = None;
             }
             true
         });
@@ -300,6 +318,7 @@
             next_seq: header.seq,
             acked: header.ack,
             busy_since: None,
+            request_since: None,
             retransmissions: Retransmissions::default(),
             timeout,
             is_repeated: false,
@@ -313,6 +332,7 @@
             target: self.target,
             token: self.token,
             busy_since: self.busy_since,
+            request_since: self.request_since,
             was_ended: self.phase == Phase::Ended,
             is_removed,
         }
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -7,7 +7,9 @@
 //! without communication with other VMs.
 //!
 //! The target with the fewest requests in progress per slot is selected; among equal targets, the
-//! target with the fewest flows. Targets in the zone of this VM are preferred until their cost
+//! target with the fewest flows. At a target that is known to be slower or faster than usual, the
+//! difference between its expected response time and that of a usual target with as many requests
+//! in progress is added ([`target_speed`](crate::target_speed)). Targets in the zone of this VM are preferred until their cost
 //! exceeds that of a remote target by `REMOTE_COST`: a zone that is cut off then keeps its flows,
 //! and the load that other VMs place on a remote target is not visible to this VM. Unresponsive
 //! targets are selected last, so that a service with at least one target always has a candidate.
@@ -36,6 +38,9 @@
     pub in_progress: u32,
     /// Number of requests that the target processes at a time.
     pub capacity: u32,
+    /// Expected response time of the next request, in percent of that of a usual target of the
+    /// service with as many requests in progress.
+    pub expected_percent: u32,
     /// Cost of a request while the target is slow after its start, in percent of the usual cost.
     pub cold_percent: u64,
     /// Whether the target is in the zone of this VM.
@@ -45,7 +50,7 @@
 }
 
 /// Sort key of a candidate: unresponsiveness, cost, flows, and a hash that differs between flows.
-type Rank = (bool, u64, u64, u64);
+type Rank = (bool, i64, u64, u64);
 
 /// Selects the target of a new flow. The hash `tie` spreads flows over targets that are otherwise
 /// equal. Returns `None` only if there are no candidates.
@@ -79,7 +84,12 @@
         true => 0,
         false => REMOTE_COST,
     };
-    let cost = busy * REQUEST_COST * percent / 100 / capacity + remote;
+    let usual_cost = busy * REQUEST_COST * percent / 100 / capacity + remote;
+    // A request waits while more requests than slots are in progress, and never takes less time
+    // than the target needs for it.
+    let response_cost = (busy * REQUEST_COST / capacity).max(REQUEST_COST) as i64;
+    let difference = i64::from(candidate.expected_percent) - 100;
+    let cost = usual_cost as i64 + response_cost * difference / 100;
     let flows = u64::from(load.flows) * REQUEST_COST / capacity;
     let spread = (tie ^ u64::from(candidate.target.get())).wrapping_mul(0x9E37_79B9_7F4A_7C15);
     (candidate.is_unresponsive, cost, flows, spread)
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -6,6 +6,7 @@
 
 mod opening;
 mod signals;
+mod speed;
 mod stalled;
 mod update;
 
@@ -16,6 +17,8 @@
 
 use self::opening::{Selector, select};
 use self::signals::apply_signals;
+pub use self::speed::SpeedSummary;
+use self::speed::Speeds;
 use crate::flows::Flows;
 use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
 use crate::path::PathRecord;
@@ -46,6 +49,8 @@
     pub zone: ZoneId,
     /// Largest number of flows in the flow table.
     pub flow_limit: usize,
+    /// Whether placement follows the learned speeds of targets.
+    pub target_speed: bool,
 }
 
 /// How current the view is.
@@ -78,6 +83,7 @@
     zones: UnresponsiveZones,
     paths: PathRecord,
     timings: ServiceTimings,
+    speeds: Speeds,
     /// End of the time in which large transfers may have filled the link of this VM.
     quiet_since: Moment,
 }
@@ -115,6 +121,7 @@
             zones: UnresponsiveZones::default(),
             paths: PathRecord::default(),
             timings: ServiceTimings::default(),
+            speeds: Speeds::default(),
             quiet_since: Moment::default(),
         }
     }
@@ -141,6 +148,7 @@
 
     /// Decides whether a packet is forwarded, reset or dropped.
     pub fn decide(&mut self, header: &PacketHeader, now: Moment) -> Decision {
+        self.detect_pause(now);
         if header.is_forged() {
             return Decision::Drop(DropCause::Forged);
         }
@@ -189,6 +197,7 @@
             targets: &self.targets,
             zones: &self.zones,
             timings: &self.timings,
+            uses_speed: self.settings.target_speed,
             zone: &self.settings.zone,
             service,
             key,
@@ -202,6 +211,7 @@
             return reject(ResetCause::NoTarget, is_settled);
         };
         record.load.responsiveness.record_opening(now);
+        record.speed.record_opening(now);
         self.zones.record_opening(&record.target.zone, now);
         if earlier.is_none() {
             self.paths.record_sent(&record.target.zone, now);
@@ -247,9 +257,10 @@
         self.report_stall_end(index, signals);
         apply_signals(&mut self.targets, index, signals, now);
         if self.is_stalled(header, index, signals, now) {
-            self.reset_stalled(header);
+            self.reset_stalled(header, now);
             return Decision::Reset(ResetCause::TargetStalled);
         }
+        self.observe_speed(index, frontend, signals, now);
         self.observe(index, signals, now);
         let Some(record) = self.targets.get(index) else {
             return Decision::Drop(DropCause::TokenNotKnownYet);
--- a/crates/steer/src/steering/opening.rs
+++ b/crates/steer/src/steering/opening.rs
@@ -14,6 +14,8 @@
     pub targets: &'a TargetTable,
     pub zones: &'a UnresponsiveZones,
     pub timings: &'a ServiceTimings,
+    /// Whether learned speeds count.
+    pub uses_speed: bool,
     /// Zone of this VM.
     pub zone: &'a ZoneId,
     /// Service of the flow.
@@ -40,6 +42,7 @@
             target,
             load: &record.load,
             in_progress: record.load.busy,
+            expected_percent: self.expected_percent(record),
             capacity: record.target.capacity,
             cold_percent,
             is_local: record.target.zone == *self.zone,
@@ -48,6 +51,13 @@
         place(candidates, self.key.get(), self.now)
     }
 
+    fn expected_percent(&self, record: &TargetRecord) -> u32 {
+        match self.uses_speed {
+            true => record.speed.percent(record.load.busy, self.now),
+            false => 100,
+        }
+    }
+
     fn is_unresponsive(&self, record: &TargetRecord) -> bool {
         let zone = &record.target.zone;
         record.load.responsiveness.is_unresponsive(self.now)
--- a/crates/steer/src/steering/signals.rs
+++ b/crates/steer/src/steering/signals.rs
@@ -4,6 +4,7 @@
 
 use super::{MAX_RESPONSE_TIMES, Steering};
 use crate::flows::{Released, Signals};
+use crate::target_speed::Outcome;
 use crate::target_table::{TargetIndex, TargetTable};
 use crate::timing::Response;
 
@@ -45,7 +46,7 @@
     now: Moment,
 ) {
     if let Some(replaced) = signals.replaced {
-        release(targets, replaced);
+        release(targets, replaced, now);
     }
     let Some(record) = targets.get_mut(index) else {
         return;
@@ -69,13 +70,16 @@
 }
 
 /// Subtracts the load of a removed flow or an abandoned request from its target.
-pub(super) fn release(targets: &mut TargetTable, released: Released) {
+pub(super) fn release(targets: &mut TargetTable, released: Released, now: Moment) {
     let Some(record) = targets.get_mut(released.target) else {
         return;
     };
     if record.token != released.token {
         return;
     }
+    if let Some(started) = released.request_since {
+        record.speed.end(started, Outcome::Abandoned, now);
+    }
     if released.busy_since.is_some() {
         record.load.busy = record.load.busy.saturating_sub(1);
     }
--- a/crates/steer/src/steering/stalled.rs
+++ b/crates/steer/src/steering/stalled.rs
@@ -36,9 +36,9 @@
     }
 
     /// Forgets a flow that is reset.
-    pub(super) fn reset_stalled(&mut self, header: &PacketHeader) {
+    pub(super) fn reset_stalled(&mut self, header: &PacketHeader, now: Moment) {
         if let Some(released) = self.flows.remove(&header.flow) {
-            release(&mut self.targets, released);
+            release(&mut self.targets, released, now);
         }
     }
 
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -135,6 +135,7 @@
 
     /// Removes expired flows, tokens and targets. Returns the events since the last sweep.
     pub fn sweep(&mut self, now: Moment) -> Vec<SteeringEvent> {
+        self.detect_pause(now);
         let mut events = std::mem::take(&mut self.events);
         let idle_time = self.routes.as_ref().and_then(|routes| routes.idle_time);
         let targets = &mut self.targets;
@@ -149,13 +150,14 @@
                         waited: now.since(busy),
                     });
                 }
-                release(targets, released);
+                release(targets, released, now);
             },
         );
         let targets = &self.targets;
         self.unknown_tokens
             .sweep(now, |token| targets.with_token(token).next().is_some());
         events.extend(self.targets.update_responsiveness(now));
+        events.extend(self.refresh_speeds(now));
         let local_zone = &self.settings.zone;
         let records = self.targets.iter().map(|(_, record)| record);
         let remote = records.filter(|record| record.target.zone != *local_zone);
--- a/crates/steer/src/target_speed.rs
+++ b/crates/steer/src/target_speed.rs
@@ -198,6 +198,16 @@
         }
     }
 
+    /// Load when the request began that is in progress since `started`; `None` if it is not tracked.
+    pub fn level_of(&self, started: Moment) -> Option<Level> {
+        self.pending.find(started).map(|request| request.level)
+    }
+
+    /// Whether the target was sent a request or an opening within `time`.
+    pub fn is_in_use(&self, now: Moment, time: Duration) -> bool {
+        self.last_sent.is_some_and(|sent| now.since(sent) <= time)
+    }
+
     /// Forgets the requests in progress: this process was paused, so that their times do not count.
     pub fn forget_pending(&mut self) {
         self.pending = Pending::default();
--- a/crates/steer/src/target_speed/pending.rs
+++ b/crates/steer/src/target_speed/pending.rs
@@ -79,6 +79,12 @@
         }
     }
 
+    /// The request that began at `started`.
+    pub fn find(&self, started: Moment) -> Option<&PendingRequest> {
+        let mut requests = self.requests.iter().flatten();
+        requests.find(|request| request.started == started)
+    }
+
     /// Removes the request that began at `started`.
     pub fn end(&mut self, started: Moment) -> Option<PendingRequest> {
         let is_same = |slot: &&mut Option<PendingRequest>| {
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -9,6 +9,7 @@
 
 use crate::load::Load;
 use crate::missing_entry::status_after_retention;
+use crate::target_speed::TargetSpeed;
 use crate::{SteeringEvent, Target};
 
 /// Largest number of remembered tokens of ended targets. Flows of such a target are reset without
@@ -63,6 +64,8 @@
     pub status: EntryStatus,
     /// Load observed from packets.
     pub load: Load,
+    /// Speed learned from response times.
+    pub speed: TargetSpeed,
     /// Whether a target of the same service that started earlier has the same token.
     is_shadowed: bool,
 }
@@ -227,6 +230,32 @@
         indexes.filter_map(|index| Some((index, self.get(index)?)))
     }
 
+    /// All services with the indexes of their targets.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &[TargetIndex])> {
+        let services = self.services.iter();
+        services.map(|(service, indexes)| (service, indexes.as_slice()))
+    }
+
+    /// Calls `change` for each target.
+    pub fn for_each_mut(&mut self, change: impl FnMut(&mut TargetRecord)) {
+        self.records.iter_mut().flatten().for_each(change);
+    }
+
+    /// Calls `change` for each service with all of its targets.
+    pub fn for_each_service_mut(
+        &mut self,
+        mut change: impl FnMut(&ServiceName, &mut [&mut TargetRecord]),
+    ) {
+        let mut records: Vec<_> = self.records.iter_mut().map(Option::as_mut).collect();
+        for (service, indexes) in &self.services {
+            let taken = indexes
+                .iter()
+                .filter_map(|index| records.get_mut(index.0 as usize)?.take());
+            let mut taken: Vec<_> = taken.collect();
+            change(service, &mut taken);
+        }
+    }
+
     /// Whether a token belongs to a target that has ended.
     pub fn is_ended(&self, token: Token) -> bool {
         self.ended
@@ -306,6 +335,7 @@
         let mut load = Load::default();
         load.set_cold_time(now, target.cold_time);
         self.records[index.0 as usize] = Some(TargetRecord {
+            speed: TargetSpeed::new(target.capacity),
             target,
             token,
             status: EntryStatus::Published,
--- a/tests/src/steering.rs
+++ b/tests/src/steering.rs
@@ -58,6 +58,7 @@
     let mut steering = Steering::new(SteeringSettings {
         zone: "a".parse().expect("a zone"),
         flow_limit: 1_000,
+        target_speed: true,
     });
     steering.set_routes(routes());
     for target in targets {
--- a/tests/tests/config.rs
+++ b/tests/tests/config.rs
@@ -69,6 +69,31 @@
     assert!(report.contains("did you mean platform?"), "{report}");
 }
 
+#[test]
+fn learned_speeds_are_on_unless_switched_off() {
+    let read = |line: &str| {
+        let text = format!(
+            "[vm]\nid = vm-1\nzone = north\naddress = 127.0.0.1\n[platform]\n\
+             addresses = 127.0.0.1:1\n[entry]\nlisten = 127.0.0.1:2\nready = 127.0.0.1:3\n\
+             peer = 127.0.0.1:4\n{line}"
+        );
+        let document = Document::parse("vm.ini", &text).expect("valid INI");
+        Settings::try_from(&document)
+    };
+    for (line, is_on) in [
+        ("", true),
+        ("target-speed = on", true),
+        ("target-speed = off", false),
+    ] {
+        let settings = read(line).expect("valid settings");
+        assert_eq!(settings.entry.map(|entry| entry.target_speed), Some(is_on));
+    }
+    let report = read("target-speed = yes")
+        .expect_err("not a switch")
+        .to_string();
+    assert!(report.contains("on or off"), "{report}");
+}
+
 #[test]
 fn view_is_refused_when_the_digest_differs() {
     let pointer = PresetPointer {
--- a/tests/tests/docs.rs
+++ b/tests/tests/docs.rs
@@ -7,7 +7,7 @@
 use bambooseam_config::{Document, Settings};
 
 /// Keys of settings and documents.
-const KEYS: [&str; 53] = [
+const KEYS: [&str; 54] = [
     "id",
     "zone",
     "address",
@@ -61,6 +61,7 @@
     "peer",
     "seeds",
     "stop-time",
+    "target-speed",
 ];
 
 fn root() -> PathBuf {
--- a/tests/tests/fleet_start.rs
+++ b/tests/tests/fleet_start.rs
@@ -392,6 +392,7 @@
     let steering = Steering::new(SteeringSettings {
         zone: vm(0).zone,
         flow_limit: 16,
+        target_speed: true,
     });
     let node = Rc::new(RefCell::new(Node::new(steering)));
     let peers = Rc::new(RefCell::new(Peers::new(vm(0), &[])));
--- a/tests/tests/node.rs
+++ b/tests/tests/node.rs
@@ -12,6 +12,7 @@
     Node::new(Steering::new(SteeringSettings {
         zone: "a".parse().expect("a zone"),
         flow_limit: 1_000,
+        target_speed: true,
     }))
 }
 
--- a/tests/tests/target_speed.rs
+++ b/tests/tests/target_speed.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
+use bambooseam_steer::placement::{Candidate, place};
 use bambooseam_steer::target_speed::usual::{Level, Plausibility, UsualTimes};
 use bambooseam_steer::target_speed::{Outcome, TargetSpeed};
-use bambooseam_tests::steering::at;
+use bambooseam_steer::{Load, Steering, SteeringSettings, Target, TargetIndex};
+use bambooseam_tests::steering::*;
+use bambooseam_types::{Moment, Token};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -207,3 +210,166 @@
     let expected = learned(2, 12.0, 12.0).expected(0).expect("a time");
     assert!((400..=500).contains(&expected.as_millis()), "{expected:?}");
 }
+
+/// Sort key of a candidate before speeds were learned: requests and flows per slot.
+fn count_rank(candidate: &Candidate<'_>, tie: u64, now: Moment) -> (bool, u64, u64, u64) {
+    let capacity = u64::from(candidate.capacity.max(1));
+    let percent = match candidate.load.is_cold(now) {
+        true => candidate.cold_percent,
+        false => 100,
+    };
+    let busy = u64::from(candidate.in_progress) + 1;
+    let remote = if candidate.is_local { 0 } else { 1_500 };
+    (
+        candidate.is_unresponsive,
+        busy * 1_000 * percent / 100 / capacity + remote,
+        u64::from(candidate.load.flows) * 1_000 / capacity,
+        (tie ^ u64::from(candidate.target.get())).wrapping_mul(0x9E37_79B9_7F4A_7C15),
+    )
+}
+
+/// Guards against learned speeds that change the placement at equal targets.
+#[test]
+fn equal_targets_are_placed_by_counts_as_before() {
+    let targets = steering((1..=40).map(target));
+    let indexes: Vec<TargetIndex> = targets.targets().iter().map(|(index, _)| index).collect();
+    let mut rng = StdRng::seed_from_u64(11);
+    let now = at(1_000);
+    for _ in 0..20_000 {
+        let count = rng.random_range(1..=indexes.len());
+        let cold_percent = rng.random_range(100..=400);
+        let loads: Vec<Load> = (0..count)
+            .map(|_| Load {
+                flows: rng.random_range(0..6),
+                cold_until: rng.random_bool(0.2).then_some(at(2_000)),
+                ..Load::default()
+            })
+            .collect();
+        let candidates: Vec<_> = loads
+            .iter()
+            .zip(&indexes)
+            .map(|(load, &target)| Candidate {
+                target,
+                load,
+                in_progress: rng.random_range(0..12),
+                expected_percent: 100,
+                cold_percent,
+                capacity: rng.random_range(0..9),
+                is_local: rng.random_bool(0.6),
+                is_unresponsive: rng.random_bool(0.1),
+            })
+            .collect();
+        let tie = rng.random();
+        let by_counts = candidates.iter().min_by_key(|c| count_rank(c, tie, now));
+        let placed = place(candidates.iter().copied(), tie, now);
+        assert_eq!(placed, by_counts.map(|candidate| candidate.target));
+    }
+}
+
+/// Serves requests, each on its own flow, with response times that `time_of` gives by the token of
+/// the target, its requests in progress and the time. Returns the number of requests at each token.
+fn serve(
+    steering: &mut Steering,
+    interval: u64,
+    until: u64,
+    mut time_of: impl FnMut(Token, u32, u64) -> u64,
+) -> Vec<(u64, Token)> {
+    let mut running: Vec<(u64, u16, Token)> = Vec::new();
+    let mut placed = Vec::new();
+    let mut number = 0_u16;
+    for time in 0..until {
+        if time % 500 == 0 {
+            steering.record_sync(at(time));
+            steering.sweep(at(time));
+        }
+        running.retain(|&(ends, number, token)| {
+            if ends == time {
+                let response = flow_packet(flow(number, ORDERS), token, 201, 1_001, 0);
+                steering.decide(&response, at(time));
+                steering.decide(&fin_packet(flow(number, ORDERS), token, 1_001), at(time));
+            }
+            ends != time
+        });
+        if time % interval == 0 {
+            number = number.wrapping_add(1);
+            let opening = opening_packet(flow(number, ORDERS), 0);
+            let token = token_of(steering.decide(&opening, at(time)));
+            let busy = running.iter().filter(|request| request.2 == token).count();
+            let request = flow_packet(flow(number, ORDERS), token, 101, 501, 100);
+            steering.decide(&request, at(time));
+            let duration = time_of(token, busy as u32, time).max(1);
+            running.push((time + duration, number, token));
+            placed.push((time, token));
+        }
+    }
+    placed
+}
+
+/// Returns the steering of a VM, with learned speeds or without.
+fn steering_with(targets: impl IntoIterator<Item = Target>, target_speed: bool) -> Steering {
+    let mut steering = Steering::new(SteeringSettings {
+        zone: "a".parse().expect("a zone"),
+        flow_limit: 1_000,
+        target_speed,
+    });
+    steering.set_routes(routes());
+    for target in targets {
+        steering.put_target(target, at(0));
+    }
+    steering.record_sync(at(0));
+    steering
+}
+
+/// Guards against decisions that change while all targets are equally fast.
+#[test]
+fn targets_that_are_equally_fast_get_the_same_flows_as_without_learned_speeds() {
+    let run = |target_speed| {
+        let mut steering = steering_with((1..=10).map(target), target_speed);
+        serve(&mut steering, 7, 40_000, |_, busy, _| match busy {
+            0 | 1 => 40,
+            _ => 20 * u64::from(busy + 1),
+        })
+    };
+    assert_eq!(run(true), run(false));
+}
+
+/// Guards against learned speeds that do not reach placement, and against a setting without effect.
+#[test]
+fn slow_target_loses_its_share_only_with_learned_speeds() {
+    let slow = target(1).token();
+    let time_of = |token, _, time| match token == slow && time >= 10_000 {
+        true => 480,
+        false => 40,
+    };
+    let share = |target_speed| {
+        let mut steering = steering_with((1..=10).map(target), target_speed);
+        let placed = serve(&mut steering, 10, 20_000, time_of);
+        let late = placed.iter().filter(|(time, _)| *time >= 11_000);
+        late.filter(|(_, token)| *token == slow).count()
+    };
+    // Seven probes at most, of 900 requests.
+    let (with, without) = (share(true), share(false));
+    assert!(with <= 7, "{with} requests at the slow target");
+    assert!(without > 7, "{without} requests at the slow target");
+}
+
+/// Guards against response times that span a pause of the process.
+#[test]
+fn response_after_a_pause_of_the_process_does_not_count() {
+    let mut steering = steering((1..=4).map(target));
+    serve(&mut steering, 10, 10_000, |_, _, _| 40);
+    let mut begun = Vec::new();
+    for number in 0..40 {
+        let flow = flow(50_000 + number, ORDERS);
+        let token = token_of(steering.decide(&opening_packet(flow, 0), at(10_001)));
+        steering.decide(&flow_packet(flow, token, 101, 501, 100), at(10_001));
+        begun.push((flow, token));
+    }
+    for (flow, token) in begun {
+        steering.decide(&flow_packet(flow, token, 201, 1_001, 0), at(13_000));
+    }
+    for (_, record) in steering.targets().iter() {
+        let factor = record.speed.factor();
+        assert!((0.9..=1.1).contains(&factor), "{factor}");
+    }
+}
