--- a/crates/steer/src/target_speed.rs
+++ b/crates/steer/src/target_speed.rs
@@ -14,6 +14,7 @@
 //!
 //! All thresholds are ratios to the service's own times, so they hold for any service.
 
+mod evidence;
 pub mod pending;
 pub mod usual;
 
@@ -21,6 +22,7 @@
 
 use bambooseam_types::Moment;
 
+use self::evidence::{Cusum, Evidence};
 use self::pending::{Pending, PendingRequest};
 use self::usual::{LEVELS, Level, UsualTimes};
 
@@ -51,9 +53,9 @@
 /// long as expected is enough, because a slow target gets few requests.
 const RECOVERY_THRESHOLD: f32 = 0.7;
 
-/// Time after which a slow target without requests takes one like any other target. Less than the
-/// 2 s within which a faster target is to be detected.
-const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Time after which a slow target takes a request like any other target. Less than the 2 s within
+/// which it is to get one, because it competes with the other targets then.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(1_250);
 const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(30);
 
 /// Requests that a target usually takes from this VM in one probe interval: many VMs that each
@@ -104,20 +106,6 @@
     limit: u32,
 }
 
-/// Decaying mean.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-struct Evidence {
-    weight: f32,
-    sum: f32,
-}
-
-/// One-sided CUSUM test, with the responses since its sum was last 0.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-struct Cusum {
-    score: f32,
-    run: Evidence,
-}
-
 /// What the end of a request shows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -280,12 +268,13 @@
     /// target with the same load; 100 while the target may be a usual one.
     pub fn percent(&self, in_progress: u32, now: Moment) -> u32 {
         let level = Level::of(in_progress, self.capacity);
-        let percent = self.percents[level.index()];
-        if let Some(overdue) = self.pending.overdue(now) {
-            return percent.max(percent_of(overdue.min(MAX_FACTOR)));
-        }
+        let learned = self.percents[level.index()];
+        let overdue = self.pending.overdue(now);
+        let percent = overdue.map_or(learned, |ratio| {
+            learned.max(percent_of(ratio.min(MAX_FACTOR)))
+        });
         let is_probe_due = percent > 100
-            && in_progress == 0
+            && in_progress < self.capacity
             && self
                 .last_sent
                 .is_none_or(|sent| now.since(sent) >= self.probe_interval);
@@ -381,36 +370,6 @@
     }
 }
 
-impl Evidence {
-    fn add(&mut self, value: f32) {
-        self.weight += 1.0;
-        self.sum += value;
-    }
-
-    fn scale(&mut self, kept: f32) {
-        self.weight *= kept;
-        self.sum *= kept;
-    }
-
-    fn mean(self, default: f32) -> f32 {
-        match self.weight > 0.0 {
-            true => self.sum / self.weight,
-            false => default,
-        }
-    }
-}
-
-impl Cusum {
-    fn add(&mut self, step: f32, ratio: f32) {
-        self.score += step;
-        if self.score <= 0.0 {
-            *self = Self::default();
-        } else {
-            self.run.add(ratio);
-        }
-    }
-}
-
 /// Factor in percent, with the neutral range mapped to 100.
 fn percent_of(factor: f32) -> u32 {
     let neutral = factor.clamp(NEUTRAL_MIN, NEUTRAL_MAX);
--- a/tests/src/steering.rs
+++ b/tests/src/steering.rs
@@ -8,6 +8,8 @@
     Target,
 };
 use bambooseam_types::{Incarnation, Moment, TargetLabel, Token};
+use rand::Rng;
+use rand::rngs::StdRng;
 
 /// Frontend of service `orders`.
 pub const ORDERS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
@@ -122,3 +124,11 @@
 pub fn token_of(decision: Decision) -> Token {
     decision.forwarded().expect("a forwarded packet").1
 }
+
+/// Draws a factor of a response time: log-normal with mean 1 and standard deviation one half.
+pub fn noise(rng: &mut StdRng) -> f64 {
+    let sigma = 1.25_f64.ln().sqrt();
+    let (first, second): (f64, f64) = (rng.random_range(1e-9..1.0), rng.random());
+    let normal = (-2.0 * first.ln()).sqrt() * (std::f64::consts::TAU * second).cos();
+    (sigma * normal - sigma * sigma / 2.0).exp()
+}
--- a/tests/tests/target_speed.rs
+++ b/tests/tests/target_speed.rs
@@ -1,5 +1,6 @@
 //! Response times and limits of targets, learned from responses.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use bambooseam_steer::placement::{Candidate, place};
@@ -7,21 +8,13 @@
 use bambooseam_steer::target_speed::{Outcome, TargetSpeed};
 use bambooseam_steer::{Load, Steering, SteeringSettings, Target, TargetIndex};
 use bambooseam_tests::steering::*;
-use bambooseam_types::{Moment, Token};
+use bambooseam_types::{Incarnation, Moment, Token};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 /// Mean time of a request in the estimator's tests.
 const WORK_MS: f64 = 40.0;
 
-/// Draws a factor with mean 1 and standard deviation one half.
-fn noise(rng: &mut StdRng) -> f64 {
-    let sigma = 1.25_f64.ln().sqrt();
-    let (first, second): (f64, f64) = (rng.random_range(1e-9..1.0), rng.random());
-    let normal = (-2.0 * first.ln()).sqrt() * (std::f64::consts::TAU * second).cos();
-    (sigma * normal - sigma * sigma / 2.0).exp()
-}
-
 /// Returns usual times of a service whose requests take [`WORK_MS`].
 fn usual() -> UsualTimes {
     let mut usual = UsualTimes::default();
@@ -153,7 +146,7 @@
 /// probe it as often as one would.
 #[test]
 fn slow_target_takes_one_request_in_each_probe_interval() {
-    for (rate, interval) in [(10.0, 1_500), (1.0, 8_000)] {
+    for (rate, interval) in [(10.0, 1_250), (1.0, 8_000)] {
         let mut speed = TargetSpeed::new(2);
         speed.refresh(2, Some(&usual()), rate, at(0));
         for number in 0..8 {
@@ -272,12 +265,23 @@
     steering: &mut Steering,
     interval: u64,
     until: u64,
+    time_of: impl FnMut(Token, u32, u64) -> u64,
+) -> Vec<(u64, Token)> {
+    serve_from(steering, &mut Vec::new(), interval, 0..until, time_of)
+}
+
+/// Serves requests as [`serve`] does, within `span`. `running` has the requests in progress: when
+/// they end, their flow and their token.
+fn serve_from(
+    steering: &mut Steering,
+    running: &mut Vec<(u64, u16, Token)>,
+    interval: u64,
+    span: Range<u64>,
     mut time_of: impl FnMut(Token, u32, u64) -> u64,
 ) -> Vec<(u64, Token)> {
-    let mut running: Vec<(u64, u16, Token)> = Vec::new();
     let mut placed = Vec::new();
-    let mut number = 0_u16;
-    for time in 0..until {
+    let mut number = span.start as u16;
+    for time in span {
         if time % 500 == 0 {
             steering.record_sync(at(time));
             steering.sweep(at(time));
@@ -373,3 +377,41 @@
         assert!((0.9..=1.1).contains(&factor), "{factor}");
     }
 }
+
+/// Guards against a service whose targets are mostly limited, a limit that is not logged, and a
+/// start of a target that inherits the limit of the start before.
+#[test]
+fn at_most_three_of_ten_targets_are_limited_and_a_restart_clears_the_limit() {
+    let mut steering = steering((1..=10).map(target));
+    let slow: Vec<Token> = (1..=4).map(|number| target(number).token()).collect();
+    let is_slow = |token: Token, time| slow.contains(&token) && time >= 10_000;
+    let (mut limits, mut running) = (0, Vec::new());
+    for round in 0..20 {
+        let (start, end) = (round * 1_000, (round + 1) * 1_000);
+        let factor = |token, _, time| if is_slow(token, time) { 480 } else { 40 };
+        serve_from(&mut steering, &mut running, 7, start..end, factor);
+        for event in steering.sweep(at(end)) {
+            let line = event.to_string();
+            limits += usize::from(line.starts_with("event=target_limit "));
+        }
+        let indexes: Vec<_> = steering.targets().iter().map(|(index, _)| index).collect();
+        let limited = indexes
+            .iter()
+            .filter(|index| steering.limit_of(**index) < 2);
+        assert!(limited.count() <= 3, "after {end} ms");
+    }
+    assert!(limits > 0, "no change of a limit was reported");
+    let limit = |steering: &Steering, number| {
+        let id = target(number).id;
+        let index = steering.targets().find(&id).expect("a known target");
+        steering.limit_of(index)
+    };
+    let number = (1..=4).find(|number| limit(&steering, *number) == 1);
+    let number = number.expect("a limited target");
+    let restarted = Target {
+        start: Incarnation::from(9_000),
+        ..target(number)
+    };
+    steering.put_target(restarted, at(20_000));
+    assert_eq!(limit(&steering, number), 3);
+}
