--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -126,6 +126,8 @@
     pub flow_limit: u64,
     /// Margins of the limit on openings at cold targets; no limit when absent.
     pub cold_limit: Option<ColdLimit>,
+    /// Whether placement follows the learned speeds of targets.
+    pub target_speed: bool,
 }
 
 /// Margins of the limit on openings at a target that has just started.
--- a/crates/measure/src/entry.rs
+++ b/crates/measure/src/entry.rs
@@ -238,6 +238,7 @@
             zone: "a".parse().map_err(io::Error::other)?,
             flow_limit: FLOW_LIMIT,
             cold_policy: None,
+            target_speed: true,
         }));
         let now = BootClock.now();
         node.apply(documents(target), now, now, Source::Store);
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -10,9 +10,9 @@
 //! [`cold_budget`] limits the openings at targets that have just started,
 //! [`responsiveness`] detects targets that do not answer, [`zone`] detects zones that do not
 //! answer, [`stall`] detects targets that do not acknowledge data, [`timing`] derives timeouts from observed
-//! response times, [`missing_entry`] handles targets whose published entry was removed,
-//! [`evacuation`] excludes the targets of evacuated zones from new flows, and [`unknown_token`]
-//! handles tokens that belong to no known target.
+//! response times, [`target_speed`] learns how fast each target is, [`missing_entry`] handles
+//! targets whose published entry was removed, [`evacuation`] excludes the targets of evacuated
+//! zones from new flows, and [`unknown_token`] handles tokens that belong to no known target.
 
 pub mod cold_budget;
 mod decision;
@@ -29,6 +29,7 @@
 pub mod stall;
 mod steering;
 mod target;
+pub mod target_speed;
 mod target_table;
 pub mod timing;
 pub mod unknown_token;
@@ -40,6 +41,6 @@
 pub use header::{FlowId, PacketFlags, PacketHeader, ParseFlowError};
 pub use load::Load;
 pub use route::{Route, Routes, ServiceLimits, Share};
-pub use steering::{Freshness, Steering, SteeringSettings};
+pub use steering::{Freshness, SpeedSummary, Steering, SteeringSettings};
 pub use target::Target;
 pub use target_table::{EntryStatus, TargetIndex, TargetRecord, TargetTable};
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -6,6 +6,7 @@
 
 mod opening;
 mod signals;
+mod speed;
 mod stalled;
 mod update;
 
@@ -16,6 +17,8 @@
 
 use self::opening::{Selector, select};
 use self::signals::apply_signals;
+pub use self::speed::SpeedSummary;
+use self::speed::Speeds;
 use crate::cold_budget::{ColdBudgets, ColdPolicy};
 use crate::evacuation::Evacuations;
 use crate::flows::Flows;
@@ -50,6 +53,8 @@
     pub flow_limit: usize,
     /// Margins of the limit on openings at cold targets; without them there is no limit.
     pub cold_policy: Option<ColdPolicy>,
+    /// Whether placement follows the learned speeds of targets.
+    pub target_speed: bool,
 }
 
 /// How current the view is.
@@ -84,6 +89,7 @@
     paths: PathRecord,
     timings: ServiceTimings,
     cold_budgets: ColdBudgets,
+    speeds: Speeds,
     /// End of the time in which large transfers may have filled the link of this VM.
     quiet_since: Moment,
 }
@@ -123,6 +129,7 @@
             paths: PathRecord::default(),
             timings: ServiceTimings::default(),
             cold_budgets: ColdBudgets::default(),
+            speeds: Speeds::default(),
             quiet_since: Moment::default(),
         }
     }
@@ -154,6 +161,7 @@
 
     /// Decides whether a packet is forwarded, reset or dropped.
     pub fn decide(&mut self, header: &PacketHeader, now: Moment) -> Decision {
+        self.detect_pause(now);
         if header.is_forged() {
             return Decision::Drop(DropCause::Forged);
         }
@@ -194,6 +202,7 @@
             evacuations: &self.evacuations,
             timings: &self.timings,
             cold: self.cold_budgets.service(service),
+            uses_speed: self.settings.target_speed,
             zone: &self.settings.zone,
             service,
             key,
@@ -224,6 +233,7 @@
             self.cold_budgets.record(service, record.token, now);
         }
         record.load.responsiveness.record_opening(now);
+        record.speed.record_opening(now);
         self.zones.record_opening(&record.target.zone, now);
         if earlier.is_none() {
             self.paths.record_sent(&record.target.zone, now);
@@ -269,9 +279,10 @@
         self.report_stall_end(index, signals);
         apply_signals(&mut self.targets, index, signals, now);
         if self.is_stalled(header, index, signals, now) {
-            self.reset_stalled(header);
+            self.reset_stalled(header, now);
             return Decision::Reset(ResetCause::TargetStalled);
         }
+        self.observe_speed(index, frontend, signals, now);
         self.observe(index, signals, now);
         let Some(record) = self.targets.get(index) else {
             return Decision::Drop(DropCause::TokenNotKnownYet);
--- a/crates/steer/src/steering/opening.rs
+++ b/crates/steer/src/steering/opening.rs
@@ -19,6 +19,8 @@
     pub timings: &'a ServiceTimings,
     /// Limit on openings at cold targets of the service.
     pub cold: Option<&'a ColdBudget>,
+    /// Whether learned speeds count.
+    pub uses_speed: bool,
     /// Zone of this VM.
     pub zone: &'a ZoneId,
     /// Service of the flow.
@@ -46,6 +48,7 @@
             target,
             load: &record.load,
             in_progress: record.load.busy,
+            expected_percent: self.expected_percent(record),
             capacity: record.target.capacity,
             cold_percent,
             is_local: record.target.zone == *self.zone,
@@ -74,6 +77,13 @@
         cold.is_none_or(|cold| cold.admits(self.key, record.token, self.now))
     }
 
+    fn expected_percent(&self, record: &TargetRecord) -> u32 {
+        match self.uses_speed {
+            true => record.speed.percent(record.load.busy, self.now),
+            false => 100,
+        }
+    }
+
     fn is_unresponsive(&self, record: &TargetRecord) -> bool {
         let zone = &record.target.zone;
         record.load.responsiveness.is_unresponsive(self.now)
--- a/tests/src/steering.rs
+++ b/tests/src/steering.rs
@@ -8,6 +8,8 @@
     Target,
 };
 use bambooseam_types::{Incarnation, Moment, TargetLabel, Token};
+use rand::Rng;
+use rand::rngs::StdRng;
 
 /// Frontend of service `orders`.
 pub const ORDERS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
@@ -59,6 +61,7 @@
         zone: "a".parse().expect("a zone"),
         flow_limit: 1_000,
         cold_policy: None,
+        target_speed: true,
     });
     steering.set_routes(routes());
     for target in targets {
@@ -122,3 +125,11 @@
 pub fn token_of(decision: Decision) -> Token {
     decision.forwarded().expect("a forwarded packet").1
 }
+
+/// Draws a factor of a response time: log-normal with mean 1 and standard deviation one half.
+pub fn noise(rng: &mut StdRng) -> f64 {
+    let sigma = 1.25_f64.ln().sqrt();
+    let (first, second): (f64, f64) = (rng.random_range(1e-9..1.0), rng.random());
+    let normal = (-2.0 * first.ln()).sqrt() * (std::f64::consts::TAU * second).cos();
+    (sigma * normal - sigma * sigma / 2.0).exp()
+}
--- a/tests/tests/cold_budget.rs
+++ b/tests/tests/cold_budget.rs
@@ -58,6 +58,7 @@
         zone: zone_name(zone).parse().expect("a zone"),
         flow_limit: 100_000,
         cold_policy: policy,
+        target_speed: true,
     });
     steering.set_routes(limited_routes(rate));
     steering
--- a/tests/tests/docs.rs
+++ b/tests/tests/docs.rs
@@ -7,7 +7,7 @@
 use bambooseam_config::{Document, Settings};
 
 /// Keys of settings and documents.
-const KEYS: [&str; 55] = [
+const KEYS: [&str; 56] = [
     "id",
     "zone",
     "address",
@@ -63,6 +63,7 @@
     "stop-time",
     "cold-excess",
     "cold-slack",
+    "target-speed",
 ];
 
 fn root() -> PathBuf {
--- a/tests/tests/evacuation.rs
+++ b/tests/tests/evacuation.rs
@@ -250,6 +250,7 @@
                 zone: zone("a"),
                 flow_limit: 1_000,
                 cold_policy: None,
+                target_speed: true,
             })),
             opened: 0,
         }
--- a/tests/tests/node.rs
+++ b/tests/tests/node.rs
@@ -13,6 +13,7 @@
         zone: "a".parse().expect("a zone"),
         flow_limit: 1_000,
         cold_policy: None,
+        target_speed: true,
     }))
 }
 
