Evacuate zones on the product's own interface

Operators who publish the documents themselves had no way to take a zone out of use short of editing each of its targets, and nothing told such an edit from targets that leave.

The list of targets may have sections [zone NAME] with evacuated-since and evacuated-by. A target of such a zone is not open in the view, which the forwarder's and the proxy's choices already respect; its flows and requests continue, as those of a leaving target do. ctl status shows the evacuated zones with the agents that have them, and marks agents that differ; ctl ex- plain shows them beside the answer; ctl check reports a zone that the lists lack, and a service whose live targets are all in evacuated zones. Target- List becomes a struct with named fields, which touches its users.

--- a/crates/agent/src/status.rs
+++ b/crates/agent/src/status.rs
@@ -1,6 +1,6 @@
 //! The JSON object returned by `/status`.
 
-use bambooseam_config::VmEntry;
+use bambooseam_config::{EvacuatedZone, VmEntry};
 use serde_json::{Value, json};
 
 use crate::event::Event;
@@ -33,6 +33,7 @@
             "received_bytes": self.received().get(),
             "programs": state.programs.iter().map(program_json).collect::<Vec<_>>(),
             "vms": vms_json(&state),
+            "evacuated": state.store.evacuated().iter().map(evacuated_json).collect::<Vec<_>>(),
             "refused": state.store.rejections().iter().map(rejection_json).collect::<Vec<_>>(),
             "events": state.events.iter().map(event_json).collect::<Vec<_>>(),
         })
@@ -75,6 +76,15 @@
     })
 }
 
+/// An evacuated zone.
+fn evacuated_json(evacuated: &EvacuatedZone) -> Value {
+    json!({
+        "zone": evacuated.zone.as_str(),
+        "since": evacuated.since.to_string(),
+        "by": evacuated.by,
+    })
+}
+
 /// A rejected document.
 fn rejection_json(rejection: &Rejection) -> Value {
     let findings: Vec<String> = rejection.findings.iter().map(ToString::to_string).collect();
--- a/crates/agent/src/store.rs
+++ b/crates/agent/src/store.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use bambooseam_config::{Document, PresetPointer, TargetList, VmList, digest_of};
+use bambooseam_config::{Document, EvacuatedZone, PresetPointer, TargetList, VmList, digest_of};
 use bambooseam_peer::agent::digest_prefix;
 use bambooseam_types::{Digest, Finding, Findings, Location, Revision};
 use bambooseam_view::{View, ViewNumber, ViewSource};
@@ -49,6 +49,8 @@
     vms: Option<List>,
     targets: Option<List>,
     vm_list: VmList,
+    /// Evacuated zones of the held list of targets.
+    evacuated: Vec<EvacuatedZone>,
     era: Revision,
     presets: Vec<StoredText>,
     history: Vec<StoredText>,
@@ -124,7 +126,9 @@
         }
         let validated = match kind {
             ListKind::Vms => parse_list(kind, text).map(|list| self.vm_list = list),
-            ListKind::Targets => parse_list::<TargetList>(kind, text).map(drop),
+            ListKind::Targets => {
+                parse_list::<TargetList>(kind, text).map(|list| self.evacuated = list.evacuated)
+            }
         };
         if let Err(findings) = validated {
             return self.reject(kind.key(), text, findings);
@@ -174,6 +178,11 @@
         self.config.as_ref()
     }
 
+    /// Evacuated zones of the held list of targets.
+    pub fn evacuated(&self) -> &[EvacuatedZone] {
+        &self.evacuated
+    }
+
     /// The list of this kind that is held.
     pub fn list(&self, kind: ListKind) -> Option<&List> {
         match kind {
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -6,6 +6,7 @@
     Finding, Findings, FlowPort, Location, ServiceName, TargetId, VmId, Weight, ZoneId,
 };
 use derive_more::{Display, FromStr};
+use humantime::Timestamp;
 
 use crate::unique::UniqueKeys;
 use crate::{Document, Section};
@@ -71,13 +72,33 @@
     pub weight: Weight,
 }
 
+/// An availability zone that operators have evacuated: its targets receive no new work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EvacuatedZone {
+    /// The zone.
+    pub zone: ZoneId,
+    /// When the zone was evacuated, for people only: the zone is evacuated while its section is in
+    /// the list, whatever the time.
+    pub since: Timestamp,
+    /// Who evacuated the zone, for people only.
+    pub by: Option<String>,
+}
+
 /// All VMs, sorted by identifier.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct VmList(pub Vec<VmEntry>);
 
-/// All targets, sorted by identifier.
+/// All targets and the evacuated zones.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct TargetList(pub Vec<TargetEntry>);
+pub struct TargetList {
+    /// The targets, sorted by identifier.
+    pub targets: Vec<TargetEntry>,
+    /// The evacuated zones, sorted by name.
+    pub evacuated: Vec<EvacuatedZone>,
+}
+
+/// Maximum length of the name of who evacuated a zone.
+const MAX_NAME_BYTES: usize = 64;
 
 /// Default port of the agent.
 const AGENT_PORT: u16 = 7100;
@@ -208,7 +229,7 @@
 
     fn try_from(document: &Document) -> Result<Self, Findings> {
         let mut findings = Findings::new();
-        document.check_sections(&[], &["target"], &mut findings);
+        document.check_sections(&[], &["target", "zone"], &mut findings);
         let mut endpoints = UniqueKeys::new();
         let mut targets = Vec::new();
         for (name, mut section) in document.sections_of("target") {
@@ -258,21 +279,69 @@
             &mut findings,
         );
         targets.sort_by(|a, b| a.id.cmp(&b.id));
-        findings.into_result(Self(targets))
+        let evacuated = parse_evacuated(document, &mut findings);
+        findings.into_result(Self { targets, evacuated })
     }
 }
 
+/// Reads the sections of the evacuated zones.
+fn parse_evacuated(document: &Document, findings: &mut Findings) -> Vec<EvacuatedZone> {
+    let mut evacuated = Vec::new();
+    for (name, mut section) in document.sections_of("zone") {
+        let zone = name.parse::<ZoneId>();
+        if let Err(error) = &zone {
+            let found = format!("{name:?}");
+            findings.push(Finding::new(section.location("name"), found, error.allowed));
+        }
+        let since = section.required("evacuated-since", findings);
+        let by: Option<String> = section.optional("evacuated-by", findings);
+        if let Some(by) = by.as_ref().filter(|by| by.len() > MAX_NAME_BYTES) {
+            let found = format!("{} bytes", by.len());
+            let allowed = format!("at most {MAX_NAME_BYTES} bytes");
+            findings.push(Finding::new(
+                section.location("evacuated-by"),
+                found,
+                allowed,
+            ));
+        }
+        section.report_unknown_keys(findings);
+        let (Ok(zone), Some(since)) = (zone, since) else {
+            continue;
+        };
+        evacuated.push(EvacuatedZone { zone, since, by });
+    }
+    evacuated.sort_by(|a, b| a.zone.cmp(&b.zone));
+    evacuated
+}
+
 impl TargetList {
     /// The target with identifier `id`.
     pub fn get(&self, id: &TargetId) -> Option<&TargetEntry> {
-        let index = self.0.binary_search_by(|target| target.id.cmp(id)).ok()?;
-        self.0.get(index)
+        let found = self.targets.binary_search_by(|target| target.id.cmp(id));
+        self.targets.get(found.ok()?)
+    }
+
+    /// Whether operators have evacuated a zone.
+    pub fn is_evacuated(&self, zone: &ZoneId) -> bool {
+        let found = self
+            .evacuated
+            .binary_search_by(|other| other.zone.cmp(zone));
+        found.is_ok()
     }
 
     /// Formats the list as a published document.
     pub fn to_text(&self) -> String {
         let mut text = String::new();
-        for target in &self.0 {
+        for zone in &self.evacuated {
+            text.push_str(&format!(
+                "[zone {}]\nevacuated-since = {}\n",
+                zone.zone, zone.since
+            ));
+            if let Some(by) = &zone.by {
+                text.push_str(&format!("evacuated-by = {by}\n"));
+            }
+        }
+        for target in &self.targets {
             text.push_str(&format!(
                 "[target {}]\nservice = {}\nzone = {}\nstate = {}\naddress = {}\n",
                 target.id,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,7 +15,7 @@
 mod value;
 
 pub use document::{Document, Section};
-pub use fleet::{TargetEntry, TargetList, TargetState, VmEntry, VmList, VmState};
+pub use fleet::{EvacuatedZone, TargetEntry, TargetList, TargetState, VmEntry, VmList, VmState};
 pub use pointer::{PresetPointer, digest_of};
 pub use preset::{ClassRule, Preset, Service, WorkClass};
 pub use published::check_published;
--- a/crates/config/src/published.rs
+++ b/crates/config/src/published.rs
@@ -5,7 +5,7 @@
 
 use bambooseam_types::{Finding, Findings, Location, PresetName};
 
-use crate::{Preset, TargetList, TargetState, VmList, VmState};
+use crate::{EvacuatedZone, Preset, TargetList, TargetState, VmList, VmState};
 
 /// Validates documents, each valid by itself, against one another.
 pub fn check_published(
@@ -18,6 +18,7 @@
     check_names(presets, &mut findings);
     check_vms(vms, &mut findings);
     check_services(presets, targets, &mut findings);
+    check_evacuated(vms, targets, &mut findings);
     for preset in presets {
         if preset.name == *in_force {
             check_capacity(preset, targets, &mut findings);
@@ -52,7 +53,7 @@
 
 /// Reports targets whose service is in no preset.
 fn check_services(presets: &[Preset], targets: &TargetList, findings: &mut Findings) {
-    for target in &targets.0 {
+    for target in &targets.targets {
         if presets
             .iter()
             .any(|preset| preset.service(&target.service).is_some())
@@ -65,20 +66,37 @@
     }
 }
 
-/// Reports services of the preset in force without a live target.
+/// Reports evacuated zones without VMs and targets, whose names are probably mistyped.
+fn check_evacuated(vms: &VmList, targets: &TargetList, findings: &mut Findings) {
+    for EvacuatedZone { zone, .. } in &targets.evacuated {
+        let has_target = targets.targets.iter().any(|target| target.zone == *zone);
+        if has_target || vms.0.iter().any(|vm| vm.zone == *zone) {
+            continue;
+        }
+        let location = Location::new("targets", 0, format!("zone {zone}"));
+        let found = "no VM and no target in the zone";
+        findings.push(Finding::new(location, found, "a zone of the lists"));
+    }
+}
+
+/// Reports services of the preset in force without a live target outside evacuated zones.
 fn check_capacity(preset: &Preset, targets: &TargetList, findings: &mut Findings) {
     for service in &preset.services {
-        let mut service_targets = targets
-            .0
+        let mut live_targets = targets
+            .targets
             .iter()
-            .filter(|target| target.service == service.name);
-        if service_targets
-            .any(|target| target.state == TargetState::Live && target.weight.get() > 0)
-        {
+            .filter(|target| target.service == service.name)
+            .filter(|target| target.state == TargetState::Live && target.weight.get() > 0)
+            .peekable();
+        let is_empty = live_targets.peek().is_none();
+        if live_targets.any(|target| !targets.is_evacuated(&target.zone)) {
             continue;
         }
+        let found = match is_empty {
+            true => "no live target with a weight above 0",
+            false => "live targets in evacuated zones only",
+        };
         let location = Location::new("targets", 0, format!("service {}", service.name));
-        let found = "no live target with a weight above 0";
         findings.push(Finding::new(location, found, "at least one live target"));
     }
 }
--- a/crates/config/src/value.rs
+++ b/crates/config/src/value.rs
@@ -47,6 +47,7 @@
     WorkClass: "short or long",
     ZoneId: "a name of 1 to 63 letters, digits, '-', '_' or '.'",
     humantime::Duration: "a time such as 250ms or 12h",
+    humantime::Timestamp: "a time such as 2026-03-01T08:30:00Z",
     u16: "a whole number from 0 to 65535",
     u64: "a whole number",
 }
--- a/crates/ctl/src/explain/flow.rs
+++ b/crates/ctl/src/explain/flow.rs
@@ -25,6 +25,8 @@
     pub shadow: Option<String>,
     /// Target or proxy of a new flow, unless its load prevents this choice.
     pub pick: Option<String>,
+    /// Evacuated zones with targets of the service, which are no choice for a new flow.
+    pub evacuated: Vec<String>,
 }
 
 /// Explains a flow; `None` if no service has its destination address and port.
@@ -42,6 +44,7 @@
         owner: owner.map(name),
         shadow: shadow.map(name),
         pick: pick(view, frontend, key),
+        evacuated: evacuated_zones(view, frontend),
     })
 }
 
@@ -84,6 +87,20 @@
     }
 }
 
+/// Returns the evacuated zones in which a service has targets, sorted; none for requests, whose
+/// proxies are not evacuated.
+fn evacuated_zones(view: &View, frontend: Frontend) -> Vec<String> {
+    if frontend.kind == FrontendKind::Requests {
+        return Vec::new();
+    }
+    let targets = view.targets_of(frontend.service);
+    let evacuated = view.evacuated.iter().map(|evacuated| &evacuated.zone);
+    evacuated
+        .filter(|zone| targets.iter().any(|target| target.entry.zone == **zone))
+        .map(ToString::to_string)
+        .collect()
+}
+
 /// Returns the name and zone of a VM.
 pub(super) fn vm_name(view: &View, id: &VmId) -> String {
     match view.vm(id) {
@@ -114,7 +131,14 @@
             f,
             "  {kind}: {}, default choice for a new flow",
             text(&self.pick)
-        )
+        )?;
+        for zone in &self.evacuated {
+            write!(
+                f,
+                "\n  zone {zone}: evacuated, its targets get no new flows"
+            )?;
+        }
+        Ok(())
     }
 }
 
@@ -129,6 +153,7 @@
             "owner": self.owner,
             "shadow": self.shadow,
             "default_pick": self.pick,
+            "evacuated": self.evacuated,
         })
     }
 }
--- a/crates/ctl/src/explain/request.rs
+++ b/crates/ctl/src/explain/request.rs
@@ -33,6 +33,8 @@
     pub zone: String,
     /// Whether the target accepts new work.
     pub open: bool,
+    /// Whether the zone of the target is evacuated.
+    pub evacuated: bool,
     /// VM whose proxy grants the slots of the target.
     pub owner: Option<String>,
 }
@@ -76,6 +78,7 @@
         target: target.entry.id.to_string(),
         zone: zone.to_string(),
         open: target.is_open(),
+        evacuated: target.is_evacuated,
         owner: vm.map(|vm| vm.entry.id.to_string()),
     }
 }
@@ -96,10 +99,10 @@
         }
         for target in &self.targets {
             let owner = target.owner.as_deref().unwrap_or("none");
-            let state = if target.open {
-                "accepts new work"
-            } else {
-                "accepts no new work"
+            let state = match (target.open, target.evacuated) {
+                (true, _) => "accepts new work",
+                (false, true) => "accepts no new work, zone evacuated",
+                (false, false) => "accepts no new work",
             };
             write!(
                 f,
@@ -118,6 +121,7 @@
                 "target": owner.target,
                 "zone": owner.zone,
                 "open": owner.open,
+                "evacuated": owner.evacuated,
                 "owner": owner.owner,
             })
         };
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -7,6 +7,6 @@
 pub use addresses::{AdminAddresses, FleetVm, read_fleet};
 pub use fetch::{FetchError, fetch_all, fetch_status};
 pub use response::{
-    Decision, Health, ProgramResponse, ProgramStatus, ProgramView, StatusError, VmResponse,
-    since_epoch,
+    Decision, Evacuated, Health, ProgramResponse, ProgramStatus, ProgramView, StatusError,
+    VmResponse, since_epoch,
 };
--- a/crates/ctl/src/fleet/response.rs
+++ b/crates/ctl/src/fleet/response.rs
@@ -71,6 +71,8 @@
     pub programs: Vec<ProgramView>,
     /// Health of VMs as observed by this agent, sorted by VM.
     pub health: Vec<Health>,
+    /// Evacuated zones, sorted; `None` if the program does not report them.
+    pub evacuated: Option<Vec<Evacuated>>,
     /// Findings of refused documents.
     pub refused: Vec<String>,
     /// Most recent decisions, oldest first.
@@ -101,6 +103,17 @@
     pub cause: String,
 }
 
+/// An evacuated zone as reported by an agent.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Evacuated {
+    /// Name of the zone.
+    pub zone: String,
+    /// When the zone was evacuated, as published.
+    pub since: String,
+    /// Who evacuated the zone, as published; empty if unknown.
+    pub by: String,
+}
+
 /// A decision as reported by a program.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Decision {
@@ -201,6 +214,7 @@
             since_ms: number("in_force_since_ms"),
             programs: parse_programs(&raw["programs"]),
             health: parse_health(&raw["vms"]),
+            evacuated: raw["evacuated"].is_array().then(|| parse_evacuated(&raw)),
             refused: parse_refused(&raw["refused"]),
             events: items(&raw["events"]).map(parse_decision).collect(),
             raw,
@@ -258,6 +272,19 @@
     health
 }
 
+/// Parses `evacuated` of a status.
+fn parse_evacuated(status: &Value) -> Vec<Evacuated> {
+    let mut evacuated: Vec<Evacuated> = items(&status["evacuated"])
+        .map(|item| Evacuated {
+            zone: text_of(&item["zone"]),
+            since: text_of(&item["since"]),
+            by: text_of(&item["by"]),
+        })
+        .collect();
+    evacuated.sort();
+    evacuated
+}
+
 /// Parses `refused` of a status: refused documents, each with its findings.
 fn parse_refused(value: &Value) -> Vec<String> {
     let mut lines = Vec::new();
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -13,7 +13,7 @@
 
 use crate::Outcome;
 use crate::documents::single_finding;
-use crate::fleet::{Decision, VmResponse, fetch_all, read_fleet, since_epoch};
+use crate::fleet::{Decision, Evacuated, VmResponse, fetch_all, read_fleet, since_epoch};
 use crate::report::{BadInput, Report, columns, print};
 use difference::Majority;
 
@@ -90,6 +90,21 @@
         }
     }
 
+    /// Returns the evacuations that agents report, each with the VMs of these agents.
+    fn evacuated(&self) -> Vec<(&Evacuated, Vec<&str>)> {
+        let mut evacuations: Vec<(&Evacuated, Vec<&str>)> = Vec::new();
+        for VmRow { response, .. } in &self.vms {
+            let reported = response.agent.status().and_then(|s| s.evacuated.as_ref());
+            for evacuated in reported.into_iter().flatten() {
+                match evacuations.binary_search_by(|(other, _)| (*other).cmp(evacuated)) {
+                    Ok(at) => evacuations[at].1.push(response.vm()),
+                    Err(at) => evacuations.insert(at, (evacuated, vec![response.vm()])),
+                }
+            }
+        }
+        evacuations
+    }
+
     /// Returns whether a queried program is unreachable.
     fn has_unreachable(&self) -> bool {
         let is_unreachable =
@@ -131,6 +146,14 @@
         for vm in &self.vms {
             vm.write_details(f, self.events)?;
         }
+        for (evacuated, vms) in self.evacuated() {
+            let Evacuated { zone, since, by } = evacuated;
+            writeln!(
+                f,
+                "zone={zone} evacuated_since={since} evacuated_by={by:?} vms={}",
+                vms.len()
+            )?;
+        }
         let newest = self
             .newest
             .map_or("none".into(), |newest| newest.to_string());
@@ -256,8 +279,13 @@
 
 impl Report for StatusReport {
     fn to_json(&self) -> Value {
+        let evacuated = self.evacuated().into_iter().map(|(evacuated, vms)| {
+            let Evacuated { zone, since, by } = evacuated;
+            json!({ "zone": zone, "since": since, "by": by, "vms": vms })
+        });
         json!({
             "newest_revision": self.newest.map(Revision::get),
+            "evacuated": evacuated.collect::<Value>(),
             "vms": self.vms.iter().map(VmRow::to_json).collect::<Value>(),
         })
     }
--- a/crates/ctl/src/status/difference.rs
+++ b/crates/ctl/src/status/difference.rs
@@ -18,6 +18,8 @@
     Document(String),
     /// The agent reports a different health of a VM than most agents do.
     Health(Health),
+    /// The agent has other zones evacuated than most agents have.
+    Evacuated(String),
     /// The agent has refused documents that have this many findings.
     Refused(usize),
 }
@@ -27,6 +29,8 @@
     newest: Option<Revision>,
     document: Option<String>,
     health: Vec<Health>,
+    /// Names of the evacuated zones, separated by commas.
+    evacuated: Option<String>,
 }
 
 impl Majority {
@@ -46,10 +50,13 @@
                 vm,
             });
         }
+        let evacuated: Vec<String> = agents.iter().filter_map(|agent| zones_of(agent)).collect();
+        let evacuated: Vec<&str> = evacuated.iter().map(String::as_str).collect();
         Self {
             newest,
             document: most_common(&documents).map(str::to_owned),
             health,
+            evacuated: most_common(&evacuated).map(str::to_owned),
         }
     }
 
@@ -84,6 +91,11 @@
                 differences.push(Difference::Health(reported.clone()));
             }
         }
+        if let Some(zones) = zones_of(agent)
+            && self.evacuated.as_ref() != Some(&zones)
+        {
+            differences.push(Difference::Evacuated(zones));
+        }
         if !agent.refused.is_empty() {
             differences.push(Difference::Refused(agent.refused.len()));
         }
@@ -98,6 +110,14 @@
     Some(format!("{preset}, {digest}"))
 }
 
+/// Returns the names of the evacuated zones of an agent, separated by commas; `None` if it does not
+/// report them.
+fn zones_of(agent: &ProgramStatus) -> Option<String> {
+    let zones = agent.evacuated.as_ref()?.iter();
+    let zones: Vec<&str> = zones.map(|evacuated| evacuated.zone.as_str()).collect();
+    Some(zones.join(", "))
+}
+
 /// Returns all VMs whose health any agent reports, sorted.
 fn reported_vms(agents: &[&ProgramStatus]) -> Vec<String> {
     let all = agents.iter().flat_map(|agent| &agent.health);
@@ -144,6 +164,8 @@
                     false => write!(f, " ({})", health.cause),
                 }
             }
+            Self::Evacuated(zones) if zones.is_empty() => write!(f, "has no zone evacuated"),
+            Self::Evacuated(zones) => write!(f, "has evacuated {zones}"),
             Self::Refused(count) => write!(f, "{count} findings in refused documents"),
         }
     }
--- a/crates/measure/src/control/run.rs
+++ b/crates/measure/src/control/run.rs
@@ -187,7 +187,7 @@
 
 /// Changes the state of one target from live to leaving or back.
 fn change_target(fleet: &mut Fleet, platform: &Platform, rng: &mut StdRng) -> ChangeKind {
-    let targets = &mut fleet.deployment.targets.0;
+    let targets = &mut fleet.deployment.targets.targets;
     let index = rng.random_range(0..targets.len());
     let target = &mut targets[index];
     target.state = match target.state {
--- a/crates/measure/src/demo/cost.rs
+++ b/crates/measure/src/demo/cost.rs
@@ -97,7 +97,7 @@
 /// of these targets; 0 without feeds.
 pub fn imbalance(reports: &[FeedReport], deployment: &Deployment, service: &str) -> f64 {
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-    for target in &deployment.targets.0 {
+    for target in &deployment.targets.targets {
         if target.state == TargetState::Live && target.service.as_str() == service {
             counts.insert(target.id.as_str(), 0);
         }
--- a/crates/measure/src/demo/step.rs
+++ b/crates/measure/src/demo/step.rs
@@ -293,7 +293,7 @@
 
     fn pick_target(&mut self) -> io::Result<TargetId> {
         let service = self.system.plan().orders.0;
-        let targets = self.system.deployment().targets.0.iter();
+        let targets = self.system.deployment().targets.targets.iter();
         let candidates: Vec<_> = targets.filter(|t| t.service.as_str() == service).collect();
         let target = candidates.choose(&mut self.rng);
         target
--- a/crates/measure/src/demo/system.rs
+++ b/crates/measure/src/demo/system.rs
@@ -250,7 +250,7 @@
     ///
     /// Returns an error when the list can't be published.
     pub async fn announce_leaving_target(&mut self, id: &TargetId) -> io::Result<()> {
-        for target in &mut self.deployment.targets.0 {
+        for target in &mut self.deployment.targets.targets {
             if target.id == *id {
                 target.state = TargetState::Leaving;
             }
@@ -268,7 +268,10 @@
         for host in &self.hosts {
             post(*host, "/standin/target", format!("stop {id}")).await?;
         }
-        self.deployment.targets.0.retain(|target| target.id != *id);
+        self.deployment
+            .targets
+            .targets
+            .retain(|target| target.id != *id);
         self.publish("targets", self.deployment.targets.to_text())
             .await
     }
--- a/crates/measure/src/flows/fleet.rs
+++ b/crates/measure/src/flows/fleet.rs
@@ -8,15 +8,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
-use bambooseam_config::{TargetState, VmState, digest_of};
+use bambooseam_config::{EvacuatedZone, TargetState, VmState, digest_of};
 use bambooseam_forwarder::geneve::{self, Header, Payload};
 use bambooseam_forwarder::pick::Pick;
 use bambooseam_forwarder::{Clock, Forwarder, Moment, Output, Tracking, packet};
 use bambooseam_standin::deployment::{DOWNLOADS_PORT, FEED_PORT};
 use bambooseam_standin::{Deployment, Plan};
-use bambooseam_types::{VmId, Weight};
+use bambooseam_types::{VmId, Weight, ZoneId};
 use bambooseam_view::View;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -194,7 +194,7 @@
         for index in 0..fleet.deployment.vms.0.len() {
             fleet.start_node(index);
         }
-        for index in 0..fleet.deployment.targets.0.len() {
+        for index in 0..fleet.deployment.targets.targets.len() {
             fleet.start_host(index);
         }
         fleet.publish();
@@ -230,7 +230,7 @@
 
     /// Starts the target at a position of the deployment's list.
     pub fn start_host(&mut self, index: usize) {
-        let entry = &self.deployment.targets.0[index];
+        let entry = &self.deployment.targets.targets[index];
         let service = self.service_of(entry.service.as_str());
         let host = Host {
             address: entry.flows,
@@ -357,13 +357,30 @@
     /// Marks a target as leaving in the deployment and records the time of the announcement.
     pub fn announce_leaving(&mut self, index: usize) {
         let now = self.now();
-        let entry = &mut self.deployment.targets.0[index];
+        let entry = &mut self.deployment.targets.targets[index];
         entry.state = TargetState::Leaving;
         if let Some(host) = self.host_at.get(&entry.flows) {
             self.hosts[*host].leaving_since = Some(now);
         }
     }
 
+    /// Evacuates a zone in the deployment and records the time at its targets.
+    pub fn evacuate(&mut self, zone: &ZoneId) {
+        let now = self.now();
+        let list = &mut self.deployment.targets;
+        list.evacuated.push(EvacuatedZone {
+            zone: zone.clone(),
+            since: SystemTime::UNIX_EPOCH.into(),
+            by: None,
+        });
+        list.evacuated.sort_by(|a, b| a.zone.cmp(&b.zone));
+        for host in &mut self.hosts {
+            if host.zone == zone.as_str() {
+                host.leaving_since = Some(now);
+            }
+        }
+    }
+
     /// Returns the fraction of the tracked flows whose target differs from the default choice.
     pub fn non_default_share(&self) -> f64 {
         let running = || self.nodes.iter().filter(|node| !node.is_dead);
@@ -657,7 +674,7 @@
 
 /// Assigns weights to targets in turn, starting again after the last weight.
 fn set_weights(deployment: &mut Deployment, weights: &[u32]) {
-    let targets = deployment.targets.0.iter_mut();
+    let targets = deployment.targets.targets.iter_mut();
     for (target, weight) in targets.zip(weights.iter().cycle()) {
         target.weight = Weight::try_from(*weight).expect("a valid weight");
     }
--- a/crates/measure/src/flows/scenario.rs
+++ b/crates/measure/src/flows/scenario.rs
@@ -37,6 +37,10 @@
     /// A target is drained.
     #[display("target_drains")]
     TargetDrains,
+    /// A zone is evacuated. Not in the random series, whose kept seeds depend on the list of
+    /// scenarios.
+    #[display("zone_evacuated")]
+    ZoneEvacuated,
     /// The preset switches three times.
     #[display("preset_switches")]
     PresetSwitches,
@@ -135,7 +139,7 @@
 
     /// Whether operators planned the scenario.
     pub fn origin(self) -> Origin {
-        match Self::PLANNED.contains(&self) {
+        match self == Self::ZoneEvacuated || Self::PLANNED.contains(&self) {
             true => Origin::Planned,
             false => Origin::Unplanned,
         }
@@ -200,6 +204,12 @@
                 fleet.announce_leaving(leaving);
                 fleet.publish();
             }
+            Self::ZoneEvacuated => {
+                let target = random_target(fleet);
+                let zone = fleet.deployment.targets.targets[target].zone.clone();
+                fleet.evacuate(&zone);
+                fleet.publish();
+            }
             Self::PresetSwitches => switch_presets(fleet),
             Self::ChangesAtOnce => change_all(fleet, |_| Duration::ZERO),
             Self::UnevenViews => change_all(fleet, view_lag),
@@ -289,7 +299,7 @@
 /// Returns the position of a random live target of the orders service.
 fn random_target<P: Pick + Clone>(fleet: &mut Fleet<P>) -> usize {
     let service = Plan::of(DeploymentKind::Cascade).orders.0;
-    let targets = fleet.deployment.targets.0.iter().enumerate();
+    let targets = fleet.deployment.targets.targets.iter().enumerate();
     let live: Vec<usize> = targets
         .filter(|(_, target)| target.state == TargetState::Live)
         .filter(|(_, target)| target.service.as_str() == service)
@@ -372,14 +382,14 @@
 pub fn add_target<P: Pick + Clone>(fleet: &mut Fleet<P>, octet: u8) {
     let is_of_orders =
         |entry: &&bambooseam_config::TargetEntry| entry.id.as_str().starts_with("bay");
-    let found = fleet.deployment.targets.0.iter().find(is_of_orders);
+    let found = fleet.deployment.targets.targets.iter().find(is_of_orders);
     let mut entry = found.expect("the plan has targets").clone();
     entry.id = format!("bay-new-{octet}").parse().expect("a valid name");
     entry.state = TargetState::Live;
     for address in [&mut entry.flows, &mut entry.requests] {
         address.set_ip([127, 1, 2, octet].into());
     }
-    let list = &mut fleet.deployment.targets.0;
+    let list = &mut fleet.deployment.targets.targets;
     let place = list.partition_point(|target| target.id < entry.id);
     list.insert(place, entry);
     fleet.start_host(place);
@@ -411,7 +421,7 @@
 /// Drains a target and gives its address to the downloads service.
 fn reuse_address<P: Pick + Clone>(fleet: &mut Fleet<P>) {
     let at = random_target(fleet);
-    let target = fleet.deployment.targets.0[at].clone();
+    let target = fleet.deployment.targets.targets[at].clone();
     fleet.announce_leaving(at);
     fleet.publish_lagging(view_lag, &[]);
     fleet.run_for(Duration::from_secs(5));
@@ -419,12 +429,16 @@
     fleet.kill_host(target.flows);
     let downloads = Plan::of(DeploymentKind::Cascade).downloads.0;
     let name = format!("file-moved-{}", fleet.next_host());
-    let entry = &mut fleet.deployment.targets.0[at];
+    let entry = &mut fleet.deployment.targets.targets[at];
     entry.id = name.parse().expect("a valid name");
     entry.service = downloads.parse().expect("a valid name");
     entry.state = TargetState::Live;
     fleet.start_host(at);
-    fleet.deployment.targets.0.sort_by(|a, b| a.id.cmp(&b.id));
+    fleet
+        .deployment
+        .targets
+        .targets
+        .sort_by(|a, b| a.id.cmp(&b.id));
     fleet.publish_lagging(view_lag, &[]);
     let plan = Plan::of(DeploymentKind::Cascade);
     let mut profile = Profile::feeds(&plan);
@@ -465,10 +479,10 @@
 /// Kills a target; the platform removes it from the list 5 s later.
 fn kill_target<P: Pick + Clone>(fleet: &mut Fleet<P>) {
     let at = random_target(fleet);
-    let target = fleet.deployment.targets.0[at].clone();
+    let target = fleet.deployment.targets.targets[at].clone();
     fleet.kill_host(target.flows);
     fleet.run_for(Duration::from_secs(5));
-    fleet.deployment.targets.0.remove(at);
+    fleet.deployment.targets.targets.remove(at);
     fleet.publish_lagging(view_lag, &[]);
 }
 
--- a/crates/measure/src/requests/fleet.rs
+++ b/crates/measure/src/requests/fleet.rs
@@ -97,7 +97,7 @@
         deployment.presets[0].1 = text;
         let log = Arc::new(RunLog::default());
         let mut targets = Vec::new();
-        for entry in &deployment.targets.0 {
+        for entry in &deployment.targets.targets {
             let id = entry.id.as_str();
             targets.push(TestTarget::start(id, entry.requests, slots, Arc::clone(&log)).await);
         }
--- a/crates/measure/src/requests/speed.rs
+++ b/crates/measure/src/requests/speed.rs
@@ -56,7 +56,7 @@
     let bare = runtime(1);
     callers.block_on(async {
         let fleet = Fleet::start_with_slots(PLAN, SLOTS, str::to_owned).await;
-        let target = fleet.deployment.targets.0[0].requests;
+        let target = fleet.deployment.targets.targets[0].requests;
         let proxy = fleet.proxies[0].address(ORDERS_PORT);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let bare_address = listener.local_addr().expect("an address");
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -141,7 +141,10 @@
         };
         Deployment {
             vms: VmList(vms),
-            targets: TargetList(targets),
+            targets: TargetList {
+                targets,
+                evacuated: Vec::new(),
+            },
             presets,
             pointer,
         }
@@ -218,7 +221,7 @@
             let vni = ServiceId::try_from(vni).expect("service identifiers are valid");
             TargetSpec::new(entry.clone(), vni)
         };
-        self.targets.0.iter().map(spec).collect()
+        self.targets.targets.iter().map(spec).collect()
     }
 
     /// Returns the text of the preset called `name`; `None` if the deployment has no such preset.
--- a/crates/view/src/view.rs
+++ b/crates/view/src/view.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use bambooseam_config::{
-    Document, Preset, PresetPointer, Service, TargetEntry, TargetList, TargetState, VmEntry,
-    VmList, VmState, digest_of,
+    Document, EvacuatedZone, Preset, PresetPointer, Service, TargetEntry, TargetList, TargetState,
+    VmEntry, VmList, VmState, digest_of,
 };
 use bambooseam_types::{Finding, Findings, Location, Revision, ServiceId, ServiceName, VmId};
 
@@ -23,6 +23,8 @@
     pub vms: Vec<Vm>,
     /// Targets, sorted by service and identifier.
     pub targets: Vec<Target>,
+    /// Evacuated zones, sorted by name.
+    pub evacuated: Vec<EvacuatedZone>,
     frontends: Vec<Frontend>,
     forwarders: Ranking,
     proxies: Ranking,
@@ -59,6 +61,8 @@
     pub service: ServiceIndex,
     /// Hash of the target's identifier.
     pub hash: u64,
+    /// Whether the zone of the target is evacuated.
+    pub is_evacuated: bool,
 }
 
 /// Position of a service in the preset.
@@ -126,7 +130,7 @@
             .into_iter()
             .map(|entry| Vm::new(entry, source))
             .collect();
-        let targets = join_targets(&preset, targets);
+        let (targets, evacuated) = join_targets(&preset, targets);
         let frontends = list_frontends(&preset);
         let serving = || {
             vms.iter()
@@ -141,6 +145,7 @@
             preset,
             vms,
             targets,
+            evacuated,
             frontends,
             forwarders,
             proxies,
@@ -223,7 +228,8 @@
 impl Target {
     /// Whether the target may receive new work.
     pub fn is_open(&self) -> bool {
-        self.entry.state == TargetState::Live && self.entry.weight.get() > 0
+        let is_live = self.entry.state == TargetState::Live && self.entry.weight.get() > 0;
+        is_live && !self.is_evacuated
     }
 }
 
@@ -264,23 +270,25 @@
     }
 }
 
-/// Joins targets with their services. A target whose service is not in the preset is omitted.
-fn join_targets(preset: &Preset, list: TargetList) -> Vec<Target> {
+/// Joins targets with their services, and returns them with the evacuated zones. A target whose
+/// service is not in the preset is omitted.
+fn join_targets(preset: &Preset, list: TargetList) -> (Vec<Target>, Vec<EvacuatedZone>) {
     let mut targets = Vec::new();
-    for entry in list.0 {
+    for entry in &list.targets {
         let found = preset
             .services
             .binary_search_by(|service| service.name.cmp(&entry.service));
         let Ok(service) = found else { continue };
         let hash = FlowKey::from_name(entry.id.as_str()).get();
         targets.push(Target {
-            entry,
+            is_evacuated: list.is_evacuated(&entry.zone),
+            entry: entry.clone(),
             service: ServiceIndex(service),
             hash,
         });
     }
     targets.sort_by(|a, b| (a.service, &a.entry.id).cmp(&(b.service, &b.entry.id)));
-    targets
+    (targets, list.evacuated)
 }
 
 /// Lists the frontends of all services, sorted.
--- a/tests/tests/admin.rs
+++ b/tests/tests/admin.rs
@@ -7,7 +7,7 @@
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
-use bambooseam_config::TargetState;
+use bambooseam_config::{EvacuatedZone, TargetState};
 use bambooseam_measure::requests::network::Network;
 use bambooseam_standin::deployment::FEED_PORT;
 use bambooseam_standin::settings::{
@@ -136,6 +136,33 @@
         self.expect_code(code, line)
     }
 
+    /// Evacuates the zone of a target, waits until every agent shows it, and returns the zone.
+    #[track_caller]
+    fn evacuate_zone_of(&mut self, target: &str) -> String {
+        let target = target.parse().expect("valid name");
+        let zone = self.deployment.targets.get(&target).expect("a target");
+        let zone = zone.zone.clone();
+        self.deployment.targets.evacuated = vec![EvacuatedZone {
+            zone: zone.clone(),
+            since: std::time::SystemTime::UNIX_EPOCH.into(),
+            by: Some("night shift".into()),
+        }];
+        self.write_documents();
+        self.expect_code(0, "check DIR");
+        self.platform.publish(Plan::PREFIX, &self.deployment);
+        let start = Instant::now();
+        loop {
+            let status = self.expect_eventually(0, "status --fleet FLEET");
+            let evacuated = &status["evacuated"][0];
+            if evacuated["vms"].as_array().map(Vec::len) == Some(VMS) {
+                assert_eq!(evacuated["zone"], zone.as_str());
+                assert_eq!(evacuated["by"], "night shift");
+                return zone.to_string();
+            }
+            assert!(start.elapsed() < AGREEMENT_TIMEOUT, "{status}");
+        }
+    }
+
     #[track_caller]
     fn expect_code(&self, code: i32, line: &str) -> Value {
         let output = self.ctl(&format!("{line} --format json"));
@@ -221,7 +248,7 @@
     assert_eq!(stop["can_stop"], "no");
     let stop = "can-stop target bay-0001 --documents DIR --fleet FLEET";
     fleet.expect_code(1, stop);
-    for target in &mut fleet.deployment.targets.0 {
+    for target in &mut fleet.deployment.targets.targets {
         if target.id.as_str() == "bay-0001" {
             target.state = TargetState::Leaving;
         }
@@ -231,6 +258,13 @@
     let stop = fleet.expect_eventually(0, stop);
     assert_eq!(stop["can_stop"], "yes");
 
+    let zone = fleet.evacuate_zone_of("bay-0002");
+    let views = format!("explain request --service fill-orders --path /a --views {views}");
+    let answer = &fleet.expect_code(0, &views)["views"][0]["answer"];
+    for target in answer["targets"].as_array().expect("list of targets") {
+        assert_eq!(target["evacuated"], target["zone"] == zone, "{target}");
+    }
+
     let agent = &mut fleet.programs[0];
     agent.kill().expect("process killed");
     agent.wait().expect("process ended");
--- a/tests/tests/config.rs
+++ b/tests/tests/config.rs
@@ -599,6 +599,55 @@
     );
 }
 
+#[test]
+fn evacuated_zones_are_parsed_and_written() {
+    let text = format!(
+        "[zone south]\nevacuated-since = 2026-03-01T08:30:00Z\nevacuated-by = night shift\n\
+         [zone north]\nevacuated-since = 2026-03-02 08:30:00\n{TARGETS}"
+    );
+    let document = Document::parse("targets", &text).expect("valid INI");
+    let list = TargetList::try_from(&document).expect("a valid list");
+    let zones: Vec<&str> = list
+        .evacuated
+        .iter()
+        .map(|zone| zone.zone.as_str())
+        .collect();
+    assert_eq!((list.targets.len(), zones), (2, vec!["north", "south"]));
+    assert!(list.is_evacuated(&list.targets[0].zone));
+    assert_eq!(list.evacuated[1].by.as_deref(), Some("night shift"));
+    let document = Document::parse("targets", &list.to_text()).expect("valid INI");
+    assert_eq!(TargetList::try_from(&document), Ok(list));
+}
+
+#[test]
+fn invalid_evacuated_zones_are_reported() {
+    let long = "x".repeat(65);
+    let invalid = [
+        ("[zone north]\n", "zone north.evacuated-since"),
+        ("[zone north]\nevacuated-since = soon\n", "found \"soon\""),
+        (
+            "[zone a b]\nevacuated-since = 2026-03-01T08:30:00Z\n",
+            "zone a b.name",
+        ),
+        (
+            "[zone north]\nevacuated-since = 2026-03-01T08:30:00Z\nevacuated = yes\n",
+            "evacuated",
+        ),
+        (
+            &format!(
+                "[zone north]\nevacuated-since = 2026-03-01T08:30:00Z\nevacuated-by = {long}\n"
+            ),
+            "at most 64 bytes",
+        ),
+    ];
+    for (section, expected) in invalid {
+        let document = Document::parse("targets", &format!("{section}{TARGETS}"));
+        let findings = TargetList::try_from(&document.expect("valid INI"));
+        let findings = findings.expect_err(section).to_string();
+        assert!(findings.contains(expected), "{findings}");
+    }
+}
+
 #[test]
 fn line_numbers_are_right_after_comments_blank_lines_and_repeated_keys() {
     let text = "; zone = a\n\r\n[vm a]\r\nzone = n\n# address = 1.1.1.1\naddress: x\n\n[vm b]\nzone = n\naddress = y\n";
@@ -641,7 +690,7 @@
         .with_targets(4_800, 100)
         .build()
         .targets;
-    for target in &mut list.0 {
+    for target in &mut list.targets {
         target.id = format!("{}-{}", target.id, "x".repeat(53))
             .parse()
             .expect("valid name");
--- a/tests/tests/control.rs
+++ b/tests/tests/control.rs
@@ -267,7 +267,7 @@
         let shared = start(&fake).await;
         wait_until(&shared, "serving", |shared| revision(shared) == 1).await;
         let mut rebuilt = fake::Store::default();
-        published.targets.0.truncate(10);
+        published.targets.targets.truncate(10);
         rebuilt.publish(&published);
         fake.edit(|store| *store = rebuilt);
         sleep(OBSERVATION_TIME).await;
--- a/tests/tests/ctl.rs
+++ b/tests/tests/ctl.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bambooseam_config::EvacuatedZone;
 use bambooseam_ctl::can_stop::{can_stop_target, can_stop_vm};
 use bambooseam_ctl::check::{CheckReport, check_paths};
 use bambooseam_ctl::documents::Published;
@@ -17,8 +18,8 @@
 use bambooseam_ctl::wait::wait_for;
 use bambooseam_ctl::{Outcome, command, run};
 use bambooseam_standin::{Deployment, DeploymentKind};
-use bambooseam_types::{Flow, Protocol, Revision};
-use bambooseam_view::{FrontendKind, View};
+use bambooseam_types::{Flow, Protocol, Revision, ZoneId};
+use bambooseam_view::{FrontendKind, ServiceIndex, View};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -208,7 +209,7 @@
 #[test]
 fn target_of_an_unknown_service_and_service_without_target_are_found() {
     let (mut deployment, _) = cascade();
-    for target in &mut deployment.targets.0 {
+    for target in &mut deployment.targets.targets {
         if target.service.as_str() == "fill-charts" {
             target.service = "fill-chart".parse().expect("valid name");
         }
@@ -226,6 +227,120 @@
     );
 }
 
+/// Returns a deployment with a zone evacuated, and the zone.
+fn evacuated_deployment() -> (Deployment, ZoneId) {
+    let (mut deployment, _) = cascade();
+    let zone = deployment.targets.targets[0].zone.clone();
+    deployment.targets.evacuated = vec![EvacuatedZone {
+        zone: zone.clone(),
+        since: std::time::SystemTime::UNIX_EPOCH.into(),
+        by: Some("night shift".into()),
+    }];
+    (deployment, zone)
+}
+
+#[test]
+fn evacuated_zone_is_checked_against_the_lists() {
+    let (mut deployment, zone) = evacuated_deployment();
+    let report = Directory::of(&deployment).check();
+    assert_eq!(report.outcome(), Outcome::Good, "{report}");
+    // A service that is left without a target would refuse everything.
+    for target in &mut deployment.targets.targets {
+        if target.service.as_str() == "fill-charts" {
+            target.zone = zone.clone();
+        }
+    }
+    let found = Directory::of(&deployment).check().to_string();
+    assert!(
+        found.contains("service fill-charts: found live targets in evacuated zones only"),
+        "{found}"
+    );
+    // A mistyped name would evacuate nothing.
+    let (mut deployment, _) = evacuated_deployment();
+    deployment.targets.evacuated[0].zone = "skagti".parse().expect("a name");
+    let found = Directory::of(&deployment).check().to_string();
+    assert!(
+        found.contains("zone skagti: found no VM and no target in the zone"),
+        "{found}"
+    );
+}
+
+#[test]
+fn evacuated_zone_is_explained() {
+    let (deployment, zone) = evacuated_deployment();
+    let view = View::build(&deployment.source(2)).expect("valid view");
+    let service = &view.preset.services;
+    let index = service
+        .iter()
+        .position(|service| !service.flow_ports.is_empty());
+    let index = ServiceIndex(index.expect("a service with flows"));
+    let port = view.service(index).flow_ports[0].get();
+    for caller in 1..200 {
+        let flow = Flow {
+            protocol: Protocol::Tcp,
+            caller: SocketAddr::from(([10, 0, 0, 1], caller)),
+            service: SocketAddr::new(view.service(index).address, port),
+        };
+        let answer = explain_flow(&view, &flow).expect("a service");
+        let pick = answer.pick.as_ref().expect("a target");
+        assert!(!pick.ends_with(&format!("({zone})")), "{pick}");
+        assert_eq!(answer.evacuated, [zone.to_string()]);
+        assert!(answer.to_string().contains("evacuated"), "{answer}");
+    }
+    let answer = explain_request(&view, index, "/a");
+    for target in &answer.targets {
+        assert_eq!(target.evacuated, target.zone == zone.as_str());
+        assert_eq!(target.open, !target.evacuated);
+    }
+    assert!(
+        answer
+            .to_string()
+            .contains("accepts no new work, zone evacuated"),
+        "{answer}"
+    );
+}
+
+#[test]
+fn status_shows_evacuated_zones_and_agents_that_differ() {
+    let evacuated = |mut status: Value, zones: &[&str]| {
+        let zone =
+            |zone: &&str| json!({ "zone": zone, "since": "2026-03-01T08:30:00Z", "by": "x" });
+        status["evacuated"] = zones.iter().map(zone).collect();
+        vm_response(status)
+    };
+    let agents = ["vm-001", "vm-002", "vm-003"].map(|vm| agent_status(vm, 3, 7));
+    let all = agents.clone().map(|status| evacuated(status, &["skagit"]));
+    let report = StatusReport::new(all.into(), 0);
+    assert_eq!(report.outcome(), Outcome::Good, "{report}");
+    assert!(
+        report
+            .to_string()
+            .contains("zone=skagit evacuated_since=2026-03-01T08:30:00Z evacuated_by=\"x\" vms=3"),
+        "{report}"
+    );
+    assert_eq!(
+        report.to_json()["evacuated"][0]["vms"],
+        json!(["vm-001", "vm-002", "vm-003"])
+    );
+    let [first, second, third] = agents;
+    let mixed = vec![
+        evacuated(first, &["skagit"]),
+        evacuated(second, &[]),
+        evacuated(third, &["skagit"]),
+    ];
+    let report = StatusReport::new(mixed, 0);
+    assert_eq!(report.outcome(), Outcome::Failed, "{report}");
+    assert!(
+        report.to_string().contains("has no zone evacuated"),
+        "{report}"
+    );
+    // Agents of an earlier version do not report zones.
+    let (old, new) = (agent_status("vm-001", 3, 7), agent_status("vm-002", 3, 7));
+    let mixed = vec![vm_response(old), evacuated(new, &["skagit"])];
+    let report = StatusReport::new(mixed, 0);
+    assert_eq!(report.outcome(), Outcome::Good, "{report}");
+}
+
 #[test]
 fn all_findings_of_several_files_are_reported() {
     let directory = Directory::new();
@@ -518,7 +633,7 @@
 #[test]
 fn leaving_target_may_be_stopped_when_its_work_is_done() {
     let (mut deployment, _) = cascade();
-    for target in &mut deployment.targets.0 {
+    for target in &mut deployment.targets.targets {
         if target.id.as_str() == "bay-0001" {
             target.state = bambooseam_config::TargetState::Leaving;
         }
--- a/tests/tests/flows.rs
+++ b/tests/tests/flows.rs
@@ -89,6 +89,13 @@
     assert_eq!(run(Scenario::TargetDrains).new_to_leaving, 0);
 }
 
+#[test]
+fn zone_is_evacuated() {
+    // Without the section of the zone in the list, its targets would get new flows.
+    assert_better_than_stateless(Scenario::ZoneEvacuated);
+    assert_eq!(run(Scenario::ZoneEvacuated).new_to_leaving, 0);
+}
+
 #[test]
 fn preset_switches() {
     assert_unbroken(Scenario::PresetSwitches);
--- a/tests/tests/flows_program.rs
+++ b/tests/tests/flows_program.rs
@@ -129,7 +129,7 @@
     })
     .expect("a thread");
     let mut sockets = Vec::new();
-    for target in &deployment.targets.0 {
+    for target in &deployment.targets.targets {
         let socket = UdpSocket::bind(target.flows).expect("the target's address");
         socket.set_nonblocking(true).expect("a socket");
         sockets.push(socket);
--- a/tests/tests/requests.rs
+++ b/tests/tests/requests.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use bambooseam_config::VmState;
+use bambooseam_config::{EvacuatedZone, VmState};
 use bambooseam_measure::requests::caller::{
     CallResult, CallerConnection, call_once, request, with_header,
 };
@@ -378,8 +378,8 @@
 #[tokio::test]
 async fn leaving_target_gets_no_new_work() {
     let mut fleet = fleet().await;
-    let id = fleet.deployment.targets.0[0].id.clone();
-    fleet.deployment.targets.0[0].state = bambooseam_config::TargetState::Leaving;
+    let id = fleet.deployment.targets.targets[0].id.clone();
+    fleet.deployment.targets.targets[0].state = bambooseam_config::TargetState::Leaving;
     fleet.publish();
     sleep(Duration::from_millis(500)).await;
     for n in 0..30 {
@@ -389,6 +389,43 @@
     }
 }
 
+#[tokio::test]
+async fn evacuated_zone_gets_no_new_work_until_it_returns() {
+    let mut fleet = fleet().await;
+    let zone = fleet.deployment.targets.targets[0].zone.clone();
+    let ids: Vec<String> = fleet
+        .deployment
+        .targets
+        .targets
+        .iter()
+        .filter(|target| target.zone == zone)
+        .map(|target| target.id.to_string())
+        .collect();
+    fleet.deployment.targets.evacuated = vec![EvacuatedZone {
+        zone,
+        since: std::time::SystemTime::UNIX_EPOCH.into(),
+        by: None,
+    }];
+    fleet.publish();
+    sleep(Duration::from_millis(500)).await;
+    let is_in_zone =
+        |response: &CallResult| ids.iter().any(|id| response.text().contains(id.as_str()));
+    for n in 0..30 {
+        let response = call(&fleet, n % 3, "GET", "/a", &format!("r{n}")).await;
+        assert!(response.is_served(), "{response:?}");
+        assert!(!is_in_zone(&response), "{response:?}");
+    }
+    fleet.deployment.targets.evacuated.clear();
+    fleet.publish();
+    sleep(Duration::from_millis(500)).await;
+    let mut is_used = false;
+    for n in 30..90 {
+        let response = call(&fleet, n % 3, "GET", "/a", &format!("r{n}")).await;
+        is_used |= is_in_zone(&response);
+    }
+    assert!(is_used, "the zone gets no work after its return");
+}
+
 #[tokio::test]
 async fn planned_stop_cuts_no_request_in_progress() {
     let mut fleet = Fleet::start_with_slots(PLAN, 400, str::to_owned).await;
@@ -484,7 +521,7 @@
     };
     let fleet = Fleet::start(plan, str::to_owned).await;
     fleet.targets[0].kill().await;
-    let address = fleet.deployment.targets.0[0].requests;
+    let address = fleet.deployment.targets.targets[0].requests;
     let listener = loop {
         match TcpListener::bind(address).await {
             Ok(listener) => break listener,
--- a/tests/tests/requests_repeated.rs
+++ b/tests/tests/requests_repeated.rs
@@ -87,7 +87,7 @@
         workers: 1,
     };
     let fleet = Fleet::start(plan, str::to_owned).await;
-    let target: SocketAddr = fleet.deployment.targets.0[0].requests;
+    let target: SocketAddr = fleet.deployment.targets.targets[0].requests;
     fleet.targets[0].kill().await;
     let listener = TcpListener::bind(target)
         .await
--- a/tests/tests/view.rs
+++ b/tests/tests/view.rs
@@ -26,6 +26,23 @@
     }
 }
 
+#[test]
+fn targets_of_an_evacuated_zone_are_closed_to_new_work_only() {
+    let deployment = Deployment::of(DeploymentKind::Cascade);
+    let zone = deployment.targets.targets[0].zone.clone();
+    let mut source = deployment.source(1);
+    let section = format!("[zone {zone}]\nevacuated-since = 2026-03-01T08:30:00Z\n");
+    source.targets.push_str(&section);
+    let view = View::build(&source).expect("valid documents");
+    assert_eq!(view.targets.len(), 19);
+    for target in &view.targets {
+        assert_eq!(target.is_open(), target.entry.zone != zone);
+        assert_eq!(target.is_evacuated, target.entry.zone == zone);
+    }
+    // VMs of the zone stay in service.
+    assert_eq!((view.forwarders().len(), view.evacuated.len()), (5, 1));
+}
+
 #[test]
 fn suspected_vm_is_not_ranked() {
     let mut source = Deployment::of(DeploymentKind::Cascade).source(1);
