--- a/tests/tests/entry_evacuation.rs
+++ b/tests/tests/entry_evacuation.rs
@@ -12,7 +12,10 @@
 /// Time limit of the users, with a fault at the moment of the evacuation.
 const FAULT_BOUND: Duration = Duration::from_millis(4_500);
 
-/// Zone that is evacuated, and the zones beside it.
+/// Number of evacuations while other documents change.
+const ROUNDS: u16 = 10;
+
+/// Zone that is evacuated.
 const EVACUATED: u8 = 0;
 
 /// Returns the number of flows opened at the targets of a zone so far.
@@ -96,6 +99,33 @@
     running.check();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuation_arrives_while_other_documents_change() {
+    // The reader pauses after each change, and the evacuation must not wait for several pauses.
+    let mut running = RunningSite::start(&[2, 2, 2], 2).await;
+    let all = [0, 1, 2, 3, 4, 5];
+    let mut times = Vec::new();
+    for round in 0..ROUNDS {
+        for step in 0..4 {
+            running.site.publish_entry(round * 4 + step);
+            pause(u64::from(round * 37 + step * 71) % 190).await;
+        }
+        for expected in [true, false] {
+            let start = Instant::now();
+            match expected {
+                true => drop(running.site.evacuate(EVACUATED).expect("a revision")),
+                false => assert!(running.site.readmit(EVACUATED)),
+            }
+            times.push(wait_evacuated(&running, &all, expected, start).await);
+        }
+    }
+    times.sort();
+    let (median, last) = (times[times.len() / 2], times[times.len() - 1]);
+    println!("changes={} median={median:?} max={last:?}", times.len());
+    assert!(last < EVACUATION_BOUND, "{times:?}");
+    running.check();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn traffic_leaves_an_evacuated_zone_without_a_broken_flow() {
     let mut running = RunningSite::start(&[1, 1, 1], 3).await;
