--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -12,7 +12,8 @@
 //! answer, [`stall`] detects targets that do not acknowledge data, [`timing`] derives timeouts from observed
 //! response times, [`target_speed`] learns how fast each target is, [`missing_entry`] handles
 //! targets whose published entry was removed, [`evacuation`] excludes the targets of evacuated
-//! zones from new flows, and [`unknown_token`] handles tokens that belong to no known target.
+//! zones from new flows, [`resumption`] drops openings that waited while this process was paused,
+//! and [`unknown_token`] handles tokens that belong to no known target.
 
 pub mod cold_budget;
 mod decision;
@@ -25,6 +26,7 @@
 mod path;
 pub mod placement;
 pub mod responsiveness;
+pub mod resumption;
 mod route;
 pub mod stall;
 mod steering;
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -24,6 +24,7 @@
 use crate::flows::Flows;
 use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
 use crate::path::PathRecord;
+use crate::resumption::Resumption;
 use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
 use crate::timing::ServiceTimings;
 use crate::unknown_token::UnknownTokens;
@@ -86,6 +87,7 @@
     unknown_tokens: UnknownTokens,
     zones: UnresponsiveZones,
     evacuations: Evacuations,
+    resumption: Resumption,
     paths: PathRecord,
     timings: ServiceTimings,
     cold_budgets: ColdBudgets,
@@ -126,6 +128,7 @@
             unknown_tokens: UnknownTokens::default(),
             zones: UnresponsiveZones::default(),
             evacuations: Evacuations::default(),
+            resumption: Resumption::default(),
             paths: PathRecord::default(),
             timings: ServiceTimings::default(),
             cold_budgets: ColdBudgets::default(),
@@ -182,6 +185,9 @@
 
     /// Selects the target of a new flow.
     fn handle_opening(&mut self, header: &PacketHeader, now: Moment) -> Decision {
+        if self.awaits_view(now) {
+            return Decision::Drop(DropCause::ViewNotCurrent);
+        }
         let is_current = self.freshness.is_current(now);
         let Some(route) = self
             .routes
--- a/tests/tests/entry_evacuation.rs
+++ b/tests/tests/entry_evacuation.rs
@@ -12,7 +12,10 @@
 /// Time limit of the users, with a fault at the moment of the evacuation.
 const FAULT_BOUND: Duration = Duration::from_millis(4_500);
 
-/// Zone that is evacuated, and the zones beside it.
+/// Number of evacuations while other documents change.
+const ROUNDS: u16 = 10;
+
+/// Zone that is evacuated.
 const EVACUATED: u8 = 0;
 
 /// Returns the number of flows opened at the targets of a zone so far.
@@ -96,6 +99,33 @@
     running.check();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuation_arrives_while_other_documents_change() {
+    // The reader pauses after each change, and the evacuation must not wait for several pauses.
+    let mut running = RunningSite::start(&[2, 2, 2], 2).await;
+    let all = [0, 1, 2, 3, 4, 5];
+    let mut times = Vec::new();
+    for round in 0..ROUNDS {
+        for step in 0..4 {
+            running.site.publish_entry(round * 4 + step);
+            pause(u64::from(round * 37 + step * 71) % 190).await;
+        }
+        for expected in [true, false] {
+            let start = Instant::now();
+            match expected {
+                true => drop(running.site.evacuate(EVACUATED).expect("a revision")),
+                false => assert!(running.site.readmit(EVACUATED)),
+            }
+            times.push(wait_evacuated(&running, &all, expected, start).await);
+        }
+    }
+    times.sort();
+    let (median, last) = (times[times.len() / 2], times[times.len() - 1]);
+    println!("changes={} median={median:?} max={last:?}", times.len());
+    assert!(last < EVACUATION_BOUND, "{times:?}");
+    running.check();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn traffic_leaves_an_evacuated_zone_without_a_broken_flow() {
     let mut running = RunningSite::start(&[1, 1, 1], 3).await;
@@ -220,6 +250,38 @@
     running.check();
 }
 
+/// Pauses a VM while its zone is evacuated. The packets that arrive meanwhile are decided right
+/// after the pause.
+async fn assert_paused(vm: usize) {
+    let mut running = RunningSite::start(&[1, 1], 3).await;
+    let traffic = running.traffic(2, 6);
+    pause(1_500).await;
+    running.site.vms[vm].signal("STOP").await.expect("a signal");
+    // Calls to the store and to peers are answered meanwhile, without the evacuation.
+    pause(1_300).await;
+    running.site.evacuate(vm as u8).expect("a revision");
+    pause(6_000).await;
+    running.site.vms[vm].signal("CONT").await.expect("a signal");
+    let start = Instant::now();
+    running.wait_served(vm).await;
+    println!("served_ms={}", start.elapsed().as_millis());
+    pause(1_000).await;
+    traffic.stop().await;
+    running.check();
+    let log = running.site.vms[vm].log();
+    assert!(log.contains("event=pause_found"), "{log}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_reader_opens_nothing_in_the_zone() {
+    assert_paused(0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_follower_opens_nothing_in_the_zone() {
+    assert_paused(1).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn service_with_evacuated_targets_only_is_reset_immediately() {
     let mut running = RunningSite::start(&[1, 1], 1).await;
