Compare the speeds of targets with their median while all are slow

At the crest of a load swing all targets of the zone slow down at once.

If the median factor of the targets in use is above 1, placement and limits compare factors with it.

--- a/crates/steer/src/steering/speed.rs
+++ b/crates/steer/src/steering/speed.rs
@@ -145,9 +145,10 @@
             let rate = total / in_use.max(1) as f32;
             let before: Vec<_> = records.iter().map(|record| record.speed.limit()).collect();
             let usual = usual.of_service(service);
+            let average = median_factor(records, now);
             for record in records.iter_mut() {
                 let capacity = record.target.capacity;
-                record.speed.refresh(capacity, usual, rate, now);
+                record.speed.refresh(capacity, usual, (rate, average), now);
             }
             clear_excess_limits(records);
             for (record, before) in records.iter().zip(before) {
@@ -191,6 +192,16 @@
     record.speed.end(started, outcome, now);
 }
 
+/// Median of the factors that are known; 1 without any.
+fn median_factor(records: &[&mut TargetRecord], now: Moment) -> f32 {
+    let factors = records.iter();
+    let mut factors: Vec<_> = factors
+        .filter_map(|record| record.speed.observed_factor(now))
+        .collect();
+    factors.sort_by(f32::total_cmp);
+    factors.get(factors.len() / 2).copied().unwrap_or(1.0)
+}
+
 /// Keeps the limits of the slowest targets of a service only, up to [`MAX_LIMITED_PERCENT`].
 fn clear_excess_limits(records: &mut [&mut TargetRecord]) {
     let most = records.len() * MAX_LIMITED_PERCENT / 100;
--- a/crates/steer/src/target_speed.rs
+++ b/crates/steer/src/target_speed.rs
@@ -12,6 +12,10 @@
 //! it discards the history of a target that has become slower or faster. A request that is in
 //! progress for several times its expected time counts before its response ([`pending`]).
 //!
+//! If most targets of a service are slow at once, for example at the crest of a load swing, the
+//! reason is not theirs. Factors are then compared with their median, so that targets of other
+//! zones, whose times are not known, do not look faster.
+//!
 //! All thresholds are ratios to the service's own times, so they hold for any service.
 
 mod evidence;
@@ -98,6 +102,8 @@
     /// Smoothed requests per second.
     rate: f32,
     probe_interval: Duration,
+    /// Factor that counts as average: more than 1 while most targets of the service are slow.
+    average: f32,
     capacity: u32,
     /// Usual times of the service, by load, in microseconds.
     usual: [f32; LEVELS],
@@ -141,6 +147,7 @@
             sent: 0,
             rate: 0.0,
             probe_interval: MIN_PROBE_INTERVAL,
+            average: 1.0,
             capacity,
             usual: [0.0; LEVELS],
             percents: [100; LEVELS],
@@ -259,6 +266,13 @@
         (self.prior_weight + self.ratios.sum) / (self.prior_weight + self.ratios.weight)
     }
 
+    /// Factor that responses and overdue requests show now; `None` without any.
+    pub fn observed_factor(&self, now: Moment) -> Option<f32> {
+        let overdue = self.pending.overdue(now);
+        let known = (self.ratios.weight >= 1.0).then(|| self.factor());
+        known.into_iter().chain(overdue).reduce(f32::max)
+    }
+
     /// Weight of the responses that the factor is based on.
     pub fn weight(&self) -> f32 {
         self.ratios.weight
@@ -271,7 +285,7 @@
         let learned = self.percents[level.index()];
         let overdue = self.pending.overdue(now);
         let percent = overdue.map_or(learned, |ratio| {
-            learned.max(percent_of(ratio.min(MAX_FACTOR)))
+            learned.max(percent_of(ratio.min(MAX_FACTOR) / self.average))
         });
         let is_probe_due = percent > 100
             && in_progress < self.capacity
@@ -285,8 +299,16 @@
     }
 
     /// Updates decayed weights, the probe interval and the limit. `rate` is the mean rate of requests
-    /// that this VM sends to one of the service's targets.
-    pub fn refresh(&mut self, capacity: u32, usual: Option<&UsualTimes>, rate: f32, now: Moment) {
+    /// that this VM sends to one of the service's targets, `average` the factor that counts as
+    /// average.
+    pub fn refresh(
+        &mut self,
+        capacity: u32,
+        usual: Option<&UsualTimes>,
+        (rate, average): (f32, f32),
+        now: Moment,
+    ) {
+        self.average = average.max(1.0);
         self.capacity = capacity.max(1);
         if let Some(usual) = usual {
             self.usual = usual.by_level();
@@ -331,7 +353,7 @@
                 limit = half;
             }
         }
-        let factor = self.factor();
+        let factor = self.factor() / self.average;
         if factor >= LIMITED_FACTOR {
             limit = limit.min((full as f32 / factor) as u32);
         }
@@ -346,7 +368,7 @@
 
     fn update_percents(&mut self) {
         for level in Level::ALL {
-            self.percents[level.index()] = percent_of(self.factor_at(level));
+            self.percents[level.index()] = percent_of(self.factor_at(level) / self.average);
         }
     }
 
--- a/tests/tests/target_speed.rs
+++ b/tests/tests/target_speed.rs
@@ -46,7 +46,7 @@
             ends != time
         });
         if time % 500 == 0 {
-            speed.refresh(2, Some(&usual), 10.0, at(time));
+            speed.refresh(2, Some(&usual), (10.0, 1.0), at(time));
         }
         if time % 100 == 0 {
             check(time, speed.percent(0, at(time)));
@@ -148,7 +148,7 @@
 fn slow_target_takes_one_request_in_each_probe_interval() {
     for (rate, interval) in [(10.0, 1_250), (1.0, 8_000)] {
         let mut speed = TargetSpeed::new(2);
-        speed.refresh(2, Some(&usual()), rate, at(0));
+        speed.refresh(2, Some(&usual()), (rate, 1.0), at(0));
         for number in 0..8 {
             speed.record(12.0, Level::Full, at(number));
         }
@@ -190,7 +190,7 @@
             speed.record(half, Level::Half, at(number * 100));
             speed.record(full, Level::Full, at(number * 100));
         }
-        speed.refresh(capacity, Some(&usual), 10.0, at(10_000));
+        speed.refresh(capacity, Some(&usual), (10.0, 1.0), at(10_000));
         speed
     };
     assert_eq!(TargetSpeed::new(8).limit(), 9);
@@ -415,3 +415,34 @@
     steering.put_target(restarted, at(20_000));
     assert_eq!(limit(&steering, number), 3);
 }
+
+/// Guards against flows that move to other zones because all targets of the own zone slow down at
+/// once, as they do at the crest of a load swing: the other zones are no better then.
+#[test]
+fn service_that_slows_down_as_a_whole_stays_in_its_zone() {
+    let remote = |number| Target {
+        zone: "b".parse().expect("a zone"),
+        ..target(number)
+    };
+    let local: Vec<Token> = (1..=8).map(|number| target(number).token()).collect();
+    // Interval of requests, time of a request, and time in which it rises to that.
+    for (interval, slow_ms, ramp_ms) in [(100, 1_200, 1), (50, 600, 2_000)] {
+        let remote_flows = |target_speed| {
+            let targets = (1..=8).map(target).chain((9..=16).map(remote));
+            let mut steering = steering_with(targets, target_speed);
+            let mut rng = StdRng::seed_from_u64(5);
+            let time_of = |_, _, time: u64| {
+                let risen = time.saturating_sub(10_000).min(ramp_ms) as f64 / ramp_ms as f64;
+                let mean = WORK_MS + (f64::from(slow_ms) - WORK_MS) * risen;
+                (mean * noise(&mut rng)) as u64
+            };
+            let placed = serve(&mut steering, interval, 30_000, time_of);
+            let is_remote = |(_, token): &&(u64, Token)| !local.contains(token);
+            placed.iter().filter(is_remote).count()
+        };
+        let (with, without) = (remote_flows(true), remote_flows(false));
+        // Targets are compared with each other twice a second.
+        let flows = 500 / interval as usize;
+        assert!(with <= without + flows, "{with} flows, {without} by counts");
+    }
+}
