Add the zone-wide load view to steering

Cause: a VM counts only the requests that pass through it. Behind many VMs each places openings at targets that others have filled while other targets of the zone are idle.

Change: steer::zone_load records what other VMs report and what was granted to them, with expiry; Candidate::in_progress is the sum of own, reported and granted requests. Demand decides when a VM asks, Questions holds openings that wait for an answer. Steering answers questions of other VMs without entering their flows into its table, checks answers against its own view, and places an opening by itself after 40 ms. An opening that waited through a pause (190 ms) is dropped, because the caller's retransmission may have been placed by another VM. A rejection resets only a first transmission.

A VM that asks now also reports the end of a request within 20 ms.

--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -91,6 +91,9 @@
     /// A packet of an established flow carries no token.
     #[display("no_token")]
     NoToken,
+    /// The coordinator of the zone has rejected the flow: the service can't serve it in time.
+    #[display("rejected_by_zone")]
+    RejectedByZone,
 }
 
 /// Reason for dropping a packet without an answer.
@@ -108,6 +111,10 @@
     /// The packet has a combination of flags that no caller sends.
     #[display("forged")]
     Forged,
+    /// The opening packet waited for its decision for so long that another VM may have placed a
+    /// retransmission: the process was paused.
+    #[display("held_too_long")]
+    HeldTooLong,
 }
 
 impl Decision {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -10,7 +10,8 @@
 //! [`responsiveness`] detects targets that do not answer, [`zone`] detects zones that do not
 //! answer, [`stall`] detects targets that do not acknowledge data, [`timing`] derives timeouts from observed
 //! response times, [`missing_entry`] handles targets whose published entry was removed, and
-//! [`unknown_token`] handles tokens that belong to no known target.
+//! [`unknown_token`] handles tokens that belong to no known target. [`zone_load`] adds the load that
+//! other VMs of the zone place on a target.
 
 mod decision;
 mod event;
@@ -29,12 +30,13 @@
 pub mod timing;
 pub mod unknown_token;
 pub mod zone;
+pub mod zone_load;
 
 pub use decision::{Decision, DropCause, Origin, Placement, Released, ResetCause};
 pub use event::SteeringEvent;
 pub use header::{FlowId, PacketFlags, PacketHeader, ParseFlowError};
 pub use load::Load;
 pub use route::{Route, Routes, Share};
-pub use steering::{Freshness, Steering, SteeringSettings};
+pub use steering::{AnswerOutcome, Freshness, Steering, SteeringSettings};
 pub use target::Target;
 pub use target_table::{EntryStatus, TargetIndex, TargetRecord, TargetTable};
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -4,6 +4,7 @@
 //! detectors. This module handles packets; the submodule `update` handles published documents and
 //! the passing of time.
 
+mod coordination;
 mod opening;
 mod signals;
 mod stalled;
@@ -14,7 +15,9 @@
 
 use bambooseam_types::{Moment, ServiceName, TargetId, Token, ZoneId};
 
-use self::opening::{Selector, select};
+pub use self::coordination::AnswerOutcome;
+use self::coordination::Coordination;
+use self::opening::select;
 use self::signals::apply_signals;
 use crate::flows::Flows;
 use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
@@ -23,8 +26,9 @@
 use crate::timing::ServiceTimings;
 use crate::unknown_token::UnknownTokens;
 use crate::zone::UnresponsiveZones;
+use crate::zone_load::{Group, ZoneLoad};
 use crate::{
-    Decision, DropCause, PacketHeader, Placement, Released, ResetCause, Route, Routes,
+    Decision, DropCause, Origin, PacketHeader, Placement, Released, ResetCause, Route, Routes,
     SteeringEvent,
 };
 
@@ -78,6 +82,9 @@
     zones: UnresponsiveZones,
     paths: PathRecord,
     timings: ServiceTimings,
+    /// Requests in progress of other VMs.
+    zone_load: ZoneLoad,
+    coordination: Coordination,
     /// End of the time in which large transfers may have filled the link of this VM.
     quiet_since: Moment,
 }
@@ -115,6 +122,8 @@
             zones: UnresponsiveZones::default(),
             paths: PathRecord::default(),
             timings: ServiceTimings::default(),
+            zone_load: ZoneLoad::default(),
+            coordination: Coordination::default(),
             quiet_since: Moment::default(),
         }
     }
@@ -145,7 +154,7 @@
             return Decision::Drop(DropCause::Forged);
         }
         if header.is_opening() {
-            return self.handle_opening(header, now);
+            return self.handle_opening(header, Origin::Local, now);
         }
         match header.token {
             Some(token) => self.handle_established(header, token, now),
@@ -156,11 +165,48 @@
 
     /// Removes and returns the held openings that have been decided.
     pub fn take_released(&mut self, _now: Moment) -> Vec<Released> {
-        Vec::new()
+        self.coordination.take_released()
     }
 
-    /// Selects the target of a new flow.
-    fn handle_opening(&mut self, header: &PacketHeader, now: Moment) -> Decision {
+    /// Handles an opening packet that was received by this VM or by another one, which asks.
+    fn handle_opening(&mut self, header: &PacketHeader, origin: Origin, now: Moment) -> Decision {
+        if origin == Origin::Local {
+            if let Some(decision) = self.repeat_opening(header, now) {
+                return decision;
+            }
+            if self.ask(header, now) {
+                return Decision::Hold;
+            }
+        }
+        let group = self.own_group(header);
+        self.place_opening(header, origin, group, now)
+    }
+
+    /// Forwards a retransmitted opening packet to the target of the first transmission; `None` if it
+    /// is not a retransmission, or if that target is unresponsive and there is another one.
+    fn repeat_opening(&mut self, header: &PacketHeader, now: Moment) -> Option<Decision> {
+        let (index, token) = self.flows.earlier_target(header, now)?;
+        let route = self.routes.as_ref()?.find(header.flow.frontend)?;
+        let service = route.service_of(header.flow.key())?;
+        let record = self.targets.get(index)?;
+        let is_moved = record.load.responsiveness.is_confirmed(now)
+            && has_alternative(&self.targets, service, index, now);
+        if record.token != token || is_moved {
+            return None;
+        }
+        self.flows.record_repeated_opening(&header.flow);
+        Some(forward(record, Placement::Retransmitted))
+    }
+
+    /// Selects the target of a new flow, from one group of this zone's targets if `group` is set.
+    fn place_opening(
+        &mut self,
+        header: &PacketHeader,
+        origin: Origin,
+        group: Option<Group>,
+        now: Moment,
+    ) -> Decision {
+        self.zone_load.expire(now);
         let is_current = self.freshness.is_current(now);
         let Some(route) = self
             .routes
@@ -175,31 +221,26 @@
         let Some(service) = route.service_of(key) else {
             return reject(ResetCause::NoTarget, is_settled);
         };
-        let earlier = self.flows.earlier_target(header, now);
-        if let Some((index, token)) = earlier
-            && let Some(record) = self.targets.get(index)
-            && record.token == token
-            && !(record.load.responsiveness.is_confirmed(now)
-                && has_alternative(&self.targets, service, index, now))
-        {
-            self.flows.record_repeated_opening(&header.flow);
-            return forward(record, Placement::Retransmitted);
-        }
-        let selection = select(&Selector {
-            targets: &self.targets,
-            zones: &self.zones,
-            timings: &self.timings,
-            zone: &self.settings.zone,
-            service,
-            key,
-            now,
-        });
+        let selection = select(&self.selector((service, key), group, now));
         let Some(index) = selection else {
             return reject(ResetCause::NoTarget, is_settled);
         };
-        let timeout = route.timeout;
+        match origin {
+            Origin::Local => self.open_at(header, index, now),
+            Origin::Vm(vm) => self.grant(vm, header, index, now),
+        }
+    }
+
+    /// Opens a flow of this VM at a target.
+    fn open_at(&mut self, header: &PacketHeader, index: TargetIndex, now: Moment) -> Decision {
+        let earlier = self.flows.earlier_target(header, now);
+        let route = self
+            .routes
+            .as_ref()
+            .and_then(|r| r.find(header.flow.frontend));
+        let timeout = route.map_or(DEFAULT_REQUEST_TIMEOUT, |route| route.timeout);
         let Some(record) = self.targets.get_mut(index) else {
-            return reject(ResetCause::NoTarget, is_settled);
+            return Decision::Drop(DropCause::ViewNotCurrent);
         };
         record.load.responsiveness.record_opening(now);
         self.zones.record_opening(&record.target.zone, now);
@@ -244,6 +285,9 @@
         let signals = self
             .flows
             .record_packet(header, (index, token), timeout, now);
+        if signals.was_busy && !signals.is_busy {
+            self.coordination.record_ended();
+        }
         self.report_stall_end(index, signals);
         apply_signals(&mut self.targets, index, signals, now);
         if self.is_stalled(header, index, signals, now) {
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -221,6 +221,16 @@
         records.filter_map(|index| Some((index, self.get(index)?)))
     }
 
+    /// All services with their targets, sorted by name.
+    pub fn services(
+        &self,
+    ) -> impl Iterator<Item = (&ServiceName, impl Iterator<Item = &TargetRecord>)> {
+        self.services.iter().map(|(service, indexes)| {
+            let records = indexes.iter().filter_map(|index| self.get(*index));
+            (service, records)
+        })
+    }
+
     /// All targets, sorted by identifier.
     pub fn iter(&self) -> impl Iterator<Item = (TargetIndex, &TargetRecord)> {
         let indexes = self.ids.iter().map(|(_, index)| *index);
