Let the VMs of a zone coordinate their load over UDP

Cause: steering can answer and apply questions about openings, but nothing carries them between VMs.

Change: entry::coordination exchanges reports, questions and answers on `[entry] coordination = IP:PORT` (platform/settings.ini sets port 7734). The codec accepts only what it produces. Each VM chooses the VMs of its zone with the lowest addresses that have answered a report; a VM that has never answered is never asked, so that a dead one delays no opening. Two reports without an answer or a question without an answer in 40 ms exclude a VM for 3 s, longer after each failure in a row. VMs name a better coordinator in their report answers; Peers keeps the four lowest of the own zone. A process that was paused discards the questions in its socket and blames no coordinator. A VM that stops answers questions, but no reports, so that the others choose another one before it has ended. Zones with fewer than three known VMs send nothing. Packets of open flows are handled as before.

Events, metrics, /status and their entries in docs/OPERATIONS.md are part of this change, as the tests of the manual require them.

The stand-in site counts opening packets that reach two targets.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of one entry VM: one INI file that all its programs read.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -118,6 +118,9 @@
     pub peer: SocketAddr,
     /// Address of the admin endpoint.
     pub admin: SocketAddr,
+    /// Address at which other VMs of the zone reach this one for coordination; `None` turns
+    /// coordination off. All VMs use the same port.
+    pub coordination: Option<SocketAddrV4>,
     /// VMs to contact first; the list may be stale or include this VM.
     pub seeds: Vec<SocketAddr>,
     /// Time from the request to stop until the process is killed.
--- a/crates/config/src/settings/read.rs
+++ b/crates/config/src/settings/read.rs
@@ -1,6 +1,6 @@
 //! Reads the sections of a settings file.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, SocketAddr, SocketAddrV4};
 use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -227,6 +227,9 @@
     let peer = section.required("peer", findings);
     let seeds: Vec<SocketAddr> = section.list("seeds", findings);
     check_remote(&seeds, "seeds", &section, findings);
+    let coordination: Option<SocketAddrV4> = section.optional("coordination", findings);
+    let addresses: Vec<_> = coordination.map(SocketAddr::V4).into_iter().collect();
+    check_remote(&addresses, "coordination", &section, findings);
     let admin = section.or(
         "admin",
         SocketAddr::new(address, ENTRY_ADMIN_PORT),
@@ -240,6 +243,7 @@
         ready: ready?,
         peer: peer?,
         admin,
+        coordination,
         seeds,
         stop_time,
         flow_limit,
--- a/crates/config/src/value.rs
+++ b/crates/config/src/value.rs
@@ -1,6 +1,6 @@
 //! Types of values in documents, each with a description of the allowed values.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::str::FromStr;
 
@@ -39,6 +39,7 @@
     ServiceId: "a whole number from 1 to 16777215",
     ServiceName: "a name of 1 to 63 letters, digits, '-', '_' or '.'",
     SocketAddr: "IP:PORT",
+    SocketAddrV4: "IP:PORT with an IPv4 address",
     String: "text",
     TargetState: "live or leaving",
     VmId: "a name of 1 to 63 letters, digits, '-', '_' or '.'",
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! The program is one process with one thread. [`Node`] holds this VM's replica of the published
 //! documents and the steering state derived from it. Tasks fetch documents ([`feed`], [`peering`]),
-//! forward packets ([`packets`]), and answer readiness probes, peers and operators. The crate
+//! forward packets ([`packets`]), exchange loads with the VMs of the zone ([`coordination`]), and
+//! answer readiness probes, peers and operators. The crate
 //! `bambooseam_steer` decides to which target a packet is forwarded.
 
 mod clock;
+pub mod coordination;
 pub mod feed;
 pub mod first_copy;
 mod follower;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -202,6 +202,11 @@
         self.update_ready();
     }
 
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping
+    }
+
     /// Returns a channel that reports whether the VM may receive packets.
     pub fn ready(&self) -> watch::Receiver<bool> {
         self.ready.subscribe()
--- a/crates/entry/src/packets.rs
+++ b/crates/entry/src/packets.rs
@@ -5,13 +5,14 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bambooseam_observe::LogLimit;
 use bambooseam_platform::packet::{
     LABEL_BYTES, MAX_DATAGRAM_BYTES, label_bytes, parse_header, reset, write_token,
 };
-use bambooseam_steer::{Decision, PacketHeader};
+use bambooseam_steer::{Decision, Origin, PacketHeader};
 use bambooseam_types::{Clock, Moment};
 use metrics::{Counter, counter};
 use socket2::SockRef;
@@ -19,6 +20,7 @@
 use tokio::time::timeout;
 
 use crate::BootClock;
+use crate::coordination::CoordinationLink;
 use crate::held::HeldOpenings;
 use crate::node::SharedNode;
 use crate::stop::LastPacket;
@@ -61,6 +63,7 @@
     node: SharedNode,
     /// Openings that wait for their decision.
     held: RefCell<HeldOpenings>,
+    coordination: Rc<CoordinationLink>,
     /// Port to which resets are sent: callers receive at the same port number as this VM.
     reply_port: u16,
     forwarded: Counter,
@@ -83,6 +86,7 @@
             socket,
             node,
             held: RefCell::default(),
+            coordination: Rc::default(),
             reply_port: address.port(),
             forwarded: counter!("packets_forwarded"),
             resets: counter!("packets_reset"),
@@ -90,6 +94,11 @@
         })
     }
 
+    /// Returns the connection to the task that asks other VMs about openings.
+    pub fn coordination(&self) -> Rc<CoordinationLink> {
+        Rc::clone(&self.coordination)
+    }
+
     /// Forwards packets until the future is dropped.
     pub async fn run(self, last_packet: LastPacket) {
         // Packets are received after the space for the label, so that adding the label copies
@@ -116,7 +125,12 @@
     /// Waits until packets have arrived, or until waiting openings are due for a check; returns
     /// false after an error.
     async fn wait_for_work(&self) -> bool {
-        let readable = self.socket.readable();
+        let readable = async {
+            tokio::select! {
+                readable = self.socket.readable() => readable,
+                () = self.coordination.released() => Ok(()),
+            }
+        };
         let is_idle = self.held.borrow().is_empty();
         let result = match is_idle {
             true => readable.await,
@@ -128,13 +142,15 @@
         result.is_ok()
     }
 
-    /// Sends the waiting openings that have been decided.
+    /// Sends the waiting openings that have been decided, and passes on the decisions about openings
+    /// of other VMs.
     fn release_held(&self, now: Moment) {
-        if self.held.borrow().is_empty() {
-            return;
-        }
         let released = self.node.borrow_mut().steering_mut().take_released(now);
         for released in released {
+            if released.origin != Origin::Local {
+                self.coordination.pass_on(released);
+                continue;
+            }
             let Some(mut held) = self.held.borrow_mut().take(&released.flow) else {
                 continue;
             };
@@ -142,6 +158,9 @@
                 self.execute(&header, released.decision, &mut held.datagram, now);
             }
         }
+        if self.node.borrow().steering().has_questions() {
+            self.coordination.wake();
+        }
         let expired = self.held.borrow_mut().expire(now);
         self.drops.increment(expired as u64);
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -12,7 +12,7 @@
 //! the fleet each VM knows. A peer that fails or is behind is excluded for a while, and the peer
 //! with the next rank is followed.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
 use bambooseam_peer::replica::PeerInfo;
@@ -28,6 +28,10 @@
 /// sample of the fleet that differs from VM to VM.
 const LOWEST_KEPT: usize = 16;
 
+/// Number of peers of the own zone with the lowest addresses that are always kept. The coordinators
+/// of the zone are among them, and all VMs of the zone must know the same ones.
+const ZONE_LOWEST_KEPT: usize = 4;
+
 /// Number of known peers below which more peers are discovered. If VMs knew only the seeds, all VMs
 /// would follow a seed.
 const MIN_PEERS: usize = 8;
@@ -101,7 +105,7 @@
             peer.is_seed = seeds.contains(&peer.address);
         }
         for &seed in seeds {
-            if let Some(peer) = self.add(seed) {
+            if let Some(peer) = self.add(seed, None) {
                 peer.is_seed = true;
             }
         }
@@ -121,7 +125,7 @@
 
     /// Records a peer that another peer announced.
     pub fn record_gossiped(&mut self, info: &PeerInfo) {
-        if let Some(peer) = self.add(info.address) {
+        if let Some(peer) = self.add(info.address, Some(&info.zone)) {
             peer.zone = Some(info.zone.clone());
         }
     }
@@ -227,6 +231,17 @@
         sample
     }
 
+    /// Returns the addresses of the known peers of the own zone, in order, with the port `port`. An
+    /// address that is not IPv4 is left out.
+    pub fn zone_addresses(&self, port: u16) -> Vec<SocketAddrV4> {
+        let peers = self.list.iter().filter(|peer| self.is_in_zone(peer));
+        let addresses = peers.filter_map(|peer| match peer.address {
+            SocketAddr::V4(address) => Some(SocketAddrV4::new(*address.ip(), port)),
+            SocketAddr::V6(_) => None,
+        });
+        addresses.collect()
+    }
+
     /// Whether so few peers are known that most VMs of a large fleet may know the same peers.
     pub fn is_sparse(&self) -> bool {
         self.list.len() < MIN_PEERS
@@ -248,7 +263,7 @@
 
     /// Returns the entry of a peer, and creates it if necessary; `None` for this VM and for a peer
     /// that does not belong to the kept sample.
-    fn add(&mut self, address: SocketAddr) -> Option<&mut Peer> {
+    fn add(&mut self, address: SocketAddr, zone: Option<&ZoneId>) -> Option<&mut Peer> {
         if address == self.own.address {
             return None;
         }
@@ -256,7 +271,7 @@
             self.insert(Peer {
                 address,
                 rank: self.rank(address),
-                zone: None,
+                zone: zone.cloned(),
                 is_seed: false,
                 is_calling: false,
                 called: None,
@@ -277,13 +292,23 @@
         if self.list.len() <= MAX_PEERS {
             return;
         }
+        let in_zone = self.list.iter().filter(|peer| self.is_in_zone(peer));
+        let zone_lowest = in_zone.map(|peer| peer.address).nth(ZONE_LOWEST_KEPT - 1);
+        let is_kept = |peer: &Peer| {
+            let is_zone_lowest = zone_lowest.is_none_or(|last| peer.address <= last);
+            peer.is_seed || (self.is_in_zone(peer) && is_zone_lowest)
+        };
         let sampled = self.list.iter().enumerate().skip(LOWEST_KEPT);
-        let sampled = sampled.filter(|(_, peer)| !peer.is_seed);
+        let sampled = sampled.filter(|(_, peer)| !is_kept(peer));
         if let Some((last, _)) = sampled.min_by_key(|(_, peer)| peer.rank) {
             self.list.remove(last);
         }
     }
 
+    fn is_in_zone(&self, peer: &Peer) -> bool {
+        peer.zone.as_ref() == Some(&self.own.zone)
+    }
+
     fn find(&self, address: SocketAddr) -> Result<usize, usize> {
         self.list
             .binary_search_by_key(&address, |peer| peer.address)
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -22,6 +22,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
+use crate::coordination::{Coordination, CoordinationLink, coordinator_name};
 use crate::follower::Follower;
 use crate::node::SharedNode;
 use crate::packets::Packets;
@@ -94,9 +95,11 @@
     let peers = Rc::new(RefCell::new(Peers::new(own, &entry.seeds)));
     let last_packet = LastPacket::default();
     let packets = Packets::bind(entry.listen, Rc::clone(&node)).await?;
+    let link = packets.coordination();
     let meter = Arc::new(Meter::default());
     start_control(&settings, entry, &node, &peers, &meter).await?;
     spawn_local(packets.run(last_packet.clone()));
+    start_coordination(entry, &node, &peers, link).await;
     let status = Arc::new(Mutex::new(Value::Null));
     spawn_local(sweep(
         Rc::clone(&node),
@@ -149,6 +152,26 @@
     Ok(())
 }
 
+/// Starts the exchange with the VMs of the zone if the settings have an address for it. Without it,
+/// this VM places flows by its own counts, so a failure does not end the process.
+async fn start_coordination(
+    entry: &EntrySettings,
+    node: &SharedNode,
+    peers: &SharedPeers,
+    link: Rc<CoordinationLink>,
+) {
+    let Some(address) = entry.coordination else {
+        return;
+    };
+    match Coordination::bind(address, Rc::clone(node), Rc::clone(peers), link).await {
+        Ok(coordination) => drop(spawn_local(coordination.run())),
+        Err(error) => log::error!(
+            "event=coordination_unavailable address={address} cause={:?}",
+            error.to_string()
+        ),
+    }
+}
+
 /// Regularly removes expired state, and updates the metrics and the status.
 async fn sweep(node: SharedNode, peers: SharedPeers, meter: Arc<Meter>, status: Arc<Mutex<Value>>) {
     loop {
@@ -184,6 +207,22 @@
         "peers": peers.borrow().len(),
         "targets": node.steering().targets().iter().count(),
         "flows": node.steering().flow_count(),
+        "coordination": coordination_status(node.steering()),
+    })
+}
+
+/// Returns the part of the status about the load of the zone.
+fn coordination_status(steering: &Steering) -> Value {
+    let coordinators = steering.coordinators().iter();
+    let others = steering.zone_load();
+    json!({
+        "coordinators": coordinators.map(|c| coordinator_name(*c)).collect::<Vec<_>>(),
+        "has_zone_view": steering.has_zone_view(),
+        "reporting_vms": others.vm_count(),
+        "own": steering.own_in_progress(),
+        "reported": others.total().reported,
+        "granted": others.total().granted,
+        "waiting": steering.question_count(),
     })
 }
 
--- a/crates/standin/src/site/counters.rs
+++ b/crates/standin/src/site/counters.rs
@@ -1,6 +1,7 @@
 //! Observations of callers and targets, from which the invariants of a run are checked.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddrV4;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -25,12 +26,17 @@
     pub late_to_leaving: AtomicU64,
     /// Datagrams labelled for another target at the same address.
     pub misdirected: AtomicU64,
+    /// Opening packets that arrived at more than one target. Moved retransmissions are among them, so
+    /// that the count is only meaningful while all targets respond.
+    pub split_openings: AtomicU64,
     /// Answers that belong to another request.
     pub crossed: AtomicU64,
     /// Number of runs of each request.
     runs: Mutex<HashMap<String, u32>>,
     /// Names of the running target incarnations.
     alive: Mutex<HashSet<String>>,
+    /// First target of each opening packet: caller, frontend and sequence number.
+    openings: Mutex<HashMap<(SocketAddrV4, SocketAddrV4, u32), String>>,
 }
 
 impl Counters {
@@ -51,6 +57,17 @@
         }
     }
 
+    /// Records that an opening packet arrived at a target.
+    pub fn record_opening(&self, opening: (SocketAddrV4, SocketAddrV4, u32), target: &str) {
+        let Ok(mut openings) = self.openings.lock() else {
+            return;
+        };
+        let first = openings.entry(opening).or_insert_with(|| target.into());
+        if first != target {
+            Self::increment(&self.split_openings);
+        }
+    }
+
     /// Records the start or the end of a target incarnation.
     pub fn set_alive(&self, name: &str, is_alive: bool) {
         if let Ok(mut alive) = self.alive.lock() {
--- a/crates/standin/src/site/target.rs
+++ b/crates/standin/src/site/target.rs
@@ -279,6 +279,8 @@
     async fn open_flow(&mut self, packet: &Packet) {
         let key = (packet.src, packet.dst);
         self.check_placement(packet);
+        let opening = (packet.src, packet.dst, packet.seq);
+        self.shared.counters.record_opening(opening, &self.plan.id);
         let first_seq = packet.seq.rotate_left(7)
             ^ label_of(&self.plan.id) as u32
             ^ self.shared.incarnation as u32;
--- a/crates/steer/src/steering/coordination.rs
+++ b/crates/steer/src/steering/coordination.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use bambooseam_types::{Moment, ServiceName, Token};
+use bambooseam_types::{Moment, ServiceName, Token, ZoneId};
 use bambooseam_view::FlowKey;
 
 use super::opening::Selector;
@@ -13,7 +13,9 @@
 use crate::target_table::{TargetIndex, TargetRecord};
 use crate::zone_load::demand::{Demand, DemandChange, MAX_SERVICES};
 use crate::zone_load::questions::{Answer, MAX_AGE, Question, Questions};
-use crate::zone_load::{Group, LoadReport, MAX_COUNTS, ServiceKey, ServiceLoad, ZoneLoad};
+use crate::zone_load::{
+    Group, LoadReport, MAX_COUNTS, MAX_GROUPS, ServiceKey, ServiceLoad, ZoneLoad,
+};
 use crate::{Decision, DropCause, Origin, PacketHeader, Placement, Released, ResetCause};
 
 /// Coordinators of this zone, and what this VM has asked them.
@@ -27,10 +29,10 @@
     released: Vec<Released>,
     /// Number of the latest report.
     sequence: Option<u32>,
-    /// Whether a request has ended since the latest report.
-    has_ended: bool,
-    /// Whether the latest report contained requests.
-    has_reported: bool,
+    /// Whether a request has ended since the latest report about each group.
+    has_ended: [bool; MAX_GROUPS as usize],
+    /// Whether the latest report about each group contained requests.
+    has_reported: [bool; MAX_GROUPS as usize],
 }
 
 /// What became of an answer.
@@ -55,7 +57,7 @@
 
     /// Records that a request of this VM has ended.
     pub(super) fn record_ended(&mut self) {
-        self.has_ended = true;
+        self.has_ended = [true; MAX_GROUPS as usize];
     }
 
     fn release(&mut self, header: &PacketHeader, decision: Decision) {
@@ -73,6 +75,11 @@
         Group::count_for(self.local_targets().count())
     }
 
+    /// Coordinator of each group.
+    pub fn coordinators(&self) -> &[Option<Origin>] {
+        &self.coordination.coordinators
+    }
+
     /// Sets the coordinator of each group; `None` for a group whose openings are placed without
     /// asking, and [`Origin::Local`] for one that this VM coordinates.
     pub fn set_coordinators(&mut self, coordinators: Vec<Option<Origin>>, now: Moment) {
@@ -87,6 +94,11 @@
         coordinators.contains(&Some(Origin::Local)) && self.zone_load.vm_count() > 0
     }
 
+    /// Zone of this VM.
+    pub fn zone(&self) -> &ZoneId {
+        &self.settings.zone
+    }
+
     /// The record of the other VMs.
     pub fn zone_load(&self) -> &ZoneLoad {
         &self.zone_load
@@ -100,13 +112,15 @@
     /// Whether a report is due at the usual interval: this VM has requests in progress, or the
     /// coordinator still counts some.
     pub fn has_load_to_report(&self) -> bool {
-        self.coordination.has_reported || self.own_in_progress() > 0
+        self.coordination.has_reported.contains(&true) || self.own_in_progress() > 0
     }
 
     /// Whether a report is due before the usual interval has passed: this VM asks, and the
     /// coordinator still counts a request that has ended.
     pub fn is_report_due(&self) -> bool {
-        self.coordination.has_ended && self.coordination.demand.is_asking_any()
+        let groups = self.coordination.coordinators.len();
+        let mut has_ended = self.coordination.has_ended.iter().take(groups);
+        has_ended.any(|has_ended| *has_ended) && self.coordination.demand.is_asking_any()
     }
 
     /// Creates a report of this VM's requests in progress at the targets of a group.
@@ -115,13 +129,14 @@
         let last = self.coordination.sequence.unwrap_or(now.as_millis() as u32);
         let sequence = last.wrapping_add(1);
         self.coordination.sequence = Some(sequence);
-        self.coordination.has_ended = false;
         let busy = self
             .local_targets()
             .filter(|record| record.load.busy > 0 && group.contains(record.target.label));
         let counts = busy.map(|record| (record.token, record.load.busy.min(255) as u8));
         let counts: Vec<_> = counts.take(MAX_COUNTS).collect();
-        self.coordination.has_reported = !counts.is_empty();
+        let at = usize::from(group.index.min(MAX_GROUPS - 1));
+        self.coordination.has_ended[at] = false;
+        self.coordination.has_reported[at] = !counts.is_empty();
         LoadReport {
             sequence,
             applied: self.coordination.questions.applied(group),
@@ -176,9 +191,15 @@
         }
     }
 
-    /// Removes and returns the services for which this VM has begun or ended asking.
-    pub fn take_demand_changes(&mut self) -> Vec<DemandChange> {
-        self.coordination.demand.take_changes()
+    /// Removes the services for which this VM has begun or ended asking, and passes each to
+    /// `report` with the name of the service.
+    pub fn drain_demand_changes(&mut self, mut report: impl FnMut(&ServiceName, DemandChange)) {
+        for change in self.coordination.demand.take_changes() {
+            let mut services = self.targets.services().map(|(service, _)| service);
+            if let Some(service) = services.find(|s| ServiceKey::of(s) == change.service) {
+                report(service, change);
+            }
+        }
     }
 
     /// Removes and returns the questions to be sent to coordinators.
@@ -186,6 +207,16 @@
         self.coordination.questions.take_unsent()
     }
 
+    /// Whether questions wait to be sent.
+    pub fn has_questions(&self) -> bool {
+        self.coordination.questions.has_unsent()
+    }
+
+    /// Whether held openings have been decided and not been taken.
+    pub fn has_released(&self) -> bool {
+        !self.coordination.released.is_empty()
+    }
+
     /// Number of openings that wait for an answer.
     pub fn question_count(&self) -> usize {
         self.coordination.questions.len()
--- a/crates/steer/src/zone_load/questions.rs
+++ b/crates/steer/src/zone_load/questions.rs
@@ -148,6 +148,11 @@
         std::mem::take(&mut self.unsent)
     }
 
+    /// Whether there are questions that have not been sent yet.
+    pub fn has_unsent(&self) -> bool {
+        !self.unsent.is_empty()
+    }
+
     /// Removes and returns the opening that an answer belongs to. A wait keeps the opening and
     /// extends its deadline.
     pub fn answer(
--- a/tests/tests/config.rs
+++ b/tests/tests/config.rs
@@ -666,3 +666,25 @@
         "parsing took {elapsed:?}, less than {PARSE_LIMIT:?} allowed"
     );
 }
+
+#[test]
+fn coordination_address_is_optional_and_checked() {
+    let parse = |line: &str| {
+        let text = format!(
+            "[vm]\nid = vm-1\nzone = a\naddress = 10.0.0.1\n[platform]\naddresses = 10.0.0.9:80\n\
+             [entry]\nlisten = 10.0.0.1:1\nready = 10.0.0.1:2\npeer = 10.0.0.1:3\n{line}\n"
+        );
+        Settings::try_from(&Document::parse("settings", &text).expect("valid INI"))
+    };
+    let coordination = |line: &str| {
+        let settings = parse(line).expect("valid settings");
+        settings.entry.expect("a section").coordination
+    };
+    assert_eq!(coordination(""), None);
+    let address = "10.0.0.1:7734".parse().expect("an address");
+    assert_eq!(coordination("coordination = 10.0.0.1:7734"), Some(address));
+    for line in ["10.0.0.1", "10.0.0.1:0", "0.0.0.0:7734", "[::1]:7734"] {
+        let findings = parse(&format!("coordination = {line}")).expect_err(line);
+        assert_eq!(findings.iter().count(), 1, "{findings}");
+    }
+}
--- a/tests/tests/docs.rs
+++ b/tests/tests/docs.rs
@@ -7,7 +7,7 @@
 use bambooseam_config::{Document, Settings};
 
 /// Keys of settings and documents.
-const KEYS: [&str; 53] = [
+const KEYS: [&str; 54] = [
     "id",
     "zone",
     "address",
@@ -60,6 +60,7 @@
     "ready",
     "peer",
     "seeds",
+    "coordination",
     "stop-time",
 ];
 
