--- a/crates/entry/src/coordination.rs
+++ b/crates/entry/src/coordination.rs
@@ -17,14 +17,14 @@
 use bambooseam_observe::LogLimit;
 use bambooseam_peer::jitter;
 use bambooseam_steer::zone_load::questions::Answer;
-use bambooseam_steer::zone_load::{Group, LoadReport};
+use bambooseam_steer::zone_load::{Group, LoadReport, ServiceLoad};
 use bambooseam_steer::{FlowId, Origin, PacketHeader};
-use bambooseam_types::{Clock, Moment};
+use bambooseam_types::{Clock, Moment, ZoneId};
 use metrics::counter;
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
 
-use self::codec::{MAX_MESSAGE_BYTES, Message};
+use self::codec::{MAX_MESSAGE_BYTES, Message, ReportScope};
 use self::coordinators::Coordinators;
 pub use self::link::CoordinationLink;
 pub(crate) use self::record::coordinator_name;
@@ -68,6 +68,8 @@
     peers: SharedPeers,
     link: Rc<CoordinationLink>,
     coordinators: Coordinators,
+    /// Coordinators of the other zones.
+    other_zones: Vec<(ZoneId, Coordinators)>,
     /// Coordinators in use.
     chosen: Vec<Option<Origin>>,
     /// Openings of other VMs that wait for a decision of this VM.
@@ -109,6 +111,7 @@
             peers,
             link,
             coordinators: Coordinators::new(address),
+            other_zones: Vec::new(),
             chosen: Vec::new(),
             waiting: Vec::new(),
             ticked: Moment::default(),
@@ -193,19 +196,12 @@
         match message {
             Message::Report {
                 group,
-                wants_answer,
+                scope,
                 report,
-            } => self.handle_report(from, group, wants_answer, &report, now),
+            } => self.handle_report(from, (group, scope), &report, now),
             Message::ReportAnswer { better, loads, .. } => {
-                self.coordinators.record_answer(from, now);
-                if let Some(better) = better {
-                    let better = SocketAddrV4::new(better, self.port);
-                    self.coordinators.add_referred(better, now);
-                }
-                let mut node = self.node.borrow_mut();
-                node.steering_mut().record_zone_loads(&loads, now);
-                drop(node);
-                self.choose(now);
+                let better = better.map(|better| SocketAddrV4::new(better, self.port));
+                self.handle_report_answer(from, better, &loads, now);
             }
             Message::Question {
                 number,
@@ -220,22 +216,30 @@
     fn handle_report(
         &mut self,
         from: SocketAddrV4,
-        group: Group,
-        wants_answer: bool,
+        (group, scope): (Group, ReportScope),
         report: &LoadReport,
         now: Moment,
     ) {
+        let better = self.coordinators.better(now);
         let mut node = self.node.borrow_mut();
         let steering = node.steering_mut();
-        steering.record_report(from, report, now);
+        let is_other_zone = scope == ReportScope::OtherZone;
+        match is_other_zone {
+            true => steering.record_remote_report(from, report, now),
+            false => steering.record_report(from, report, now),
+        };
         let is_ready = steering.is_ready();
-        let loads = steering.zone_loads(group, now);
+        // A VM that does not see its zone would report a load that is too low.
+        let sees_zone = better.is_none() && steering.has_zone_view();
+        let loads = match is_other_zone && !sees_zone {
+            true => Vec::new(),
+            false => steering.zone_loads(group, now),
+        };
         // A VM that stops still answers questions, and the others choose another coordinator
         // before it has ended.
-        let answers = wants_answer && is_ready && !node.is_stopping();
+        let answers = scope != ReportScope::Zone && is_ready && !node.is_stopping();
         drop(node);
         if answers {
-            let better = self.coordinators.better(now);
             let answer = Message::ReportAnswer {
                 sequence: report.sequence,
                 better: better.map(|better| *better.ip()),
@@ -245,6 +249,41 @@
         }
     }
 
+    fn handle_report_answer(
+        &mut self,
+        from: SocketAddrV4,
+        better: Option<SocketAddrV4>,
+        loads: &[ServiceLoad],
+        now: Moment,
+    ) {
+        if self.coordinators.contains(from) {
+            self.coordinators.record_answer(from, now);
+            if let Some(better) = better {
+                self.coordinators.add_referred(better, now);
+            }
+            self.choose(now);
+            // Other VMs of the zone see a part of the load.
+            if self.chosen.contains(&Some(Origin::Vm(from))) {
+                let mut node = self.node.borrow_mut();
+                node.steering_mut().record_zone_loads(loads, now);
+            }
+            return;
+        }
+        let mut zones = self.other_zones.iter_mut();
+        let Some((zone, coordinators)) = zones.find(|(_, c)| c.contains(from)) else {
+            return;
+        };
+        coordinators.record_answer(from, now);
+        if let Some(better) = better {
+            coordinators.add_referred(better, now);
+        }
+        // The list is empty if the sender does not see its zone.
+        if !loads.is_empty() {
+            let mut node = self.node.borrow_mut();
+            node.steering_mut().record_remote_loads(zone, loads, now);
+        }
+    }
+
     fn handle_question(
         &mut self,
         from: SocketAddrV4,
@@ -358,7 +397,7 @@
         }
         for (index, coordinator) in (0..).zip(self.chosen.clone()) {
             if let Some(Origin::Vm(address)) = coordinator {
-                self.send_report(address, index, false, now);
+                self.send_report(address, index, ReportScope::Zone, now);
             }
         }
     }
@@ -367,7 +406,9 @@
         for address in self.coordinators.exclude_unanswering(now) {
             record::log_excluded(address, "no_report_answer");
         }
-        let addresses = self.peers.borrow().zone_addresses(self.port);
+        let peers = self.peers.borrow();
+        let addresses = peers.zone_addresses(&peers.own().zone, self.port);
+        drop(peers);
         self.coordinators.set_known(addresses, now);
         self.choose(now);
         let mut node = self.node.borrow_mut();
@@ -377,18 +418,61 @@
         record::record_load(steering);
         let groups = steering.group_count();
         let has_load = steering.has_load_to_report();
+        let needs_remote = steering.needs_remote_loads(now);
         drop(node);
+        if needs_remote {
+            self.send_zone_reports(now);
+        }
         if !has_load {
             return;
         }
         self.active = now;
         for (address, index) in self.coordinators.report_receivers(groups, now) {
             self.coordinators.record_report(address);
-            self.send_report(address, index, true, now);
+            self.send_report(address, index, ReportScope::ZoneAnswered, now);
+        }
+    }
+
+    /// Reports the load of this zone at the targets of the other zones to their coordinators, whose
+    /// answers contain the loads of their zones.
+    fn send_zone_reports(&mut self, now: Moment) {
+        let zones = self.peers.borrow().other_zones();
+        self.other_zones.retain(|(zone, _)| zones.contains(zone));
+        for zone in zones {
+            let addresses = self.peers.borrow().zone_addresses(&zone, self.port);
+            let at = match self.other_zones.iter().position(|(z, _)| *z == zone) {
+                Some(at) => at,
+                None => {
+                    let coordinators = Coordinators::of_other_zone(self.port);
+                    self.other_zones.push((zone.clone(), coordinators));
+                    self.other_zones.len() - 1
+                }
+            };
+            let coordinators = &mut self.other_zones[at].1;
+            for address in coordinators.exclude_unanswering(now) {
+                record::log_excluded(address, "no_report_answer");
+            }
+            coordinators.set_known(addresses, now);
+            let receivers = coordinators.report_receivers(1, now);
+            for (address, index) in receivers {
+                self.other_zones[at].1.record_report(address);
+                let mut node = self.node.borrow_mut();
+                let steering = node.steering_mut();
+                let count = steering.group_count_of(&zone);
+                let group = Group { index, count };
+                let report = steering.create_zone_report(&zone, group, now);
+                drop(node);
+                let message = Message::Report {
+                    group,
+                    scope: ReportScope::OtherZone,
+                    report,
+                };
+                self.send(address, &message);
+            }
         }
     }
 
-    fn send_report(&mut self, to: SocketAddrV4, index: u8, wants_answer: bool, now: Moment) {
+    fn send_report(&mut self, to: SocketAddrV4, index: u8, scope: ReportScope, now: Moment) {
         let mut node = self.node.borrow_mut();
         let count = node.steering().group_count();
         let group = Group { index, count };
@@ -397,7 +481,7 @@
         self.reported = now;
         let message = Message::Report {
             group,
-            wants_answer,
+            scope,
             report,
         };
         self.send(to, &message);
--- a/crates/entry/src/coordination/codec.rs
+++ b/crates/entry/src/coordination/codec.rs
@@ -1,4 +1,4 @@
-//! Datagrams between the VMs of a zone: little-endian, with a magic number and a version.
+//! Datagrams between VMs: little-endian, with a magic number and a version.
 //!
 //! | message | bytes |
 //! | --- | --- |
@@ -43,6 +43,17 @@
 const REJECT: u8 = 3;
 const DECIDE: u8 = 4;
 
+/// Sender of a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportScope {
+    /// A VM of the zone, which wants no report answer.
+    Zone,
+    /// A VM of the zone, which wants a report answer.
+    ZoneAnswered,
+    /// The coordinator of another zone, which wants a report answer.
+    OtherZone,
+}
+
 /// A message between two VMs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Message {
@@ -50,8 +61,8 @@
     Report {
         /// Group of targets that the report covers.
         group: Group,
-        /// Whether the sender waits for a report answer.
-        wants_answer: bool,
+        /// Who sends the report, and whether a report answer is wanted.
+        scope: ReportScope,
         /// The report.
         report: LoadReport,
     },
@@ -112,11 +123,15 @@
         match self {
             Self::Report {
                 group,
-                wants_answer,
+                scope,
                 report,
             } => {
                 bytes.push(REPORT);
-                bytes.push(u8::from(*wants_answer));
+                bytes.push(match scope {
+                    ReportScope::Zone => 0,
+                    ReportScope::ZoneAnswered => 1,
+                    ReportScope::OtherZone => 2,
+                });
                 put_report(&mut bytes, *group, report);
             }
             Self::ReportAnswer {
@@ -177,15 +192,16 @@
         }
         let message = match fields.u8()? {
             REPORT => {
-                let wants_answer = match fields.u8()? {
-                    0 => false,
-                    1 => true,
-                    _ => return Err(MessageError::Field("wants_answer")),
+                let scope = match fields.u8()? {
+                    0 => ReportScope::Zone,
+                    1 => ReportScope::ZoneAnswered,
+                    2 => ReportScope::OtherZone,
+                    _ => return Err(MessageError::Field("scope")),
                 };
                 let (group, report) = fields.report()?;
                 Self::Report {
                     group,
-                    wants_answer,
+                    scope,
                     report,
                 }
             }
--- a/crates/entry/src/coordination/coordinators.rs
+++ b/crates/entry/src/coordination/coordinators.rs
@@ -5,7 +5,7 @@
 //! correct, and each coordinator sees less of the load then. A VM becomes known to respond when it
 //! answers a report, so that no opening waits for a VM that has never answered.
 
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 use bambooseam_steer::Origin;
@@ -62,6 +62,16 @@
         }
     }
 
+    /// Creates the choice among the VMs of another zone than that of this VM, which comes last.
+    pub fn of_other_zone(port: u16) -> Self {
+        Self::new(SocketAddrV4::new(Ipv4Addr::BROADCAST, port))
+    }
+
+    /// Whether a VM is known.
+    pub fn contains(&self, address: SocketAddrV4) -> bool {
+        self.find(address).is_ok()
+    }
+
     /// Replaces the known VMs of the zone by the peers at `addresses`. VMs that remain keep their
     /// state.
     pub fn set_known(&mut self, addresses: impl IntoIterator<Item = SocketAddrV4>, now: Moment) {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -231,10 +231,11 @@
         sample
     }
 
-    /// Returns the addresses of the known peers of the own zone, in order, with the port `port`. An
+    /// Returns the addresses of the known peers of a zone, in order, with the port `port`. An
     /// address that is not IPv4 is left out.
-    pub fn zone_addresses(&self, port: u16) -> Vec<SocketAddrV4> {
-        let peers = self.list.iter().filter(|peer| self.is_in_zone(peer));
+    pub fn zone_addresses(&self, zone: &ZoneId, port: u16) -> Vec<SocketAddrV4> {
+        let peers = self.list.iter();
+        let peers = peers.filter(|peer| peer.zone.as_ref() == Some(zone));
         let addresses = peers.filter_map(|peer| match peer.address {
             SocketAddr::V4(address) => Some(SocketAddrV4::new(*address.ip(), port)),
             SocketAddr::V6(_) => None,
@@ -242,6 +243,15 @@
         addresses.collect()
     }
 
+    /// Returns the other zones of the known peers.
+    pub fn other_zones(&self) -> Vec<ZoneId> {
+        let zones = self.list.iter().filter_map(|peer| peer.zone.clone());
+        let mut zones: Vec<_> = zones.filter(|zone| *zone != self.own.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
+    }
+
     /// Whether so few peers are known that most VMs of a large fleet may know the same peers.
     pub fn is_sparse(&self) -> bool {
         self.list.len() < MIN_PEERS
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -215,6 +215,7 @@
 fn coordination_status(steering: &Steering) -> Value {
     let coordinators = steering.coordinators().iter();
     let others = steering.zone_load();
+    let remote = steering.remote_loads().zones();
     json!({
         "coordinators": coordinators.map(|c| coordinator_name(*c)).collect::<Vec<_>>(),
         "has_zone_view": steering.has_zone_view(),
@@ -223,6 +224,7 @@
         "reported": others.total().reported,
         "granted": others.total().granted,
         "waiting": steering.question_count(),
+        "remote_zones": remote.map(|zone| zone.to_string()).collect::<Vec<_>>(),
     })
 }
 
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -16,6 +16,7 @@
 
 use crate::load::Load;
 use crate::target_table::TargetIndex;
+use crate::zone_load::remote::SPILL_PERCENT;
 
 /// Cost of one request in progress at a target with one slot.
 const REQUEST_COST: u64 = 1_000;
@@ -25,6 +26,11 @@
 /// this VM.
 const REMOTE_COST: u64 = 1_500;
 
+/// Additional cost of a target in another zone whose load is known and below [`SPILL_PERCENT`]: a
+/// zone with half of its slots in use takes openings once the targets of this zone, with two slots,
+/// have three requests each.
+const KNOWN_REMOTE_COST: u64 = 600;
+
 /// A target that may take a new flow.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a> {
@@ -40,6 +46,8 @@
     pub cold_percent: u64,
     /// Whether the target is in the zone of this VM.
     pub is_local: bool,
+    /// Load of the service in the target's zone in percent, if it is another zone and known.
+    pub remote_percent: Option<u16>,
     /// Whether the target or its zone is unresponsive.
     pub is_unresponsive: bool,
 }
@@ -75,9 +83,10 @@
     // Includes the request to be placed, so that an idle cold target costs more than an idle warm
     // target.
     let busy = u64::from(candidate.in_progress) + 1;
-    let remote = match candidate.is_local {
-        true => 0,
-        false => REMOTE_COST,
+    let remote = match (candidate.is_local, candidate.remote_percent) {
+        (true, _) => 0,
+        (false, Some(percent)) if percent < SPILL_PERCENT => KNOWN_REMOTE_COST,
+        (false, _) => REMOTE_COST,
     };
     let cost = busy * REQUEST_COST * percent / 100 / capacity + remote;
     let flows = u64::from(load.flows) * REQUEST_COST / capacity;
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -4,6 +4,7 @@
 //! detectors. This module handles packets; the submodule `update` handles published documents and
 //! the passing of time.
 
+mod asking;
 mod coordination;
 mod opening;
 mod signals;
@@ -15,7 +16,7 @@
 
 use bambooseam_types::{Moment, ServiceName, TargetId, Token, ZoneId};
 
-pub use self::coordination::AnswerOutcome;
+pub use self::asking::AnswerOutcome;
 use self::coordination::Coordination;
 use self::opening::select;
 use self::signals::apply_signals;
--- a/crates/steer/src/steering/coordination.rs
+++ b/crates/steer/src/steering/coordination.rs
@@ -3,7 +3,6 @@
 //! [`zone_load`]: crate::zone_load
 
 use std::net::SocketAddrV4;
-use std::time::Duration;
 
 use bambooseam_types::{Moment, ServiceName, Token, ZoneId};
 use bambooseam_view::FlowKey;
@@ -12,19 +11,22 @@
 use super::{Steering, forward};
 use crate::target_table::{TargetIndex, TargetRecord};
 use crate::zone_load::demand::{Demand, DemandChange, MAX_SERVICES};
-use crate::zone_load::questions::{Answer, MAX_AGE, Question, Questions};
+use crate::zone_load::questions::{Answer, Question, Questions};
+use crate::zone_load::remote::{LEARN_PERCENT, RemoteLoads};
 use crate::zone_load::{
     Group, LoadReport, MAX_COUNTS, MAX_GROUPS, ServiceKey, ServiceLoad, ZoneLoad,
 };
-use crate::{Decision, DropCause, Origin, PacketHeader, Placement, Released, ResetCause};
+use crate::{Decision, DropCause, Origin, PacketHeader, Placement, Released};
 
 /// Coordinators of this zone, and what this VM has asked them.
 #[derive(Debug, Default)]
 pub(super) struct Coordination {
     /// Coordinator of each group; `None` while none is known to respond.
-    coordinators: Vec<Option<Origin>>,
-    demand: Demand,
-    questions: Questions,
+    pub(super) coordinators: Vec<Option<Origin>>,
+    pub(super) demand: Demand,
+    pub(super) questions: Questions,
+    /// Loads of other zones, while this VM coordinates a zone that is nearly full.
+    remote_loads: RemoteLoads,
     /// Openings that have been decided and not been taken yet.
     released: Vec<Released>,
     /// Number of the latest report.
@@ -35,32 +37,25 @@
     has_reported: [bool; MAX_GROUPS as usize],
 }
 
-/// What became of an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AnswerOutcome {
-    /// The opening goes to the target of the answer.
-    Applied,
-    /// The target of the answer is not acceptable to this VM, which has selected another one.
-    NotAccepted,
-    /// The coordinator left the decision to this VM.
-    Delegated,
-    /// The opening is reset.
-    Rejected,
-    /// The opening has waited too long and is dropped.
-    Dropped,
-}
-
 impl Coordination {
     pub(super) fn take_released(&mut self) -> Vec<Released> {
         std::mem::take(&mut self.released)
     }
 
+    fn next_sequence(&mut self, now: Moment) -> u32 {
+        // The numbers of a restarted process continue above those of its predecessor.
+        let last = self.sequence.unwrap_or(now.as_millis() as u32);
+        let sequence = last.wrapping_add(1);
+        self.sequence = Some(sequence);
+        sequence
+    }
+
     /// Records that a request of this VM has ended.
     pub(super) fn record_ended(&mut self) {
         self.has_ended = [true; MAX_GROUPS as usize];
     }
 
-    fn release(&mut self, header: &PacketHeader, decision: Decision) {
+    pub(super) fn release(&mut self, header: &PacketHeader, decision: Decision) {
         self.released.push(Released {
             flow: header.flow,
             origin: Origin::Local,
@@ -84,6 +79,7 @@
     /// asking, and [`Origin::Local`] for one that this VM coordinates.
     pub fn set_coordinators(&mut self, coordinators: Vec<Option<Origin>>, now: Moment) {
         self.zone_load.expire(now);
+        self.coordination.remote_loads.expire(now);
         self.coordination.coordinators = coordinators;
     }
 
@@ -91,7 +87,7 @@
     /// cover the group.
     pub fn has_zone_view(&self) -> bool {
         let coordinators = &self.coordination.coordinators;
-        coordinators.contains(&Some(Origin::Local)) && self.zone_load.vm_count() > 0
+        coordinators.contains(&Some(Origin::Local)) && self.zone_load.has_local_report()
     }
 
     /// Zone of this VM.
@@ -112,7 +108,8 @@
     /// Whether a report is due at the usual interval: this VM has requests in progress, or the
     /// coordinator still counts some.
     pub fn has_load_to_report(&self) -> bool {
-        self.coordination.has_reported.contains(&true) || self.own_in_progress() > 0
+        let mut records = self.targets.iter().map(|(_, record)| record);
+        self.coordination.has_reported.contains(&true) || records.any(|r| r.load.busy > 0)
     }
 
     /// Whether a report is due before the usual interval has passed: this VM asks, and the
@@ -123,27 +120,77 @@
         has_ended.any(|has_ended| *has_ended) && self.coordination.demand.is_asking_any()
     }
 
-    /// Creates a report of this VM's requests in progress at the targets of a group.
+    /// Creates a report of this VM's requests in progress at the targets of a group, of all zones.
     pub fn create_report(&mut self, group: Group, now: Moment) -> LoadReport {
-        // The numbers of a restarted process continue above those of its predecessor.
-        let last = self.coordination.sequence.unwrap_or(now.as_millis() as u32);
-        let sequence = last.wrapping_add(1);
-        self.coordination.sequence = Some(sequence);
-        let busy = self
-            .local_targets()
-            .filter(|record| record.load.busy > 0 && group.contains(record.target.label));
-        let counts = busy.map(|record| (record.token, record.load.busy.min(255) as u8));
-        let counts: Vec<_> = counts.take(MAX_COUNTS).collect();
+        let records = self.targets.iter().map(|(_, record)| record);
+        let busy = records.filter(|record| group.contains(record.target.label));
+        let counts = collect_counts(busy.map(|record| (record, record.load.busy)));
         let at = usize::from(group.index.min(MAX_GROUPS - 1));
         self.coordination.has_ended[at] = false;
         self.coordination.has_reported[at] = !counts.is_empty();
         LoadReport {
-            sequence,
+            sequence: self.coordination.next_sequence(now),
             applied: self.coordination.questions.applied(group),
             counts,
         }
     }
 
+    /// Creates a report of the requests in progress of the VMs of this zone at the targets of a
+    /// group of another zone.
+    pub fn create_zone_report(&mut self, zone: &ZoneId, group: Group, now: Moment) -> LoadReport {
+        self.zone_load.expire(now);
+        let records = self.targets.iter().map(|(_, record)| record);
+        let remote = records
+            .filter(|record| record.target.zone == *zone && group.contains(record.target.label));
+        let counts = remote.map(|record| {
+            let others = self.zone_load.count(record.token).total();
+            (record, record.load.busy + others)
+        });
+        let counts = collect_counts(counts);
+        LoadReport {
+            sequence: self.coordination.next_sequence(now),
+            applied: 0,
+            counts,
+        }
+    }
+
+    /// Number of groups of the targets of a zone.
+    pub fn group_count_of(&self, zone: &ZoneId) -> u8 {
+        let records = self.targets.iter().map(|(_, record)| record);
+        Group::count_for(records.filter(|record| record.target.zone == *zone).count())
+    }
+
+    /// Whether this VM coordinates the first group of a zone that is so loaded that the loads of
+    /// other zones matter.
+    pub fn needs_remote_loads(&mut self, now: Moment) -> bool {
+        if !self.has_zone_view() || self.coordination.coordinators[0] != Some(Origin::Local) {
+            return false;
+        }
+        let count = self.coordination.coordinators.len() as u8;
+        let loads = self.zone_loads(Group { index: 0, count }, now);
+        loads.iter().any(|load| load.percent >= LEARN_PERCENT)
+    }
+
+    /// Records the loads of another zone that its coordinator has reported.
+    pub fn record_remote_loads(&mut self, zone: &ZoneId, loads: &[ServiceLoad], now: Moment) {
+        self.coordination.remote_loads.record(zone, loads, now);
+    }
+
+    /// Loads of other zones.
+    pub fn remote_loads(&self) -> &RemoteLoads {
+        &self.coordination.remote_loads
+    }
+
+    /// Records the report of the coordinator of another zone. Returns false if it is outdated.
+    pub fn record_remote_report(
+        &mut self,
+        vm: SocketAddrV4,
+        report: &LoadReport,
+        now: Moment,
+    ) -> bool {
+        self.zone_load.record_remote_report(vm, report, now)
+    }
+
     /// Records the report of another VM. Returns false if it is outdated.
     pub fn record_report(&mut self, vm: SocketAddrV4, report: &LoadReport, now: Moment) -> bool {
         self.zone_load.record_report(vm, report, now)
@@ -241,99 +288,6 @@
         Answer::from(decision)
     }
 
-    /// Applies the answer of a coordinator. Returns what became of it and the time since the opening
-    /// packet was received; `None` if nothing waits for the answer.
-    pub fn apply_answer(
-        &mut self,
-        coordinator: SocketAddrV4,
-        number: u32,
-        answer: Answer,
-        now: Moment,
-    ) -> Option<(AnswerOutcome, Duration)> {
-        let questions = &mut self.coordination.questions;
-        let waiting = questions.answer(coordinator, number, answer, now)?;
-        let header = waiting.question.header;
-        let elapsed = now.since(waiting.received);
-        let (outcome, decision) = match answer {
-            _ if elapsed > MAX_AGE => (
-                AnswerOutcome::Dropped,
-                Decision::Drop(DropCause::HeldTooLong),
-            ),
-            Answer::Place(token) => match self.acceptable_target(&header, token, now) {
-                Some(index) => (AnswerOutcome::Applied, self.open_at(&header, index, now)),
-                None => (
-                    AnswerOutcome::NotAccepted,
-                    self.place_opening(&header, Origin::Local, None, now),
-                ),
-            },
-            // Another VM may have sent an earlier transmission to a target, and a reset would then
-            // claim wrongly that the request has not run.
-            Answer::Reject if header.ack == 0 => (
-                AnswerOutcome::Rejected,
-                Decision::Reset(ResetCause::RejectedByZone),
-            ),
-            Answer::Reject | Answer::Decide | Answer::Wait(_) => (
-                AnswerOutcome::Delegated,
-                self.place_opening(&header, Origin::Local, None, now),
-            ),
-        };
-        self.coordination.release(&header, decision);
-        Some((outcome, elapsed))
-    }
-
-    /// Places the openings that have waited too long for an answer. Returns the coordinators that
-    /// have not answered; they are not asked again until [`Self::set_coordinators`] is called.
-    pub fn expire_questions(&mut self, now: Moment) -> Vec<SocketAddrV4> {
-        let mut failed = Vec::new();
-        let expired = self.coordination.questions.expire(now, &mut failed);
-        for waiting in expired {
-            let header = waiting.question.header;
-            let decision = match now.since(waiting.received) > MAX_AGE {
-                true => Decision::Drop(DropCause::HeldTooLong),
-                false => self.place_opening(&header, Origin::Local, None, now),
-            };
-            self.coordination.release(&header, decision);
-        }
-        for coordinator in &mut self.coordination.coordinators {
-            if let Some(Origin::Vm(address)) = *coordinator
-                && failed.contains(&address)
-            {
-                *coordinator = None;
-            }
-        }
-        failed
-    }
-
-    /// Asks the coordinator for the target of an opening if this VM is to ask. Returns whether the
-    /// opening waits for an answer.
-    pub(super) fn ask(&mut self, header: &PacketHeader, now: Moment) -> bool {
-        if self.coordination.coordinators.is_empty() {
-            return false;
-        }
-        if self.coordination.questions.is_waiting(&header.flow, now) {
-            return true;
-        }
-        let Some((service, key)) = self.service_of(header) else {
-            return false;
-        };
-        let Some(group) = self.group_of(service, key) else {
-            return false;
-        };
-        let coordinator = self.coordination.coordinators.get(usize::from(group.index));
-        let Some(&Some(Origin::Vm(coordinator))) = coordinator else {
-            return false;
-        };
-        let records = self.targets.of_service(service);
-        let local = records.filter(|(_, record)| self.is_local(record));
-        let own = local.map(|(_, record)| record.load.busy).sum();
-        let service = ServiceKey::of(service);
-        let coordination = &mut self.coordination;
-        // A retransmission that moves to another target is not asked about: the caller has waited.
-        coordination.demand.is_asking(service, own, now)
-            && self.flows.earlier_target(header, now).is_none()
-            && coordination.questions.ask(header, coordinator, group, now)
-    }
-
     /// Group that a flow of this VM is placed in, if this VM coordinates one of several groups and
     /// the flow belongs to it.
     pub(super) fn own_group(&self, header: &PacketHeader) -> Option<Group> {
@@ -374,6 +328,7 @@
             zones: &self.zones,
             timings: &self.timings,
             zone_load: &self.zone_load,
+            remote_loads: &self.coordination.remote_loads,
             group,
             zone: &self.settings.zone,
             service,
@@ -382,22 +337,7 @@
         }
     }
 
-    /// Target of an answer if it may take the flow according to this VM's own view.
-    fn acceptable_target(
-        &self,
-        header: &PacketHeader,
-        token: Token,
-        now: Moment,
-    ) -> Option<TargetIndex> {
-        let selector = self.selector(self.service_of(header)?, None, now);
-        let mut indexes = self.targets.with_token(token);
-        indexes.find(|index| {
-            let record = self.targets.get(*index);
-            record.is_some_and(|record| selector.accepts(record))
-        })
-    }
-
-    fn service_of(&self, header: &PacketHeader) -> Option<(&ServiceName, FlowKey)> {
+    pub(super) fn service_of(&self, header: &PacketHeader) -> Option<(&ServiceName, FlowKey)> {
         let route = self.routes.as_ref()?.find(header.flow.frontend)?;
         let key = header.flow.key();
         Some((route.service_of(key)?, key))
@@ -405,7 +345,7 @@
 
     /// Group of the flow with hash `key`. Each group gets a share of a service's flows in proportion
     /// to its targets; `None` if the zone has no target of the service.
-    fn group_of(&self, service: &ServiceName, key: FlowKey) -> Option<Group> {
+    pub(super) fn group_of(&self, service: &ServiceName, key: FlowKey) -> Option<Group> {
         let count = self.coordination.coordinators.len() as u8;
         let records = self.targets.of_service(service);
         let mut local = records.filter(|(_, record)| self.is_local(record) && record.is_open());
@@ -422,7 +362,14 @@
         records.filter(|record| self.is_local(record))
     }
 
-    fn is_local(&self, record: &TargetRecord) -> bool {
+    pub(super) fn is_local(&self, record: &TargetRecord) -> bool {
         record.target.zone == self.settings.zone
     }
 }
+
+/// The counts above 0, as a report contains them.
+fn collect_counts<'a>(counts: impl Iterator<Item = (&'a TargetRecord, u32)>) -> Vec<(Token, u8)> {
+    let busy = counts.filter(|(_, count)| *count > 0);
+    let counts = busy.map(|(record, count)| (record.token, count.min(u8::MAX.into()) as u8));
+    counts.take(MAX_COUNTS).collect()
+}
--- a/crates/steer/src/steering/opening.rs
+++ b/crates/steer/src/steering/opening.rs
@@ -7,7 +7,8 @@
 use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
 use crate::timing::ServiceTimings;
 use crate::zone::UnresponsiveZones;
-use crate::zone_load::{Group, ZoneLoad};
+use crate::zone_load::remote::RemoteLoads;
+use crate::zone_load::{Group, ServiceKey, ZoneLoad};
 
 /// State and input of a selection.
 #[derive(Debug)]
@@ -17,6 +18,8 @@
     pub timings: &'a ServiceTimings,
     /// Requests in progress of other VMs.
     pub zone_load: &'a ZoneLoad,
+    /// Loads of other zones.
+    pub remote_loads: &'a RemoteLoads,
     /// Group of the targets of this zone that are candidates; `None` for all.
     pub group: Option<Group>,
     /// Zone of this VM.
@@ -42,14 +45,27 @@
         let records = self.targets.of_service(self.service);
         let candidates =
             records.filter(|(_, record)| is_eligible(record) && self.is_in_group(record));
-        let candidates = candidates.map(|(target, record)| Candidate {
-            target,
-            load: &record.load,
-            in_progress: record.load.busy + self.zone_load.count(record.token).total(),
-            capacity: record.target.capacity,
-            cold_percent,
-            is_local: record.target.zone == *self.zone,
-            is_unresponsive: self.is_unresponsive(record),
+        let key = (!self.remote_loads.is_empty()).then(|| ServiceKey::of(self.service));
+        let candidates = candidates.map(|(target, record)| {
+            let capacity = record.target.capacity;
+            let is_local = record.target.zone == *self.zone;
+            let remote_percent = key.filter(|_| !is_local).and_then(|key| {
+                self.remote_loads
+                    .percent(&record.target.zone, key, self.now)
+            });
+            // The part of the load of another zone that this VM does not see is taken as the mean.
+            let mean = u32::from(remote_percent.unwrap_or_default()) * capacity;
+            let counted = record.load.busy + self.zone_load.count(record.token).total();
+            Candidate {
+                target,
+                load: &record.load,
+                in_progress: counted.max(mean.div_ceil(100)),
+                capacity,
+                cold_percent,
+                is_local,
+                remote_percent,
+                is_unresponsive: self.is_unresponsive(record),
+            }
         });
         place(candidates, self.key.get(), self.now)
     }
--- a/crates/steer/src/zone_load.rs
+++ b/crates/steer/src/zone_load.rs
@@ -7,11 +7,12 @@
 //! One VM of a zone acts as *coordinator* for a group of targets. The other VMs report their
 //! requests in progress to it and ask it for the target of an opening. [`ZoneLoad`] is the
 //! coordinator's record of the other VMs; [`demand`] decides when a VM asks; [`questions`] holds the
-//! openings that wait for an answer. The state of a VM is lost when it ends: a coordinator without
+//! openings that wait for an answer; [`remote`] holds the loads of other zones. The state of a VM is lost when it ends: a coordinator without
 //! reports decides by its own requests, as without this module.
 
 pub mod demand;
 pub mod questions;
+pub mod remote;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddrV4;
@@ -103,6 +104,8 @@
 struct ReceivedReport {
     report: LoadReport,
     received: Moment,
+    /// Whether the sender is the coordinator of another zone.
+    is_remote: bool,
 }
 
 /// An opening that was granted to a VM, or that is being decided.
@@ -169,6 +172,26 @@
     /// Records the report of a VM. Returns false if a later report of the VM is known, or if there is
     /// no room for another VM.
     pub fn record_report(&mut self, vm: SocketAddrV4, report: &LoadReport, now: Moment) -> bool {
+        self.insert_report(vm, report, false, now)
+    }
+
+    /// Records the report of the coordinator of another zone about the targets of this zone.
+    pub fn record_remote_report(
+        &mut self,
+        vm: SocketAddrV4,
+        report: &LoadReport,
+        now: Moment,
+    ) -> bool {
+        self.insert_report(vm, report, true, now)
+    }
+
+    fn insert_report(
+        &mut self,
+        vm: SocketAddrV4,
+        report: &LoadReport,
+        is_remote: bool,
+        now: Moment,
+    ) -> bool {
         self.expire(now);
         let at = self.reports.binary_search_by_key(&vm, |(other, _)| *other);
         match at {
@@ -181,6 +204,7 @@
         let received = ReceivedReport {
             report: report.clone(),
             received: now,
+            is_remote,
         };
         for &(token, count) in &report.counts {
             self.counts.entry(token).or_default().reported += u32::from(count);
@@ -284,11 +308,16 @@
         total
     }
 
-    /// Number of VMs whose reports are known.
+    /// Number of VMs whose reports are known, including the coordinators of other zones.
     pub fn vm_count(&self) -> usize {
         self.reports.len()
     }
 
+    /// Whether the report of a VM of this zone is known.
+    pub fn has_local_report(&self) -> bool {
+        self.reports.iter().any(|(_, report)| !report.is_remote)
+    }
+
     fn subtract(&mut self, report: &LoadReport) {
         for &(token, count) in &report.counts {
             update(&mut self.counts, token, |sum| {
--- a/tests/tests/coordination.rs
+++ b/tests/tests/coordination.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bambooseam_entry::Peers;
-use bambooseam_entry::coordination::codec::{MAX_MESSAGE_BYTES, Message, MessageError};
+use bambooseam_entry::coordination::codec::{
+    MAX_MESSAGE_BYTES, Message, MessageError, ReportScope,
+};
 use bambooseam_entry::coordination::coordinators::Coordinators;
 use bambooseam_peer::replica::PeerInfo;
 use bambooseam_steer::zone_load::demand::MAX_SERVICES;
@@ -38,7 +40,7 @@
     let mut messages = vec![
         Message::Report {
             group,
-            wants_answer: true,
+            scope: ReportScope::ZoneAnswered,
             report: report(3),
         },
         Message::ReportAnswer {
@@ -98,7 +100,7 @@
 fn lists_are_cut_to_their_maximum() {
     let long = Message::Report {
         group: Group::WHOLE,
-        wants_answer: false,
+        scope: ReportScope::OtherZone,
         report: report(MAX_COUNTS + 1),
     };
     let Ok(Message::Report { report, .. }) = Message::decode(&long.encode()) else {
@@ -311,10 +313,11 @@
             };
             peers.record_gossiped(&info(number, zone));
         }
-        let known = peers.zone_addresses(7_734);
+        let known = peers.zone_addresses(&"a".parse().expect("a zone"), 7_734);
         let lowest: Vec<_> = (300..304)
             .map(|number: u32| SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + number), 7_734))
             .collect();
         assert_eq!(known[..4], lowest);
+        assert_eq!(peers.other_zones(), ["b".parse().expect("a zone")]);
     }
 }
--- a/tests/tests/entry_coordination.rs
+++ b/tests/tests/entry_coordination.rs
@@ -172,3 +172,29 @@
     traffic.stop().await;
     running.check();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn full_zones_learn_the_load_of_each_other() {
+    let mut running = RunningSite::start(&[3, 3], 2).await;
+    let traffic = running.traffic(0, 24);
+    let start_time = Instant::now();
+    // The coordinators are the first VM of each zone.
+    for (vm, other) in [(0, "zone-b"), (3, "zone-a")] {
+        loop {
+            let reply = http::get(running.site.vms[vm].admin(), "/status").await;
+            let text = reply.map(|reply| reply.text).unwrap_or_default();
+            if text.contains(&format!("\"remote_zones\":[\"{other}\"]")) {
+                break;
+            }
+            assert!(
+                start_time.elapsed() < WAIT_TIMEOUT,
+                "VM {vm} does not learn the load of {other} within {WAIT_TIMEOUT:?}: {text}"
+            );
+            pause(20).await;
+        }
+    }
+    traffic.stop().await;
+    running.check();
+    assert_opened_once(&running);
+    assert_served(&running, LOSS_PERCENT);
+}
--- a/tests/tests/zone_load.rs
+++ b/tests/tests/zone_load.rs
@@ -557,3 +557,92 @@
     let decision = steering.decide(&opening_packet(flow(2, ORDERS), 0), at(0));
     assert_eq!(token_of(decision), target(1).token());
 }
+
+/// A coordinator in zone `a` with two targets, and two targets in zone `b`.
+fn coordinator_beside_another_zone() -> Steering {
+    let remote = |number| Target {
+        zone: "b".parse().expect("a zone"),
+        ..target(number)
+    };
+    let mut steering = steering([target(1), target(2), remote(3), remote(4)]);
+    steering.set_coordinators(vec![Some(Origin::Local)], at(0));
+    steering
+}
+
+/// Whether the coordinator sends an opening to zone `b` when each target of zone `a` has
+/// `in_progress` requests, and the other zone has the load `percent`.
+fn spills(in_progress: u8, percent: Option<u16>) -> bool {
+    let mut steering = coordinator_beside_another_zone();
+    let counts = [(target(1), in_progress), (target(2), in_progress)];
+    steering.record_report(address(1), &report(1, 0, &counts), at(0));
+    if let Some(percent) = percent {
+        let zone = "b".parse().expect("a zone");
+        steering.record_remote_loads(&zone, &[orders_load(percent)], at(0));
+    }
+    let local = [target(1).token(), target(2).token()];
+    match answer(&mut steering, 1, 1, 0) {
+        Answer::Place(token) => !local.contains(&token),
+        other => panic!("{other:?} instead of a target"),
+    }
+}
+
+#[test]
+fn full_zone_sends_openings_to_zones_with_free_slots_only() {
+    // Without the other zone's load, all zones would send each other openings under overload.
+    for in_progress in [2, 4, 6, 8] {
+        assert!(!spills(in_progress, Some(u16::from(in_progress) * 50)));
+    }
+    assert!(!spills(2, Some(50)), "the targets have no queue yet");
+    assert!(spills(3, Some(50)));
+    assert!(spills(3, Some(0)));
+    assert!(!spills(3, Some(100)));
+    assert!(!spills(4, Some(300)));
+    assert!(
+        !spills(2, None) && spills(6, None),
+        "as without coordination"
+    );
+}
+
+#[test]
+fn load_of_another_zone_is_forgotten_after_a_second() {
+    let mut steering = coordinator_beside_another_zone();
+    let (zone, service) = ("b".parse().expect("a zone"), orders_load(0).service);
+    steering.record_remote_loads(&zone, &[orders_load(84)], at(0));
+    let loads = steering.remote_loads();
+    assert!(loads.has_capacity(service, at(1_000)));
+    assert!(!loads.has_capacity(service, at(1_001)));
+    assert_eq!(loads.percent(&zone, service, at(1_001)), None);
+    steering.record_remote_loads(&zone, &[orders_load(85)], at(1_001));
+    assert!(!steering.remote_loads().has_capacity(service, at(1_001)));
+}
+
+#[test]
+fn zone_reports_the_sum_of_its_vms_to_another_zone() {
+    let mut steering = coordinator_beside_another_zone();
+    steering.record_report(
+        address(1),
+        &report(1, 0, &[(target(3), 2), (target(1), 1)]),
+        at(0),
+    );
+    steering.record_report(address(2), &report(1, 0, &[(target(3), 1)]), at(0));
+    let zone = "b".parse().expect("a zone");
+    let sum = steering.create_zone_report(&zone, Group::WHOLE, at(0));
+    assert_eq!(sum.counts, [(target(3).token(), 3)]);
+    let mut other = self::steering([target(3), target(4)]);
+    other.set_coordinators(vec![Some(Origin::Local)], at(0));
+    other.record_remote_report(address(9), &sum, at(0));
+    assert_eq!(count_of(&other, 3), counted(3, 0));
+    assert!(!other.has_zone_view(), "no VM of the zone has reported");
+}
+
+#[test]
+fn only_a_loaded_coordinator_learns_the_loads_of_other_zones() {
+    let mut steering = coordinator_beside_another_zone();
+    assert!(!steering.needs_remote_loads(at(0)));
+    steering.record_report(address(1), &report(1, 0, &[(target(1), 2)]), at(0));
+    assert!(!steering.needs_remote_loads(at(0)), "50 %");
+    steering.record_report(address(2), &report(1, 0, &[(target(2), 1)]), at(0));
+    assert!(steering.needs_remote_loads(at(0)), "75 %");
+    steering.set_coordinators(vec![Some(Origin::Vm(address(0)))], at(0));
+    assert!(!steering.needs_remote_loads(at(0)));
+}
