Merge the zone-wide load view

The level of a request at a target counts what other VMs have in progress there, as placement does: with own counts alone the learned times of a coordinator were those of another load, and four_vms_place_nearly_as_one failed (busiest target 1.27 times the mean, 1.22 allowed); it passes.

--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -13,7 +13,8 @@
 //! response times, [`target_speed`] learns how fast each target is, [`missing_entry`] handles
 //! targets whose published entry was removed, [`evacuation`] excludes the targets of evacuated
 //! zones from new flows, [`resumption`] drops openings that waited while this process was paused,
-//! and [`unknown_token`] handles tokens that belong to no known target.
+//! [`zone_load`] adds the load that other VMs of the zone place on a target, and [`unknown_token`]
+//! handles tokens that belong to no known target.
 
 pub mod cold_budget;
 mod decision;
@@ -36,6 +37,7 @@
 pub mod timing;
 pub mod unknown_token;
 pub mod zone;
+pub mod zone_load;
 
 pub use cold_budget::ColdPolicy;
 pub use decision::{Decision, DropCause, Origin, Placement, Released, ResetCause};
@@ -43,6 +45,6 @@
 pub use header::{FlowId, PacketFlags, PacketHeader, ParseFlowError};
 pub use load::Load;
 pub use route::{Route, Routes, ServiceLimits, Share};
-pub use steering::{Freshness, SpeedSummary, Steering, SteeringSettings};
+pub use steering::{AnswerOutcome, Freshness, SpeedSummary, Steering, SteeringSettings};
 pub use target::Target;
 pub use target_table::{EntryStatus, TargetIndex, TargetRecord, TargetTable};
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -4,6 +4,8 @@
 //! detectors. This module handles packets; the submodule `update` handles published documents and
 //! the passing of time.
 
+mod asking;
+mod coordination;
 mod opening;
 mod signals;
 mod speed;
@@ -15,7 +17,9 @@
 
 use bambooseam_types::{Moment, TargetId, Token, ZoneId};
 
-use self::opening::{Selector, select};
+pub use self::asking::AnswerOutcome;
+use self::coordination::Coordination;
+use self::opening::select;
 use self::signals::apply_signals;
 pub use self::speed::SpeedSummary;
 use self::speed::Speeds;
@@ -29,8 +33,9 @@
 use crate::timing::ServiceTimings;
 use crate::unknown_token::UnknownTokens;
 use crate::zone::UnresponsiveZones;
+use crate::zone_load::{Group, ZoneLoad};
 use crate::{
-    Decision, DropCause, PacketHeader, Placement, Released, ResetCause, Route, Routes,
+    Decision, DropCause, Origin, PacketHeader, Placement, Released, ResetCause, Route, Routes,
     SteeringEvent,
 };
 
@@ -92,6 +97,9 @@
     timings: ServiceTimings,
     cold_budgets: ColdBudgets,
     speeds: Speeds,
+    /// Requests in progress of other VMs.
+    zone_load: ZoneLoad,
+    coordination: Coordination,
     /// End of the time in which large transfers may have filled the link of this VM.
     quiet_since: Moment,
 }
@@ -133,6 +141,8 @@
             timings: ServiceTimings::default(),
             cold_budgets: ColdBudgets::default(),
             speeds: Speeds::default(),
+            zone_load: ZoneLoad::default(),
+            coordination: Coordination::default(),
             quiet_since: Moment::default(),
         }
     }
@@ -169,7 +179,7 @@
             return Decision::Drop(DropCause::Forged);
         }
         if header.is_opening() {
-            return self.handle_opening(header, now);
+            return self.handle_opening(header, Origin::Local, now);
         }
         match header.token {
             Some(token) => self.handle_established(header, token, now),
@@ -180,14 +190,57 @@
 
     /// Removes and returns the held openings that have been decided.
     pub fn take_released(&mut self, _now: Moment) -> Vec<Released> {
-        Vec::new()
+        self.coordination.take_released()
     }
 
-    /// Selects the target of a new flow.
-    fn handle_opening(&mut self, header: &PacketHeader, now: Moment) -> Decision {
+    /// Handles an opening packet that was received by this VM or by another one, which asks.
+    fn handle_opening(&mut self, header: &PacketHeader, origin: Origin, now: Moment) -> Decision {
         if self.awaits_view(now) {
             return Decision::Drop(DropCause::ViewNotCurrent);
         }
+        if origin == Origin::Local {
+            if let Some(decision) = self.repeat_opening(header, now) {
+                return decision;
+            }
+            if self.ask(header, now) {
+                return Decision::Hold;
+            }
+        }
+        let group = self.own_group(header);
+        self.place_opening(header, origin, group, now)
+    }
+
+    /// Forwards a retransmitted opening packet to the target of the first transmission; `None` if it
+    /// is not a retransmission, or if that target is unresponsive and there is another one.
+    fn repeat_opening(&mut self, header: &PacketHeader, now: Moment) -> Option<Decision> {
+        let (index, token) = self.flows.earlier_target(header, now)?;
+        let route = self.routes.as_ref()?.find(header.flow.frontend)?;
+        let service = route.service_of(header.flow.key())?;
+        let record = self.targets.get(index)?;
+        let selector = self.selector((service, header.flow.key()), None, now);
+        let is_moved =
+            record.load.responsiveness.is_confirmed(now) && selector.has_alternative(index);
+        if record.token != token || is_moved {
+            return None;
+        }
+        let decision = forward(record, Placement::Retransmitted);
+        let is_cold = record.load.is_cold(now);
+        if is_cold && !self.cold_budgets.record_repeated(service, token, now) {
+            return Some(Decision::Drop(DropCause::ColdLimit));
+        }
+        self.flows.record_repeated_opening(&header.flow);
+        Some(decision)
+    }
+
+    /// Selects the target of a new flow, from one group of this zone's targets if `group` is set.
+    fn place_opening(
+        &mut self,
+        header: &PacketHeader,
+        origin: Origin,
+        group: Option<Group>,
+        now: Moment,
+    ) -> Decision {
+        self.zone_load.expire(now);
         let is_current = self.freshness.is_current(now);
         let Some(route) = self
             .routes
@@ -202,41 +255,30 @@
         let Some(service) = route.service_of(key) else {
             return reject(ResetCause::NoTarget, is_settled);
         };
-        let selector = Selector {
-            targets: &self.targets,
-            zones: &self.zones,
-            evacuations: &self.evacuations,
-            timings: &self.timings,
-            cold: self.cold_budgets.service(service),
-            uses_speed: self.settings.target_speed,
-            zone: &self.settings.zone,
-            service,
-            key,
-            now,
-        };
-        let earlier = self.flows.earlier_target(header, now);
-        if let Some((index, token)) = earlier
-            && let Some(record) = self.targets.get(index)
-            && record.token == token
-            && !(record.load.responsiveness.is_confirmed(now) && selector.has_alternative(index))
-        {
-            let (is_cold, token) = (record.load.is_cold(now), record.token);
-            let decision = forward(record, Placement::Retransmitted);
-            if is_cold && !self.cold_budgets.record_repeated(service, token, now) {
-                return Decision::Drop(DropCause::ColdLimit);
-            }
-            self.flows.record_repeated_opening(&header.flow);
-            return decision;
-        }
-        let Some(index) = select(&selector) else {
+        let selection = select(&self.selector((service, key), group, now));
+        let Some(index) = selection else {
             return reject(ResetCause::NoTarget, is_settled);
         };
-        let timeout = route.timeout;
+        match origin {
+            Origin::Local => self.open_at(header, index, now),
+            Origin::Vm(vm) => self.grant(vm, header, index, now),
+        }
+    }
+
+    /// Opens a flow of this VM at a target.
+    fn open_at(&mut self, header: &PacketHeader, index: TargetIndex, now: Moment) -> Decision {
+        let earlier = self.flows.earlier_target(header, now);
+        let route = self
+            .routes
+            .as_ref()
+            .and_then(|r| r.find(header.flow.frontend));
+        let timeout = route.map_or(DEFAULT_REQUEST_TIMEOUT, |route| route.timeout);
         let Some(record) = self.targets.get_mut(index) else {
-            return reject(ResetCause::NoTarget, is_settled);
+            return Decision::Drop(DropCause::ViewNotCurrent);
         };
         if record.load.is_cold(now) {
-            self.cold_budgets.record(service, record.token, now);
+            self.cold_budgets
+                .record(&record.target.service, record.token, now);
         }
         record.load.responsiveness.record_opening(now);
         record.speed.record_opening(now);
@@ -282,6 +324,9 @@
         let signals = self
             .flows
             .record_packet(header, (index, token), timeout, now);
+        if signals.was_busy && !signals.is_busy {
+            self.coordination.record_ended();
+        }
         self.report_stall_end(index, signals);
         apply_signals(&mut self.targets, index, signals, now);
         if self.is_stalled(header, index, signals, now) {
--- a/crates/steer/src/steering/opening.rs
+++ b/crates/steer/src/steering/opening.rs
@@ -9,6 +9,8 @@
 use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
 use crate::timing::ServiceTimings;
 use crate::zone::UnresponsiveZones;
+use crate::zone_load::remote::RemoteLoads;
+use crate::zone_load::{Group, ServiceKey, ZoneLoad};
 
 /// State and input of a selection.
 #[derive(Debug)]
@@ -21,6 +23,12 @@
     pub cold: Option<&'a ColdBudget>,
     /// Whether learned speeds count.
     pub uses_speed: bool,
+    /// Requests in progress of other VMs.
+    pub zone_load: &'a ZoneLoad,
+    /// Loads of other zones.
+    pub remote_loads: &'a RemoteLoads,
+    /// Group of the targets of this zone that are candidates; `None` for all.
+    pub group: Option<Group>,
     /// Zone of this VM.
     pub zone: &'a ZoneId,
     /// Service of the flow.
@@ -42,17 +50,32 @@
     fn place(&self, is_eligible: fn(&TargetRecord) -> bool) -> Option<TargetIndex> {
         let cold_percent = self.timings.get(self.service).cold_percent();
         let records = self.targets.of_service(self.service);
-        let candidates =
-            records.filter(|(_, record)| is_eligible(record) && self.is_admitted(record));
-        let candidates = candidates.map(|(target, record)| Candidate {
-            target,
-            load: &record.load,
-            in_progress: record.load.busy,
-            expected_percent: self.expected_percent(record),
-            capacity: record.target.capacity,
-            cold_percent,
-            is_local: record.target.zone == *self.zone,
-            is_unresponsive: self.is_unresponsive(record),
+        let candidates = records.filter(|(_, record)| {
+            is_eligible(record) && self.is_in_group(record) && self.is_admitted(record)
+        });
+        let key = (!self.remote_loads.is_empty()).then(|| ServiceKey::of(self.service));
+        let candidates = candidates.map(|(target, record)| {
+            let capacity = record.target.capacity;
+            let is_local = record.target.zone == *self.zone;
+            let remote_percent = key.filter(|_| !is_local).and_then(|key| {
+                self.remote_loads
+                    .percent(&record.target.zone, key, self.now)
+            });
+            // The part of the load of another zone that this VM does not see is taken as the mean.
+            let mean = u32::from(remote_percent.unwrap_or_default()) * capacity;
+            let counted = record.load.busy + self.zone_load.count(record.token).total();
+            let in_progress = counted.max(mean.div_ceil(100));
+            Candidate {
+                target,
+                load: &record.load,
+                in_progress,
+                expected_percent: self.expected_percent(record, in_progress),
+                capacity,
+                cold_percent,
+                is_local,
+                remote_percent,
+                is_unresponsive: self.is_unresponsive(record),
+            }
         });
         place(candidates, self.key.get(), self.now)
     }
@@ -77,13 +100,29 @@
         cold.is_none_or(|cold| cold.admits(self.key, record.token, self.now))
     }
 
-    fn expected_percent(&self, record: &TargetRecord) -> u32 {
+    fn expected_percent(&self, record: &TargetRecord, in_progress: u32) -> u32 {
         match self.uses_speed {
-            true => record.speed.percent(record.load.busy, self.now),
+            true => record.speed.percent(in_progress, self.now),
             false => 100,
         }
     }
 
+    /// Whether a target is outside this zone, or in the group that the flow is placed in.
+    fn is_in_group(&self, record: &TargetRecord) -> bool {
+        let is_local = record.target.zone == *self.zone;
+        self.group
+            .is_none_or(|group| !is_local || group.contains(record.target.label))
+    }
+
+    /// Whether a target that another VM has selected may take the flow according to this VM's own
+    /// view.
+    pub fn accepts(&self, record: &TargetRecord) -> bool {
+        record.target.service == *self.service
+            && record.is_open()
+            && self.is_admitted(record)
+            && !self.is_unresponsive(record)
+    }
+
     fn is_unresponsive(&self, record: &TargetRecord) -> bool {
         let zone = &record.target.zone;
         record.load.responsiveness.is_unresponsive(self.now)
--- a/crates/steer/src/steering/speed.rs
+++ b/crates/steer/src/steering/speed.rs
@@ -57,14 +57,11 @@
     /// Speeds of the targets of each service whose usual response time is known.
     pub fn speed_summaries(&self) -> Vec<(&ServiceName, SpeedSummary)> {
         let mut summaries = Vec::new();
-        for (service, indexes) in self.targets.services() {
-            let records = indexes.iter().filter_map(|index| self.targets.get(*index));
-            let mut expected: Vec<_> = records
-                .clone()
-                .filter_map(|record| record.speed.expected(0))
-                .collect();
-            let mut limits: Vec<_> = records.clone().map(|record| record.speed.limit()).collect();
-            let limited = records.filter(|record| record.speed.is_limited()).count();
+        for (service, records) in self.targets.services() {
+            let speeds: Vec<_> = records.map(|record| &record.speed).collect();
+            let mut expected: Vec<_> = speeds.iter().filter_map(|s| s.expected(0)).collect();
+            let mut limits: Vec<_> = speeds.iter().map(|speed| speed.limit()).collect();
+            let limited = speeds.iter().filter(|speed| speed.is_limited()).count();
             expected.sort_unstable();
             limits.sort_unstable();
             if let (Some(expected), Some(limit)) = (spread(&expected), spread(&limits)) {
@@ -115,7 +112,8 @@
             let is_cold = record.load.is_cold(now);
             let usual = usual.of_route(frontend, &record.target.service);
             let usual = usual.filter(|_| !is_cold);
-            let others = record.load.busy.saturating_sub(1);
+            let reported = self.zone_load.count(record.token).total();
+            let others = record.load.busy.saturating_sub(1) + reported;
             record.speed.begin(others, usual, now);
         }
     }
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -224,18 +224,22 @@
         records.filter_map(|index| Some((index, self.get(index)?)))
     }
 
+    /// All services with their targets, sorted by name.
+    pub fn services(
+        &self,
+    ) -> impl Iterator<Item = (&ServiceName, impl Iterator<Item = &TargetRecord>)> {
+        self.services.iter().map(|(service, indexes)| {
+            let records = indexes.iter().filter_map(|index| self.get(*index));
+            (service, records)
+        })
+    }
+
     /// All targets, sorted by identifier.
     pub fn iter(&self) -> impl Iterator<Item = (TargetIndex, &TargetRecord)> {
         let indexes = self.ids.iter().map(|(_, index)| *index);
         indexes.filter_map(|index| Some((index, self.get(index)?)))
     }
 
-    /// All services with the indexes of their targets.
-    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &[TargetIndex])> {
-        let services = self.services.iter();
-        services.map(|(service, indexes)| (service, indexes.as_slice()))
-    }
-
     /// Calls `change` for each target.
     pub fn for_each_mut(&mut self, change: impl FnMut(&mut TargetRecord)) {
         self.records.iter_mut().flatten().for_each(change);
--- a/tests/tests/target_speed.rs
+++ b/tests/tests/target_speed.rs
@@ -248,6 +248,7 @@
                 expected_percent: 100,
                 cold_percent,
                 capacity: rng.random_range(0..9),
+                remote_percent: None,
                 is_local: rng.random_bool(0.6),
                 is_unresponsive: rng.random_bool(0.1),
             })
