Keep the lowest peers of the zone apart from the followed ones

Cause: Peers kept the four lowest addresses of the own zone in its list, in place of sampled peers.

Change: the four addresses are a list of their own, which only the choice of coordinators reads; the followed list is as before.

--- a/crates/entry/src/coordination.rs
+++ b/crates/entry/src/coordination.rs
@@ -406,7 +406,10 @@
         for address in self.coordinators.exclude_unanswering(now) {
             record::log_excluded(address, "no_report_answer");
         }
-        let peers = self.peers.borrow();
+        let mut peers = self.peers.borrow_mut();
+        for address in self.coordinators.lost() {
+            peers.forget_lowest(address);
+        }
         let addresses = peers.zone_addresses(&peers.own().zone, self.port);
         drop(peers);
         self.coordinators.set_known(addresses, now);
--- a/crates/entry/src/coordination/coordinators.rs
+++ b/crates/entry/src/coordination/coordinators.rs
@@ -197,6 +197,12 @@
         excluded
     }
 
+    /// VMs that were excluded so often in a row that they have probably ended.
+    pub fn lost(&self) -> impl Iterator<Item = SocketAddrV4> {
+        let lost = self.known.iter().filter(|c| c.failures > MAX_DOUBLINGS);
+        lost.map(|candidate| candidate.address)
+    }
+
     /// Excludes a VM that has not answered a question.
     pub fn exclude(&mut self, address: SocketAddrV4, now: Moment) {
         if let Ok(at) = self.find(address) {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -28,8 +28,9 @@
 /// sample of the fleet that differs from VM to VM.
 const LOWEST_KEPT: usize = 16;
 
-/// Number of peers of the own zone with the lowest addresses that are always kept. The coordinators
-/// of the zone are among them, and all VMs of the zone must know the same ones.
+/// Number of peers of the own zone with the lowest addresses that are kept for the choice of
+/// coordinators: all VMs of the zone must know the same ones. They are kept apart from the list, so
+/// that they do not change which peers are followed.
 const ZONE_LOWEST_KEPT: usize = 4;
 
 /// Number of known peers below which more peers are discovered. If VMs knew only the seeds, all VMs
@@ -60,6 +61,8 @@
     /// Whether this VM is a seed of other VMs.
     is_seed: bool,
     list: Vec<Peer>,
+    /// Peers of the own zone with the lowest addresses, sorted.
+    zone_lowest: Vec<SocketAddr>,
 }
 
 #[derive(Debug, Clone)]
@@ -88,6 +91,7 @@
             own,
             is_seed: false,
             list: Vec::new(),
+            zone_lowest: Vec::new(),
         };
         peers.set_seeds(seeds);
         peers
@@ -105,7 +109,7 @@
             peer.is_seed = seeds.contains(&peer.address);
         }
         for &seed in seeds {
-            if let Some(peer) = self.add(seed, None) {
+            if let Some(peer) = self.add(seed) {
                 peer.is_seed = true;
             }
         }
@@ -125,7 +129,13 @@
 
     /// Records a peer that another peer announced.
     pub fn record_gossiped(&mut self, info: &PeerInfo) {
-        if let Some(peer) = self.add(info.address, Some(&info.zone)) {
+        if info.zone == self.own.zone && info.address != self.own.address {
+            self.zone_lowest.push(info.address);
+            self.zone_lowest.sort_unstable();
+            self.zone_lowest.dedup();
+            self.zone_lowest.truncate(ZONE_LOWEST_KEPT);
+        }
+        if let Some(peer) = self.add(info.address) {
             peer.zone = Some(info.zone.clone());
         }
     }
@@ -234,15 +244,27 @@
     /// Returns the addresses of the known peers of a zone, in order, with the port `port`. An
     /// address that is not IPv4 is left out.
     pub fn zone_addresses(&self, zone: &ZoneId, port: u16) -> Vec<SocketAddrV4> {
-        let peers = self.list.iter();
-        let peers = peers.filter(|peer| peer.zone.as_ref() == Some(zone));
-        let addresses = peers.filter_map(|peer| match peer.address {
+        let listed = self.list.iter();
+        let listed = listed.filter(|peer| peer.zone.as_ref() == Some(zone));
+        let mut addresses: Vec<_> = listed.map(|peer| peer.address).collect();
+        if *zone == self.own.zone {
+            addresses.extend(&self.zone_lowest);
+        }
+        addresses.sort_unstable();
+        addresses.dedup();
+        let addresses = addresses.into_iter().filter_map(|address| match address {
             SocketAddr::V4(address) => Some(SocketAddrV4::new(*address.ip(), port)),
             SocketAddr::V6(_) => None,
         });
         addresses.collect()
     }
 
+    /// Gives up the place of a peer among those with the lowest addresses of the own zone, because
+    /// it does not respond.
+    pub fn forget_lowest(&mut self, address: SocketAddrV4) {
+        self.zone_lowest.retain(|peer| peer.ip() != *address.ip());
+    }
+
     /// Returns the other zones of the known peers.
     pub fn other_zones(&self) -> Vec<ZoneId> {
         let zones = self.list.iter().filter_map(|peer| peer.zone.clone());
@@ -273,7 +295,7 @@
 
     /// Returns the entry of a peer, and creates it if necessary; `None` for this VM and for a peer
     /// that does not belong to the kept sample.
-    fn add(&mut self, address: SocketAddr, zone: Option<&ZoneId>) -> Option<&mut Peer> {
+    fn add(&mut self, address: SocketAddr) -> Option<&mut Peer> {
         if address == self.own.address {
             return None;
         }
@@ -281,7 +303,7 @@
             self.insert(Peer {
                 address,
                 rank: self.rank(address),
-                zone: zone.cloned(),
+                zone: None,
                 is_seed: false,
                 is_calling: false,
                 called: None,
@@ -302,23 +324,13 @@
         if self.list.len() <= MAX_PEERS {
             return;
         }
-        let in_zone = self.list.iter().filter(|peer| self.is_in_zone(peer));
-        let zone_lowest = in_zone.map(|peer| peer.address).nth(ZONE_LOWEST_KEPT - 1);
-        let is_kept = |peer: &Peer| {
-            let is_zone_lowest = zone_lowest.is_none_or(|last| peer.address <= last);
-            peer.is_seed || (self.is_in_zone(peer) && is_zone_lowest)
-        };
         let sampled = self.list.iter().enumerate().skip(LOWEST_KEPT);
-        let sampled = sampled.filter(|(_, peer)| !is_kept(peer));
+        let sampled = sampled.filter(|(_, peer)| !peer.is_seed);
         if let Some((last, _)) = sampled.min_by_key(|(_, peer)| peer.rank) {
             self.list.remove(last);
         }
     }
 
-    fn is_in_zone(&self, peer: &Peer) -> bool {
-        peer.zone.as_ref() == Some(&self.own.zone)
-    }
-
     fn find(&self, address: SocketAddr) -> Result<usize, usize> {
         self.list
             .binary_search_by_key(&address, |peer| peer.address)
--- a/tests/tests/coordination.rs
+++ b/tests/tests/coordination.rs
@@ -318,6 +318,10 @@
             .map(|number: u32| SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + number), 7_734))
             .collect();
         assert_eq!(known[..4], lowest);
+        peers.forget_lowest(lowest[0]);
+        peers.record_gossiped(&info(304, "a"));
+        let known = peers.zone_addresses(&"a".parse().expect("a zone"), 7_734);
+        assert_eq!(known[..3], lowest[1..]);
         assert_eq!(peers.other_zones(), ["b".parse().expect("a zone")]);
     }
 }
