Place no opening by the view from before a pause

A VM that was suspended resumes with the view from before, and with the packets that the kernel kept meanwhile. A draining target is open to the same.

After a pause of more than 1.5 s openings are dropped until the view is at most 1.5 s old again, for 1 s at most; then the VM places flows by what it has, as during any outage. Their callers have given up or retransmit. The store is watched without waiting meanwhile. An answer to a call that lasted longer than its timeout counts from the start of the call: it may have waited during the pause, and confirmed the old view as current.

That the watch does not wait after a pause is covered by no test: without it only the delay grows.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -12,6 +12,7 @@
 use crate::BootClock;
 use crate::feed::STALE_AGE;
 use crate::node::{SharedNode, Source};
+use crate::pause::answered_at;
 use crate::peering::SharedPeers;
 
 /// Maximum time for which the peer waits for changes. The value is just above [`STALE_AGE`], at
@@ -21,6 +22,9 @@
 /// Timeout for establishing a connection, and for the answer after the end of the wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Timeout for a long poll with its connection.
+const MAX_CALL_TIME: Duration = MAX_WAIT.saturating_add(ANSWER_TIMEOUT);
+
 /// Follows one peer at a time over one connection.
 pub struct Follower {
     node: SharedNode,
@@ -42,15 +46,17 @@
 
     /// Waits for changes from the peer at `address`; excludes the peer when it fails or is behind.
     pub(crate) async fn round(&mut self, address: SocketAddr) {
-        let result = timeout(MAX_WAIT + ANSWER_TIMEOUT, self.poll(address)).await;
+        let started = BootClock.now();
+        let result = timeout(MAX_CALL_TIME, self.poll(address)).await;
         let now = BootClock.now();
+        let answered = answered_at(started, now, MAX_CALL_TIME);
         let cause = match result {
             Ok(Ok(response)) => {
                 self.peers.borrow_mut().record_call(address, now, true);
                 if response.is_referral {
-                    return self.leave(response, address, now);
+                    return self.leave(response, address, answered, now);
                 }
-                match self.apply(response, address, now) {
+                match self.apply(response, address, answered, now) {
                     true => return,
                     false => "behind".to_owned(),
                 }
@@ -68,7 +74,13 @@
     }
 
     /// Leaves a peer that refers this VM to its other followers.
-    fn leave(&mut self, response: SyncResponse, address: SocketAddr, now: Moment) {
+    fn leave(
+        &mut self,
+        response: SyncResponse,
+        address: SocketAddr,
+        answered: Moment,
+        now: Moment,
+    ) {
         self.client = None;
         {
             let mut peers = self.peers.borrow_mut();
@@ -76,7 +88,7 @@
             peers.exclude_referring(address, now);
         }
         log::info!("event=peer_full peer={address}");
-        self.apply(response, address, now);
+        self.apply(response, address, answered, now);
     }
 
     /// Sends one long poll, over the open connection if it belongs to the same peer.
@@ -110,10 +122,16 @@
         connected.map_err(|_| PeerError::Io(std::io::ErrorKind::TimedOut.into()))?
     }
 
-    /// Applies the answer of a peer; returns false when the replica of the peer is missing, stale
-    /// or behind.
-    fn apply(&self, response: SyncResponse, address: SocketAddr, now: Moment) -> bool {
-        let synced = response.synced(now);
+    /// Applies the answer that a peer sent at `answered` or later; returns false when the replica of
+    /// the peer is missing, stale or behind.
+    fn apply(
+        &self,
+        response: SyncResponse,
+        address: SocketAddr,
+        answered: Moment,
+        now: Moment,
+    ) -> bool {
+        let synced = response.synced(answered);
         let mut node = self.node.borrow_mut();
         node.record_transfer(response.size, now);
         let Some(changes) = response.changes else {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod held;
 mod node;
 pub mod packets;
+pub mod pause;
 pub mod peering;
 mod peers;
 mod process;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -18,6 +18,8 @@
 use bambooseam_types::{Moment, Revision, TargetId, ZoneId};
 use tokio::sync::watch;
 
+use crate::pause::PauseDetector;
+
 /// Limits warnings about invalid documents, because any user of the store may write one.
 static INVALID_DOCUMENTS: LogLimit = LogLimit::new("documents_unreadable", 5);
 
@@ -69,6 +71,7 @@
     outage: Option<Moment>,
     /// When this VM learned of the store's current era, if it keeps documents of an earlier one.
     era_begun: Option<Moment>,
+    pauses: PauseDetector,
     is_stopping: bool,
 }
 
@@ -97,6 +100,7 @@
             synced: watch::Sender::new(None),
             outage: None,
             era_begun: None,
+            pauses: PauseDetector::default(),
             is_stopping: false,
         }
     }
@@ -190,8 +194,23 @@
             .is_some_and(|outage| now.since(outage) <= STORE_OUTAGE_TIME)
     }
 
+    /// Records that the thread is running, before it decides about packets. After a pause, openings
+    /// wait for a current view.
+    pub fn record_turn(&mut self, now: Moment) {
+        if let Some(paused) = self.pauses.record_turn(now) {
+            let age = self.age(now).unwrap_or_default();
+            log::warn!(
+                "event=pause_found paused_ms={} view_age_ms={}",
+                paused.as_millis(),
+                age.as_millis()
+            );
+            self.steering.record_resumption(now);
+        }
+    }
+
     /// Removes expired state, and logs the events found since the last call.
     pub fn sweep(&mut self, now: Moment) {
+        self.record_turn(now);
         self.release_unrenewed(now);
         self.steering.drain_response_times(|service, time| {
             let service = service.to_string();
--- a/crates/entry/src/packets.rs
+++ b/crates/entry/src/packets.rs
@@ -101,6 +101,7 @@
                 continue;
             }
             let now = BootClock.now();
+            self.node.borrow_mut().record_turn(now);
             for _ in 0..BATCH_SIZE {
                 let Some(len) = self.receive(&mut buffer) else {
                     break;
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -11,12 +11,16 @@
 
 use crate::BootClock;
 use crate::node::{SharedNode, Source};
+use crate::pause::answered_at;
 use crate::starter::ReadPermit;
 
 /// Maximum wait of one watch. When this VM receives no answer, its followers detect this shortly
 /// after that time, and read the store themselves.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(800);
 
+/// Timeout of a watch: the store's client waits for its end, and 600 ms for the answer.
+const MAX_CALL_TIME: Duration = Duration::from_millis(1_400);
+
 /// Pause after a change, so that one call returns all changes that follow shortly after. The value
 /// is a tenth of the shortest time limit for a change (3 s).
 const BATCH_PAUSE: Duration = Duration::from_millis(300);
@@ -66,9 +70,15 @@
 
     /// Makes one call and applies its result, then pauses as the result requires.
     pub(crate) async fn round(&mut self) {
-        let (era, after) = {
+        let (era, after, awaits_view) = {
             let node = self.node.borrow();
-            (node.replica().era(), node.replica().upto())
+            let awaits_view = node.steering().awaits_view(BootClock.now());
+            (node.replica().era(), node.replica().upto(), awaits_view)
+        };
+        // After a pause, the answer must not wait for a change.
+        let wait = match awaits_view {
+            true => Duration::ZERO,
+            false => MAX_WATCH_WAIT,
         };
         let after = after.filter(|_| self.has_history);
         if after.is_none() {
@@ -76,7 +86,7 @@
         }
         let started = BootClock.now();
         let result = match after {
-            Some(after) => self.store.watch(after, MAX_WATCH_WAIT).await,
+            Some(after) => self.store.watch(after, wait).await,
             None => self.read_all().await,
         };
         let now = BootClock.now();
@@ -131,10 +141,11 @@
         self.failed_at = None;
         self.backoff.reset();
         let is_unchanged = changes.list.is_empty();
-        // A watch confirms the state at its end. The pages of a full read only contain what had
-        // been published when the read started.
+        // A watch confirms the state at its end, unless its answer waited while this process was
+        // paused. The pages of a full read only contain what had been published when the read
+        // started.
         let synced = match changes.after {
-            Some(_) => now,
+            Some(_) => answered_at(started, now, MAX_CALL_TIME),
             None => started,
         };
         let is_applied = {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -10,7 +10,8 @@
 //! [`responsiveness`] detects targets that do not answer, [`zone`] detects zones that do not
 //! answer, [`stall`] detects targets that do not acknowledge data, [`timing`] derives timeouts from observed
 //! response times, [`missing_entry`] handles targets whose published entry was removed,
-//! [`evacuation`] excludes the targets of evacuated zones from new flows, and [`unknown_token`]
+//! [`evacuation`] excludes the targets of evacuated zones from new flows, [`resumption`] drops openings
+//! that waited while this process was paused, and [`unknown_token`]
 //! handles tokens that belong to no known target.
 
 mod decision;
@@ -23,6 +24,7 @@
 mod path;
 pub mod placement;
 pub mod responsiveness;
+pub mod resumption;
 mod route;
 pub mod stall;
 mod steering;
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -20,6 +20,7 @@
 use crate::flows::Flows;
 use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
 use crate::path::PathRecord;
+use crate::resumption::Resumption;
 use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
 use crate::timing::ServiceTimings;
 use crate::unknown_token::UnknownTokens;
@@ -78,6 +79,7 @@
     unknown_tokens: UnknownTokens,
     zones: UnresponsiveZones,
     evacuations: Evacuations,
+    resumption: Resumption,
     paths: PathRecord,
     timings: ServiceTimings,
     /// End of the time in which large transfers may have filled the link of this VM.
@@ -116,6 +118,7 @@
             unknown_tokens: UnknownTokens::default(),
             zones: UnresponsiveZones::default(),
             evacuations: Evacuations::default(),
+            resumption: Resumption::default(),
             paths: PathRecord::default(),
             timings: ServiceTimings::default(),
             quiet_since: Moment::default(),
@@ -164,6 +167,9 @@
 
     /// Selects the target of a new flow.
     fn handle_opening(&mut self, header: &PacketHeader, now: Moment) -> Decision {
+        if self.awaits_view(now) {
+            return Decision::Drop(DropCause::ViewNotCurrent);
+        }
         let is_current = self.freshness.is_current(now);
         let Some(route) = self
             .routes
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -165,6 +165,16 @@
         self.freshness.synced = self.freshness.synced.max(Some(at));
     }
 
+    /// Records that this process has resumed after a pause.
+    pub fn record_resumption(&mut self, now: Moment) {
+        self.resumption.record(now);
+    }
+
+    /// Whether openings are dropped because the view from before a pause has not been renewed yet.
+    pub fn awaits_view(&self, now: Moment) -> bool {
+        self.resumption.awaits_view(self.freshness, now)
+    }
+
     /// Records that the store is unavailable, or that it has just become available again.
     pub fn record_outage(&mut self, now: Moment) {
         self.outage.record_outage(now);
--- a/tests/tests/entry_evacuation.rs
+++ b/tests/tests/entry_evacuation.rs
@@ -250,6 +250,38 @@
     running.check();
 }
 
+/// Pauses a VM while its zone is evacuated. The packets that arrive meanwhile are decided right
+/// after the pause.
+async fn assert_paused(vm: usize) {
+    let mut running = RunningSite::start(&[1, 1], 3).await;
+    let traffic = running.traffic(2, 6);
+    pause(1_500).await;
+    running.site.vms[vm].signal("STOP").await.expect("a signal");
+    // Calls to the store and to peers are answered meanwhile, without the evacuation.
+    pause(1_300).await;
+    running.site.evacuate(vm as u8).expect("a revision");
+    pause(6_000).await;
+    running.site.vms[vm].signal("CONT").await.expect("a signal");
+    let start = Instant::now();
+    running.wait_served(vm).await;
+    println!("served_ms={}", start.elapsed().as_millis());
+    pause(1_000).await;
+    traffic.stop().await;
+    running.check();
+    let log = running.site.vms[vm].log();
+    assert!(log.contains("event=pause_found"), "{log}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_reader_opens_nothing_in_the_zone() {
+    assert_paused(0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_follower_opens_nothing_in_the_zone() {
+    assert_paused(1).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn service_with_evacuated_targets_only_is_reset_immediately() {
     let mut running = RunningSite::start(&[1, 1], 1).await;
--- a/tests/tests/evacuation.rs
+++ b/tests/tests/evacuation.rs
@@ -1,7 +1,9 @@
 //! Evacuated zones: no new flow reaches a target there, and everything else goes on.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use bambooseam_entry::pause::answered_at;
 use bambooseam_entry::{Node, Source};
 use bambooseam_replica::{Change, Changes};
 use bambooseam_steer::{
@@ -497,3 +499,61 @@
         assert_eq!(vm.open(now), "b");
     }
 }
+
+/// Returns a VM that was paused from 1 s to 7 s, with a view of 900 ms.
+fn paused_vm() -> Vm {
+    let mut vm = Vm::new();
+    vm.apply(changes(0, None, 5, documents()), 900, Source::Store);
+    vm.node.sweep(at(1_000));
+    assert_eq!(vm.open(1_001), "a");
+    vm.node.record_turn(at(7_000));
+    vm
+}
+
+#[test]
+fn answer_that_waited_during_a_pause_confirms_nothing_later_than_its_call() {
+    let max_time = Duration::from_millis(1_400);
+    for (elapsed, expected) in [(0, 0), (800, 800), (1_450, 1_450), (1_601, 0), (6_000, 0)] {
+        let answered = answered_at(at(500), at(500 + elapsed), max_time);
+        assert_eq!(answered, at(500 + expected), "{elapsed} ms");
+    }
+}
+
+#[test]
+fn openings_wait_for_a_current_view_after_a_pause() {
+    // Otherwise a VM would place what it received meanwhile by the view from before the pause.
+    let mut vm = paused_vm();
+    let opening = opening_packet(flow(500, ORDERS), 0);
+    let decide = |vm: &mut Vm, now| vm.node.steering_mut().decide(&opening, at(now));
+    let dropped = Decision::Drop(DropCause::ViewNotCurrent);
+    assert_eq!(decide(&mut vm, 7_000), dropped);
+    // An answer from before the pause does not renew the view.
+    let none = changes(0, Some(5), 5, Vec::new());
+    assert!(vm.node.apply(none, at(1_000), at(7_001), Source::Store));
+    assert_eq!(decide(&mut vm, 7_002), dropped);
+    let list = vec![change("op/evacuate/a", 6, Some("{}"))];
+    vm.apply(changes(0, Some(5), 6, list), 7_010, Source::Store);
+    assert_eq!(vm.open(7_011), "b");
+}
+
+#[test]
+fn vm_without_a_current_view_places_openings_again_after_a_time() {
+    let mut vm = paused_vm();
+    vm.node.sweep(at(7_500));
+    assert!(vm.node.steering().awaits_view(at(7_999)));
+    assert_eq!(vm.open(8_000), "a");
+}
+
+#[test]
+fn short_pause_and_open_flows_are_served_at_once() {
+    let mut vm = Vm::new();
+    vm.apply(changes(0, None, 5, documents()), 900, Source::Store);
+    vm.node.sweep(at(1_000));
+    let token = open_answered(vm.node.steering_mut(), 400, 1_001);
+    vm.node.record_turn(at(2_400));
+    assert_eq!(vm.open(2_400), "a");
+    vm.node.record_turn(at(9_000));
+    let packet = flow_packet(flow(400, ORDERS), token, 101, 1, 1);
+    let decision = vm.node.steering_mut().decide(&packet, at(9_000));
+    assert_eq!(token_of(decision), token);
+}
