Add admission control as plain values, and read priority and latency goal

Every target's queue is full, so urgent requests wait as long as all others.

Change: steer::admission decides without I/O which openings wait, and which are rejected, while each target of a service is at its limit. Route carries priority and latency_goal; without them, or with an invalid value, a route has the lowest priority and no goal. Nothing uses the queue yet.

--- a/crates/steer/benches/steering.rs
+++ b/crates/steer/benches/steering.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use bambooseam_steer::{
-    FlowId, PacketFlags, PacketHeader, Route, Routes, Share, Steering, SteeringSettings, Target,
+    FlowId, LOWEST_PRIORITY, PacketFlags, PacketHeader, Route, Routes, Share, Steering,
+    SteeringSettings, Target,
 };
 use bambooseam_types::{Incarnation, Moment, TargetLabel, Token};
 use criterion::Criterion;
@@ -55,6 +56,8 @@
             weight: 1,
         }],
         timeout: Duration::from_secs(2),
+        priority: LOWEST_PRIORITY,
+        latency_goal: None,
     });
     steering.set_routes(Routes::new(routes.collect(), None));
     for number in 0..targets {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -7,11 +7,13 @@
 //! names its target by a token, and the table only improves the placement of new flows.
 //!
 //! Each part of the decision has its own module: [`placement`] selects the target of a new flow,
+//! [`admission`] decides which openings wait or are rejected while a service is full,
 //! [`responsiveness`] detects targets that do not answer, [`zone`] detects zones that do not
 //! answer, [`stall`] detects targets that do not acknowledge data, [`timing`] derives timeouts from observed
 //! response times, [`missing_entry`] handles targets whose published entry was removed, and
 //! [`unknown_token`] handles tokens that belong to no known target.
 
+pub mod admission;
 mod decision;
 mod event;
 mod flows;
@@ -34,7 +36,7 @@
 pub use event::SteeringEvent;
 pub use header::{FlowId, PacketFlags, PacketHeader, ParseFlowError};
 pub use load::Load;
-pub use route::{Route, Routes, Share};
+pub use route::{LOWEST_PRIORITY, Route, Routes, Share};
 pub use steering::{Freshness, Steering, SteeringSettings};
 pub use target::Target;
 pub use target_table::{EntryStatus, TargetIndex, TargetRecord, TargetTable};
--- a/crates/steer/src/route.rs
+++ b/crates/steer/src/route.rs
@@ -6,6 +6,9 @@
 use bambooseam_types::ServiceName;
 use bambooseam_view::FlowKey;
 
+/// Priority of a route that has none in its configuration.
+pub const LOWEST_PRIORITY: u32 = u32::MAX;
+
 /// Share of a route's new flows that goes to one service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Share {
@@ -25,6 +28,11 @@
     pub shares: Vec<Share>,
     /// Longest time that a request may take.
     pub timeout: Duration,
+    /// Priority under overload; 0 is the most urgent.
+    pub priority: u32,
+    /// Time within which callers want a response. Openings of a route without a goal are placed even
+    /// if the service is full.
+    pub latency_goal: Option<Duration>,
 }
 
 /// Routes of one configuration.
--- a/tests/src/steering.rs
+++ b/tests/src/steering.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bambooseam_steer::{
-    Decision, FlowId, PacketFlags, PacketHeader, Route, Routes, Share, Steering, SteeringSettings,
-    Target,
+    Decision, FlowId, LOWEST_PRIORITY, PacketFlags, PacketHeader, Route, Routes, Share, Steering,
+    SteeringSettings, Target,
 };
 use bambooseam_types::{Incarnation, Moment, TargetLabel, Token};
 
@@ -40,6 +40,8 @@
             weight: 1,
         }],
         timeout: Duration::from_secs(2),
+        priority: LOWEST_PRIORITY,
+        latency_goal: None,
     }
 }
 
--- a/tests/tests/platform_documents.rs
+++ b/tests/tests/platform_documents.rs
@@ -5,7 +5,7 @@
 
 use bambooseam_platform::document::Config;
 use bambooseam_platform::{Document, DocumentError, DocumentKind};
-use bambooseam_steer::Target;
+use bambooseam_steer::{LOWEST_PRIORITY, Target};
 use bambooseam_tests::inputs::{for_each_bytes, for_each_input};
 use bolero::generator::{ValueGenerator, produce};
 use serde_json::{Value, json};
@@ -23,7 +23,7 @@
         "config_version": 7,
         "routes": [
             {"name": "r-1", "host": "198.18.0.1", "prefix": "/8443/", "route_type": "safe",
-             "timeout_ms": 1500, "priority": 2, "max_attempts": 2,
+             "timeout_ms": 1500, "priority": 2, "latency_goal_ms": 300, "max_attempts": 2,
              "traffic_split": [{"service": "huvo11a", "weight": 90},
                                {"service": "wuno96b", "weight": 10}]},
             {"name": "r-2", "host": "198.18.0.2", "prefix": "/80/", "route_type": "download",
@@ -173,9 +173,45 @@
     let weights: Vec<u32> = route.shares.iter().map(|share| share.weight).collect();
     assert_eq!(weights, [90, 10]);
     assert_eq!(route.timeout, Duration::from_millis(1_500));
+    let goal = Some(Duration::from_millis(300));
+    assert_eq!((route.priority, route.latency_goal), (2, goal));
     let other = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 80);
     let route = config.routes.find(other).expect("a route");
     assert_eq!(route.shares[0].service.as_str(), "wuno96b");
+    assert_eq!(
+        (route.priority, route.latency_goal),
+        (LOWEST_PRIORITY, None)
+    );
+}
+
+/// Guards against a route that is lost because of a field that it can be used without.
+#[test]
+fn route_with_an_invalid_priority_or_goal_is_kept_without_it() {
+    for (field, value) in [
+        ("priority", json!("high")),
+        ("priority", json!(-1)),
+        ("latency_goal_ms", json!(0.5)),
+        ("latency_goal_ms", json!([300])),
+    ] {
+        let mut config = config();
+        config["routes"][0][field] = value;
+        let config = parse_config(&config).expect("a configuration");
+        assert_eq!((config.routes.len(), config.skipped.len()), (2, 1));
+        let frontend = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8443);
+        let route = config.routes.find(frontend).expect("a route");
+        match field {
+            "priority" => assert_eq!(route.priority, LOWEST_PRIORITY),
+            _ => assert_eq!(route.latency_goal, None),
+        }
+    }
+    let mut config = config();
+    config["routes"][0]["priority"] = Value::Null;
+    assert!(
+        parse_config(&config)
+            .expect("a configuration")
+            .skipped
+            .is_empty()
+    );
 }
 
 #[test]
