Hold, release and reject openings of full services

Openings of other VMs enter through decide_for and count at their target for 100 ms. A held opening is reset only if no target can have been sent it: not if it arrived as a retransmission, outlasted a pause, or a packet inside the flow was seen meanwhile; it is dropped then. Remote targets take half of their capacity, as the load of their zone is not known yet. Responsiveness, with a zone view only: an opening at a full target counts as unanswered once the target has finished nothing for the request timeout, in place of 150 ms after the opening.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -24,6 +24,9 @@
 /// Limits log lines about requests without an answer.
 static UNANSWERED: LogLimit = LogLimit::new("requests_unanswered", 50);
 
+/// Limits log lines about openings that were rejected because their service is full.
+static REJECTIONS: LogLimit = LogLimit::new("rejection_lines", 20);
+
 /// Limits log lines about changes of targets, which are frequent while a fleet is replaced.
 static TARGET_CHANGES: LogLimit = LogLimit::new("target_changes", 50);
 
@@ -176,17 +179,21 @@
             metrics::histogram!("progress_seconds", "service" => service)
                 .record(time.as_secs_f64());
         });
+        self.record_admissions();
         for event in self.steering.sweep(now) {
             if let SteeringEvent::StallEnded { .. } = event {
                 metrics::counter!("stalls_ended").increment(1);
             }
             let limit = match event {
                 SteeringEvent::TimedOut { .. } => &UNANSWERED,
+                SteeringEvent::Rejected { .. } => &REJECTIONS,
                 SteeringEvent::Ended(_)
                 | SteeringEvent::Unresponsive { .. }
                 | SteeringEvent::Recovered(_)
                 | SteeringEvent::Stalled { .. }
                 | SteeringEvent::StallEnded { .. }
+                | SteeringEvent::OverloadBegan { .. }
+                | SteeringEvent::OverloadEnded { .. }
                 | SteeringEvent::ZoneUnresponsive { .. }
                 | SteeringEvent::ZoneRecovered(_) => &TARGET_CHANGES,
             };
@@ -196,6 +203,21 @@
         }
     }
 
+    /// Updates the metrics of admission control.
+    fn record_admissions(&mut self) {
+        metrics::gauge!("admission_waiting").set(self.steering.waiting_count() as f64);
+        let stats = self.steering.drain_admission_stats();
+        metrics::counter!("admission_admitted").increment(stats.admitted);
+        for wait in stats.waits {
+            metrics::histogram!("admission_wait_seconds").record(wait.as_secs_f64());
+        }
+        for ((frontend, cause), count) in stats.rejected {
+            let (frontend, cause) = (frontend.to_string(), cause.to_string());
+            metrics::counter!("admission_rejected", "frontend" => frontend, "cause" => cause)
+                .increment(count);
+        }
+    }
+
     /// Ends readiness permanently, because a planned stop has begun.
     pub fn stop(&mut self) {
         self.is_stopping = true;
--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -60,7 +60,7 @@
 /// Time without a full target set after which a service counts as no longer overloaded: longer than
 /// the gaps between bursts at the edge of the capacity, and less than the second after which a service
 /// has to be back to normal.
-const RECOVERY_TIME: Duration = Duration::from_millis(500);
+const RECOVERY_TIME: Duration = Duration::from_millis(400);
 
 /// Load of the targets that may take the openings of one service.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -93,6 +93,8 @@
     pub opening: Opening,
     /// When it arrived.
     pub arrived: Moment,
+    /// Whether an earlier transmission waited before.
+    is_restarted: bool,
     /// Number of openings of the same caller and priority that waited when it arrived.
     turn: u32,
     /// Number of the arrival.
@@ -227,7 +229,12 @@
     /// opening, neither before it arrived nor through another VM since, as the caller has not
     /// retransmitted yet.
     pub fn may_reset(&self, now: Moment) -> bool {
-        self.opening.is_unsent() && now.since(self.arrived) < RETRANSMISSION_TIME
+        self.opening.is_unsent() && !self.is_restarted && !self.is_stale(now)
+    }
+
+    /// Whether the caller has retransmitted the opening by now.
+    fn is_stale(&self, now: Moment) -> bool {
+        now.since(self.arrived) >= RETRANSMISSION_TIME
     }
 
     /// Whether the opening has waited longer than it may.
@@ -241,11 +248,13 @@
 }
 
 impl AdmissionQueue {
-    /// Decides about an opening. Returns also the opening that it displaces from a full queue.
+    /// Decides about an opening; `spare` is the number of openings that other bounds allow to add.
+    /// Returns also the opening that it displaces from a full queue.
     pub fn offer(
         &mut self,
         opening: Opening,
         load: &ServiceLoad,
+        spare: usize,
         now: Moment,
     ) -> (Verdict, Option<(Waiting, Rejection)>) {
         let flow = opening.header.flow;
@@ -256,7 +265,7 @@
         match held {
             // A retransmission keeps the place of the first transmission. After a pause of this
             // process, the opening starts anew, and can't be reset any more.
-            Some(at) if !self.waiting[at].is_overdue(now) => return (Verdict::Wait, None),
+            Some(at) if !self.waiting[at].is_stale(now) => return (Verdict::Wait, None),
             Some(at) => {
                 self.waiting.remove(at);
             }
@@ -265,13 +274,15 @@
         let waiting = Waiting {
             opening,
             arrived: now,
+            is_restarted: held.is_some(),
             turn: self.turn(&opening),
             number: self.next_number,
         };
         let rank = waiting.rank();
         let ahead = self.waiting.partition_point(|other| other.rank() < rank);
+        let bound = MAX_WAITING.min(self.waiting.len() + spare);
         // A full queue is no reason to reject while a target has room.
-        if !load.is_full() && (ahead == 0 || self.waiting.len() >= MAX_WAITING) {
+        if !load.is_full() && (ahead == 0 || self.waiting.len() >= bound) {
             return (Verdict::Place, None);
         }
         if load.is_full() {
@@ -292,12 +303,12 @@
             return (self.reject(rejection), None);
         }
         let cause = RejectCause::QueueFull;
-        if ahead >= MAX_WAITING {
+        if ahead >= bound {
             return (self.reject(Rejection { cause, ..rejection }), None);
         }
         self.next_number += 1;
         self.waiting.insert(ahead, waiting);
-        if self.waiting.len() <= MAX_WAITING {
+        if self.waiting.len() <= bound {
             return (Verdict::Wait, None);
         }
         let Some(last) = self.waiting.pop() else {
@@ -316,7 +327,7 @@
     /// Removes the openings that were not decided before their callers retransmitted, for example
     /// because this process was paused. The retransmissions stand for them.
     pub fn take_stale(&mut self, now: Moment) -> Vec<Waiting> {
-        self.extract(|waiting| now.since(waiting.arrived) >= RETRANSMISSION_TIME)
+        self.extract(|waiting| waiting.is_stale(now))
     }
 
     /// Removes the openings that have waited for as long as they may.
@@ -332,6 +343,9 @@
 
     /// Removes and returns the openings for which `is_extracted` is true.
     pub fn extract(&mut self, is_extracted: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
+        if !self.waiting.iter().any(&is_extracted) {
+            return Vec::new();
+        }
         let (extracted, kept) = std::mem::take(&mut self.waiting)
             .into_iter()
             .partition(|waiting| is_extracted(waiting));
--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -79,6 +79,9 @@
     /// The service has no target that takes new flows.
     #[display("no_target")]
     NoTarget,
+    /// The service is full, and the opening can't be served within its latency goal.
+    #[display("overloaded")]
+    Overloaded,
     /// The target has ended, or has been restarted and no longer holds the flow.
     #[display("target_gone")]
     TargetGone,
@@ -105,6 +108,9 @@
     /// The packet is a reset, and no known target holds its flow.
     #[display("already_ended")]
     AlreadyEnded,
+    /// The service is full, and a target may have been sent an earlier transmission of the opening.
+    #[display("not_admitted")]
+    NotAdmitted,
     /// The packet has a combination of flags that no caller sends.
     #[display("forged")]
     Forged,
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use bambooseam_types::{TargetId, Token, ZoneId};
+use bambooseam_types::{ServiceName, TargetId, Token, ZoneId};
 use derive_more::Display;
 
 use crate::FlowId;
+use crate::admission::Rejection;
 use crate::stall::StallEvidence;
 
 /// A change in the state of a target or zone, or a request that was abandoned.
@@ -62,6 +63,35 @@
     /// A target of an unresponsive zone answers.
     #[display("event=zone_trusted zone={_0}")]
     ZoneRecovered(ZoneId),
+    /// All targets of a service are at their limits, and openings wait.
+    #[display("event=overload_began service={service} waiting={waiting}")]
+    OverloadBegan {
+        /// The service.
+        service: ServiceName,
+        /// Number of waiting openings.
+        waiting: usize,
+    },
+    /// A service has had room for its openings for some time.
+    #[display(
+        "event=overload_ended service={service} elapsed_ms={} rejected={rejected}",
+        elapsed.as_millis()
+    )]
+    OverloadEnded {
+        /// The service.
+        service: ServiceName,
+        /// Time from the first to the last opening that found the service full.
+        elapsed: Duration,
+        /// Number of rejected openings.
+        rejected: u64,
+    },
+    /// An opening was rejected because its service is full.
+    #[display("event=opening_rejected flow={flow} {rejection}")]
+    Rejected {
+        /// The flow.
+        flow: FlowId,
+        /// The rejection with the inputs of the decision.
+        rejection: Rejection,
+    },
     /// A request had no response within the request timeout of its route.
     #[display(
         "event=request_unanswered flow={flow} token={token} waited_ms={}",
--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -144,6 +144,14 @@
         is_retransmission.then_some((state.target, state.token))
     }
 
+    /// Whether packets of a flow that began at `since` or later show that a target was sent its
+    /// opening packet.
+    pub fn has_begun(&self, flow: &FlowId, since: Moment) -> bool {
+        self.table
+            .get(flow)
+            .is_some_and(|state| state.started >= since)
+    }
+
     /// Records that the opening packet of a flow was retransmitted.
     pub fn record_repeated_opening(&mut self, flow: &FlowId) {
         if let Some(state) = self.table.get_mut(flow) {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -37,6 +37,6 @@
 pub use header::{FlowId, PacketFlags, PacketHeader, ParseFlowError};
 pub use load::Load;
 pub use route::{LOWEST_PRIORITY, Route, Routes, Share};
-pub use steering::{Freshness, Steering, SteeringSettings};
+pub use steering::{AdmissionStats, Freshness, Steering, SteeringSettings};
 pub use target::Target;
 pub use target_table::{EntryStatus, TargetIndex, TargetRecord, TargetTable};
--- a/crates/steer/src/load.rs
+++ b/crates/steer/src/load.rs
@@ -29,9 +29,13 @@
 }
 
 impl Load {
-    /// Records that a packet has shown a response of the target.
-    pub fn record_response(&mut self, now: Moment) {
+    /// Records that a packet has shown a response of the target; `is_finished` if it is the response
+    /// to a request.
+    pub fn record_response(&mut self, is_finished: bool, now: Moment) {
         self.responsiveness.record_response();
+        if is_finished {
+            self.responsiveness.record_finished(now);
+        }
         self.stall = Stall::default();
         self.last_response = Some(now);
     }
--- a/crates/steer/src/responsiveness.rs
+++ b/crates/steer/src/responsiveness.rs
@@ -14,6 +14,11 @@
 //! unreachable from this VM. Retransmissions of an opening packet move to another target only after
 //! two flows have found the target unresponsive: a single answer may be lost and sent again, and if
 //! two targets answer one flow, their tokens race at the caller.
+//!
+//! A full target is not unresponsive. If a target has as many requests in progress as it processes at
+//! a time, an opening may wait in its queue until one of them is finished. As long as the target has
+//! finished a request within the request timeout, such an opening does not count as unanswered. A
+//! target that stops while it is full is found unresponsive once that time has passed.
 
 use std::time::Duration;
 
@@ -36,6 +41,8 @@
 pub struct Responsiveness {
     /// When the oldest of these openings was sent.
     opening: Option<Moment>,
+    /// Time after which that opening counts as unanswered.
+    opening_timeout: Duration,
     /// When the oldest of these requests was sent.
     request: Option<Moment>,
     /// Time after which that request counts as unanswered.
@@ -46,14 +53,20 @@
     is_probing: bool,
     /// When the first flow was sent to the target since its last response.
     first_sent: Option<Moment>,
+    /// When the target last finished a request.
+    finished: Option<Moment>,
 }
 
 impl Responsiveness {
-    /// Records that a new flow was sent to the target.
-    pub fn record_opening(&mut self, now: Moment) {
+    /// Records that a new flow was sent to the target. `queue_timeout` is the time within which a full
+    /// target finishes a request; `None` if the target is not full.
+    pub fn record_opening(&mut self, now: Moment, queue_timeout: Option<Duration>) {
         self.expire(now);
         self.first_sent.get_or_insert(now);
-        self.opening.get_or_insert(now);
+        if self.opening.is_none() {
+            self.opening = Some(now);
+            self.opening_timeout = self.next_opening_timeout(now, queue_timeout);
+        }
         self.flows = self.flows.saturating_add(1);
     }
 
@@ -70,7 +83,15 @@
 
     /// Records that the target has responded.
     pub fn record_response(&mut self) {
-        *self = Self::default();
+        *self = Self {
+            finished: self.finished,
+            ..Self::default()
+        };
+    }
+
+    /// Records that the target has finished a request.
+    pub fn record_finished(&mut self, now: Moment) {
+        self.finished = Some(now);
     }
 
     /// Whether the target takes no new flows at present. After [`PROBE_INTERVAL`] one flow may
@@ -103,10 +124,19 @@
     }
 
     fn is_unanswered(&self, now: Moment) -> bool {
-        is_pending(self.opening, now, OPENING_TIMEOUT)
+        is_pending(self.opening, now, self.opening_timeout)
             || is_pending(self.request, now, self.request_timeout)
     }
 
+    /// Time after which an opening that is sent now counts as unanswered.
+    fn next_opening_timeout(&self, now: Moment, queue_timeout: Option<Duration>) -> Duration {
+        let finish_due = self
+            .finished
+            .zip(queue_timeout)
+            .map(|(finished, timeout)| timeout.saturating_sub(now.since(finished)));
+        finish_due.map_or(OPENING_TIMEOUT, |due| due.max(OPENING_TIMEOUT))
+    }
+
     /// Drops openings and requests older than [`PROBE_INTERVAL`], so that the target is probed
     /// again.
     fn expire(&mut self, now: Moment) {
@@ -115,6 +145,7 @@
             *self = Self {
                 is_probing: self.is_probing || self.flows >= MIN_FLOWS,
                 first_sent: self.first_sent,
+                finished: self.finished,
                 ..Self::default()
             };
         }
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -4,6 +4,7 @@
 //! detectors. This module handles packets; the submodule `update` handles published documents and
 //! the passing of time.
 
+mod admitting;
 mod opening;
 mod signals;
 mod stalled;
@@ -14,8 +15,11 @@
 
 use bambooseam_types::{Moment, ServiceName, TargetId, Token, ZoneId};
 
-use self::opening::{Selector, select};
+pub use self::admitting::AdmissionStats;
+use self::admitting::{Admissions, Grants};
+use self::opening::{Selector, select, select_below_limit};
 use self::signals::apply_signals;
+use crate::admission::Opening;
 use crate::flows::Flows;
 use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
 use crate::path::PathRecord;
@@ -24,8 +28,7 @@
 use crate::unknown_token::UnknownTokens;
 use crate::zone::UnresponsiveZones;
 use crate::{
-    Decision, DropCause, PacketHeader, Placement, Released, ResetCause, Route, Routes,
-    SteeringEvent,
+    Decision, DropCause, Origin, PacketHeader, Placement, ResetCause, Route, Routes, SteeringEvent,
 };
 
 /// Largest age at which a view counts as current: the largest age of a replica that may be followed
@@ -78,6 +81,8 @@
     zones: UnresponsiveZones,
     paths: PathRecord,
     timings: ServiceTimings,
+    admissions: Admissions,
+    grants: Grants,
     /// End of the time in which large transfers may have filled the link of this VM.
     quiet_since: Moment,
 }
@@ -115,6 +120,8 @@
             zones: UnresponsiveZones::default(),
             paths: PathRecord::default(),
             timings: ServiceTimings::default(),
+            admissions: Admissions::default(),
+            grants: Grants::default(),
             quiet_since: Moment::default(),
         }
     }
@@ -145,22 +152,27 @@
             return Decision::Drop(DropCause::Forged);
         }
         if header.is_opening() {
-            return self.handle_opening(header, now);
+            return self.handle_opening(header, Origin::Local, false, now);
         }
         match header.token {
             Some(token) => self.handle_established(header, token, now),
-            None if header.flags.rst => Decision::Drop(DropCause::AlreadyEnded),
+            None if header.flags.rst => {
+                self.admissions.withdraw(&header.flow, Origin::Local);
+                Decision::Drop(DropCause::AlreadyEnded)
+            }
             None => Decision::Reset(ResetCause::NoToken),
         }
     }
 
-    /// Removes and returns the held openings that have been decided.
-    pub fn take_released(&mut self, _now: Moment) -> Vec<Released> {
-        Vec::new()
-    }
-
-    /// Selects the target of a new flow.
-    fn handle_opening(&mut self, header: &PacketHeader, now: Moment) -> Decision {
+    /// Selects the target of a new flow. An opening that `is_admitted` neither waits nor is rejected
+    /// because its service is full.
+    fn handle_opening(
+        &mut self,
+        header: &PacketHeader,
+        origin: Origin,
+        is_admitted: bool,
+        now: Moment,
+    ) -> Decision {
         let is_current = self.freshness.is_current(now);
         let Some(route) = self
             .routes
@@ -185,23 +197,54 @@
             self.flows.record_repeated_opening(&header.flow);
             return forward(record, Placement::Retransmitted);
         }
-        let selection = select(&Selector {
+        let selector = Selector {
             targets: &self.targets,
             zones: &self.zones,
             timings: &self.timings,
+            grants: &self.grants,
             zone: &self.settings.zone,
             service,
             key,
             now,
-        });
-        let Some(index) = selection else {
+        };
+        let goal = route.latency_goal;
+        let goal = goal.filter(|_| self.admissions.has_zone_view());
+        // An opening that a target was sent before is neither held nor rejected.
+        if let Some(latency_goal) = goal.filter(|_| earlier.is_none() && !is_admitted)
+            && let Some(load) = selector.load()
+        {
+            let opening = Opening {
+                header: *header,
+                origin,
+                priority: route.priority,
+                latency_goal,
+            };
+            let held = self
+                .admissions
+                .offer(service, opening, &load, &self.flows, now);
+            if let Some(decision) = held {
+                return decision;
+            }
+        }
+        let below_limit = goal.and_then(|_| select_below_limit(&selector));
+        let Some(index) = below_limit.or_else(|| select(&selector)) else {
             return reject(ResetCause::NoTarget, is_settled);
         };
         let timeout = route.timeout;
+        // Elsewhere the counts say too little about how full a target is.
+        let is_covered = self.admissions.has_zone_view();
+        let queue_timeout = is_covered.then(|| selector.queue_timeout(index)).flatten();
         let Some(record) = self.targets.get_mut(index) else {
             return reject(ResetCause::NoTarget, is_settled);
         };
-        record.load.responsiveness.record_opening(now);
+        if origin != Origin::Local {
+            self.grants.record(index, now);
+            return forward(record, Placement::Placed);
+        }
+        record
+            .load
+            .responsiveness
+            .record_opening(now, queue_timeout);
         self.zones.record_opening(&record.target.zone, now);
         if earlier.is_none() {
             self.paths.record_sent(&record.target.zone, now);
--- a/crates/steer/src/steering/signals.rs
+++ b/crates/steer/src/steering/signals.rs
@@ -63,7 +63,7 @@
         _ => {}
     }
     if signals.has_response() {
-        load.record_response(now);
+        load.record_response(signals.response_time.is_some(), now);
         load.last_answered = load.last_answered.max(signals.answered);
     }
 }
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -155,6 +155,7 @@
         let targets = &self.targets;
         self.unknown_tokens
             .sweep(now, |token| targets.with_token(token).next().is_some());
+        events.extend(self.sweep_admissions(now));
         events.extend(self.targets.update_responsiveness(now));
         let local_zone = &self.settings.zone;
         let records = self.targets.iter().map(|(_, record)| record);
--- a/crates/steer/src/timing.rs
+++ b/crates/steer/src/timing.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// Mean response time of targets that were not started recently; `None` until enough responses
+    /// were observed.
+    pub fn mean(&self) -> Option<Duration> {
+        (self.warm.count >= MIN_RESPONSES).then_some(self.warm.value)
+    }
+
     /// Time after which a request counts as unanswered.
     pub fn request_timeout(&self) -> Duration {
         let longest = self.longest.max(self.previous_longest);
