--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -38,10 +38,6 @@
 /// An opening waits for at most this fraction of its latency goal, so that the response has the rest.
 const WAIT_DIVISOR: u32 = 4;
 
-/// Part of the longest wait up to which the expected wait may reach on arrival, in percent. The rest
-/// allows for the error of the estimate.
-const EXPECTED_WAIT_PERCENT: u32 = 75;
-
 /// Largest number of openings that wait for one service: those that a group of 64 targets with two
 /// slots finishes within [`MAX_WAIT`], at 40 ms for a request.
 pub const MAX_WAITING: usize = 512;
@@ -280,11 +276,12 @@
         };
         let rank = waiting.rank();
         let ahead = self.waiting.partition_point(|other| other.rank() < rank);
-        let bound = MAX_WAITING.min(self.waiting.len() + spare);
-        // A full queue is no reason to reject while a target has room.
-        if !load.is_full() && (ahead == 0 || self.waiting.len() >= bound) {
+        if ahead == 0 && !load.is_full() {
             return (Verdict::Place, None);
         }
+        // A full queue is no reason to reject while a target has room: the openings that go first are
+        // about to leave the queue.
+        let bound = MAX_WAITING.min(self.waiting.len() + spare) + load.room as usize;
         if load.is_full() {
             self.record_full(now);
         }
@@ -298,8 +295,7 @@
             expected: expected.unwrap_or_default(),
             limit: opening.max_wait(),
         };
-        let limit = opening.max_wait() * EXPECTED_WAIT_PERCENT / 100;
-        if load.is_full() && expected.is_some_and(|expected| expected > limit) {
+        if load.is_full() && expected.is_some_and(|expected| expected > opening.max_wait()) {
             return (self.reject(rejection), None);
         }
         let cause = RejectCause::QueueFull;
--- a/crates/steer/src/steering/admitting.rs
+++ b/crates/steer/src/steering/admitting.rs
@@ -20,9 +20,9 @@
 /// Time for which a target given to another VM counts as a request in progress of that VM.
 const GRANT_TIME: Duration = Duration::from_millis(100);
 
-/// Largest number of openings that wait for all services together, as many as the entry program keeps
-/// datagrams for.
-const MAX_ALL_WAITING: usize = 1_024;
+/// Largest number of openings that wait for all services together. The entry program keeps 1,024
+/// datagrams; the rest is for openings that are added while targets have room.
+const MAX_ALL_WAITING: usize = 768;
 
 /// Largest number of rejections reported by one sweep. The statistics count all of them.
 const MAX_REJECTION_EVENTS: usize = 32;
