Explain rejections under overload to operators, and bound their lines

Cause: operators need to tell a rightful rejection from a fault.

Targets given to other VMs are kept in a list by index, as a hash look-up for each candidate would have cost every opening of every deployment.

--- a/crates/steer/src/steering/admitting.rs
+++ b/crates/steer/src/steering/admitting.rs
@@ -1,6 +1,5 @@
 //! Use of admission control by the steering: openings that wait until a target has room.
 
-use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -12,7 +11,7 @@
     AdmissionQueue, Opening, OverloadChange, RejectCause, Rejection, ServiceLoad, Verdict, Waiting,
 };
 use crate::flows::Flows;
-use crate::target_table::{TargetIndex, TargetTable};
+use crate::target_table::TargetIndex;
 use crate::{
     Decision, DropCause, FlowId, Origin, PacketHeader, Released, ResetCause, Routes, SteeringEvent,
 };
@@ -58,7 +57,8 @@
 /// Targets given to other VMs whose requests are not in the flow table of this VM.
 #[derive(Debug, Default)]
 pub(super) struct Grants {
-    times: HashMap<TargetIndex, Vec<Moment>>,
+    /// Times of the recent grants of each target, by index.
+    times: Vec<Vec<Moment>>,
 }
 
 impl Steering {
@@ -309,35 +309,30 @@
 impl Grants {
     /// Records that a target was given to another VM.
     pub(super) fn record(&mut self, target: TargetIndex, now: Moment) {
-        let times = self.times.entry(target).or_default();
-        times.retain(|time| now.since(*time) < GRANT_TIME);
-        times.push(now);
+        let at = target.get() as usize;
+        if self.times.len() <= at {
+            self.times.resize_with(at + 1, Vec::new);
+        }
+        self.times[at].retain(|time| now.since(*time) < GRANT_TIME);
+        self.times[at].push(now);
     }
 
     /// Number of recent grants of a target.
     pub(super) fn count(&self, target: TargetIndex, now: Moment) -> u32 {
-        let times = self.times.get(&target).map_or(&[][..], Vec::as_slice);
+        let Some(times) = self.times.get(target.get() as usize) else {
+            return 0;
+        };
         let recent = times.iter().filter(|time| now.since(**time) < GRANT_TIME);
         recent.count() as u32
     }
 
     fn expire(&mut self, now: Moment) {
-        self.times
-            .retain(|_, times| times.iter().any(|time| now.since(*time) < GRANT_TIME));
+        for times in &mut self.times {
+            times.retain(|time| now.since(*time) < GRANT_TIME);
+        }
     }
 }
 
-/// Requests in progress at a target, as far as this VM knows.
-pub(super) fn in_progress(
-    targets: &TargetTable,
-    grants: &Grants,
-    target: TargetIndex,
-    now: Moment,
-) -> u32 {
-    let own = targets.get(target).map_or(0, |record| record.load.busy);
-    own + grants.count(target, now)
-}
-
 /// Whether the openings of a waiting opening's route still go to the service, and are subject to
 /// admission control.
 fn is_admitted_to(routes: &Option<Routes>, service: &ServiceName, waiting: &Waiting) -> bool {
--- a/crates/steer/src/steering/opening.rs
+++ b/crates/steer/src/steering/opening.rs
@@ -5,7 +5,7 @@
 use bambooseam_types::{Moment, ServiceName, ZoneId};
 use bambooseam_view::FlowKey;
 
-use super::admitting::{Grants, in_progress};
+use super::admitting::Grants;
 use crate::admission::ServiceLoad;
 use crate::placement::{Candidate, place};
 use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
@@ -58,7 +58,7 @@
             is_served = true;
             load.room += self.room(index, record);
             // What a remote target finishes for other zones is not available to this one.
-            load.in_progress += self.in_progress(index);
+            load.in_progress += self.in_progress(index, record);
         }
         is_served.then_some(load)
     }
@@ -67,7 +67,7 @@
     /// processes at a time, so that further ones wait in its queue.
     pub(super) fn queue_timeout(&self, index: TargetIndex) -> Option<Duration> {
         let record = self.targets.get(index)?;
-        let is_full = self.in_progress(index) >= record.target.capacity.max(1);
+        let is_full = self.in_progress(index, record) >= record.target.capacity.max(1);
         is_full.then(|| self.timings.get(self.service).request_timeout())
     }
 
@@ -82,7 +82,7 @@
         let candidates = candidates.map(|(target, record)| Candidate {
             target,
             load: &record.load,
-            in_progress: self.in_progress(target),
+            in_progress: self.in_progress(target, record),
             capacity: record.target.capacity,
             cold_percent,
             is_local: record.target.zone == *self.zone,
@@ -91,8 +91,9 @@
         place(candidates, self.key.get(), self.now)
     }
 
-    fn in_progress(&self, index: TargetIndex) -> u32 {
-        in_progress(self.targets, self.grants, index, self.now)
+    /// Requests in progress at a target, as far as this VM knows.
+    fn in_progress(&self, index: TargetIndex, record: &TargetRecord) -> u32 {
+        record.load.busy + self.grants.count(index, self.now)
     }
 
     /// Whether a target takes new flows and is responsive.
@@ -111,7 +112,7 @@
             true => capacity.saturating_add(1),
             false => capacity.div_ceil(2),
         };
-        limit.saturating_sub(self.in_progress(index))
+        limit.saturating_sub(self.in_progress(index, record))
     }
 
     fn is_unresponsive(&self, record: &TargetRecord) -> bool {
--- a/tests/tests/steer_admission.rs
+++ b/tests/tests/steer_admission.rs
@@ -137,6 +137,34 @@
     assert_eq!(token_of(steering.decide(&repeated, at(310))), tokens[0]);
 }
 
+/// Guards against log lines without a bound under overload.
+#[test]
+fn rejections_are_all_counted_and_few_are_logged() {
+    let mut steering = limited([target(1)]);
+    fill(&mut steering, at(0));
+    for number in 100..400 {
+        steering.decide(&opening_packet(flow(number, ORDERS), 0), at(0));
+    }
+    steering.take_released(at(101));
+    let is_rejection = |event: &&SteeringEvent| matches!(event, SteeringEvent::Rejected { .. });
+    let events = steering.sweep(at(101));
+    assert!(events.iter().filter(is_rejection).count() <= 32);
+    let line = events
+        .iter()
+        .find(is_rejection)
+        .expect("a rejection")
+        .to_string();
+    let inputs = [
+        "cause=waited",
+        "priority=2",
+        "in_progress=3",
+        "limit_ms=100",
+    ];
+    assert!(inputs.iter().all(|input| line.contains(input)), "{line}");
+    let rejected = steering.drain_admission_stats().rejected;
+    assert_eq!(rejected, [((ORDERS, RejectCause::Waited), 301)]);
+}
+
 /// Guards against answers that reach the wrong VM, and against a target that is given to other VMs
 /// again and again before their reports show it.
 #[test]
