Apply only own released openings to the datagrams held here

Cause: a released opening of another VM would have taken the datagram that this VM holds for the same flow, if both hold one.

--- a/crates/entry/src/packets.rs
+++ b/crates/entry/src/packets.rs
@@ -11,7 +11,7 @@
 use bambooseam_platform::packet::{
     LABEL_BYTES, MAX_DATAGRAM_BYTES, label_bytes, parse_header, reset, write_token,
 };
-use bambooseam_steer::{Decision, PacketHeader};
+use bambooseam_steer::{Decision, Origin, PacketHeader};
 use bambooseam_types::{Clock, Moment};
 use metrics::{Counter, counter};
 use socket2::SockRef;
@@ -135,6 +135,10 @@
         }
         let released = self.node.borrow_mut().steering_mut().take_released(now);
         for released in released {
+            // The datagram of a flow that another VM asked about is at that VM.
+            if released.origin != Origin::Local {
+                continue;
+            }
             let Some(mut held) = self.held.borrow_mut().take(&released.flow) else {
                 continue;
             };
