Merge admission control under overload

The zone view of a coordinator switches admission control on; its grants take the place of a record of their own, and an overloaded service rejects the openings of other VMs too.

--- a/crates/entry/src/packets.rs
+++ b/crates/entry/src/packets.rs
@@ -148,6 +148,7 @@
     fn release_held(&self, now: Moment) {
         let released = self.node.borrow_mut().steering_mut().take_released(now);
         for released in released {
+            // The datagram of a flow that another VM asked about is at that VM.
             if released.origin != Origin::Local {
                 self.coordination.pass_on(released);
                 continue;
--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -156,6 +156,14 @@
         is_retransmission.then_some((state.target, state.token))
     }
 
+    /// Whether packets of a flow that began at `since` or later show that a target was sent its
+    /// opening packet.
+    pub fn has_begun(&self, flow: &FlowId, since: Moment) -> bool {
+        self.table
+            .get(flow)
+            .is_some_and(|state| state.started >= since)
+    }
+
     /// Records that the opening packet of a flow was retransmitted.
     pub fn record_repeated_opening(&mut self, flow: &FlowId) {
         if let Some(state) = self.table.get_mut(flow) {
@@ -279,6 +287,7 @@
         idle_time: Duration,
         mut release: impl FnMut(&FlowId, Released),
     ) {
+        let mut all = Vec::new();
         self.table.retain(|flow, state| {
             let idle = now.since(state.last_seen);
             let limit = match state.phase {
@@ -287,19 +296,25 @@
                 Phase::Ended => ENDED_RETENTION,
             };
             if idle > limit {
-                release(flow, state.released(true));
+                all.push((*flow, state.released(true)));
                 return false;
             }
             if state
                 .busy_since
                 .is_some_and(|busy_since| now.since(busy_since) > state.timeout)
             {
-                release(flow, state.released(false));
+                all.push((*flow, state.released(false)));
                 state.busy_since = None;
                 state.request_since = None;
             }
             true
         });
+        // The order of the table differs between processes, and what is learned from the end of
+        // requests depends on their order.
+        all.sort_unstable_by_key(|(flow, _)| *flow);
+        for (flow, released) in all {
+            release(&flow, released);
+        }
     }
 }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -7,6 +7,7 @@
 //! names its target by a token, and the table only improves the placement of new flows.
 //!
 //! Each part of the decision has its own module: [`placement`] selects the target of a new flow,
+//! [`admission`] decides which openings wait or are rejected while a service is full,
 //! [`cold_budget`] limits the openings at targets that have just started,
 //! [`responsiveness`] detects targets that do not answer, [`zone`] detects zones that do not
 //! answer, [`stall`] detects targets that do not acknowledge data, [`timing`] derives timeouts from observed
@@ -16,6 +17,7 @@
 //! [`zone_load`] adds the load that other VMs of the zone place on a target, and [`unknown_token`]
 //! handles tokens that belong to no known target.
 
+pub mod admission;
 pub mod cold_budget;
 mod decision;
 pub mod evacuation;
@@ -44,7 +46,9 @@
 pub use event::SteeringEvent;
 pub use header::{FlowId, PacketFlags, PacketHeader, ParseFlowError};
 pub use load::Load;
-pub use route::{Route, Routes, ServiceLimits, Share};
-pub use steering::{AnswerOutcome, Freshness, SpeedSummary, Steering, SteeringSettings};
+pub use route::{LOWEST_PRIORITY, Route, Routes, ServiceLimits, Share};
+pub use steering::{
+    AdmissionStats, AnswerOutcome, Freshness, SpeedSummary, Steering, SteeringSettings,
+};
 pub use target::Target;
 pub use target_table::{EntryStatus, TargetIndex, TargetRecord, TargetTable};
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -4,6 +4,7 @@
 //! detectors. This module handles packets; the submodule `update` handles published documents and
 //! the passing of time.
 
+mod admitting;
 mod asking;
 mod coordination;
 mod opening;
@@ -17,9 +18,11 @@
 
 use bambooseam_types::{Moment, TargetId, Token, ZoneId};
 
+pub use self::admitting::AdmissionStats;
+use self::admitting::Admissions;
 pub use self::asking::AnswerOutcome;
 use self::coordination::Coordination;
-use self::opening::select;
+use self::opening::{select, select_below_limit};
 use self::signals::apply_signals;
 pub use self::speed::SpeedSummary;
 use self::speed::Speeds;
@@ -35,8 +38,7 @@
 use crate::zone::UnresponsiveZones;
 use crate::zone_load::{Group, ZoneLoad};
 use crate::{
-    Decision, DropCause, Origin, PacketHeader, Placement, Released, ResetCause, Route, Routes,
-    SteeringEvent,
+    Decision, DropCause, Origin, PacketHeader, Placement, ResetCause, Route, Routes, SteeringEvent,
 };
 
 /// Largest age at which a view counts as current: the largest age of a replica that may be followed
@@ -100,6 +102,7 @@
     /// Requests in progress of other VMs.
     zone_load: ZoneLoad,
     coordination: Coordination,
+    admissions: Admissions,
     /// End of the time in which large transfers may have filled the link of this VM.
     quiet_since: Moment,
 }
@@ -143,6 +146,7 @@
             speeds: Speeds::default(),
             zone_load: ZoneLoad::default(),
             coordination: Coordination::default(),
+            admissions: Admissions::default(),
             quiet_since: Moment::default(),
         }
     }
@@ -183,16 +187,14 @@
         }
         match header.token {
             Some(token) => self.handle_established(header, token, now),
-            None if header.flags.rst => Decision::Drop(DropCause::AlreadyEnded),
+            None if header.flags.rst => {
+                self.admissions.withdraw(&header.flow, Origin::Local);
+                Decision::Drop(DropCause::AlreadyEnded)
+            }
             None => Decision::Reset(ResetCause::NoToken),
         }
     }
 
-    /// Removes and returns the held openings that have been decided.
-    pub fn take_released(&mut self, _now: Moment) -> Vec<Released> {
-        self.coordination.take_released()
-    }
-
     /// Handles an opening packet that was received by this VM or by another one, which asks.
     fn handle_opening(&mut self, header: &PacketHeader, origin: Origin, now: Moment) -> Decision {
         if self.awaits_view(now) {
@@ -233,12 +235,27 @@
     }
 
     /// Selects the target of a new flow, from one group of this zone's targets if `group` is set.
+    /// The opening may wait, or is rejected, while its service is full.
     fn place_opening(
         &mut self,
         header: &PacketHeader,
         origin: Origin,
         group: Option<Group>,
         now: Moment,
+    ) -> Decision {
+        self.zone_load.expire(now);
+        let held = self.offer_opening(header, origin, group, now);
+        held.unwrap_or_else(|| self.place_admitted(header, origin, group, now))
+    }
+
+    /// Selects the target of a new flow that neither waits nor is rejected because its service is
+    /// full.
+    fn place_admitted(
+        &mut self,
+        header: &PacketHeader,
+        origin: Origin,
+        group: Option<Group>,
+        now: Moment,
     ) -> Decision {
         self.zone_load.expire(now);
         let is_current = self.freshness.is_current(now);
@@ -255,8 +272,10 @@
         let Some(service) = route.service_of(key) else {
             return reject(ResetCause::NoTarget, is_settled);
         };
-        let selection = select(&self.selector((service, key), group, now));
-        let Some(index) = selection else {
+        let selector = self.selector((service, key), group, now);
+        let is_limited = route.latency_goal.is_some() && self.has_zone_view();
+        let below_limit = is_limited.then(|| select_below_limit(&selector)).flatten();
+        let Some(index) = below_limit.or_else(|| select(&selector)) else {
             return reject(ResetCause::NoTarget, is_settled);
         };
         match origin {
@@ -273,6 +292,13 @@
             .as_ref()
             .and_then(|r| r.find(header.flow.frontend));
         let timeout = route.map_or(DEFAULT_REQUEST_TIMEOUT, |route| route.timeout);
+        // Elsewhere the counts say too little about how full a target is.
+        let service = route.and_then(|route| route.service_of(header.flow.key()));
+        let service = service.filter(|_| self.has_zone_view());
+        let queue_timeout = service.and_then(|service| {
+            let selector = self.selector((service, header.flow.key()), None, now);
+            selector.queue_timeout(index)
+        });
         let Some(record) = self.targets.get_mut(index) else {
             return Decision::Drop(DropCause::ViewNotCurrent);
         };
@@ -280,7 +306,10 @@
             self.cold_budgets
                 .record(&record.target.service, record.token, now);
         }
-        record.load.responsiveness.record_opening(now);
+        record
+            .load
+            .responsiveness
+            .record_opening(now, queue_timeout);
         record.speed.record_opening(now);
         self.zones.record_opening(&record.target.zone, now);
         if earlier.is_none() {
--- a/crates/steer/src/steering/coordination.rs
+++ b/crates/steer/src/steering/coordination.rs
@@ -85,7 +85,7 @@
 
     /// Whether this VM coordinates a group and has recent reports of other VMs, so that its counts
     /// cover the group.
-    pub fn has_zone_view(&self) -> bool {
+    pub(super) fn is_coordinating(&self) -> bool {
         let coordinators = &self.coordination.coordinators;
         coordinators.contains(&Some(Origin::Local)) && self.zone_load.has_local_report()
     }
--- a/crates/steer/src/steering/opening.rs
+++ b/crates/steer/src/steering/opening.rs
@@ -1,8 +1,11 @@
 //! Selection of the target of an opening packet.
 
+use std::time::Duration;
+
 use bambooseam_types::{Moment, ServiceName, ZoneId};
 use bambooseam_view::FlowKey;
 
+use crate::admission::ServiceLoad;
 use crate::cold_budget::ColdBudget;
 use crate::evacuation::Evacuations;
 use crate::placement::{Candidate, place};
@@ -41,39 +44,66 @@
 /// Selects the target of an opening packet; `None` if the service has no target that takes new
 /// flows.
 pub(super) fn select(selector: &Selector<'_>) -> Option<TargetIndex> {
-    let usual = selector.place(TargetRecord::is_open);
-    usual.or_else(|| selector.place(TargetRecord::is_fallback))
+    let usual = selector.place(|_, record| record.is_open());
+    usual.or_else(|| selector.place(|_, record| record.is_fallback()))
+}
+
+/// Selects among the responsive targets that are below their limit of requests in progress; `None` if
+/// there is none.
+pub(super) fn select_below_limit(selector: &Selector<'_>) -> Option<TargetIndex> {
+    selector.place(|_, record| selector.is_usable(record) && selector.room(record) > 0)
 }
 
 impl Selector<'_> {
+    /// Load of the responsive targets that take new flows; `None` if there is none, so that openings
+    /// are placed as a last resort or rejected without regard to load.
+    pub(super) fn load(&self) -> Option<ServiceLoad> {
+        let mut load = ServiceLoad {
+            response_time: self.timings.get(self.service).mean(),
+            ..ServiceLoad::default()
+        };
+        let mut is_served = false;
+        for (_, record) in self.targets.of_service(self.service) {
+            if !self.is_usable(record) || !self.is_in_group(record) {
+                continue;
+            }
+            is_served = true;
+            load.room += self.room(record);
+            // What a remote target finishes for other zones is not available to this one.
+            load.in_progress += record.load.busy + self.zone_load.count(record.token).total();
+        }
+        is_served.then_some(load)
+    }
+
+    /// Request timeout of the service if the target already has as many requests in progress as it
+    /// processes at a time, so that further ones wait in its queue.
+    pub(super) fn queue_timeout(&self, index: TargetIndex) -> Option<Duration> {
+        let record = self.targets.get(index)?;
+        let is_full = self.in_progress(record) >= record.target.capacity.max(1);
+        is_full.then(|| self.timings.get(self.service).request_timeout())
+    }
+
     /// Places the flow at one of the eligible targets.
-    fn place(&self, is_eligible: fn(&TargetRecord) -> bool) -> Option<TargetIndex> {
+    fn place(
+        &self,
+        is_eligible: impl Fn(TargetIndex, &TargetRecord) -> bool,
+    ) -> Option<TargetIndex> {
         let cold_percent = self.timings.get(self.service).cold_percent();
         let records = self.targets.of_service(self.service);
-        let candidates = records.filter(|(_, record)| {
-            is_eligible(record) && self.is_in_group(record) && self.is_admitted(record)
+        let candidates = records.filter(|(index, record)| {
+            is_eligible(*index, record) && self.is_in_group(record) && self.is_admitted(record)
         });
-        let key = (!self.remote_loads.is_empty()).then(|| ServiceKey::of(self.service));
         let candidates = candidates.map(|(target, record)| {
-            let capacity = record.target.capacity;
-            let is_local = record.target.zone == *self.zone;
-            let remote_percent = key.filter(|_| !is_local).and_then(|key| {
-                self.remote_loads
-                    .percent(&record.target.zone, key, self.now)
-            });
-            // The part of the load of another zone that this VM does not see is taken as the mean.
-            let mean = u32::from(remote_percent.unwrap_or_default()) * capacity;
-            let counted = record.load.busy + self.zone_load.count(record.token).total();
-            let in_progress = counted.max(mean.div_ceil(100));
+            let in_progress = self.in_progress(record);
             Candidate {
                 target,
                 load: &record.load,
                 in_progress,
                 expected_percent: self.expected_percent(record, in_progress),
-                capacity,
+                capacity: record.target.capacity,
                 cold_percent,
-                is_local,
-                remote_percent,
+                is_local: self.is_local(record),
+                remote_percent: self.remote_percent(record),
                 is_unresponsive: self.is_unresponsive(record),
             }
         });
@@ -109,18 +139,59 @@
 
     /// Whether a target is outside this zone, or in the group that the flow is placed in.
     fn is_in_group(&self, record: &TargetRecord) -> bool {
-        let is_local = record.target.zone == *self.zone;
+        let is_remote = !self.is_local(record);
         self.group
-            .is_none_or(|group| !is_local || group.contains(record.target.label))
+            .is_none_or(|group| is_remote || group.contains(record.target.label))
     }
 
     /// Whether a target that another VM has selected may take the flow according to this VM's own
     /// view.
     pub fn accepts(&self, record: &TargetRecord) -> bool {
-        record.target.service == *self.service
-            && record.is_open()
-            && self.is_admitted(record)
-            && !self.is_unresponsive(record)
+        record.target.service == *self.service && self.is_usable(record)
+    }
+
+    /// Requests in progress at a target, as far as this VM knows. The part of the load of another
+    /// zone that this VM does not see is taken as the mean.
+    fn in_progress(&self, record: &TargetRecord) -> u32 {
+        let counted = record.load.busy + self.zone_load.count(record.token).total();
+        let percent = self.remote_percent(record).unwrap_or_default();
+        counted.max((u32::from(percent) * record.target.capacity).div_ceil(100))
+    }
+
+    /// Load of the service in the zone of a target, if that is another zone whose load is known.
+    fn remote_percent(&self, record: &TargetRecord) -> Option<u16> {
+        if self.remote_loads.is_empty() || self.is_local(record) {
+            return None;
+        }
+        let service = ServiceKey::of(self.service);
+        self.remote_loads
+            .percent(&record.target.zone, service, self.now)
+    }
+
+    fn is_local(&self, record: &TargetRecord) -> bool {
+        record.target.zone == *self.zone
+    }
+
+    /// Whether a target takes this flow and is responsive.
+    fn is_usable(&self, record: &TargetRecord) -> bool {
+        record.is_open() && self.is_admitted(record) && !self.is_unresponsive(record)
+    }
+
+    /// Number of requests that a target can take before it is at its limit.
+    ///
+    /// The limit of a target of this zone is learned; at first it is the capacity and one more, so
+    /// that the next request is at hand. A target of another zone takes its capacity if the load of
+    /// that zone is known. Otherwise half of it leaves room in its queue for three zones that do the
+    /// same.
+    fn room(&self, record: &TargetRecord) -> u32 {
+        let capacity = record.target.capacity.max(1);
+        let limit = match (self.is_local(record), self.remote_percent(record)) {
+            (true, _) if self.uses_speed => record.speed.limit(),
+            (true, _) => capacity.saturating_add(1),
+            (false, Some(_)) => capacity,
+            (false, None) => capacity.div_ceil(2),
+        };
+        limit.saturating_sub(self.in_progress(record))
     }
 
     fn is_unresponsive(&self, record: &TargetRecord) -> bool {
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -205,6 +205,7 @@
         let targets = &self.targets;
         self.unknown_tokens
             .sweep(now, |token| targets.with_token(token).next().is_some());
+        events.extend(self.sweep_admissions(now));
         events.extend(self.targets.update_responsiveness(now));
         events.extend(self.cold_budgets.update(&self.targets, &self.timings, now));
         events.extend(self.refresh_speeds(now));
--- a/crates/steer/src/zone_load/questions.rs
+++ b/crates/steer/src/zone_load/questions.rs
@@ -82,7 +82,7 @@
         match decision {
             Decision::Forward { token, .. } => Self::Place(token),
             Decision::Hold => Self::Wait(MAX_WAIT),
-            Decision::Reset(ResetCause::RejectedByZone) => Self::Reject,
+            Decision::Reset(ResetCause::Overloaded) => Self::Reject,
             Decision::Reset(_) | Decision::Drop(_) => Self::Decide,
         }
     }
