Lose most targets in the model of cold targets, and run the program with a limit

Cause: the model passed with the slots of the recent past taken out, and no test ran the program with the new settings.

--- a/crates/standin/src/site/cluster.rs
+++ b/crates/standin/src/site/cluster.rs
@@ -273,6 +273,20 @@
         Ok(())
     }
 
+    /// Sets the margins of the limit on openings at cold targets, and writes the settings files.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a file can't be written.
+    pub fn set_cold_limit(&mut self, excess: f64, slack: f64) -> io::Result<()> {
+        for vm in &mut self.vms {
+            vm.settings["contract_params"]["warmup_excess"] = json!(excess);
+            vm.settings["contract_params"]["warmup_slack"] = json!(slack);
+            vm.write_settings()?;
+        }
+        Ok(())
+    }
+
     async fn add_vm(&mut self, program: &Path, zone: u8, index: u8) -> io::Result<()> {
         let address = self.address(10 + zone, 10 + index);
         let number = self.vms.len() as u8 + 1;
--- a/tests/tests/cold_budget.rs
+++ b/tests/tests/cold_budget.rs
@@ -78,7 +78,7 @@
     updates: VecDeque<(u64, Update)>,
 }
 
-#[derive(Clone)]
+#[derive(Clone, Copy)]
 enum Update {
     Put(usize),
     Remove(usize),
@@ -204,27 +204,38 @@
         }
     }
 
-    /// Ends a target and starts another in its zone.
-    fn replace_target(&mut self, index: usize) {
-        let zone = self.targets[index].zone;
-        self.targets[index].is_alive = false;
-        self.targets[index].queue.clear();
-        let next = self.add_target(zone, self.now);
-        for vm in &mut self.vms {
-            let delay = self.rng.random_range(5..400);
-            let at = vm.updates.back().map_or(0, |update| update.0);
-            let at = at.max(self.now + delay);
-            vm.updates.push_back((at, Update::Put(next)));
-            vm.updates.push_back((at, Update::Remove(index)));
-        }
-    }
-
-    fn replace_targets(&mut self, count: usize) {
+    /// Ends the oldest targets; returns their zones.
+    fn remove_targets(&mut self, count: usize) -> Vec<usize> {
         let alive: Vec<_> = (0..self.targets.len())
             .filter(|&index| self.targets[index].is_alive)
             .collect();
         for &index in alive.iter().take(count) {
-            self.replace_target(index);
+            self.targets[index].is_alive = false;
+            self.targets[index].queue.clear();
+            self.publish(Update::Remove(index));
+        }
+        let removed = alive.into_iter().take(count);
+        removed.map(|index| self.targets[index].zone).collect()
+    }
+
+    /// Starts a target, whose entry reaches each VM after some time.
+    fn publish_new(&mut self, zone: usize) {
+        let index = self.add_target(zone, self.now);
+        self.publish(Update::Put(index));
+    }
+
+    fn replace_targets(&mut self, count: usize) {
+        for zone in self.remove_targets(count) {
+            self.publish_new(zone);
+        }
+    }
+
+    fn publish(&mut self, update: Update) {
+        for vm in &mut self.vms {
+            let delay = self.rng.random_range(5..400);
+            // A VM receives changes in the order in which they were published.
+            let at = vm.updates.back().map_or(0, |last| last.0);
+            vm.updates.push_back((at.max(self.now + delay), update));
         }
     }
 
@@ -551,7 +562,23 @@
     let mean = check(&model, "burst_all_replaced", since);
     assert!(mean > 0.0, "cold targets got no work");
 
+    // Callers do not ask for less when most targets are lost, and then some return.
+    let since = model.now;
+    model.demand = 0.8 * CAPACITY;
+    let lost = model.remove_targets(TARGETS - 2);
+    model.run_for(4_000);
+    for zone in &lost[..2] {
+        model.publish_new(*zone);
+    }
+    model.run_for(COLD_MS);
+    for zone in &lost[2..] {
+        model.publish_new(*zone);
+    }
+    model.run_for(COLD_MS);
+    check(&model, "most_lost_and_back", since);
+
     let since = model.now;
+    model.demand = 2.0 * CAPACITY;
     model.loss = 0.05;
     model.cut_zone = Some(0);
     for number in 0..vms / 3 {
