Count a retransmission by the service of its target

Cause: after a route had moved to another service between two transmissions of an opening packet, the retransmission was looked up under the new service and not counted against the limit of the cold target. Found by reading.

Change: the target's own service selects the limit. The test of retransmissions moves the route before the one beyond the limit.

--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -201,13 +201,13 @@
             && record.token == token
             && !(record.load.responsiveness.is_confirmed(now) && selector.has_alternative(index))
         {
-            let (is_cold, token) = (record.load.is_cold(now), record.token);
-            let decision = forward(record, Placement::Retransmitted);
-            if is_cold && !self.cold_budgets.record_repeated(service, token, now) {
+            // The route may name another service than at the first transmission.
+            let (service, budgets) = (&record.target.service, &mut self.cold_budgets);
+            if record.load.is_cold(now) && !budgets.record_repeated(service, token, now) {
                 return Decision::Drop(DropCause::ColdLimit);
             }
             self.flows.record_repeated_opening(&header.flow);
-            return decision;
+            return forward(record, Placement::Retransmitted);
         }
         let Some(index) = select(&selector) else {
             return reject(ResetCause::NoTarget, is_settled);
--- a/tests/tests/cold_budget.rs
+++ b/tests/tests/cold_budget.rs
@@ -774,6 +774,9 @@
         let repeated = steering.decide(&opening_packet(admitted, 1), at(3_200));
         assert_eq!(token_of(repeated), cold(1).token());
     }
+    // The route has moved to a service without a limit; the target still has one.
+    let moved = Routes::new(vec![route(ORDERS, "charts")], None);
+    steering.set_routes(moved.with_services(limited_routes(0.5).services().to_vec()));
     let sixth = steering.decide(&opening_packet(admitted, 1), at(3_300));
     assert_eq!(sixth, Decision::Drop(DropCause::ColdLimit));
     let later = steering.decide(&opening_packet(admitted, 2), at(4_500));
