--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -225,13 +225,13 @@
         if record.token != token || is_moved {
             return None;
         }
-        let decision = forward(record, Placement::Retransmitted);
-        let is_cold = record.load.is_cold(now);
-        if is_cold && !self.cold_budgets.record_repeated(service, token, now) {
+        // The route may name another service than at the first transmission.
+        let (service, budgets) = (&record.target.service, &mut self.cold_budgets);
+        if record.load.is_cold(now) && !budgets.record_repeated(service, token, now) {
             return Some(Decision::Drop(DropCause::ColdLimit));
         }
         self.flows.record_repeated_opening(&header.flow);
-        Some(decision)
+        Some(forward(record, Placement::Retransmitted))
     }
 
     /// Selects the target of a new flow, from one group of this zone's targets if `group` is set.
