Accept one margin of the cold limit alone

Cause: the settings were refused if only one of cold-excess and cold-slack was present. A platform whose slack is 0 may leave it out of the settings, and no VM would start.

Change: the other margin is 1 or 0.

--- a/crates/config/src/settings/read.rs
+++ b/crates/config/src/settings/read.rs
@@ -258,7 +258,7 @@
     })
 }
 
-/// Reads the margins of the limit on openings at cold targets: both keys or none.
+/// Reads the margins of the limit on openings at cold targets; `None` without either key.
 fn read_cold_limit(section: &mut Section<'_>, findings: &mut Findings) -> Option<ColdLimit> {
     let before = findings.len();
     let excess = section.optional::<f64>("cold-excess", findings);
@@ -280,20 +280,11 @@
         let found = slack.unwrap_or_default().to_string();
         findings.push(Finding::new(section.location("cold-slack"), found, allowed));
     }
-    match (excess, slack) {
-        (Some(excess), Some(slack)) => Some(ColdLimit { excess, slack }),
-        (None, None) => None,
-        (excess, _) => {
-            let (present, absent) = match excess {
-                Some(_) => ("cold-excess", "cold-slack"),
-                None => ("cold-slack", "cold-excess"),
-            };
-            let found = format!("no {absent}");
-            let allowed = "cold-excess and cold-slack, or neither";
-            findings.push(Finding::new(section.location(present), found, allowed));
-            None
-        }
-    }
+    // A platform may leave out a margin that adds nothing.
+    (excess.is_some() || slack.is_some()).then(|| ColdLimit {
+        excess: excess.unwrap_or(1.0),
+        slack: slack.unwrap_or(0.0),
+    })
 }
 
 /// Reads a key that is `on` or `off`; returns `default` when the key is absent.
--- a/tests/tests/config.rs
+++ b/tests/tests/config.rs
@@ -94,6 +94,26 @@
     assert!(report.contains("on or off"), "{report}");
 }
 
+/// Guards against VMs that do not start because the platform leaves out a margin of 0.
+#[test]
+fn margins_of_the_cold_limit_stand_alone() {
+    let read = |lines: &str| {
+        let text = format!(
+            "[vm]\nid = a\nzone = z\naddress = 127.0.0.1\n[platform]\naddresses = 127.0.0.1:1\n\
+             [entry]\nlisten = 127.0.0.1:2\nready = 127.0.0.1:3\npeer = 127.0.0.1:4\n\
+             admin = 127.0.0.1:5\nseeds = 127.0.0.1:4\nstop-time = 6s\n{lines}\n"
+        );
+        let document = Document::parse("settings", &text).expect("a document");
+        let settings = Settings::try_from(&document).expect("valid settings");
+        let limit = settings.entry.expect("an entry section").cold_limit;
+        limit.map(|limit| (limit.excess, limit.slack))
+    };
+    assert_eq!(read(""), None);
+    assert_eq!(read("cold-excess = 1.5"), Some((1.5, 0.0)));
+    assert_eq!(read("cold-slack = 5"), Some((1.0, 5.0)));
+    assert_eq!(read("cold-excess = 1.5\ncold-slack = 5"), Some((1.5, 5.0)));
+}
+
 #[test]
 fn view_is_refused_when_the_digest_differs() {
     let pointer = PresetPointer {
