Let a coordinator fill the slots that its counts show as used

Change: where reports of other VMs count, the limit of a target that is not slow is twice its capacity.

Tests admission, steer_admission and zone_load pass.

--- a/crates/steer/src/steering/opening.rs
+++ b/crates/steer/src/steering/opening.rs
@@ -186,14 +186,26 @@
     fn room(&self, record: &TargetRecord) -> u32 {
         let capacity = record.target.capacity.max(1);
         let limit = match (self.is_local(record), self.remote_percent(record)) {
-            (true, _) if self.uses_speed => record.speed.limit(),
-            (true, _) => capacity.saturating_add(1),
+            (true, _) if self.uses_speed && record.speed.is_limited() => record.speed.limit(),
+            (true, _) => self.usual_limit(capacity),
             (false, Some(_)) => capacity,
             (false, None) => capacity.div_ceil(2),
         };
         limit.saturating_sub(self.in_progress(record))
     }
 
+    /// Limit of a target that is not slow.
+    ///
+    /// The counts of a coordinator contain requests that have ended at the target: callers
+    /// acknowledge a response after their round trip, and the other VMs report it up to 20 ms later.
+    /// The smaller limit would leave slots idle meanwhile.
+    fn usual_limit(&self, capacity: u32) -> u32 {
+        match self.zone_load.has_local_report() {
+            true => capacity.saturating_mul(2),
+            false => capacity.saturating_add(1),
+        }
+    }
+
     fn is_unresponsive(&self, record: &TargetRecord) -> bool {
         let zone = &record.target.zone;
         record.load.responsiveness.is_unresponsive(self.now)
