--- a/crates/entry/src/coordination/coordinators.rs
+++ b/crates/entry/src/coordination/coordinators.rs
@@ -12,8 +12,9 @@
 use bambooseam_types::Moment;
 
 /// Least number of known VMs of a zone, including this one. With two VMs, each sees half of the
-/// load, and a question gains less than it costs.
-const MIN_VMS: usize = 3;
+/// load, and a question gains less than it costs. VMs that have ended stay known for some time: a
+/// zone of two VMs of which one was replaced has three.
+const MIN_VMS: usize = 4;
 
 /// Number of reports in a row without an answer after which a VM is excluded: 0.4 s.
 const MAX_UNANSWERED: u32 = 2;
