Describe what placement knows of the load of a zone

Cause: the head of placement.rs said that a VM sees most of the work of its zone, which zones with many VMs made untrue, and which reports to a coordinator replace.

Change: comments only.

--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -2,17 +2,18 @@
 //!
 //! Placement is designed for the crest of a load swing, when targets with two slots and a short
 //! queue shed the requests that do not fit. A flow placed at a busy target waits or is shed while
-//! another slot is free, and a long flow cannot be moved later. Each VM sees only the requests that
-//! pass through it. As the fabric keeps a flow at one VM, a VM sees most of the work of its zone
-//! without communication with other VMs.
+//! another slot is free, and a long flow cannot be moved later. The requests in progress are those
+//! that pass through this VM and, at a coordinator, those that the other VMs of the zone report
+//! ([`zone_load`](crate::zone_load)).
 //!
 //! The target with the fewest requests in progress per slot is selected; among equal targets, the
 //! target with the fewest flows. At a target that is known to be slower or faster than usual, the
 //! difference between its expected response time and that of a usual target with as many requests
-//! in progress is added ([`target_speed`](crate::target_speed)). Targets in the zone of this VM are preferred until their cost
-//! exceeds that of a remote target by `REMOTE_COST`: a zone that is cut off then keeps its flows,
-//! and the load that other VMs place on a remote target is not visible to this VM. Unresponsive
-//! targets are selected last, so that a service with at least one target always has a candidate.
+//! in progress is added ([`target_speed`](crate::target_speed)). Targets in the zone of this VM are
+//! preferred until their cost exceeds that of a remote target: a zone that is cut off then keeps its
+//! flows, and the load that other VMs place on a remote target may not be visible to this VM.
+//! Unresponsive targets are selected last, so that a service with at least one target always has a
+//! candidate.
 
 use bambooseam_types::Moment;
 
