Stop stand-in targets before reporting that they have stopped

Cause: FlowTarget::crash and leave cancelled the tasks of the target and returned. A task that was running at that moment, preempted on a busy machine, still acknowledged or answered a request that was sent after the crash, and could write the entry once more. In flow_of_a_target_that_falls_silent_is_reset_while_the_target_is_listed the target acknowledged the request and never answered, so the caller had nothing to retransmit and the VM no evidence.

Ruled out by a run with the evidence logged: a busy path record, another suspected target, a feed that ended. In the failed runs no retransmission arrived, while the feed had answers within 2 to 7 ms.

Change: both wait until the tasks have ended.

--- a/crates/measure/src/demo/platform.rs
+++ b/crates/measure/src/demo/platform.rs
@@ -179,7 +179,7 @@
         );
         self.targets[0].drain();
         sleep(Duration::from_secs(4)).await;
-        self.targets.remove(0).leave();
+        self.targets.remove(0).leave().await;
         sleep(self.period).await;
         Ok(())
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -215,11 +215,11 @@
                     self.draining.push(target);
                 }
             }
-            Event::Leave if !self.draining.is_empty() => self.draining.remove(0).leave(),
+            Event::Leave if !self.draining.is_empty() => self.draining.remove(0).leave().await,
             Event::Leave => {}
             Event::Crash(number) => {
                 if let Some(target) = self.take_target(number) {
-                    target.crash();
+                    target.crash().await;
                 }
             }
         }
--- a/crates/standin/src/site/target.rs
+++ b/crates/standin/src/site/target.rs
@@ -11,6 +11,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{interval, sleep};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use super::endpoint::Endpoint;
 use super::{Counters, Flags, Packet, Store};
@@ -55,6 +56,7 @@
     store: Store,
     shared: Arc<Shared>,
     stop: CancellationToken,
+    tasks: TaskTracker,
 }
 
 /// State that the tasks of a target share.
@@ -111,6 +113,7 @@
             plan,
             store: store.clone(),
             stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
         };
         counters.set_alive(&target.name(), true);
         target.write_entry("ready");
@@ -121,7 +124,9 @@
             flows: HashMap::new(),
         };
         let stop = target.stop.clone();
-        tokio::spawn(async move { stop.run_until_cancelled(server.run()).await });
+        target
+            .tasks
+            .spawn(async move { stop.run_until_cancelled(server.run()).await });
         target.refresh_entry();
         Ok(target)
     }
@@ -148,16 +153,23 @@
     }
 
     /// Stops the target without an announcement; its entry expires.
-    pub fn crash(self) {
-        self.shared.counters.set_alive(&self.name(), false);
-        self.stop.cancel();
+    pub async fn crash(self) {
+        self.stop().await;
     }
 
     /// Stops the target and removes its entry.
-    pub fn leave(self) {
+    pub async fn leave(self) {
+        self.stop().await;
+        self.store.remove(&self.key());
+    }
+
+    /// Waits until the tasks have ended: one that is running would still answer a packet or write
+    /// the entry.
+    async fn stop(&self) {
         self.shared.counters.set_alive(&self.name(), false);
         self.stop.cancel();
-        self.store.remove(&self.key());
+        self.tasks.close();
+        self.tasks.wait().await;
     }
 
     fn key(&self) -> String {
@@ -187,6 +199,7 @@
             store: self.store.clone(),
             shared: Arc::clone(&self.shared),
             stop: self.stop.clone(),
+            tasks: self.tasks.clone(),
         };
         let stop = self.stop.clone();
         let refresh = async move {
@@ -209,7 +222,8 @@
                 writer.write_entry(state);
             }
         };
-        tokio::spawn(async move { stop.run_until_cancelled(refresh).await });
+        self.tasks
+            .spawn(async move { stop.run_until_cancelled(refresh).await });
     }
 }
 
--- a/tests/tests/entry.rs
+++ b/tests/tests/entry.rs
@@ -231,7 +231,7 @@
         let left = running.targets.remove(1);
         left.drain();
         pause(700).await;
-        left.leave();
+        left.leave().await;
         for vm in [0, 1] {
             assert!(running.serves(vm, added).await, "VM {vm}");
         }
@@ -438,7 +438,7 @@
     running.targets[4].drain();
     pause(4_000).await;
     for at in [4, 0] {
-        running.targets.remove(at).leave();
+        running.targets.remove(at).leave().await;
     }
     pause(1_000).await;
     traffic.stop().await;
@@ -459,7 +459,7 @@
     // the response above has arrived. The restarted target would answer it with a reset of its own.
     caller.open(running.orders, None).await.expect("a flow");
     let id = running.targets[0].plan().id.clone();
-    running.targets.remove(0).crash();
+    running.targets.remove(0).crash().await;
     let restarted = running.site.start_target(&id, "orders", 0, 1).await;
     running.targets.push(restarted.expect("a target"));
     let start_time = Instant::now();
@@ -509,7 +509,7 @@
     }
     let key = format!("servers/{}", silent.plan().id);
     let item = running.site.store.lock().get(&key).cloned();
-    silent.crash();
+    silent.crash().await;
     // Without a lifetime the entry stays.
     let entry = item.expect("the entry").value;
     running.site.store.put_bytes(&key, entry, None);
@@ -544,7 +544,7 @@
     running.site.add_route("charts");
     let traffic = running.traffic(6, 3);
     pause(500).await;
-    running.targets.remove(0).crash();
+    running.targets.remove(0).crash().await;
     pause(800).await;
     let reused = running.site.add_target("charts", 0, 1).await;
     running.targets.push(reused.expect("a target"));
@@ -599,7 +599,7 @@
     let mut running = RunningSite::start(&[1, 1], 3).await;
     let traffic = running.traffic(4, 2);
     running.site.vms[0].signal("STOP").await.expect("a signal");
-    running.targets.remove(0).leave();
+    running.targets.remove(0).leave().await;
     let frontend = running.site.add_route("orders");
     pause(3_000).await;
     running.site.vms[0].signal("CONT").await.expect("a signal");
