Open flows in an evacuated zone that is cut off, as a last resort

Change: steer::isolation. A VM is isolated while its view has not been confirmed for 1.5 s, its own calls to the store fail, all other zones with targets are unresponsive, and neither a target nor a VM there has answered for 1.5 s; the first sign to the contrary ends it. An isolated VM opens new flows in its own zone although it is evacuated, apart from one probe of the other zones every 2 s. With evacuated-last-resort = off it rejects them at once. Either way an opening whose target is out of reach is rejected at its first transmission, when no target can have received it.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -131,6 +131,8 @@
     pub cold_limit: Option<ColdLimit>,
     /// Whether placement follows the learned speeds of targets.
     pub target_speed: bool,
+    /// Whether a VM that is cut off opens flows in its own zone although the zone is evacuated.
+    pub evacuated_last_resort: bool,
 }
 
 /// Margins of the limit on openings at a target that has just started.
--- a/crates/config/src/settings/read.rs
+++ b/crates/config/src/settings/read.rs
@@ -243,6 +243,7 @@
     let flow_limit = section.within("flow-limit", DEFAULT_FLOW_LIMIT, 1..=100_000_000, findings);
     let cold_limit = read_cold_limit(&mut section, findings);
     let target_speed = read_switch(&mut section, "target-speed", true, findings);
+    let evacuated_last_resort = read_switch(&mut section, "evacuated-last-resort", true, findings);
     section.report_unknown_keys(findings);
     Some(EntrySettings {
         listen: listen?,
@@ -255,6 +256,7 @@
         flow_limit,
         cold_limit,
         target_speed,
+        evacuated_last_resort,
     })
 }
 
--- a/crates/entry/src/coordination.rs
+++ b/crates/entry/src/coordination.rs
@@ -277,9 +277,10 @@
         if let Some(better) = better {
             coordinators.add_referred(better, now);
         }
+        let mut node = self.node.borrow_mut();
+        node.steering_mut().record_outside_answer(now);
         // The list is empty if the sender does not see its zone.
         if !loads.is_empty() {
-            let mut node = self.node.borrow_mut();
             node.steering_mut().record_remote_loads(zone, loads, now);
         }
     }
--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -53,6 +53,10 @@
         let cause = match result {
             Ok(Ok(response)) => {
                 self.peers.borrow_mut().record_call(address, now, true);
+                if self.peers.borrow().is_outside(address) {
+                    let mut node = self.node.borrow_mut();
+                    node.steering_mut().record_outside_answer(answered);
+                }
                 if response.is_referral {
                     return self.leave(response, address, answered, now);
                 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -224,8 +224,14 @@
         });
         self.record_admissions();
         for event in self.steering.sweep(now) {
-            if let SteeringEvent::StallEnded { .. } = event {
-                metrics::counter!("stalls_ended").increment(1);
+            match event {
+                SteeringEvent::StallEnded { .. } => metrics::counter!("stalls_ended").increment(1),
+                SteeringEvent::IsolationBegan { .. } => metrics::gauge!("isolated").set(1.0),
+                SteeringEvent::IsolationEnded { opened, .. } => {
+                    metrics::gauge!("isolated").set(0.0);
+                    metrics::counter!("evacuated_openings").increment(opened);
+                }
+                _ => {}
             }
             let limit = match event {
                 SteeringEvent::TimedOut { .. } => &UNANSWERED,
@@ -239,6 +245,8 @@
                 | SteeringEvent::ColdShare { .. }
                 | SteeringEvent::OverloadBegan { .. }
                 | SteeringEvent::OverloadEnded { .. }
+                | SteeringEvent::IsolationBegan { .. }
+                | SteeringEvent::IsolationEnded { .. }
                 | SteeringEvent::ZoneUnresponsive { .. }
                 | SteeringEvent::ZoneRecovered(_) => &TARGET_CHANGES,
             };
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -271,7 +271,11 @@
     let now = BootClock.now();
     peers.borrow_mut().record_sample(&response.peers);
     let synced = response.synced(called);
+    let is_outside = peers.borrow().is_outside(address);
     let mut node = node.borrow_mut();
+    if is_outside {
+        node.steering_mut().record_outside_answer(called);
+    }
     node.record_transfer(response.size, now);
     let Some(changes) = response.changes else {
         return true;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -265,6 +265,15 @@
         self.zone_lowest.retain(|peer| peer.ip() != *address.ip());
     }
 
+    /// Whether a peer is known to be in another zone.
+    pub fn is_outside(&self, address: SocketAddr) -> bool {
+        let zone = self
+            .find(address)
+            .ok()
+            .and_then(|at| self.list[at].zone.as_ref());
+        zone.is_some_and(|zone| *zone != self.own.zone)
+    }
+
     /// Returns the other zones of the known peers.
     pub fn other_zones(&self) -> Vec<ZoneId> {
         let zones = self.list.iter().filter_map(|peer| peer.zone.clone());
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -91,6 +91,7 @@
             slack: limit.slack,
         }),
         target_speed: entry.target_speed,
+        evacuated_last_resort: entry.evacuated_last_resort,
     });
     let node = Rc::new(RefCell::new(Node::new(steering)));
     let own = PeerInfo {
--- a/crates/measure/src/entry.rs
+++ b/crates/measure/src/entry.rs
@@ -239,6 +239,7 @@
             flow_limit: FLOW_LIMIT,
             cold_policy: None,
             target_speed: true,
+            evacuated_last_resort: true,
         }));
         let now = BootClock.now();
         node.apply(documents(target), now, now, Source::Store);
--- a/crates/steer/benches/steering.rs
+++ b/crates/steer/benches/steering.rs
@@ -50,6 +50,7 @@
         flow_limit: FLOWS as usize,
         cold_policy: None,
         target_speed: true,
+        evacuated_last_resort: true,
     });
     let routes = (0..targets.div_ceil(per_service)).map(|number| Route {
         frontend: frontend(number),
--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -212,7 +212,7 @@
     /// Whether no target can have been sent the opening: its first transmission was received now. The
     /// earlier transmissions of a retransmitted one may have passed through another VM.
     pub fn is_unsent(&self) -> bool {
-        self.header.ack == 0
+        self.header.is_first_opening()
     }
 
     fn is_same(&self, flow: &FlowId, origin: Origin) -> bool {
--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -82,6 +82,9 @@
     /// The service is full, and the opening can't be served within its latency goal.
     #[display("overloaded")]
     Overloaded,
+    /// This VM reaches nothing outside its zone, and no target of its zone takes new flows.
+    #[display("isolated")]
+    Isolated,
     /// The target has ended, or has been restarted and no longer holds the flow.
     #[display("target_gone")]
     TargetGone,
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -61,6 +61,20 @@
         /// Number of unresponsive targets.
         targets: u32,
     },
+    /// This VM reaches nothing outside its zone.
+    #[display("event=isolation_began view_age_ms={}", view_age.as_millis())]
+    IsolationBegan {
+        /// Age of the view.
+        view_age: Duration,
+    },
+    /// Something outside the zone of this VM has answered.
+    #[display("event=isolation_ended elapsed_ms={} opened={opened}", elapsed.as_millis())]
+    IsolationEnded {
+        /// Time since the start.
+        elapsed: Duration,
+        /// Flows opened in the evacuated zone of this VM.
+        opened: u64,
+    },
     /// A target of an unresponsive zone answers.
     #[display("event=zone_trusted zone={_0}")]
     ZoneRecovered(ZoneId),
--- a/crates/steer/src/header.rs
+++ b/crates/steer/src/header.rs
@@ -83,6 +83,12 @@
         self.flags.syn && !self.flags.ack
     }
 
+    /// Whether the packet is the first transmission of an opening packet, so that no target can have
+    /// received it before.
+    pub fn is_first_opening(&self) -> bool {
+        self.is_opening() && self.ack == 0
+    }
+
     /// Whether the packet cannot come from a caller: only a target answers an opening packet.
     pub fn is_forged(&self) -> bool {
         self.flags.syn && (self.flags.ack || self.flags.fin || self.flags.rst)
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -13,7 +13,8 @@
 //! answer, [`stall`] detects targets that do not acknowledge data, [`timing`] derives timeouts from observed
 //! response times, [`target_speed`] learns how fast each target is, [`missing_entry`] handles
 //! targets whose published entry was removed, [`evacuation`] excludes the targets of evacuated
-//! zones from new flows, [`resumption`] drops openings that waited while this process was paused,
+//! zones from new flows, [`isolation`] detects that everything outside the zone is out of reach,
+//! [`resumption`] drops openings that waited while this process was paused,
 //! [`zone_load`] adds the load that other VMs of the zone place on a target, and [`unknown_token`]
 //! handles tokens that belong to no known target.
 
@@ -24,6 +25,7 @@
 mod event;
 mod flows;
 mod header;
+pub mod isolation;
 mod load;
 pub mod missing_entry;
 mod path;
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -7,6 +7,7 @@
 mod admitting;
 mod asking;
 mod coordination;
+mod isolated;
 mod opening;
 mod signals;
 mod speed;
@@ -29,6 +30,7 @@
 use crate::cold_budget::{ColdBudgets, ColdPolicy};
 use crate::evacuation::Evacuations;
 use crate::flows::Flows;
+use crate::isolation::Isolation;
 use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
 use crate::path::PathRecord;
 use crate::resumption::Resumption;
@@ -63,6 +65,9 @@
     pub cold_policy: Option<ColdPolicy>,
     /// Whether placement follows the learned speeds of targets.
     pub target_speed: bool,
+    /// Whether an isolated VM opens flows at the targets of its own zone if the zone is evacuated;
+    /// otherwise it rejects them.
+    pub evacuated_last_resort: bool,
 }
 
 /// How current the view is.
@@ -94,6 +99,7 @@
     unknown_tokens: UnknownTokens,
     zones: UnresponsiveZones,
     evacuations: Evacuations,
+    isolation: Isolation,
     resumption: Resumption,
     paths: PathRecord,
     timings: ServiceTimings,
@@ -139,6 +145,7 @@
             unknown_tokens: UnknownTokens::default(),
             zones: UnresponsiveZones::default(),
             evacuations: Evacuations::default(),
+            isolation: Isolation::default(),
             resumption: Resumption::default(),
             paths: PathRecord::default(),
             timings: ServiceTimings::default(),
@@ -278,6 +285,12 @@
         let Some(index) = below_limit.or_else(|| select(&selector)) else {
             return reject(ResetCause::NoTarget, is_settled);
         };
+        if selector.is_out_of_reach(index)
+            && header.is_first_opening()
+            && self.rejects_isolated(now)
+        {
+            return Decision::Reset(ResetCause::Isolated);
+        }
         match origin {
             Origin::Local => self.open_at(header, index, now),
             Origin::Vm(vm) => self.grant(vm, header, index, now),
@@ -299,6 +312,7 @@
             let selector = self.selector((service, header.flow.key()), None, now);
             selector.queue_timeout(index)
         });
+        self.record_isolated(index, now);
         let Some(record) = self.targets.get_mut(index) else {
             return Decision::Drop(DropCause::ViewNotCurrent);
         };
--- a/crates/steer/src/steering/asking.rs
+++ b/crates/steer/src/steering/asking.rs
@@ -54,7 +54,7 @@
             },
             // Another VM may have sent an earlier transmission to a target, and a reset would then
             // claim wrongly that the request has not run.
-            Answer::Reject if header.ack == 0 => (
+            Answer::Reject if header.is_first_opening() => (
                 AnswerOutcome::Rejected,
                 Decision::Reset(ResetCause::RejectedByZone),
             ),
--- a/crates/steer/src/steering/coordination.rs
+++ b/crates/steer/src/steering/coordination.rs
@@ -327,6 +327,7 @@
             targets: &self.targets,
             zones: &self.zones,
             evacuations: &self.evacuations,
+            uses_evacuated: self.uses_evacuated(now),
             timings: &self.timings,
             cold: self.cold_budgets.service(service),
             uses_speed: self.settings.target_speed,
--- a/crates/steer/src/steering/opening.rs
+++ b/crates/steer/src/steering/opening.rs
@@ -21,6 +21,8 @@
     pub targets: &'a TargetTable,
     pub zones: &'a UnresponsiveZones,
     pub evacuations: &'a Evacuations,
+    /// Whether the targets of this zone take new flows although the zone is evacuated.
+    pub uses_evacuated: bool,
     pub timings: &'a ServiceTimings,
     /// Limit on openings at cold targets of the service.
     pub cold: Option<&'a ColdBudget>,
@@ -121,9 +123,16 @@
         })
     }
 
+    /// Whether a target is unresponsive and in another zone.
+    pub(super) fn is_out_of_reach(&self, index: TargetIndex) -> bool {
+        let record = self.targets.get(index);
+        record.is_some_and(|record| !self.is_local(record) && self.is_unresponsive(record))
+    }
+
     /// Whether evacuations and the limit on openings at cold targets admit the flow at a target.
     fn is_admitted(&self, record: &TargetRecord) -> bool {
-        if self.evacuations.contains(&record.target.zone) {
+        let is_last_resort = self.uses_evacuated && self.is_local(record);
+        if self.evacuations.contains(&record.target.zone) && !is_last_resort {
             return false;
         }
         let cold = self.cold.filter(|_| record.load.is_cold(self.now));
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -214,6 +214,7 @@
         let remote = records.filter(|record| record.target.zone != *local_zone);
         let loads = remote.map(|record| (&record.target.zone, &record.load));
         events.extend(self.zones.update(loads, now));
+        events.extend(self.update_isolation(now));
         self.ended.extend(self.targets.expire(now));
         events.extend(self.ended.drain(..).map(SteeringEvent::Ended));
         events
--- a/crates/steer/src/zone.rs
+++ b/crates/steer/src/zone.rs
@@ -46,6 +46,11 @@
         probed.is_some_and(|probed| now.since(probed) < PROBE_INTERVAL)
     }
 
+    /// Whether a zone is unresponsive, also while a flow may probe it.
+    pub fn contains(&self, zone: &ZoneId) -> bool {
+        self.find(zone).is_ok()
+    }
+
     /// Records that a flow was placed in a zone. In an unresponsive zone the flow is a probe.
     pub fn record_opening(&mut self, zone: &ZoneId, now: Moment) {
         if let Ok(at) = self.find(zone) {
--- a/tests/src/steering.rs
+++ b/tests/src/steering.rs
@@ -64,6 +64,7 @@
         flow_limit: 1_000,
         cold_policy: None,
         target_speed: true,
+        evacuated_last_resort: true,
     });
     steering.set_routes(routes());
     for target in targets {
--- a/tests/tests/admission.rs
+++ b/tests/tests/admission.rs
@@ -386,6 +386,7 @@
         flow_limit: 100_000,
         cold_policy: None,
         target_speed: true,
+        evacuated_last_resort: true,
     });
     let routes = KINDS.map(|kind| Route {
         priority: kind.priority,
--- a/tests/tests/cold_budget.rs
+++ b/tests/tests/cold_budget.rs
@@ -59,6 +59,7 @@
         flow_limit: 100_000,
         cold_policy: policy,
         target_speed: true,
+        evacuated_last_resort: true,
     });
     steering.set_routes(limited_routes(rate));
     steering
--- a/tests/tests/config.rs
+++ b/tests/tests/config.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use bambooseam_config::{Document, Preset, PresetPointer, Settings, TargetList, VmList, digest_of};
+use bambooseam_config::{
+    Document, EntrySettings, Preset, PresetPointer, Settings, TargetList, VmList, digest_of,
+};
 use bambooseam_standin::{DeploymentKind, Plan};
 use bambooseam_types::Findings;
 use bambooseam_view::{View, ViewSource};
@@ -70,7 +72,7 @@
 }
 
 #[test]
-fn learned_speeds_are_on_unless_switched_off() {
+fn switches_are_on_unless_switched_off() {
     let read = |line: &str| {
         let text = format!(
             "[vm]\nid = vm-1\nzone = north\naddress = 127.0.0.1\n[platform]\n\
@@ -80,18 +82,24 @@
         let document = Document::parse("vm.ini", &text).expect("valid INI");
         Settings::try_from(&document)
     };
-    for (line, is_on) in [
-        ("", true),
-        ("target-speed = on", true),
-        ("target-speed = off", false),
+    type Switch = fn(&EntrySettings) -> bool;
+    let target_speed: Switch = |entry| entry.target_speed;
+    let last_resort: Switch = |entry| entry.evacuated_last_resort;
+    for (key, switch) in [
+        ("target-speed", target_speed),
+        ("evacuated-last-resort", last_resort),
     ] {
-        let settings = read(line).expect("valid settings");
-        assert_eq!(settings.entry.map(|entry| entry.target_speed), Some(is_on));
+        for (line, is_on) in [
+            (String::new(), true),
+            (format!("{key} = on"), true),
+            (format!("{key} = off"), false),
+        ] {
+            let entry = read(&line).expect("valid settings").entry;
+            assert_eq!(entry.as_ref().map(switch), Some(is_on));
+        }
+        let report = read(&format!("{key} = yes")).expect_err("not a switch");
+        assert!(report.to_string().contains("on or off"), "{report}");
     }
-    let report = read("target-speed = yes")
-        .expect_err("not a switch")
-        .to_string();
-    assert!(report.contains("on or off"), "{report}");
 }
 
 /// Guards against VMs that do not start because the platform leaves out a margin of 0.
--- a/tests/tests/docs.rs
+++ b/tests/tests/docs.rs
@@ -7,7 +7,7 @@
 use bambooseam_config::{Document, Settings};
 
 /// Keys of settings and documents.
-const KEYS: [&str; 57] = [
+const KEYS: [&str; 58] = [
     "id",
     "zone",
     "address",
@@ -65,6 +65,7 @@
     "cold-excess",
     "cold-slack",
     "target-speed",
+    "evacuated-last-resort",
 ];
 
 fn root() -> PathBuf {
--- a/tests/tests/evacuation.rs
+++ b/tests/tests/evacuation.rs
@@ -253,6 +253,7 @@
                 flow_limit: 1_000,
                 cold_policy: None,
                 target_speed: true,
+                evacuated_last_resort: true,
             })),
             opened: 0,
         }
--- a/tests/tests/fleet_start.rs
+++ b/tests/tests/fleet_start.rs
@@ -394,6 +394,7 @@
         flow_limit: 16,
         cold_policy: None,
         target_speed: true,
+        evacuated_last_resort: true,
     });
     let node = Rc::new(RefCell::new(Node::new(steering)));
     let peers = Rc::new(RefCell::new(Peers::new(vm(0), &[])));
--- a/tests/tests/node.rs
+++ b/tests/tests/node.rs
@@ -14,6 +14,7 @@
         flow_limit: 1_000,
         cold_policy: None,
         target_speed: true,
+        evacuated_last_resort: true,
     }))
 }
 
--- a/tests/tests/target_speed.rs
+++ b/tests/tests/target_speed.rs
@@ -317,6 +317,7 @@
         flow_limit: 1_000,
         cold_policy: None,
         target_speed,
+        evacuated_last_resort: true,
     });
     steering.set_routes(routes());
     for target in targets {
--- a/tests/tests/target_speed_replay.rs
+++ b/tests/tests/target_speed_replay.rs
@@ -188,6 +188,7 @@
                 flow_limit: 10_000,
                 cold_policy: None,
                 target_speed: policy == Policy::Learned,
+                evacuated_last_resort: true,
             });
             let routes = [ORDERS, CHARTS].map(|frontend| route(frontend, "orders"));
             steering.set_routes(Routes::new(routes.into(), None));
--- a/tests/tests/zone_load/model.rs
+++ b/tests/tests/zone_load/model.rs
@@ -113,6 +113,7 @@
         flow_limit: 100_000,
         cold_policy: None,
         target_speed: true,
+        evacuated_last_resort: true,
     });
     steering.set_routes(routes());
     for number in 1..=TARGETS {
