Read the store 25 ms after a seed without power was asked

Change: the connection to a seed has 25 ms; the kernel of a seed that is only busy accepts it at once, and such a seed still has 150 ms to answer.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,7 +21,7 @@
 mod process;
 mod reader;
 mod reload;
-mod starter;
+pub mod starter;
 mod stop;
 
 pub use clock::BootClock;
--- a/crates/entry/src/starter.rs
+++ b/crates/entry/src/starter.rs
@@ -20,6 +20,10 @@
 use crate::node::{SharedNode, Source};
 use crate::peering::SharedPeers;
 
+/// Time for which reading waits for the connection to a seed. The seed's kernel accepts connections
+/// while its process is busy, so a seed that takes longer has no power or is cut off.
+const CONNECT_PAUSE: Duration = Duration::from_millis(25);
+
 /// Time for which reading waits for the answer of a seed. A seed that starts at the same time answers
 /// when it has accepted the connections of the whole fleet.
 const SEED_PAUSE: Duration = Duration::from_millis(150);
@@ -77,7 +81,7 @@
     }
 
     /// Obtains a copy; returns false when this VM must read the store.
-    pub(crate) async fn run(&self) -> bool {
+    pub async fn run(&self) -> bool {
         let seeds = self.peers.borrow().seeds_to_ask();
         for seed in seeds.iter().cycle() {
             match self.ask(*seed).await {
@@ -102,12 +106,25 @@
 
     /// Asks a seed where to get the copy.
     async fn ask(&self, seed: SocketAddr) -> Result<SyncResponse, PeerError> {
-        let mut answer = pin!(self.request(seed, Duration::ZERO));
-        if let Ok(answer) = timeout(SEED_PAUSE, &mut answer).await {
-            return answer;
-        }
-        self.permit(ReadPermit::All);
-        let answer = timeout(SEED_TIMEOUT - SEED_PAUSE, answer).await;
+        let answer = async {
+            let mut connect = pin!(ReplicaClient::connect(seed, Arc::clone(&self.meter)));
+            let client = match timeout(CONNECT_PAUSE, &mut connect).await {
+                Ok(client) => client?,
+                Err(_) => {
+                    self.permit(ReadPermit::All);
+                    connect.await?
+                }
+            };
+            let mut answer = pin!(self.request(&client, Duration::ZERO));
+            match timeout(SEED_PAUSE, &mut answer).await {
+                Ok(answer) => answer,
+                Err(_) => {
+                    self.permit(ReadPermit::All);
+                    answer.await
+                }
+            }
+        };
+        let answer = timeout(SEED_TIMEOUT, answer).await;
         answer.unwrap_or(Err(PeerError::Io(std::io::ErrorKind::TimedOut.into())))
     }
 
@@ -119,7 +136,10 @@
         let address = source.address;
         log::info!("event=first_copy_assigned peer={address}");
         self.peers.borrow_mut().record_gossiped(source);
-        let mut copy = pin!(self.request(address, MAX_WAIT));
+        let mut copy = pin!(async {
+            let client = ReplicaClient::connect(address, Arc::clone(&self.meter)).await?;
+            self.request(&client, MAX_WAIT).await
+        });
         let steps = [
             (ReadPermit::Nothing, FIRST_PAUSE),
             (ReadPermit::FirstPage, NEXT_PAUSE),
@@ -145,7 +165,7 @@
 
     async fn request(
         &self,
-        address: SocketAddr,
+        client: &ReplicaClient,
         wait: Duration,
     ) -> Result<SyncResponse, PeerError> {
         let request = SyncRequest {
@@ -156,7 +176,6 @@
             is_starting: true,
             accepts_referral: true,
         };
-        let client = ReplicaClient::connect(address, Arc::clone(&self.meter)).await?;
         client.sync(&request).await
     }
 
