--- a/crates/steer/src/isolation.rs
+++ b/crates/steer/src/isolation.rs
@@ -44,8 +44,10 @@
     vm_answer: Option<Moment>,
     /// When a flow was last opened in another zone.
     probed: Option<Moment>,
-    /// When the isolation began, if it has been reported and has not ended.
+    /// When the isolation was first noticed, until its end is reported.
     since: Option<Moment>,
+    /// Whether the start has been reported.
+    is_reported: bool,
     /// Flows opened in the evacuated zone of this VM since the last reported end.
     opened: u64,
 }
@@ -92,25 +94,23 @@
     }
 
     /// Records that a flow was opened in the evacuated zone of this VM.
-    pub fn record_last_resort(&mut self) {
+    pub fn record_last_resort(&mut self, now: Moment) {
+        self.since.get_or_insert(now);
         self.opened += 1;
     }
 
-    /// Updates whether this VM is isolated. Returns the change since the last update.
+    /// Updates whether this VM is isolated. Returns the change since the last update; only the end of
+    /// an isolation that began and ended in between.
     pub fn update(&mut self, is_isolated: bool, now: Moment) -> Option<IsolationChange> {
-        match (self.since, is_isolated) {
-            (None, true) => {
-                self.since = Some(now);
-                Some(IsolationChange::Began)
-            }
-            (Some(since), false) => {
-                self.since = None;
-                Some(IsolationChange::Ended {
-                    elapsed: now.since(since),
-                    opened: std::mem::take(&mut self.opened),
-                })
-            }
-            _ => None,
+        if is_isolated {
+            self.since.get_or_insert(now);
+            let was_reported = std::mem::replace(&mut self.is_reported, true);
+            return (!was_reported).then_some(IsolationChange::Began);
         }
+        self.is_reported = false;
+        Some(IsolationChange::Ended {
+            elapsed: now.since(self.since.take()?),
+            opened: std::mem::take(&mut self.opened),
+        })
     }
 }
--- a/crates/steer/src/steering/isolated.rs
+++ b/crates/steer/src/steering/isolated.rs
@@ -39,7 +39,7 @@
         match self.is_local(record) {
             false => self.isolation.record_probe(now),
             true if self.evacuations.contains(&record.target.zone) => {
-                self.isolation.record_last_resort();
+                self.isolation.record_last_resort(now);
             }
             true => {}
         }
--- a/tests/tests/entry_evacuation.rs
+++ b/tests/tests/entry_evacuation.rs
@@ -309,3 +309,54 @@
     running.wait_served(0).await;
     running.check();
 }
+
+/// Opens flows through the first VM, four at a time, until `is_met`; the openings of one round end
+/// within 1.4 s.
+async fn open_until(running: &RunningSite, is_met: impl Fn() -> bool) -> Duration {
+    let start = Instant::now();
+    let vm = running.site.vms[0].datagrams();
+    while !is_met() {
+        assert!(
+            start.elapsed() < WAIT_TIMEOUT,
+            "{}",
+            running.site.vms[0].log()
+        );
+        let open = || running.site.callers[0].open(running.orders, Some(vm));
+        let _ = tokio::join!(open(), open(), open(), open());
+    }
+    start.elapsed()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuated_zone_that_is_cut_off_serves_until_the_store_answers_again() {
+    let mut running = RunningSite::start(&[1, 1], 2).await;
+    running.site.evacuate(EVACUATED).expect("a revision");
+    wait_evacuated(&running, &[0, 1], true, Instant::now()).await;
+    assert_empty(&running, &[0]).await;
+    // For the VM of the evacuated zone, the other zone and the store are gone. The entries stay.
+    for target in running.targets.split_off(2) {
+        let key = format!("servers/{}", target.plan().id);
+        let item = running.site.store.lock().get(&key).cloned();
+        target.crash().await;
+        let entry = item.expect("an entry").value;
+        running.site.store.put_bytes(&key, entry, None);
+    }
+    running.site.vms[1].kill().await;
+    running.site.vms[0].store_server.set_fault(Fault::Silent);
+    let before = openings(&running, EVACUATED);
+    let time = open_until(&running, || openings(&running, EVACUATED) > before + 10).await;
+    println!("isolated_ms={}", time.as_millis());
+    let vm = &running.site.vms[0];
+    vm.store_server.set_fault(Fault::None);
+    let start = Instant::now();
+    while !vm.log().contains("event=isolation_ended") {
+        assert!(start.elapsed() < WAIT_TIMEOUT, "{}", vm.log());
+        pause(20).await;
+    }
+    // Nothing new is opened in the zone, although nothing else answers.
+    let before = openings(&running, EVACUATED);
+    open_until(&running, || start.elapsed() > Duration::from_secs(4)).await;
+    assert_eq!(openings(&running, EVACUATED), before);
+    running.site.vms[1].start().expect("the VM starts");
+    running.check();
+}
--- a/tests/tests/isolation.rs
+++ b/tests/tests/isolation.rs
@@ -236,6 +236,22 @@
     assert_eq!(opened, Some(own.into()));
 }
 
+#[test]
+fn isolation_between_two_sweeps_is_reported_with_its_flows() {
+    let mut vm = Vm::new(true);
+    vm.cut_off();
+    vm.open(NOTICED + 1);
+    let decision = vm.open(NOTICED + 2);
+    assert_eq!(vm.zone_of(decision), Some(zone("a")));
+    vm.steering.record_sync(at(NOTICED + 10));
+    let events = vm.steering.sweep(at(NOTICED + 20));
+    let opened = events.iter().find_map(|event| match event {
+        SteeringEvent::IsolationEnded { opened, .. } => Some(*opened),
+        _ => None,
+    });
+    assert!(opened >= Some(1), "{events:?}");
+}
+
 #[test]
 fn service_without_targets_in_the_zone_is_rejected_at_once() {
     let mut vm = Vm::new(true);
