Let openings use the queues of other zones before they are rejected

Change: the fraction of a request counts at that fraction of the targets, which differ from flow to flow; a target of a zone with a known load is full at half of what the queues here take beyond its capacity.

Test: zone_load, openings_use_the_queues_of_other_zones_before_they_are_ rejected (before: none of 100 at a load of 55%).

--- a/crates/steer/src/steering/opening.rs
+++ b/crates/steer/src/steering/opening.rs
@@ -164,7 +164,18 @@
     fn in_progress(&self, record: &TargetRecord) -> u32 {
         let counted = record.load.busy + self.zone_load.count(record.token).total();
         let percent = self.remote_percent(record).unwrap_or_default();
-        counted.max((u32::from(percent) * record.target.capacity).div_ceil(100))
+        counted.max(self.mean_in_progress(record, u32::from(percent)))
+    }
+
+    /// Requests in progress at a target of a zone with the load `percent`. The fraction of a request
+    /// counts as one at that fraction of the targets, which differ from flow to flow. Rounded up at each
+    /// target, a load of half of the slots would look like a full zone.
+    fn mean_in_progress(&self, record: &TargetRecord, percent: u32) -> u32 {
+        let hundredths = percent * record.target.capacity;
+        let label = record.target.label.get();
+        let draw = (self.key.get() ^ label).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
+        let is_rounded_up = (draw % 100) as u32 > 99 - hundredths % 100;
+        hundredths / 100 + u32::from(is_rounded_up)
     }
 
     /// Load of the service in the zone of a target, if that is another zone whose load is known.
@@ -189,15 +200,16 @@
     /// Number of requests that a target can take before it is at its limit.
     ///
     /// The limit of a target of this zone is learned; at first it is the capacity and one more, so
-    /// that the next request is at hand. A target of another zone takes its capacity if the load of
-    /// that zone is known. Otherwise half of it leaves room in its queue for three zones that do the
-    /// same.
+    /// that the next request is at hand. If the load of another zone is known, a target there takes
+    /// half of what the queues of this zone take beyond its capacity, so that openings wait in the
+    /// queues of all zones before any is rejected, and zones that are equally full exchange none.
+    /// Otherwise half of its capacity leaves room in its queue for three zones that do the same.
     fn room(&self, record: &TargetRecord) -> u32 {
         let capacity = record.target.capacity.max(1);
         let limit = match (self.is_local(record), self.remote_percent(record)) {
             (true, _) if self.uses_speed && record.speed.is_limited() => record.speed.limit(),
             (true, _) => self.usual_limit(capacity),
-            (false, Some(_)) => capacity,
+            (false, Some(_)) => self.usual_limit(capacity).midpoint(capacity),
             (false, None) => capacity.div_ceil(2),
         };
         limit.saturating_sub(self.in_progress(record))
--- a/tests/tests/zone_load.rs
+++ b/tests/tests/zone_load.rs
@@ -9,7 +9,8 @@
 use bambooseam_steer::zone_load::questions::Answer;
 use bambooseam_steer::zone_load::{Count, Group, LoadReport, ServiceKey, ServiceLoad};
 use bambooseam_steer::{
-    AnswerOutcome, Decision, DropCause, Origin, Placement, ResetCause, Steering, Target,
+    AnswerOutcome, Decision, DropCause, Origin, Placement, ResetCause, Route, Routes, Steering,
+    Target,
 };
 use bambooseam_tests::steering::*;
 use model::{Mode, Outcome, Plan, address, run};
@@ -603,6 +604,49 @@
     );
 }
 
+/// Whether opening `number` goes to zone `b`, whose load is `percent`, while the queues of all targets
+/// of zone `a` are as full as they may be. Otherwise it waits.
+fn spills_from_full_queues(number: u32, percent: u16) -> bool {
+    let remote = |number| Target {
+        zone: "b".parse().expect("a zone"),
+        ..target(number)
+    };
+    let mut steering = steering((1..=10).map(target).chain((11..=20).map(remote)));
+    let goal = Route {
+        latency_goal: Some(Duration::from_millis(300)),
+        ..route(ORDERS, "orders")
+    };
+    steering.set_routes(Routes::new(vec![goal], None));
+    steering.set_coordinators(vec![Some(Origin::Local)], at(0));
+    let counts: Vec<_> = (1..=10).map(|number| (target(number), 4)).collect();
+    steering.record_report(address(1), &report(1, 0, &counts), at(0));
+    let zone = "b".parse().expect("a zone");
+    steering.record_remote_loads(&zone, &[orders_load(percent)], at(0));
+    match answer(&mut steering, 1, number, 0) {
+        Answer::Place(token) => (11..=20).any(|number| remote(number).token() == token),
+        Answer::Wait(_) => false,
+        other => panic!("{other:?} for an opening that can be served"),
+    }
+}
+
+#[test]
+fn openings_use_the_queues_of_other_zones_before_they_are_rejected() {
+    // Guards against a zone that rejects openings while another one has no queue at all.
+    let spilled = |percent| {
+        let numbers = 1..=100;
+        numbers
+            .filter(|number| spills_from_full_queues(*number, percent))
+            .count()
+    };
+    for percent in [0, 55, 95, 100, 120] {
+        assert_eq!(spilled(percent), 100, "at {percent} %");
+    }
+    // Two zones whose queues are equally full would only exchange their openings.
+    for percent in [150, 200, 300] {
+        assert_eq!(spilled(percent), 0, "at {percent} %");
+    }
+}
+
 #[test]
 fn load_of_another_zone_is_forgotten_after_a_second() {
     let mut steering = coordinator_beside_another_zone();
