Add review case 1: flows of a backend that starts again are reset

Cause: the token of a flow contains the start of its target as the placing VM knew it. A backend that starts again under its id accepts flows under the token of its earlier start until the VMs have read its new entry; from then on they reset every packet with that token, for as long as they run.

--- /dev/null
+++ b/review/standin/src/main.rs
@@ -0,0 +1,48 @@
+//! Runs the review's cases against the project's programs. Exits with 1 if a rule was broken, with
+//! 0 if it held, and with 2 if the case couldn't run.
+
+mod backend;
+mod record;
+mod restart;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use crate::record::Record;
+
+/// Outcome of a case: whether the rule held, or why the case couldn't run.
+pub type Outcome = Result<bool, String>;
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let [case, program, record] = &words[..] else {
+        eprintln!("usage: review-standin CASE PROGRAM RECORD");
+        return ExitCode::from(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let outcome = run(case, program, record, has_trouble);
+    match outcome {
+        Ok(true) => {
+            println!("held");
+            ExitCode::SUCCESS
+        }
+        Ok(false) => {
+            println!("broken");
+            ExitCode::from(1)
+        }
+        Err(cause) => {
+            eprintln!("could not run: {cause}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(case: &str, program: &str, record: &str, has_trouble: bool) -> Outcome {
+    let runtime = tokio::runtime::Runtime::new().map_err(|e| e.to_string())?;
+    let record = Record::create(Path::new(record)).map_err(|e| e.to_string())?;
+    record.line(&format!("case {case}, trouble: {has_trouble}"));
+    match case {
+        "restart" => runtime.block_on(restart::run(program, &record, has_trouble)),
+        _ => Err(format!("no case is named {case:?}")),
+    }
+}
