Add review case 2: a started VM sends old SYNs to a second backend

Cause: a VM that starts holds opening packets for up to 500 ms until its first view. Their callers send a copy after 200 ms, which another VM may have placed once the routers have taken the started VM out of rotation. Two backends answer one opening then, and the packets of the flow follow the wrong one.

Done: stand-ins of clients that echo what they received last, and a script that kills a VM while the store is slow.

--- a/review/standin/src/backend.rs
+++ b/review/standin/src/backend.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bambooseam_standin::site::{Flags, Packet, Store};
@@ -42,6 +42,23 @@
     pub address: SocketAddrV4,
 }
 
+/// Packets of established flows that have reached backends, by the port of the caller.
+#[derive(Clone, Default)]
+pub struct Arrivals(Arc<Mutex<HashMap<u16, Vec<(f64, String)>>>>);
+
+impl Arrivals {
+    /// Times and backends of the packets of one flow.
+    pub fn of(&self, port: u16) -> Vec<(f64, String)> {
+        let arrivals = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        arrivals.get(&port).cloned().unwrap_or_default()
+    }
+
+    fn add(&self, port: u16, time: f64, backend: &str) {
+        let mut arrivals = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        arrivals.entry(port).or_default().push((time, backend.to_owned()));
+    }
+}
+
 /// A running start of a backend.
 pub struct Backend {
     pub plan: Plan,
@@ -73,6 +90,7 @@
         is_cut: &Arc<AtomicBool>,
         store: &Store,
         record: &Record,
+        arrivals: &Arrivals,
     ) -> io::Result<Self> {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let born = born.as_millis() as u64;
@@ -85,6 +103,7 @@
             socket,
             flows: HashMap::new(),
             record: record.clone(),
+            arrivals: arrivals.clone(),
         };
         let beats = beat(plan.clone(), born, is_cut.clone(), store.clone(), record.clone());
         Ok(Self {
@@ -141,6 +160,7 @@
     socket: UdpSocket,
     flows: HashMap<(SocketAddrV4, SocketAddrV4), Flow>,
     record: Record,
+    arrivals: Arrivals,
 }
 
 impl Server {
@@ -179,6 +199,8 @@
         if packet.flags.contains(Flags::SYN) {
             return self.open(&packet).await;
         }
+        let time = self.record.seconds();
+        self.arrivals.add(packet.src.port(), time, &self.name);
         let Some(flow) = self.flows.get_mut(&key) else {
             let mut reset = Packet::new(packet.dst, packet.src, Flags::RST);
             reset.seq = packet.ack;
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,6 +2,8 @@
 //! 0 if it held, and with 2 if the case couldn't run.
 
 mod backend;
+mod client;
+mod copies;
 mod record;
 mod restart;
 
@@ -42,6 +44,7 @@
     let record = Record::create(Path::new(record)).map_err(|e| e.to_string())?;
     record.line(&format!("case {case}, trouble: {has_trouble}"));
     match case {
+        "copies" => runtime.block_on(copies::run(program, &record, has_trouble)),
         "restart" => runtime.block_on(restart::run(program, &record, has_trouble)),
         _ => Err(format!("no case is named {case:?}")),
     }
--- a/review/standin/src/restart.rs
+++ b/review/standin/src/restart.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep, sleep_until};
 
 use crate::Outcome;
-use crate::backend::{Backend, Plan};
+use crate::backend::{Arrivals, Backend, Plan};
 use crate::record::Record;
 
 /// VMs of each zone, as in the smallest deployment.
@@ -49,6 +49,7 @@
     let text = |error: std::io::Error| error.to_string();
     let mut site = Site::new(&plan).await.map_err(text)?;
     let frontend = site.add_route("fillhouse");
+    let arrivals = Arrivals::default();
     let mut backends = Vec::new();
     let network = site.vms[0].datagrams().ip().to_string();
     let network: Ipv4Addr = network.parse().map_err(|_| "no IPv4 address")?;
@@ -62,7 +63,7 @@
                 address: SocketAddrV4::new(Ipv4Addr::new(a, b, 64 + zone, number), 8080),
             };
             let is_cut = Arc::new(AtomicBool::new(false));
-            let started = Backend::start(&plan, &is_cut, &site.store, record).await;
+            let started = Backend::start(&plan, &is_cut, &site.store, record, &arrivals).await;
             backends.push(started.map_err(text)?);
         }
     }
@@ -92,7 +93,7 @@
         at(CRASH).await;
         backends.remove(0).crash(record).await;
         at(START).await;
-        let started = Backend::start(&restarted, &is_cut, &site.store, record).await;
+        let started = Backend::start(&restarted, &is_cut, &site.store, record, &arrivals).await;
         let started = started.map_err(text)?;
         name = format!("{}@{}", restarted.id, started.born);
         backends.push(started);
