Add review case 3: a VM that was frozen sends old SYNs to a second backend

Cause: after a pause, openings are dropped only until the view is current again. SYNs that lay in the socket's buffer for seconds are then placed, though copies of them have opened flows through other VMs. Two backends answer one opening, and the packets of the flow follow the wrong one.

--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -6,12 +6,13 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use bambooseam_standin::site::{Flags, Packet, Router};
+use bambooseam_standin::site::{Flags, Packet};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{sleep_until, timeout_at};
 
 use crate::record::Record;
+use crate::routers::Routers;
 
 /// Times after the first SYN at which its copies are sent; the last one is the timeout.
 const SYN_TIMES: [u64; 3] = [200, 600, 1_400];
@@ -35,7 +36,7 @@
 /// A client's host: one address with many flows.
 pub struct Host {
     socket: Arc<UdpSocket>,
-    router: Arc<Router>,
+    routers: Routers,
     zone: String,
     ports: Ports,
     record: Record,
@@ -55,10 +56,10 @@
 
 impl Host {
     /// Receives on `socket` until the runtime ends.
-    pub fn start(socket: UdpSocket, router: &Arc<Router>, zone: &str, record: &Record) -> Arc<Self> {
+    pub fn start(socket: UdpSocket, routers: &Routers, zone: &str, record: &Record) -> Arc<Self> {
         let host = Arc::new(Self {
             socket: Arc::new(socket),
-            router: Arc::clone(router),
+            routers: routers.clone(),
             zone: zone.into(),
             ports: Ports::default(),
             record: record.clone(),
@@ -89,7 +90,7 @@
     }
 
     async fn send(&self, packet: &Packet) {
-        if let Some(vm) = self.router.route(&self.zone, packet.src, packet.dst) {
+        if let Some(vm) = self.routers.route(&self.zone, packet.src, packet.dst) {
             // A VM that does not run drops the packet.
             let _ = self.socket.send_to(&packet.encode(), vm).await;
         }
--- a/review/standin/src/copies.rs
+++ b/review/standin/src/copies.rs
@@ -1,5 +1,6 @@
-//! A VM is killed and started again while the store is slow. Copies of one SYN must not go to two
-//! backends, because the packets of the flow then follow the answer that came last.
+//! A VM is killed and started again while the store is slow, or is frozen for some time. Copies of
+//! one SYN must not go to two backends, because the packets of the flow then follow the answer that
+//! came last.
 
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -15,6 +16,7 @@
 use crate::backend::{Arrivals, Backend, Plan};
 use crate::client::{Failure, Flow, Host};
 use crate::record::Record;
+use crate::routers::Routers;
 
 /// VMs of each zone, as in the smallest deployment. The first three are seeds.
 const VMS: [u8; 3] = [2, 1, 1];
@@ -23,7 +25,7 @@
 const BACKENDS: u8 = 3;
 
 /// Routes without traffic, after two changes that added 350 each.
-const IDLE_ROUTES: u16 = 708;
+pub const IDLE_ROUTES: u16 = 708;
 
 /// Latency of the slow store: 60 times 4 ms.
 const SLOW: Duration = Duration::from_millis(240);
@@ -34,11 +36,19 @@
 const START: Duration = Duration::from_millis(1_250);
 const CALM: Duration = Duration::from_millis(4_500);
 
+/// Begin of the freeze, after the begin of the openings.
+const FREEZE_BEGIN: Duration = Duration::from_millis(300);
+
 /// Begin of the openings and the interval between them.
 const FIRST_OPENING: Duration = Duration::from_millis(200);
 const OPENINGS: u16 = 220;
 const OPEN_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Flows that were open before and go on all the while, and the interval between two requests of each:
+/// 100 requests a second, as in the largest zone of the smallest deployments.
+const FEEDS: u16 = 60;
+const FEED_INTERVAL: Duration = Duration::from_millis(600);
+
 /// Time of the second request: more than `contact_ms` (4 s) after the end of all disruption, and
 /// within `idle_timeout_ms` (15 s) after the first request.
 const SECOND_REQUEST: Duration = Duration::from_millis(9_500);
@@ -50,7 +60,21 @@
 const REORDER: f64 = 2.0;
 const MIN_PACKETS: usize = 3;
 
-pub async fn run(program: &str, record: &Record, has_trouble: bool) -> Outcome {
+/// Length of the freeze.
+const FREEZE: Duration = Duration::from_millis(4_000);
+
+/// What is disrupted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nothing.
+    None,
+    /// A VM is killed and started again while the store is slow.
+    Kill,
+    /// A VM stands still for [`FREEZE`].
+    Freeze,
+}
+
+pub async fn run(program: &str, record: &Record, trouble: Trouble, idle_routes: u16) -> Outcome {
     let plan = SitePlan {
         program: program.into(),
         vms: VMS.into(),
@@ -58,7 +82,7 @@
     let text = |error: std::io::Error| error.to_string();
     let mut site = Site::new(&plan).await.map_err(text)?;
     let frontend = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
-    publish(&site, frontend);
+    publish(&site, frontend, idle_routes);
     let network: Ipv4Addr = site.vms[0].datagrams().ip().to_string().parse().map_err(|_| "IPv4")?;
     let [a, b, ..] = network.octets();
     let arrivals = Arrivals::default();
@@ -78,11 +102,19 @@
     }
     site.start_all().map_err(text)?;
     let count = VMS.iter().map(|count| usize::from(*count)).sum();
-    if !site.wait_ready(count, Duration::from_secs(20)).await {
-        return Err("the VMs are not ready".into());
+    let routers = Routers::start(&site.vms, record);
+    let limit = Instant::now() + Duration::from_secs(20);
+    while routers.in_rotation() < count {
+        if Instant::now() > limit {
+            return Err("the VMs are not ready".into());
+        }
+        sleep(Duration::from_millis(20)).await;
     }
     let socket = site.caller_socket().await.map_err(text)?;
-    let host = Host::start(socket, &site.router, &zone_name(0), record);
+    let host = Host::start(socket, &routers, &zone_name(0), record);
+    for number in 0..FEEDS {
+        tokio::spawn(feed(Arc::clone(&host), 10_000 + number, frontend));
+    }
     sleep(Duration::from_secs(5)).await;
     record.line("all VMs are ready, and nothing is disrupted");
 
@@ -90,22 +122,33 @@
     let at = |time: Duration| sleep_until((begun + time).into());
     let second = begun + SECOND_REQUEST;
     let clients = tokio::spawn(open_flows(host, frontend, begun, second, record.clone()));
-    if has_trouble {
-        record.line("the store becomes slow");
-        for vm in &site.vms {
-            vm.store_server.set_fault(Fault::Slow(SLOW));
+    match trouble {
+        Trouble::None => {}
+        Trouble::Kill => {
+            record.line("the store becomes slow");
+            for vm in &site.vms {
+                vm.store_server.set_fault(Fault::Slow(SLOW));
+            }
+            at(KILL).await;
+            record.line(&format!("SIGKILL of {}", site.vms[1].id));
+            site.vms[1].kill().await;
+            at(START).await;
+            site.vms[1].start().map_err(text)?;
+            record.line(&format!("{} starts again", site.vms[1].id));
+            at(CALM).await;
+            for vm in &site.vms {
+                vm.store_server.set_fault(Fault::None);
+            }
+            record.line("the store answers as usual; all disruption ends");
         }
-        at(KILL).await;
-        record.line(&format!("SIGKILL of {}", site.vms[1].id));
-        site.vms[1].kill().await;
-        at(START).await;
-        site.vms[1].start().map_err(text)?;
-        record.line(&format!("{} starts again", site.vms[1].id));
-        at(CALM).await;
-        for vm in &site.vms {
-            vm.store_server.set_fault(Fault::None);
+        Trouble::Freeze => {
+            at(FREEZE_BEGIN).await;
+            record.line(&format!("SIGSTOP of {}", site.vms[1].id));
+            site.vms[1].signal("STOP").await.map_err(text)?;
+            at(FREEZE_BEGIN + FREEZE).await;
+            record.line(&format!("SIGCONT of {}; all disruption ends", site.vms[1].id));
+            site.vms[1].signal("CONT").await.map_err(text)?;
         }
-        record.line("the store answers as usual; all disruption ends");
     }
     let results = clients.await.map_err(|error| error.to_string())?;
     sleep(Duration::from_millis(200)).await;
@@ -145,7 +188,7 @@
 }
 
 /// Writes a configuration with one route that has traffic.
-fn publish(site: &Site, frontend: SocketAddrV4) {
+fn publish(site: &Site, frontend: SocketAddrV4, idle_routes: u16) {
     let route = |frontend: SocketAddrV4, service: &str| {
         json!({
             "name": format!("r-{:07x}", u32::from(*frontend.ip())), "host": frontend.ip(),
@@ -154,7 +197,7 @@
         })
     };
     let mut routes: Vec<Value> = vec![route(frontend, "fillhouse")];
-    for number in 0..IDLE_ROUTES {
+    for number in 0..idle_routes {
         let [high, low] = number.to_be_bytes();
         let address = Ipv4Addr::new(198, 18, 1 + high, low);
         routes.push(route(SocketAddrV4::new(address, 443), "fillhouse"));
@@ -166,6 +209,22 @@
     site.store.put("op/config", &config, None);
 }
 
+/// Opens a flow and sends requests in it until one fails.
+async fn feed(host: Arc<Host>, port: u16, frontend: SocketAddrV4) {
+    let begun = Instant::now() + FEED_INTERVAL * u32::from(port - 10_000) / u32::from(FEEDS);
+    sleep_until(begun.into()).await;
+    let Ok(mut flow) = Flow::open(&host, port, frontend).await else {
+        return;
+    };
+    for number in 0.. {
+        let next = begun + FEED_INTERVAL * number;
+        let id = format!("background-{port}-{number}");
+        if flow.pause(next).await.is_err() || flow.request(&id, 26, DEADLINE).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Result of the second request of a flow.
 struct Served {
     port: u16,
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,10 +6,12 @@
 mod copies;
 mod record;
 mod restart;
+mod routers;
 
 use std::path::Path;
 use std::process::ExitCode;
 
+use crate::copies::Trouble;
 use crate::record::Record;
 
 /// Outcome of a case: whether the rule held, or why the case couldn't run.
@@ -44,7 +46,15 @@
     let record = Record::create(Path::new(record)).map_err(|e| e.to_string())?;
     record.line(&format!("case {case}, trouble: {has_trouble}"));
     match case {
-        "copies" => runtime.block_on(copies::run(program, &record, has_trouble)),
+        "copies" => {
+            let routes = copies::IDLE_ROUTES;
+            let trouble = if has_trouble { Trouble::Kill } else { Trouble::None };
+            runtime.block_on(copies::run(program, &record, trouble, routes))
+        }
+        "freeze" => {
+            let trouble = if has_trouble { Trouble::Freeze } else { Trouble::None };
+            runtime.block_on(copies::run(program, &record, trouble, 8))
+        }
         "restart" => runtime.block_on(restart::run(program, &record, has_trouble)),
         _ => Err(format!("no case is named {case:?}")),
     }
