Add review case 4: a burst of large values stops all VMs from reading the store

Cause: a response of the store above 4 MiB counts as a lost connection, and the same watch is repeated, which returns the same and more. No VM reads any change until the store discards the history.

Done: a script in which another writer writes five values of 1 MB at once, and the operator drops a route and a backend drains a second later.

--- a/review/standin/src/backend.rs
+++ b/review/standin/src/backend.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bambooseam_standin::site::{Flags, Packet, Store};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 use tokio::time::{interval, sleep};
@@ -24,6 +24,9 @@
 /// Lifetime of an entry without a heartbeat: three heartbeats.
 const ENTRY_LIFETIME: Duration = Duration::from_millis(3 * 770);
 
+/// Sequence number of the report that a backend drains, above those of its heartbeats.
+const DRAIN_SEQUENCE: u64 = 1_000;
+
 /// Time that the store takes for a write.
 const WRITE_TIME: Duration = Duration::from_millis(4);
 
@@ -66,6 +69,7 @@
     pub born: u64,
     /// Whether the path to the store is cut.
     pub is_cut: Arc<AtomicBool>,
+    is_draining: Arc<AtomicBool>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -105,8 +109,11 @@
             record: record.clone(),
             arrivals: arrivals.clone(),
         };
-        let beats = beat(plan.clone(), born, is_cut.clone(), store.clone(), record.clone());
+        let is_draining = Arc::new(AtomicBool::new(false));
+        let paths = (is_cut.clone(), is_draining.clone());
+        let beats = beat(plan.clone(), born, paths, store.clone(), record.clone());
         Ok(Self {
+            is_draining,
             plan: plan.clone(),
             born,
             is_cut: Arc::clone(is_cut),
@@ -114,6 +121,16 @@
         })
     }
 
+    /// Announces that the backend drains. It goes on serving.
+    pub fn drain(&self, store: &Store, record: &Record) {
+        self.is_draining.store(true, Ordering::Relaxed);
+        let entry = entry_of(&self.plan, self.born, DRAIN_SEQUENCE, true);
+        let key = format!("servers/{}", self.plan.id);
+        if store.put(&key, &entry, Some(ENTRY_LIFETIME)).is_some() {
+            record.line(&format!("the store acknowledges that {} drains", self.plan.id));
+        }
+    }
+
     /// Ends the backend without a word, as a crash does. Its flows are lost.
     pub async fn crash(self, record: &Record) {
         for task in &self.tasks {
@@ -127,8 +144,24 @@
     }
 }
 
+/// The entry of a backend.
+fn entry_of(plan: &Plan, born: u64, sequence: u64, is_draining: bool) -> Value {
+    json!({
+        "service": plan.service, "address": plan.address.to_string(), "zone": plan.zone,
+        "config_version": "v1", "capacity": 2,
+        "state": if is_draining { "draining" } else { "ready" },
+        "warmup_left_ms": 0, "sequence": sequence, "born": born,
+    })
+}
+
 /// Registers the backend, and renews its entry.
-async fn beat(plan: Plan, born: u64, is_cut: Arc<AtomicBool>, store: Store, record: Record) {
+async fn beat(
+    plan: Plan,
+    born: u64,
+    (is_cut, is_draining): (Arc<AtomicBool>, Arc<AtomicBool>),
+    store: Store,
+    record: Record,
+) {
     let sequence = AtomicU64::new(0);
     let key = format!("servers/{}", plan.id);
     loop {
@@ -139,11 +172,7 @@
         let sequence = sequence.fetch_add(1, Ordering::Relaxed) + 1;
         // A write that changes only the sequence number changes nothing that a watch returns.
         if sequence == 1 || !store.renew(&key, ENTRY_LIFETIME) {
-            let entry = json!({
-                "service": plan.service, "address": plan.address.to_string(), "zone": plan.zone,
-                "config_version": "v1", "capacity": 2, "state": "ready", "warmup_left_ms": 0,
-                "sequence": sequence, "born": born,
-            });
+            let entry = entry_of(&plan, born, sequence, is_draining.load(Ordering::Relaxed));
             if store.put(&key, &entry, Some(ENTRY_LIFETIME)).is_some() {
                 record.line(&format!("store: entry of {} written, born {born}", plan.id));
             }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,6 +2,7 @@
 //! 0 if it held, and with 2 if the case couldn't run.
 
 mod backend;
+mod burst;
 mod client;
 mod copies;
 mod record;
@@ -46,6 +47,7 @@
     let record = Record::create(Path::new(record)).map_err(|e| e.to_string())?;
     record.line(&format!("case {case}, trouble: {has_trouble}"));
     match case {
+        "burst" => runtime.block_on(burst::run(program, &record, has_trouble)),
         "copies" => {
             let routes = copies::IDLE_ROUTES;
             let trouble = if has_trouble { Trouble::Kill } else { Trouble::None };
