--- a/review/standin/src/routers.rs
+++ b/review/standin/src/routers.rs
@@ -69,14 +69,20 @@
     /// The VM that receives a packet of a flow from a client in `zone`.
     pub fn route(&self, zone: &str, src: SocketAddrV4, dst: SocketAddrV4) -> Option<SocketAddr> {
         let of_zone: Vec<&Node> = self.0.iter().filter(|node| node.zone == zone).collect();
-        let live: Vec<&Node> = of_zone.iter().copied().filter(|n| n.is_in_rotation()).collect();
+        let live: Vec<&Node> = of_zone
+            .iter()
+            .copied()
+            .filter(|n| n.is_in_rotation())
+            .collect();
         let candidates = match (live.len(), of_zone.len()) {
             (0, _) => self.0.iter().filter(|node| node.is_in_rotation()).collect(),
             (live, all) if 2 * live < all => of_zone,
             _ => live,
         };
         let nodes = candidates.into_iter();
-        nodes.max_by_key(|node| score(node, src, dst)).map(|node| node.datagrams)
+        nodes
+            .max_by_key(|node| score(node, src, dst))
+            .map(|node| node.datagrams)
     }
 }
 
