Add review case 3: one silent flow makes the VMs reset its backend's other flows

Cause: three retransmissions of one flow make its target stalled, and every request that arrives in another flow of that target is answered with a reset for up to two seconds, although the target acknowledges each copy. Done: a stand-in client that loses what the backend sends on one flow, and a script that counts resets of the other flows.

--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -39,6 +39,8 @@
     routers: Routers,
     zone: String,
     ports: Ports,
+    /// Ports of flows whose packets are lost on the way to the client.
+    lost_ports: Arc<Mutex<Vec<u16>>>,
     record: Record,
 }
 
@@ -62,9 +64,11 @@
             routers: routers.clone(),
             zone: zone.into(),
             ports: Ports::default(),
+            lost_ports: Arc::default(),
             record: record.clone(),
         });
         let (socket, ports) = (Arc::clone(&host.socket), Arc::clone(&host.ports));
+        let (lost_ports, record) = (Arc::clone(&host.lost_ports), record.clone());
         tokio::spawn(async move {
             let mut buffer = [0; 2_048];
             while let Ok(len) = socket.recv(&mut buffer).await {
@@ -74,6 +78,16 @@
                 if !packet.is_intact() && !packet.is_system_reset() {
                     continue;
                 }
+                let port = packet.dst.port();
+                let lost_ports = lost_ports.lock().unwrap_or_else(PoisonError::into_inner);
+                if lost_ports.contains(&port) {
+                    let sender = match packet.is_system_reset() {
+                        true => "a reset of the system",
+                        false => "a packet of the backend",
+                    };
+                    record.line(&format!("{sender} to flow {port} is lost"));
+                    continue;
+                }
                 let ports = ports.lock().unwrap_or_else(PoisonError::into_inner);
                 if let Some(flow) = ports.get(&packet.dst.port()) {
                     // A flow that has ended receives nothing more.
@@ -84,6 +98,12 @@
         host
     }
 
+    /// Loses all further packets to the flow at `port`.
+    pub fn silence(&self, port: u16) {
+        let ports = self.lost_ports.lock();
+        ports.unwrap_or_else(PoisonError::into_inner).push(port);
+    }
+
     fn add(&self, port: u16, flow: UnboundedSender<Packet>) {
         let mut ports = self.ports.lock().unwrap_or_else(PoisonError::into_inner);
         ports.insert(port, flow);
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -7,6 +7,7 @@
 mod record;
 mod restart;
 mod routers;
+mod silent;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -47,6 +48,7 @@
     match case {
         "burst" => runtime.block_on(burst::run(program, &record, has_trouble)),
         "restart" => runtime.block_on(restart::run(program, &record, has_trouble)),
+        "silent" => runtime.block_on(silent::run(program, &record, has_trouble)),
         _ => Err(format!("no case is named {case:?}")),
     }
 }
