Add review case 4: an entry of an unnamed service ends a running backend

Cause: an entry that another writer leaves under the key of a running backend, for a service that no configuration names, is taken as a new start; the running one is ended and its open flows are reset. Done: a script in which another writer writes one such entry; the stand-in backend writes its entry again when the store holds another one.

--- a/review/standin/src/backend.rs
+++ b/review/standin/src/backend.rs
@@ -153,6 +153,7 @@
 ) {
     let sequence = AtomicU64::new(0);
     let key = format!("servers/{}", plan.id);
+    let mut written = None;
     loop {
         while is_cut.load(Ordering::Relaxed) {
             sleep(RETRY_INTERVAL).await;
@@ -160,16 +161,24 @@
         sleep(WRITE_TIME).await;
         let sequence = sequence.fetch_add(1, Ordering::Relaxed) + 1;
         // A write that changes only the sequence number changes nothing that a watch returns.
-        if sequence == 1 || !store.renew(&key, ENTRY_LIFETIME) {
+        let is_own = written.is_some() && value_of(&store, &key) == written;
+        if !is_own || !store.renew(&key, ENTRY_LIFETIME) {
             let entry = entry_of(&plan, born, sequence, is_draining.load(Ordering::Relaxed));
             if store.put(&key, &entry, Some(ENTRY_LIFETIME)).is_some() {
                 record.line(&format!("store: entry of {} written, born {born}", plan.id));
+                written = value_of(&store, &key);
             }
         }
         sleep(HEARTBEAT).await;
     }
 }
 
+/// The value that the store holds under a key.
+fn value_of(store: &Store, key: &str) -> Option<Vec<u8>> {
+    let history = store.lock();
+    history.get(key).map(|item| item.value.clone())
+}
+
 /// Serves the packets of one start.
 struct Server {
     name: String,
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,6 +4,7 @@
 mod backend;
 mod burst;
 mod client;
+mod foreign;
 mod record;
 mod restart;
 mod routers;
@@ -48,6 +49,7 @@
     match case {
         "burst" => runtime.block_on(burst::run(program, &record, has_trouble)),
         "restart" => runtime.block_on(restart::run(program, &record, has_trouble)),
+        "foreign" => runtime.block_on(foreign::run(program, &record, has_trouble)),
         "silent" => runtime.block_on(silent::run(program, &record, has_trouble)),
         _ => Err(format!("no case is named {case:?}")),
     }
