Add review case 5: planned restarts end the processes of the seeds

Cause: a VM that starts asks a seed for a copy of all documents; the seed builds it several times over whatever its size, and the VM refuses it above 5 MiB. Done: a script with a paged store, a platform that kills a process above memory_mb, 16 large values of another writer and six planned restarts.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,6 +5,8 @@
 mod burst;
 mod client;
 mod foreign;
+mod memory;
+mod paged_store;
 mod record;
 mod restart;
 mod routers;
@@ -50,6 +52,7 @@
         "burst" => runtime.block_on(burst::run(program, &record, has_trouble)),
         "restart" => runtime.block_on(restart::run(program, &record, has_trouble)),
         "foreign" => runtime.block_on(foreign::run(program, &record, has_trouble)),
+        "memory" => runtime.block_on(memory::run(program, &record, has_trouble)),
         "silent" => runtime.block_on(silent::run(program, &record, has_trouble)),
         _ => Err(format!("no case is named {case:?}")),
     }
