Keep flows open that a restarted target took before its entry was read

Seen by callers: after a target had crashed and started again under its id, behind a cut between it and the store, all flows that it had accepted before the VMs read its later entry were reset, 5.5 s after the end of the cut, although the target ran.

Cause: a token names a start of a target, a datagram only its id. VMs that knew the earlier start placed flows at the later one under the earlier token. Reading the later entry ended that token, and every packet with it was reset (target_gone).

Evidence: in the log of a VM, all resets of a run carry cause=target_gone and the token of the first of the target's two target_changed lines; no target_removed, target_stalled, target_silent or unknown_token stands beside them, which rules out an expired entry, a stalled or silent target and a token that the VM had not known. The target logged no reset of its own.

Change: a packet with the token of an ended start goes to the present start with the same id, address and service, and carries the later token from there on. Only the target knows which flows it holds; it resets the others itself, as before a VM learned of the start. Such packets count neither as load nor as evidence that the target does not respond, since most belong to flows that ended with the crash. target_changed names the former token, and flow_continued is logged.

--- a/crates/ctl/src/logs/flow.rs
+++ b/crates/ctl/src/logs/flow.rs
@@ -257,7 +257,9 @@
         "no_route" => "the configuration in force on the VM had no route for the flow's frontend",
         "route_removed" => "a configuration change removed the flow's route",
         "no_target" => "the flow's service had no target that accepted new flows",
-        "target_gone" => "the flow's target, or that incarnation of the target, had ended",
+        "target_gone" => {
+            "the flow's target had ended, or had started again at another address or for another service"
+        }
         "unknown_token" => "no target had the flow's token, and the VM's view was current",
         "no_token" => "the flow's packets contain no token of a target",
         "view_not_current" => "the VM's view was too old to reject the flow, or not yet received",
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod followers;
 pub mod held;
 mod node;
+mod or_none;
 pub mod packets;
 pub mod pause;
 pub mod peering;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -18,6 +18,7 @@
 use bambooseam_types::{Moment, Revision, TargetId, ZoneId};
 use tokio::sync::watch;
 
+use crate::or_none::OrNone;
 use crate::pause::PauseDetector;
 
 /// Limits warnings about invalid documents, because any user of the store may write one.
@@ -525,8 +526,9 @@
     fn log_target(&self, target: &Target, revision: Revision, source: Source) {
         let targets = self.steering.targets();
         let record = targets.find(&target.id).and_then(|at| targets.get(at));
+        let token = target.token();
         let is_unchanged = record.is_some_and(|record| {
-            record.token == target.token() && record.target.is_leaving == target.is_leaving
+            record.token == token && record.target.is_leaving == target.is_leaving
         });
         if is_unchanged {
             return;
@@ -538,11 +540,18 @@
             true => "leaving",
             false => "live",
         };
-        let (id, token) = (&target.id, target.token());
-        let (service, zone, address) = (&target.service, &target.zone, target.address);
+        let former = record.map(|record| record.token);
+        let former = OrNone(former.filter(|former| *former != token));
+        let Target {
+            id,
+            service,
+            zone,
+            address,
+            ..
+        } = target;
         log::info!(
-            "event=target_changed target={id} token={token} service={service} zone={zone} \
-             address={address} state={state} revision={revision} source={source} \
+            "event=target_changed target={id} token={token} former={former} service={service} \
+             zone={zone} address={address} state={state} revision={revision} source={source} \
              suppressed={suppressed}"
         );
     }
--- a/crates/entry/src/packets.rs
+++ b/crates/entry/src/packets.rs
@@ -23,6 +23,7 @@
 use crate::coordination::CoordinationLink;
 use crate::held::HeldOpenings;
 use crate::node::SharedNode;
+use crate::or_none::OrNone;
 use crate::stop::LastPacket;
 
 /// Maximum number of packets received in a row before other tasks run.
@@ -49,6 +50,8 @@
 /// Limits log lines about placed flows. At the intended fleet size, 105 flows per second open on a
 /// VM.
 static PLACED: LogLimit = LogLimit::new("flows_placed", 200);
+/// Limits log lines about packets that carry the token of an earlier start.
+static CONTINUED: LogLimit = LogLimit::new("flows_continued", 50);
 /// Limits log lines about reset flows.
 static RESET: LogLimit = LogLimit::new("flows_reset", 100);
 /// Limits log lines about dropped packets.
@@ -283,9 +286,14 @@
     fn log_decision(&self, header: &PacketHeader, decision: &Decision, now: Moment) {
         let limit = match decision {
             Decision::Forward {
-                placement: None, ..
-            }
-            | Decision::Hold => return,
+                placement: None,
+                token,
+                ..
+            } => match header.token == Some(*token) {
+                true => return,
+                false => &CONTINUED,
+            },
+            Decision::Hold => return,
             Decision::Forward { .. } => &PLACED,
             Decision::Reset(_) => &RESET,
             Decision::Drop(_) => &DROPPED,
@@ -298,14 +306,17 @@
             Decision::Forward {
                 address,
                 token,
-                placement,
+                placement: Some(placement),
                 ..
             } => log::info!(
-                "event=flow_{} flow={flow} target={address} token={token} copy={} \
+                "event=flow_{placement} flow={flow} target={address} token={token} copy={} \
                  view_age_ms={age} suppressed={suppressed}",
-                OrNone(*placement),
                 header.ack
             ),
+            Decision::Forward { address, token, .. } => log::info!(
+                "event=flow_continued flow={flow} target={address} token={token} \
+                 former={received} view_age_ms={age} suppressed={suppressed}"
+            ),
             Decision::Reset(cause) => log::info!(
                 "event=flow_reset flow={flow} cause={cause} token={received} view_age_ms={age} \
                  suppressed={suppressed}"
@@ -324,15 +335,3 @@
         synced.map_or(-1, |synced| now.since(synced).as_millis() as i64)
     }
 }
-
-/// Displays an optional value, as `none` when absent.
-struct OrNone<T>(Option<T>);
-
-impl<T: std::fmt::Display> std::fmt::Display for OrNone<T> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match &self.0 {
-            Some(value) => value.fmt(f),
-            None => f.write_str("none"),
-        }
-    }
-}
--- a/crates/standin/src/site/cluster.rs
+++ b/crates/standin/src/site/cluster.rs
@@ -181,24 +181,18 @@
         zone: u8,
         number: u8,
     ) -> io::Result<FlowTarget> {
-        self.incarnation += 1_000;
-        let plan = TargetPlan {
-            id: id.into(),
-            service: service.into(),
-            zone: zone_name(zone),
-            address: SocketAddrV4::new(self.address(64 + zone, number), TARGET_PORT),
-            heartbeat: HEARTBEAT,
-        };
-        let (store, counters) = (&self.store, &self.counters);
-        FlowTarget::start(
-            plan,
-            self.incarnation,
-            DATAGRAM_PORT,
-            store,
-            counters,
-            &self.route_history,
-        )
-        .await
+        let plan = self.target_plan(id, service, zone, number);
+        self.start_planned(plan, false).await
+    }
+
+    /// Starts a target again under the identifier and the address that it had. It can't reach the
+    /// store until [`FlowTarget::reconnect`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address is in use.
+    pub async fn restart_target(&mut self, plan: &TargetPlan) -> io::Result<FlowTarget> {
+        self.start_planned(plan.clone(), true).await
     }
 
     /// Adds a route, publishes the configuration and returns the route's frontend.
@@ -331,6 +325,30 @@
         Ok(())
     }
 
+    fn target_plan(&self, id: &str, service: &str, zone: u8, number: u8) -> TargetPlan {
+        TargetPlan {
+            id: id.into(),
+            service: service.into(),
+            zone: zone_name(zone),
+            address: SocketAddrV4::new(self.address(64 + zone, number), TARGET_PORT),
+            heartbeat: HEARTBEAT,
+        }
+    }
+
+    async fn start_planned(&mut self, plan: TargetPlan, is_cut: bool) -> io::Result<FlowTarget> {
+        self.incarnation += 1_000;
+        FlowTarget::start(
+            plan,
+            self.incarnation,
+            is_cut,
+            DATAGRAM_PORT,
+            &self.store,
+            &self.counters,
+            &self.route_history,
+        )
+        .await
+    }
+
     async fn add_vm(&mut self, program: &Path, zone: u8, index: u8) -> io::Result<()> {
         let address = self.address(10 + zone, 10 + index);
         let number = self.vms.len() as u8 + 1;
--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -16,7 +16,8 @@
         address: SocketAddrV4,
         /// Label of the target that the datagram is addressed to.
         label: TargetLabel,
-        /// Token that the forwarded packet carries.
+        /// Token that the forwarded packet carries. It differs from that of the received packet if
+        /// the target has started again.
         token: Token,
         /// How the flow was placed; `None` if the packet named its target.
         placement: Option<Placement>,
@@ -85,7 +86,7 @@
     /// This VM reaches nothing outside its zone, and no target of its zone takes new flows.
     #[display("isolated")]
     Isolated,
-    /// The target has ended, or has been restarted and no longer holds the flow.
+    /// The target has ended, or has been restarted at another address or for another service.
     #[display("target_gone")]
     TargetGone,
     /// The target does not acknowledge data.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod admission;
 pub mod cold_budget;
 mod decision;
+mod ended_start;
 pub mod evacuation;
 mod event;
 mod flows;
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -240,7 +240,7 @@
         if record.load.is_cold(now) && !budgets.record_repeated(service, token, now) {
             return Some(Decision::Drop(DropCause::ColdLimit));
         }
-        let decision = forward(record, Placement::Retransmitted);
+        let decision = forward(record, Some(Placement::Retransmitted));
         let recounted = self.flows.record_repeated_opening(&header.flow);
         if let Some(record) = recounted.and_then(|index| self.targets.get_mut(index)) {
             record.load.busy += 1;
@@ -340,7 +340,7 @@
             Some(_) => Placement::Moved,
             None => Placement::Placed,
         };
-        let decision = forward(record, placement);
+        let decision = forward(record, Some(placement));
         let assigned = (index, record.token);
         let signals = self.flows.open(header, assigned, timeout, now);
         if earlier.is_some() {
@@ -371,6 +371,13 @@
         let Some(index) = resolved else {
             return self.handle_unknown_token(header, token, now);
         };
+        if let Some(record) = self.targets.get(index)
+            && record.token != token
+        {
+            // The flow may have ended with an earlier start, so that its packets show nothing about
+            // the target. If the target holds the flow, its next packet carries the later token.
+            return forward(record, None);
+        }
         let signals = self
             .flows
             .record_packet(header, (index, token), timeout, now);
@@ -388,18 +395,16 @@
         let Some(record) = self.targets.get(index) else {
             return Decision::Drop(DropCause::TokenNotKnownYet);
         };
-        Decision::Forward {
-            address: record.target.address,
-            label: record.target.label,
-            token,
-            placement: None,
-        }
+        forward(record, None)
     }
 
-    /// Target of a token; of several targets, the one whose service belongs to the route.
+    /// Target of a token; of several targets, the one whose service belongs to the route. A target
+    /// that has started again may hold flows with the token of its earlier start.
     fn resolve(&self, token: Token, route: Option<&Route>) -> Option<TargetIndex> {
         let mut indexes = self.targets.with_token(token);
-        let first = indexes.next()?;
+        let Some(first) = indexes.next() else {
+            return self.targets.later_start(token);
+        };
         let is_match = |index: &TargetIndex| {
             let record = self.targets.get(*index);
             record
@@ -441,12 +446,12 @@
     }
 }
 
-/// Forwards an opening packet.
-fn forward(record: &TargetRecord, placement: Placement) -> Decision {
+/// Forwards a packet to a target; `placement` tells how an opening packet was placed.
+fn forward(record: &TargetRecord, placement: Option<Placement>) -> Decision {
     Decision::Forward {
         address: record.target.address,
         label: record.target.label,
         token: record.token,
-        placement: Some(placement),
+        placement,
     }
 }
--- a/crates/steer/src/steering/coordination.rs
+++ b/crates/steer/src/steering/coordination.rs
@@ -313,7 +313,7 @@
             return Decision::Drop(DropCause::ViewNotCurrent);
         };
         self.zone_load.grant(vm, &header.flow, record.token, now);
-        forward(record, Placement::Placed)
+        forward(record, Some(Placement::Placed))
     }
 
     /// State and input of the selection of a target.
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -7,15 +7,12 @@
 use bambooseam_types::{Moment, ServiceName, TargetId, Token};
 use derive_more::Display;
 
+use crate::ended_start::EndedStarts;
 use crate::load::Load;
 use crate::missing_entry::status_after_retention;
 use crate::target_speed::TargetSpeed;
 use crate::{SteeringEvent, Target};
 
-/// Largest number of remembered tokens of ended targets. Flows of such a target are reset without
-/// delay.
-const MAX_ENDED: usize = 4_096;
-
 /// Index of a target in the table. An index is reused after its target has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
 pub struct TargetIndex(u32);
@@ -79,8 +76,7 @@
     ids: Vec<(TargetId, TargetIndex)>,
     tokens: Vec<(Token, TargetIndex)>,
     services: Vec<(ServiceName, Vec<TargetIndex>)>,
-    /// Tokens of ended targets with the time of the end, sorted by token.
-    ended: Vec<(Token, Moment)>,
+    ended: EndedStarts,
 }
 
 impl TargetIndex {
@@ -142,7 +138,7 @@
             }
             self.end(index, now);
         }
-        self.ended.retain(|(ended, _)| *ended != token);
+        self.ended.remove(token);
         self.add(target, token, now);
     }
 
@@ -184,7 +180,9 @@
             }
         }
         self.update_shadowed(record.token);
-        self.record_ended(record.token, now);
+        if self.with_token(record.token).next().is_none() {
+            self.ended.insert(record.target, record.token, now);
+        }
     }
 
     /// Index of the target with the identifier `id`.
@@ -260,11 +258,18 @@
         }
     }
 
-    /// Whether a token belongs to a target that has ended.
+    /// Whether a token belongs to a start of a target that has ended.
     pub fn is_ended(&self, token: Token) -> bool {
-        self.ended
-            .binary_search_by_key(&token, |(other, _)| *other)
-            .is_ok()
+        self.ended.get(token).is_some()
+    }
+
+    /// The present start of the target to whose ended start a token belongs, if it may hold flows
+    /// with that token.
+    pub fn later_start(&self, token: Token) -> Option<TargetIndex> {
+        let ended = self.ended.get(token)?;
+        let index = self.find(&ended.id)?;
+        let record = self.get(index)?;
+        ended.may_continue_at(&record.target).then_some(index)
     }
 
     /// Updates which targets are unresponsive and returns an event for each change.
@@ -369,24 +374,6 @@
         earlier.service == later.service && (earlier.start, &earlier.id) < (later.start, &later.id)
     }
 
-    fn record_ended(&mut self, token: Token, now: Moment) {
-        if self.with_token(token).next().is_some() {
-            return;
-        }
-        if self.ended.len() >= MAX_ENDED {
-            let oldest = self
-                .ended
-                .iter()
-                .enumerate()
-                .min_by_key(|(_, entry)| entry.1);
-            if let Some((at, _)) = oldest {
-                self.ended.remove(at);
-            }
-        }
-        let at = self.ended.partition_point(|(other, _)| *other < token);
-        self.ended.insert(at, (token, now));
-    }
-
     fn find_service(&self, service: &ServiceName) -> Result<usize, usize> {
         self.services
             .binary_search_by(|(other, _)| other.cmp(service))
--- /dev/null
+++ b/tests/tests/entry_restarts.rs
@@ -0,0 +1,91 @@
+//! Targets that start again under their identifier, behind real VM processes.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bambooseam_standin::site::{CallerFlow, CallerHost, FlowError, FlowTarget};
+use bambooseam_tests::site::{CONFIG_BOUND, RunningSite, pause};
+
+/// Timeout of a request. An open flow gets its answer, or a reset, at the first transmission.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Opens flow `number` and sends a first request in it.
+async fn open_flow(caller: &Arc<CallerHost>, running: &RunningSite, number: u8) -> CallerFlow {
+    let mut flow = caller.open(running.orders, None).await.expect("a flow");
+    let id = format!("{number}-first");
+    request(&mut flow, &id).await.expect("a response");
+    flow
+}
+
+async fn request(flow: &mut CallerFlow, id: &str) -> Result<usize, FlowError> {
+    flow.request(id, Duration::ZERO, 10, REQUEST_TIMEOUT).await
+}
+
+/// Crashes the only target and starts it again, without access to the store.
+async fn restart_cut_off(running: &mut RunningSite) -> FlowTarget {
+    let target = running.targets.remove(0);
+    let plan = target.plan().clone();
+    target.crash().await;
+    running.site.restart_target(&plan).await.expect("a target")
+}
+
+/// Waits until every running VM has read `count` different entries of the target.
+async fn wait_read(running: &RunningSite, target: &FlowTarget, count: usize) {
+    let changed = format!("event=target_changed target={} ", target.plan().id);
+    let start_time = Instant::now();
+    for vm in &running.site.vms {
+        while vm.log().matches(&changed).count() < count {
+            let elapsed = start_time.elapsed();
+            assert!(elapsed < CONFIG_BOUND, "{}: {}", vm.id, vm.log());
+            pause(20).await;
+        }
+    }
+}
+
+/// Review case 4: the VMs reset open flows that a restarted target had accepted before they read its
+/// entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_accepted_before_the_entry_is_read_stay_open() {
+    let mut running = RunningSite::start(&[2, 1], 0).await;
+    let target = running.site.add_target("orders", 0, 1).await;
+    running.targets.push(target.expect("a target"));
+    wait_read(&running, &running.targets[0], 1).await;
+    let restarted = restart_cut_off(&mut running).await;
+    let caller = Arc::clone(&running.site.callers[0]);
+    let mut flows = Vec::new();
+    for number in 0..8 {
+        flows.push(open_flow(&caller, &running, number).await);
+    }
+    restarted.reconnect();
+    wait_read(&running, &restarted, 2).await;
+    for (number, flow) in flows.iter_mut().enumerate() {
+        let id = format!("{number}-second");
+        request(flow, &id).await.expect("a response");
+        assert_eq!(flow.target(), Some(restarted.name().as_str()));
+    }
+    running.targets.push(restarted);
+    running.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_of_the_earlier_start_are_reset_by_the_target() {
+    let mut running = RunningSite::start(&[1], 1).await;
+    let caller = Arc::clone(&running.site.callers[0]);
+    let mut flow = open_flow(&caller, &running, 0).await;
+    // VM and target handle packets in order, so once another flow has opened, the acknowledgement of
+    // the response above has arrived. The restarted target would answer it with a reset.
+    open_flow(&caller, &running, 1).await;
+    let restarted = restart_cut_off(&mut running).await;
+    restarted.reconnect();
+    wait_read(&running, &restarted, 2).await;
+    let error = request(&mut flow, "0-second").await;
+    assert_eq!(
+        error,
+        Err(FlowError::TargetReset),
+        "the flow must end with the earlier start of the target"
+    );
+    let flow = open_flow(&caller, &running, 2).await;
+    assert_eq!(flow.target(), Some(restarted.name().as_str()));
+    running.targets.push(restarted);
+    running.check();
+}
