Tell VMs that start later of the earlier starts of targets

Seen by callers: flows that a restarted target had accepted before its entry was read were reset by VMs that had started since, among them all VMs of a fleet that is replaced one by one.

With one VM told by hand, the decision is the right one (steer_restarts vm_that_starts_later_learns_the_earlier_starts_from_others; the same test shows the reset of a VM that was not told).

Change: answers to calls that do not wait, which every VM sends and receives from its start on, and answers to a VM that asks for its first copy, list the earlier starts of targets that have started again: token, id, service, address and the time since the end. They are passed on for a minute, 512 at most. A flow takes over the later token with its next request, so only flows without any for that long are left out. Programs of before ignore the list, and send none.

Weighed: tokens without the start would need no memory, but programs of before reset them as unknown while a fleet is upgraded.

Not fixed: if all VMs are lost at once, nobody knows the earlier start.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -15,7 +15,7 @@
 use bambooseam_platform::{Document, DocumentKind, PublishedContent};
 use bambooseam_replica::{ApplyOutcome, Change, Changes, Held, Replica};
 use bambooseam_steer::{Steering, SteeringEvent, Target};
-use bambooseam_types::{Moment, Revision, TargetId, ZoneId};
+use bambooseam_types::{EarlierStart, Moment, Revision, TargetId, ZoneId};
 use tokio::sync::watch;
 
 use crate::or_none::OrNone;
@@ -188,6 +188,19 @@
         self.forwarding.send_replace(true);
     }
 
+    /// Records earlier starts of targets that a peer knows.
+    pub fn record_earlier_starts(
+        &mut self,
+        starts: Vec<EarlierStart>,
+        now: Moment,
+        source: Source,
+    ) {
+        let count = self.steering.record_earlier_starts(starts, now);
+        if count > 0 {
+            log::info!("event=earlier_starts_received starts={count} source={source}");
+        }
+    }
+
     /// Records that the store is unavailable, or that it answered again after an outage.
     pub fn record_outage(&mut self, now: Moment) {
         self.outage = Some(now);
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -89,6 +89,11 @@
             (false, true) => Vec::new(),
             (false, false) => self.peers.borrow().sample(now),
         };
+        // A follower reads the changes of targets one by one, and misses no start.
+        let earlier_starts = match is_waiting && !request.is_starting {
+            true => Vec::new(),
+            false => self.node.borrow().steering().earlier_starts(now),
+        };
         let changes = self.node.borrow().replica().changes_since(&request.held);
         let changes = changes
             .filter(|changes| request.may_be_large || changes.size() <= SMALL_RESPONSE_BYTES);
@@ -98,6 +103,7 @@
             age: age.unwrap_or(Duration::MAX),
             peers,
             is_referral,
+            earlier_starts,
             ..SyncResponse::default()
         }
     }
@@ -277,6 +283,7 @@
         node.steering_mut().record_outside_answer(called);
     }
     node.record_transfer(response.size, now);
+    node.record_earlier_starts(response.earlier_starts, now, Source::Peer(address));
     let Some(changes) = response.changes else {
         return true;
     };
--- a/crates/entry/src/starter.rs
+++ b/crates/entry/src/starter.rs
@@ -190,6 +190,7 @@
         let (age, synced) = (response.age, response.synced(now));
         let mut node = self.node.borrow_mut();
         node.record_transfer(response.size, now);
+        node.record_earlier_starts(response.earlier_starts, now, Source::Peer(address));
         let Some(changes) = response.changes else {
             return false;
         };
--- a/crates/peer/schema/replica.capnp
+++ b/crates/peer/schema/replica.capnp
@@ -50,6 +50,17 @@
   zone @1 :Text;
 }
 
+struct EarlierStart {
+  # An earlier start of a target that has started again: the token of its flows, the target's id, the
+  # service and the address, as IP:PORT, of the earlier start, and the time since its end in
+  # milliseconds.
+  token @0 :UInt32;
+  target @1 :Text;
+  service @2 :Text;
+  address @3 :Text;
+  elapsedMs @4 :UInt64;
+}
+
 struct News {
   # Changes that the requester lacks; absent when the responder holds no copy.
   changes @0 :Changes;
@@ -59,6 +70,8 @@
   peers @2 :List(Peer);
   # Whether the responder sends the requester on to `peers`.
   isReferral @3 :Bool;
+  # Earlier starts of targets that ended lately; a follower reads the changes instead.
+  earlierStarts @4 :List(EarlierStart);
 }
 
 interface Replica {
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -1,17 +1,17 @@
 //! Calls between entry VMs, by which each VM keeps its copy of the published documents current.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bambooseam_replica::{Changes, Held};
-use bambooseam_types::{Era, Moment, Revision, ZoneId};
+use bambooseam_types::{EarlierStart, Era, Moment, Revision, ServiceName, TargetId, Token, ZoneId};
 use tokio::net::TcpListener;
 
 use crate::changes::{PackedList, read_changes, write_changes};
-use crate::replica_capnp::{copy, news, peer, replica};
+use crate::replica_capnp::{copy, earlier_start, news, peer, replica};
 use crate::{Link, Meter, PeerError, connect_metered, serve_metered};
 
 /// Longest wait for a change that a server accepts.
@@ -20,6 +20,9 @@
 /// Most VMs that one response names.
 const PEER_LIMIT: u32 = 64;
 
+/// Most earlier starts in one response.
+const EARLIER_START_LIMIT: u32 = 512;
+
 /// A VM that serves its copy.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerInfo {
@@ -58,6 +61,8 @@
     pub peers: Vec<PeerInfo>,
     /// Whether the responder sends the requester on to `peers`.
     pub is_referral: bool,
+    /// Earlier starts of targets that ended lately. A response has 512 at most.
+    pub earlier_starts: Vec<EarlierStart>,
     /// Size of a received response in bytes.
     pub size: usize,
 }
@@ -66,8 +71,7 @@
     /// Time at which the copy was last known to be current, for a response that was sent at `at` or
     /// later.
     pub fn synced(&self, at: Moment) -> Moment {
-        let age = u64::try_from(self.age.as_millis()).unwrap_or(u64::MAX);
-        Moment::from_millis(at.as_millis().saturating_sub(age))
+        at.before(self.age)
     }
 }
 
@@ -191,6 +195,36 @@
     Ok(peer.map(|(address, zone)| PeerInfo { address, zone }))
 }
 
+fn write_earlier_start(value: &EarlierStart, mut builder: earlier_start::Builder<'_>) {
+    builder.set_token(value.token.get());
+    builder.set_target(value.target.as_str());
+    builder.set_service(value.service.as_str());
+    builder.set_address(value.address.to_string());
+    builder.set_elapsed_ms(millis(value.elapsed));
+}
+
+/// Reads an earlier start; `None` when a later version names it in a form that can't be parsed.
+fn read_earlier_start(
+    reader: earlier_start::Reader<'_>,
+) -> Result<Option<EarlierStart>, capnp::Error> {
+    let token = Token::from_wire(reader.get_token());
+    let target: Option<TargetId> = reader.get_target()?.to_str()?.parse().ok();
+    let service: Option<ServiceName> = reader.get_service()?.to_str()?.parse().ok();
+    let address: Option<SocketAddrV4> = reader.get_address()?.to_str()?.parse().ok();
+    let (Some(token), Some(target), Some(service), Some(address)) =
+        (token, target, service, address)
+    else {
+        return Ok(None);
+    };
+    Ok(Some(EarlierStart {
+        token,
+        target,
+        service,
+        address,
+        elapsed: Duration::from_millis(reader.get_elapsed_ms()),
+    }))
+}
+
 /// Size of a message in bytes.
 fn bytes(size: capnp::MessageSize) -> usize {
     usize::try_from(size.word_count * 8).unwrap_or(usize::MAX)
@@ -230,6 +264,11 @@
     for (index, peer) in (0..count).zip(&value.peers) {
         write_peer(peer, peers.reborrow().get(index));
     }
+    let count = EARLIER_START_LIMIT.min(value.earlier_starts.len() as u32);
+    let mut starts = builder.reborrow().init_earlier_starts(count);
+    for (index, start) in (0..count).zip(&value.earlier_starts) {
+        write_earlier_start(start, starts.reborrow().get(index));
+    }
     if let Some(changes) = &value.changes {
         write_changes(changes, packed, builder.init_changes())?;
     }
@@ -241,6 +280,11 @@
     for peer in reader.get_peers()?.iter().take(PEER_LIMIT as usize) {
         peers.extend(read_peer(peer)?);
     }
+    let mut earlier_starts = Vec::new();
+    let starts = reader.get_earlier_starts()?.iter();
+    for start in starts.take(EARLIER_START_LIMIT as usize) {
+        earlier_starts.extend(read_earlier_start(start)?);
+    }
     let changes = match reader.has_changes() {
         true => Some(read_changes(reader.get_changes()?)?),
         false => None,
@@ -250,6 +294,7 @@
         age: Duration::from_millis(reader.get_age_ms()),
         peers,
         is_referral: reader.get_is_referral(),
+        earlier_starts,
         size: bytes(reader.total_size()?),
     })
 }
--- a/crates/steer/src/ended_start.rs
+++ b/crates/steer/src/ended_start.rs
@@ -5,16 +5,24 @@
 //! listens, but this VM learns of the start only from the entry. Flows that open in between carry the
 //! token of the earlier start, as far as a VM can tell like those that the earlier start took to its
 //! end. Only the target knows which flows it holds, and it resets the others itself.
+//!
+//! A VM that starts later reads the last entry only. Other VMs therefore pass on the earlier starts of
+//! targets for a while.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
-use bambooseam_types::{Moment, ServiceName, TargetId, Token};
+use bambooseam_types::{EarlierStart, Moment, ServiceName, TargetId, Token};
 
 use crate::Target;
 
 /// Largest number of remembered starts; beyond this the start that ended first is evicted.
 const MAX_ENDED: usize = 4_096;
 
+/// Time for which an earlier start is passed on to other VMs. A flow takes over the later token with
+/// its next request, and one that has had none for this long is idle beyond any usual timeout.
+const PASS_ON_TIME: Duration = Duration::from_secs(60);
+
 /// Ended starts, sorted by token.
 #[derive(Debug, Default)]
 pub(crate) struct EndedStarts {
@@ -33,6 +41,39 @@
 }
 
 impl EndedStart {
+    /// The start of `target`, which has ended.
+    pub fn new(target: Target, token: Token, now: Moment) -> Self {
+        Self {
+            token,
+            id: target.id,
+            service: target.service,
+            address: target.address,
+            ended: now,
+        }
+    }
+
+    /// A start that another VM has passed on.
+    pub fn from_peer(start: EarlierStart, now: Moment) -> Self {
+        Self {
+            token: start.token,
+            id: start.target,
+            service: start.service,
+            address: start.address,
+            ended: now.before(start.elapsed),
+        }
+    }
+
+    /// The start as passed on to other VMs.
+    pub fn to_peer(&self, now: Moment) -> EarlierStart {
+        EarlierStart {
+            token: self.token,
+            target: self.id.clone(),
+            service: self.service.clone(),
+            address: self.address,
+            elapsed: now.since(self.ended),
+        }
+    }
+
     /// Whether `target`, which has the same identifier, may hold flows that were opened with the
     /// token of this start. Those were sent to this start's address, for its service.
     pub fn may_continue_at(&self, target: &Target) -> bool {
@@ -46,16 +87,15 @@
         Some(&self.list[self.find(token).ok()?])
     }
 
-    /// Adds the start of a target that has ended.
-    pub fn insert(&mut self, target: Target, token: Token, now: Moment) {
-        let start = EndedStart {
-            token,
-            id: target.id,
-            service: target.service,
-            address: target.address,
-            ended: now,
-        };
-        match self.find(token) {
+    /// The starts that ended lately, sorted by token.
+    pub fn recent(&self, now: Moment) -> impl Iterator<Item = &EndedStart> {
+        let is_recent = move |start: &&EndedStart| now.since(start.ended) <= PASS_ON_TIME;
+        self.list.iter().filter(is_recent)
+    }
+
+    /// Adds a start that has ended.
+    pub fn insert(&mut self, start: EndedStart) {
+        match self.find(start.token) {
             Ok(at) => self.list[at] = start,
             Err(at) => {
                 self.list.insert(at, start);
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use bambooseam_types::{Moment, Revision, ServiceName, TargetId, ZoneId};
+use bambooseam_types::{EarlierStart, Moment, Revision, ServiceName, TargetId, ZoneId};
 
 use super::Steering;
 use super::signals::release;
@@ -81,6 +81,20 @@
         }
     }
 
+    /// The earlier starts of targets that ended lately, for other VMs.
+    pub fn earlier_starts(&self, now: Moment) -> Vec<EarlierStart> {
+        self.targets.earlier_starts(now)
+    }
+
+    /// Records earlier starts that another VM knows. Returns the number of those that were not known
+    /// here.
+    pub fn record_earlier_starts(&mut self, starts: Vec<EarlierStart>, now: Moment) -> usize {
+        let recorded = starts
+            .into_iter()
+            .filter(|start| self.targets.record_earlier(start.clone(), now));
+        recorded.count()
+    }
+
     /// Excludes the targets of a zone from new flows. Returns false if the zone was already
     /// evacuated.
     pub fn evacuate(&mut self, zone: ZoneId, revision: Revision, now: Moment) -> bool {
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -4,10 +4,10 @@
 //! have the same token; the service of the packet's route then selects one of them. Within one
 //! service the target that started later takes no new flows while the earlier target exists.
 
-use bambooseam_types::{Moment, ServiceName, TargetId, Token};
+use bambooseam_types::{EarlierStart, Moment, ServiceName, TargetId, Token};
 use derive_more::Display;
 
-use crate::ended_start::EndedStarts;
+use crate::ended_start::{EndedStart, EndedStarts};
 use crate::load::Load;
 use crate::missing_entry::status_after_retention;
 use crate::target_speed::TargetSpeed;
@@ -181,7 +181,8 @@
         }
         self.update_shadowed(record.token);
         if self.with_token(record.token).next().is_none() {
-            self.ended.insert(record.target, record.token, now);
+            let start = EndedStart::new(record.target, record.token, now);
+            self.ended.insert(start);
         }
     }
 
@@ -266,7 +267,27 @@
     /// The present start of the target to whose ended start a token belongs, if it may hold flows
     /// with that token.
     pub fn later_start(&self, token: Token) -> Option<TargetIndex> {
-        let ended = self.ended.get(token)?;
+        self.later_than(self.ended.get(token)?)
+    }
+
+    /// The earlier starts of targets that ended lately, sorted by token.
+    pub fn earlier_starts(&self, now: Moment) -> Vec<EarlierStart> {
+        let recent = self.ended.recent(now);
+        let earlier = recent.filter(|start| self.later_than(start).is_some());
+        earlier.map(|start| start.to_peer(now)).collect()
+    }
+
+    /// Records an earlier start that another VM knows. Returns false if it is known here.
+    pub fn record_earlier(&mut self, start: EarlierStart, now: Moment) -> bool {
+        let is_present = self.with_token(start.token).next().is_some();
+        if is_present || self.is_ended(start.token) {
+            return false;
+        }
+        self.ended.insert(EndedStart::from_peer(start, now));
+        true
+    }
+
+    fn later_than(&self, ended: &EndedStart) -> Option<TargetIndex> {
         let index = self.find(&ended.id)?;
         let record = self.get(index)?;
         ended.may_continue_at(&record.target).then_some(index)
--- a/crates/types/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -46,6 +46,12 @@
     pub const fn after(self, time: Duration) -> Self {
         Self(self.0 + time.as_millis() as u64)
     }
+
+    /// The moment `time` before this moment; the origin of the clock if that is later.
+    pub fn before(self, time: Duration) -> Self {
+        let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(millis))
+    }
 }
 
 impl SystemClock {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 //! `FromStr` or `TryFrom`. All other code works with validated values only.
 
 mod clock;
+mod earlier_start;
 mod finding;
 mod id;
 mod net;
@@ -11,6 +12,7 @@
 mod token;
 
 pub use clock::{Clock, Moment, SystemClock};
+pub use earlier_start::EarlierStart;
 pub use finding::{Finding, Findings, Location};
 pub use id::{
     Digest, Era, FlowPort, Incarnation, ParseIdError, PresetName, RequestId, Revision, ServiceId,
--- a/tests/tests/entry_restarts.rs
+++ b/tests/tests/entry_restarts.rs
@@ -4,11 +4,14 @@
 use std::time::{Duration, Instant};
 
 use bambooseam_standin::site::{CallerFlow, CallerHost, FlowError, FlowTarget};
-use bambooseam_tests::site::{CONFIG_BOUND, RunningSite, pause};
+use bambooseam_tests::site::{CONFIG_BOUND, RunningSite, WAIT_TIMEOUT, pause};
 
 /// Timeout of a request. An open flow gets its answer, or a reset, at the first transmission.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time after its start, in milliseconds, from which a VM resets unknown tokens.
+const SETTLE_MS: u64 = 3_500;
+
 /// Opens flow `number` and sends a first request in it.
 async fn open_flow(caller: &Arc<CallerHost>, running: &RunningSite, number: u8) -> CallerFlow {
     let mut flow = caller.open(running.orders, None).await.expect("a flow");
@@ -29,6 +32,16 @@
     running.site.restart_target(&plan).await.expect("a target")
 }
 
+/// Stops a VM as for an update, and starts it again.
+async fn replace_vm(running: &mut RunningSite, vm: usize) {
+    let count = running.site.vms.len();
+    running.site.vms[vm].signal("TERM").await.expect("a signal");
+    let status = running.site.vms[vm].wait(WAIT_TIMEOUT).await;
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+    running.site.vms[vm].start().expect("the VM starts");
+    assert!(running.site.wait_ready(count, WAIT_TIMEOUT).await);
+}
+
 /// Waits until every running VM has read `count` different entries of the target.
 async fn wait_read(running: &RunningSite, target: &FlowTarget, count: usize) {
     let changed = format!("event=target_changed target={} ", target.plan().id);
@@ -42,29 +55,81 @@
     }
 }
 
+/// A site whose only target has accepted flows before any VM has read the entry of its present start.
+struct RestartedSite {
+    running: RunningSite,
+    flows: Vec<CallerFlow>,
+    /// Name of the present start.
+    name: String,
+}
+
+impl RestartedSite {
+    /// Starts three VMs in two zones. All of them have read the later entry when this returns.
+    async fn start() -> Self {
+        let mut running = RunningSite::start(&[2, 1], 0).await;
+        let target = running.site.add_target("orders", 0, 1).await;
+        running.targets.push(target.expect("a target"));
+        wait_read(&running, &running.targets[0], 1).await;
+        let restarted = restart_cut_off(&mut running).await;
+        let caller = Arc::clone(&running.site.callers[0]);
+        let mut flows = Vec::new();
+        for number in 0..8 {
+            flows.push(open_flow(&caller, &running, number).await);
+        }
+        restarted.reconnect();
+        wait_read(&running, &restarted, 2).await;
+        let name = restarted.name();
+        running.targets.push(restarted);
+        Self {
+            running,
+            flows,
+            name,
+        }
+    }
+
+    /// Sends a second request in each flow; each must be answered by the same start.
+    async fn check(mut self) {
+        for (number, flow) in self.flows.iter_mut().enumerate() {
+            let id = format!("{number}-second");
+            request(flow, &id).await.expect("a response");
+            assert_eq!(flow.target(), Some(self.name.as_str()));
+        }
+        self.running.check();
+    }
+}
+
 /// Review case 4: the VMs reset open flows that a restarted target had accepted before they read its
 /// entry.
 #[tokio::test(flavor = "multi_thread")]
 async fn flows_accepted_before_the_entry_is_read_stay_open() {
-    let mut running = RunningSite::start(&[2, 1], 0).await;
-    let target = running.site.add_target("orders", 0, 1).await;
-    running.targets.push(target.expect("a target"));
-    wait_read(&running, &running.targets[0], 1).await;
-    let restarted = restart_cut_off(&mut running).await;
-    let caller = Arc::clone(&running.site.callers[0]);
-    let mut flows = Vec::new();
-    for number in 0..8 {
-        flows.push(open_flow(&caller, &running, number).await);
+    RestartedSite::start().await.check().await;
+}
+
+/// A VM that starts later reads only the later entry, and must not reset flows with the earlier token
+/// once it has settled.
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_accepted_before_the_entry_is_read_survive_the_replacement_of_all_vms() {
+    let mut site = RestartedSite::start().await;
+    for vm in 0..site.running.site.vms.len() {
+        replace_vm(&mut site.running, vm).await;
     }
-    restarted.reconnect();
-    wait_read(&running, &restarted, 2).await;
-    for (number, flow) in flows.iter_mut().enumerate() {
-        let id = format!("{number}-second");
-        request(flow, &id).await.expect("a response");
-        assert_eq!(flow.target(), Some(restarted.name().as_str()));
+    pause(SETTLE_MS).await;
+    site.check().await;
+}
+
+/// As above, but no VM is left that has read the earlier entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_accepted_before_the_entry_is_read_survive_the_loss_of_all_vms() {
+    let mut site = RestartedSite::start().await;
+    let vms = &mut site.running.site.vms;
+    for vm in vms.iter_mut() {
+        vm.kill().await;
     }
-    running.targets.push(restarted);
-    running.check();
+    let count = vms.len();
+    site.running.site.start_all().expect("VM processes start");
+    assert!(site.running.site.wait_ready(count, WAIT_TIMEOUT).await);
+    pause(SETTLE_MS).await;
+    site.check().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/tests/replica_wire.rs
+++ b/tests/tests/replica_wire.rs
@@ -1,7 +1,7 @@
 //! Messages between VMs about the published documents: their size, and programs of other versions.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +13,7 @@
 use bambooseam_peer::{Meter, connect};
 use bambooseam_replica::{Change, Changes, Held};
 use bambooseam_tests::inputs::for_many_bytes;
+use bambooseam_types::{EarlierStart, Token};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::net::TcpListener;
@@ -27,6 +28,7 @@
 /// A VM that answers each request alike and keeps the last request.
 struct FixedService {
     changes: Changes,
+    earlier_starts: Vec<EarlierStart>,
     request: Rc<RefCell<Option<SyncRequest>>>,
 }
 
@@ -35,6 +37,7 @@
         self.request.replace(Some(request));
         SyncResponse {
             changes: Some(self.changes.clone()),
+            earlier_starts: self.earlier_starts.clone(),
             ..SyncResponse::default()
         }
     }
@@ -118,12 +121,32 @@
     }
 }
 
+/// An earlier start of target `number`.
+fn earlier_start(number: u32) -> EarlierStart {
+    EarlierStart {
+        token: Token::from_hash(number),
+        target: format!("i-{number:08x}").parse().expect("an id"),
+        service: "orders".parse().expect("a service"),
+        address: SocketAddrV4::new(Ipv4Addr::from(number), 8080),
+        elapsed: Duration::from_millis(number.into()),
+    }
+}
+
 /// Serves `changes` on an address of its own.
 async fn serve(changes: Changes) -> (SocketAddr, Rc<RefCell<Option<SyncRequest>>>) {
+    serve_with(changes, Vec::new()).await
+}
+
+/// Serves `changes` and `earlier_starts` on an address of its own.
+async fn serve_with(
+    changes: Changes,
+    earlier_starts: Vec<EarlierStart>,
+) -> (SocketAddr, Rc<RefCell<Option<SyncRequest>>>) {
     let (listener, address) = bind().await;
     let request = Rc::default();
     let service = FixedService {
         changes,
+        earlier_starts,
         request: Rc::clone(&request),
     };
     spawn_local(serve_replica(listener, Arc::default(), service));
@@ -203,12 +226,28 @@
         let client = client(address, &Arc::default()).await;
         let response = client.sync(&request()).await.expect("an answer");
         assert!(!response.is_referral);
+        assert_eq!(response.earlier_starts, []);
         let changes = response.changes.expect("a copy");
         assert_eq!((changes.list.len(), changes.gap), (1, None));
     };
     LocalSet::new().run_until(run).await;
 }
 
+#[tokio::test]
+async fn earlier_starts_reach_the_requester() {
+    let run = async {
+        let starts: Vec<_> = (1..=600).map(earlier_start).collect();
+        for count in [0, 1, 512, 600] {
+            let offered = starts[..count].to_vec();
+            let (address, _) = serve_with(Changes::default(), offered).await;
+            let client = client(address, &Arc::default()).await;
+            let response = client.sync(&request()).await.expect("an answer");
+            assert_eq!(response.earlier_starts, starts[..count.min(512)]);
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 #[tokio::test]
 async fn invalid_packed_lists_are_refused() {
     let run = async {
--- a/tests/tests/steer_restarts.rs
+++ b/tests/tests/steer_restarts.rs
@@ -154,3 +154,62 @@
     let load = steering.targets().get(index).expect("the target").load;
     assert_eq!((load.flows, load.busy), (0, 0));
 }
+
+/// Returns the steering of a VM that has started after the restart of target 1 and has settled.
+fn started_later() -> Steering {
+    let mut steering = steering([target_started(5_000), target(2)]);
+    steering.record_sync(at(10_000));
+    steering
+}
+
+/// A VM that starts after the target has registered reads only the later entry, so the earlier token
+/// is unknown to it.
+#[test]
+fn vm_that_starts_later_learns_the_earlier_starts_from_others() {
+    let later = target_started(5_000);
+    let (first, token) = restarted(target(1), later.clone());
+    let mut unaided = started_later();
+    decide(&mut unaided, token, 9_000);
+    let decision = decide(&mut unaided, token, 10_000);
+    assert_eq!(decision, Decision::Reset(ResetCause::UnknownToken));
+    let mut steering = started_later();
+    let count = steering.record_earlier_starts(first.earlier_starts(at(9_000)), at(9_000));
+    assert_eq!(count, 1);
+    let decision = decide(&mut steering, token, 10_000);
+    assert_eq!(decision.forwarded(), Some((later.address, later.token())));
+    // Nothing is new in what the VM would be told again.
+    let count = steering.record_earlier_starts(first.earlier_starts(at(11_000)), at(11_000));
+    assert_eq!(count, 0);
+}
+
+#[test]
+fn only_starts_of_targets_that_have_started_again_are_passed_on() {
+    let (mut steering, token) = restarted(target(1), target_started(5_000));
+    steering.remove_targets(&[target(2).id], at(200));
+    steering.sweep(at(2_000));
+    let starts = steering.earlier_starts(at(2_000));
+    let starts: Vec<_> = starts.iter().map(|start| start.token).collect();
+    assert_eq!(starts, [token]);
+}
+
+/// The age of an earlier start is passed on with it, so that two VMs do not keep it alive.
+#[test]
+fn earlier_starts_are_passed_on_for_a_minute() {
+    let (first, _) = restarted(target(1), target_started(5_000));
+    assert_eq!(first.earlier_starts(at(60_101)), []);
+    let mut other = started_later();
+    other.record_earlier_starts(first.earlier_starts(at(50_000)), at(50_000));
+    assert_eq!(other.earlier_starts(at(60_100)).len(), 1);
+    assert_eq!(other.earlier_starts(at(60_101)), []);
+}
+
+/// A peer whose view is older names the present start as an earlier one.
+#[test]
+fn present_start_is_no_earlier_start() {
+    let (first, token) = restarted(target_started(5_000), target(1));
+    let mut steering = started_later();
+    let count = steering.record_earlier_starts(first.earlier_starts(at(9_000)), at(9_000));
+    assert_eq!(count, 0);
+    let decision = decide(&mut steering, token, 10_000);
+    assert_eq!(decision.forwarded(), Some((target(1).address, token)));
+}
