--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -89,10 +89,14 @@
             (false, true) => Vec::new(),
             (false, false) => self.peers.borrow().sample(now),
         };
-        // A follower reads the changes of targets one by one, and misses no start.
+        // A follower receives earlier starts with its other calls as well.
         let earlier_starts = match is_waiting && !request.is_starting {
             true => Vec::new(),
-            false => self.node.borrow().steering().earlier_starts(now),
+            false => self
+                .node
+                .borrow()
+                .steering()
+                .earlier_starts(BootClock.now()),
         };
         let changes = self.node.borrow().replica().changes_since(&request.held);
         let changes = changes
--- a/crates/peer/schema/replica.capnp
+++ b/crates/peer/schema/replica.capnp
@@ -70,7 +70,8 @@
   peers @2 :List(Peer);
   # Whether the responder sends the requester on to `peers`.
   isReferral @3 :Bool;
-  # Earlier starts of targets that ended lately; a follower reads the changes instead.
+  # Earlier starts of targets that ended lately; absent from responses that waited for a change,
+  # unless the requester is starting.
   earlierStarts @4 :List(EarlierStart);
 }
 
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -61,7 +61,7 @@
     pub peers: Vec<PeerInfo>,
     /// Whether the responder sends the requester on to `peers`.
     pub is_referral: bool,
-    /// Earlier starts of targets that ended lately. A response has 512 at most.
+    /// Earlier starts of targets that ended lately; only the first 512 are sent.
     pub earlier_starts: Vec<EarlierStart>,
     /// Size of a received response in bytes.
     pub size: usize,
--- a/crates/steer/src/ended_start.rs
+++ b/crates/steer/src/ended_start.rs
@@ -20,7 +20,7 @@
 const MAX_ENDED: usize = 4_096;
 
 /// Time for which an earlier start is passed on to other VMs. A flow takes over the later token with
-/// its next request, and one that has had none for this long is idle beyond any usual timeout.
+/// its next request, and one without a request for this long has exceeded the usual idle timeouts.
 const PASS_ON_TIME: Duration = Duration::from_secs(60);
 
 /// Ended starts, sorted by token.
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -89,10 +89,11 @@
     /// Records earlier starts that another VM knows. Returns the number of those that were not known
     /// here.
     pub fn record_earlier_starts(&mut self, starts: Vec<EarlierStart>, now: Moment) -> usize {
-        let recorded = starts
-            .into_iter()
-            .filter(|start| self.targets.record_earlier(start.clone(), now));
-        recorded.count()
+        let mut count = 0;
+        for start in starts {
+            count += usize::from(self.targets.record_earlier(start, now));
+        }
+        count
     }
 
     /// Excludes the targets of a zone from new flows. Returns false if the zone was already
