--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -76,6 +76,10 @@
             "restores",
             "Let the store return from older copies at times",
         ))
+        .arg(flag(
+            "restarts",
+            "Let targets start again under their identifiers at times",
+        ))
         .arg(flag("plan", "Print the plan without running it"))
         .arg(flag("replay", "Run all kept regression seeds instead"))
         .arg(path(
@@ -97,6 +101,7 @@
         length: seconds.map_or(DEFAULT_SIZE.length, Duration::from_secs),
         vms: number("vms").map_or(DEFAULT_SIZE.vms, |vms| vms as usize),
         has_restores: matches.get_flag("restores"),
+        has_restarts: matches.get_flag("restarts"),
     };
     let first = number("seed").unwrap_or(1);
     let count = number("seeds").unwrap_or(1);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -42,6 +42,9 @@
 /// operator's next write.
 const MAX_RESTORE_TIME: Duration = Duration::from_secs(3);
 
+/// Time before the last faults by which all targets that have started again are registered.
+const RESTART_MARGIN: Duration = Duration::from_secs(2);
+
 /// Time after the last fault burst at which every zone is readmitted.
 const READMISSION_PAUSE: Duration = Duration::from_millis(100);
 
@@ -54,6 +57,8 @@
     pub vms: usize,
     /// Whether the store returns from an older copy at times.
     pub has_restores: bool,
+    /// Whether targets start again under their identifier at times.
+    pub has_restarts: bool,
 }
 
 /// An action on the site from outside the programs.
@@ -125,6 +130,12 @@
     /// Stops a target without an announcement.
     #[display("crash target={_0}")]
     Crash(usize),
+    /// Crashes a target and starts it again under its identifier, cut off from the store.
+    #[display("restart target={_0}")]
+    Restart(usize),
+    /// Ends the cut of the target that has been cut off for the longest time.
+    #[display("reconnect")]
+    Reconnect,
 }
 
 /// A span in which a fault may keep one VM, or all of them, from meeting time limits.
@@ -196,6 +207,9 @@
         if size.has_restores {
             generator.add_restores(last);
         }
+        if size.has_restarts {
+            generator.add_restarts(last);
+        }
         let mut plan = generator.plan;
         plan.events.sort_by_key(|(at, _)| *at);
         plan
@@ -373,6 +387,22 @@
         }
     }
 
+    /// Adds targets that start again and register some time later. Drawn after all else, so that the
+    /// rest of a seed's plan is the same without them.
+    fn add_restarts(&mut self, last: Duration) {
+        let mut at = QUIET_START + self.random_time(500, 4_000);
+        loop {
+            let until = at + self.random_time(300, 2_000);
+            if until + RESTART_MARGIN > last {
+                return;
+            }
+            let number = self.random.random_range(0..64);
+            self.add_event(at, Event::Restart(number));
+            self.add_event(until, Event::Reconnect);
+            at += self.random_time(500, 4_000);
+        }
+    }
+
     fn add_kill_all(&mut self, at: Duration) {
         let until = at + self.random_time(200, 1_500);
         self.add_disturbance(None, at, until);
--- a/crates/soak/src/regressions.rs
+++ b/crates/soak/src/regressions.rs
@@ -25,6 +25,7 @@
         length: Duration::from_secs(45),
         vms: 6,
         has_restores: false,
+        has_restarts: false,
     },
     cause: "a VM that started while entries were expired reset flows of targets unknown to it; \
             test steer::vm_that_starts_while_entries_come_back_resets_and_refuses_nothing",
@@ -35,4 +36,5 @@
     length: Duration::from_secs(60),
     vms: 6,
     has_restores: false,
+    has_restarts: false,
 };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -59,6 +59,8 @@
     targets: Vec<FlowTarget>,
     /// Draining targets, in the order of their announcements.
     draining: Vec<FlowTarget>,
+    /// Targets that have started again and can't reach the store, in the order of their starts.
+    cut_off: Vec<FlowTarget>,
     /// Last byte of the address of the newest target.
     last_address: u8,
     /// Frontends whose routes the plan has added and not removed.
@@ -106,6 +108,7 @@
         started: Instant::now(),
         targets,
         draining: Vec::new(),
+        cut_off: Vec::new(),
         last_address: TARGETS,
         routes: Arc::default(),
         expected: vec![true; plan.size.vms],
@@ -222,6 +225,19 @@
                     target.crash().await;
                 }
             }
+            Event::Restart(number) => {
+                if let Some(target) = self.take_target(number) {
+                    let plan = target.plan().clone();
+                    target.crash().await;
+                    self.cut_off.push(self.site.restart_target(&plan).await?);
+                }
+            }
+            Event::Reconnect if !self.cut_off.is_empty() => {
+                let target = self.cut_off.remove(0);
+                target.reconnect();
+                self.targets.push(target);
+            }
+            Event::Reconnect => {}
         }
         Ok(())
     }
@@ -231,7 +247,8 @@
         let address = self.last_address;
         let zone = (number % ZONES) as u8;
         let has_address = |target: &FlowTarget| target.plan().address.ip().octets()[3] == address;
-        let mut existing = self.targets.iter().chain(&self.draining);
+        let listed = self.targets.iter().chain(&self.draining);
+        let mut existing = listed.chain(&self.cut_off);
         if !existing.any(has_address) {
             let target = self.site.add_target("orders", zone, address).await?;
             self.targets.push(target);
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -10,6 +10,7 @@
     length: Duration::from_secs(30),
     vms: 4,
     has_restores: false,
+    has_restarts: false,
 };
 
 /// Seeds of the short runs, which run in parallel.
@@ -122,6 +123,42 @@
     }
 }
 
+#[test]
+fn restarts_are_added_to_the_plan_of_a_seed() {
+    let size = PlanSize {
+        has_restarts: true,
+        ..DEFAULT_SIZE
+    };
+    for seed in 0..50 {
+        let plan = Plan::generate(seed, DEFAULT_SIZE);
+        let with_restarts = Plan::generate(seed, size);
+        let count = |is_kind: fn(&Event) -> bool| {
+            let events = with_restarts.events.iter();
+            events.filter(|(_, event)| is_kind(event)).count()
+        };
+        let restarts = count(|event| matches!(event, Event::Restart(_)));
+        let ends = count(|event| matches!(event, Event::Reconnect));
+        assert!(restarts > 0, "seed {seed}");
+        assert_eq!(restarts, ends, "seed {seed}");
+        let is_kept = |event: &(Duration, Event)| with_restarts.events.contains(event);
+        assert!(plan.events.iter().all(is_kept), "seed {seed}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn short_run_with_restarts_violates_no_invariant() {
+    let size = PlanSize {
+        has_restarts: true,
+        ..SHORT
+    };
+    let plan = Plan::generate(SEEDS[0], size);
+    let outcome = run(&plan, program("bambooseam-entry"))
+        .await
+        .expect("a run");
+    assert!(outcome.violations.is_empty(), "{outcome}");
+    assert!(outcome.served > 500, "{outcome}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn short_run_with_restores_violates_no_invariant() {
     let size = PlanSize {
