--- a/crates/steer/src/ended_start.rs
+++ b/crates/steer/src/ended_start.rs
@@ -1,13 +1,13 @@
 //! Starts of targets that have ended, by their tokens.
 //!
-//! Flows of an ended start are reset without delay, so that their callers retry. There is one
-//! exception. A target that starts again under its identifier accepts datagrams as soon as it
-//! listens, but this VM learns of the start only from the entry. Flows that open in between carry the
-//! token of the earlier start, as far as a VM can tell like those that the earlier start took to its
-//! end. Only the target knows which flows it holds, and it resets the others itself.
+//! Flows of an ended start are reset without delay, so that their callers retry, unless the target has
+//! started again. A target that starts again under its identifier accepts datagrams as soon as it
+//! listens, but a VM learns of the start only from the entry. Flows that open in between carry the
+//! token of the earlier start, and no VM can tell them from flows that ended with it. The target knows
+//! which flows it holds: their packets are forwarded to it, and it resets the others itself.
 //!
-//! A VM that starts later reads the last entry only. Other VMs therefore pass on the earlier starts of
-//! targets for a while.
+//! A VM that starts after such a target reads only the entry of the present start. Other VMs therefore
+//! pass on the earlier starts of targets for a while.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -74,8 +74,8 @@
         }
     }
 
-    /// Whether `target`, which has the same identifier, may hold flows that were opened with the
-    /// token of this start. Those were sent to this start's address, for its service.
+    /// Whether `target`, a start under the same identifier, may hold flows with the token of this
+    /// start. Such flows were sent to the address of this start, for its service.
     pub fn may_continue_at(&self, target: &Target) -> bool {
         target.address == self.address && target.service == self.service
     }
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -374,8 +374,9 @@
         if let Some(record) = self.targets.get(index)
             && record.token != token
         {
-            // The flow may have ended with an earlier start, so that its packets show nothing about
-            // the target. If the target holds the flow, its next packet carries the later token.
+            // The flow may have ended with an earlier start, so its packets are no load of the
+            // target and no evidence about it. A target that holds the flow responds with the later
+            // token, which the caller's next packets carry.
             return forward(record, None);
         }
         let signals = self
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -264,8 +264,7 @@
         self.ended.get(token).is_some()
     }
 
-    /// The present start of the target to whose ended start a token belongs, if it may hold flows
-    /// with that token.
+    /// The present start of a target, by the token of an earlier start whose flows it may hold.
     pub fn later_start(&self, token: Token) -> Option<TargetIndex> {
         self.later_than(self.ended.get(token)?)
     }
