Log what a VM knows of the target of a flow that it resets

Cause: flow_reset named the cause and the token. No decision is changed. Result: tests steer, steer_restarts, ctl_logs and docs pass; clippy is clean.

--- a/crates/steer/src/ended_start.rs
+++ b/crates/steer/src/ended_start.rs
@@ -13,8 +13,10 @@
 use std::time::Duration;
 
 use bambooseam_types::{EarlierStart, Moment, ServiceName, TargetId, Token};
+use derive_more::Display;
 
 use crate::Target;
+use crate::target_table::TargetRecord;
 
 /// Largest number of remembered starts; beyond this the start that ended first is evicted.
 const MAX_ENDED: usize = 4_096;
@@ -37,18 +39,48 @@
     pub id: TargetId,
     service: ServiceName,
     address: SocketAddrV4,
-    ended: Moment,
+    /// When this VM, or the VM that passed the start on, found that it had ended.
+    pub ended: Moment,
+    /// Why it counts as ended.
+    pub cause: EndCause,
+    /// When this VM last found that the start responded.
+    pub last_response: Option<Moment>,
+}
+
+/// Reason for which a start of a target counts as ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum EndCause {
+    /// The entry describes another start, or another service.
+    #[display("replaced")]
+    Replaced,
+    /// The entry was removed after the target had announced that it leaves.
+    #[display("left")]
+    Left,
+    /// The entry was removed without an announcement, and did not return in time.
+    #[display("entry_not_back")]
+    NotBack,
+    /// Another VM passed the start on.
+    #[display("received")]
+    Received,
 }
 
 impl EndedStart {
-    /// The start of `target`, which has ended.
-    pub fn new(target: Target, token: Token, now: Moment) -> Self {
+    /// The start that `record` describes, which has ended.
+    pub fn new(record: TargetRecord, cause: EndCause, now: Moment) -> Self {
+        let TargetRecord {
+            target,
+            token,
+            load,
+            ..
+        } = record;
         Self {
             token,
             id: target.id,
             service: target.service,
             address: target.address,
             ended: now,
+            cause,
+            last_response: load.last_response,
         }
     }
 
@@ -60,6 +92,8 @@
             service: start.service,
             address: start.address,
             ended: now.before(start.elapsed),
+            cause: EndCause::Received,
+            last_response: None,
         }
     }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -16,8 +16,8 @@
 //! zones from new flows, [`isolation`] detects that everything outside the zone is out of reach,
 //! [`resumption`] drops openings that waited while this process was paused,
 //! [`zone_load`] adds the load that other VMs of the zone place on a target, `ended_start` handles
-//! tokens of targets that have ended or started again, and [`unknown_token`] handles tokens that belong
-//! to no known target.
+//! tokens of targets that have ended or started again, [`unknown_token`] handles tokens that belong
+//! to no known target, and `token_report` describes a token for the log.
 
 pub mod admission;
 pub mod cold_budget;
@@ -41,12 +41,14 @@
 pub mod target_speed;
 mod target_table;
 pub mod timing;
+mod token_report;
 pub mod unknown_token;
 pub mod zone;
 pub mod zone_load;
 
 pub use cold_budget::ColdPolicy;
 pub use decision::{Decision, DropCause, Origin, Placement, Released, ResetCause};
+pub use ended_start::EndCause;
 pub use event::SteeringEvent;
 pub use header::{FlowId, PacketFlags, PacketHeader, ParseFlowError};
 pub use load::Load;
@@ -56,3 +58,4 @@
 };
 pub use target::Target;
 pub use target_table::{EntryStatus, TargetIndex, TargetRecord, TargetTable};
+pub use token_report::TokenReport;
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -7,6 +7,7 @@
 
 use super::Steering;
 use super::signals::release;
+use crate::ended_start::EndCause;
 use crate::evacuation::Evacuations;
 use crate::missing_entry::RemovalCount;
 use crate::target_speed::Outcome;
@@ -163,7 +164,7 @@
             };
             let (id, service) = (record.target.id.clone(), record.target.service.clone());
             if record.target.is_leaving && !self.outage.is_recent(now) {
-                self.targets.end(index, now);
+                self.targets.end(index, EndCause::Left, now);
                 continue;
             }
             let removal = self.count_removals(&service, &indexes);
@@ -198,6 +199,11 @@
         self.outage.record_outage(now);
     }
 
+    /// Whether the store was unavailable to this VM lately, so that entries may have lapsed.
+    pub fn is_outage_recent(&self, now: Moment) -> bool {
+        self.outage.is_recent(now)
+    }
+
     /// Removes expired flows, tokens and targets. Returns the events since the last sweep.
     pub fn sweep(&mut self, now: Moment) -> Vec<SteeringEvent> {
         self.detect_pause(now);
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -7,7 +7,7 @@
 use bambooseam_types::{EarlierStart, Moment, ServiceName, TargetId, Token};
 use derive_more::Display;
 
-use crate::ended_start::{EndedStart, EndedStarts};
+use crate::ended_start::{EndCause, EndedStart, EndedStarts};
 use crate::load::Load;
 use crate::missing_entry::status_after_retention;
 use crate::target_speed::TargetSpeed;
@@ -136,7 +136,7 @@
                 record.target = target;
                 return;
             }
-            self.end(index, now);
+            self.end(index, EndCause::Replaced, now);
         }
         self.ended.remove(token);
         self.add(target, token, now);
@@ -162,7 +162,7 @@
     }
 
     /// Removes a target and remembers its token as ended.
-    pub fn end(&mut self, index: TargetIndex, now: Moment) {
+    pub fn end(&mut self, index: TargetIndex, cause: EndCause, now: Moment) {
         let Some(record) = self
             .records
             .get_mut(index.0 as usize)
@@ -181,8 +181,7 @@
         }
         self.update_shadowed(record.token);
         if self.with_token(record.token).next().is_none() {
-            let start = EndedStart::new(record.target, record.token, now);
-            self.ended.insert(start);
+            self.ended.insert(EndedStart::new(record, cause, now));
         }
     }
 
@@ -264,6 +263,11 @@
         self.ended.get(token).is_some()
     }
 
+    /// The start of a target that has ended, by its token.
+    pub(crate) fn ended_start(&self, token: Token) -> Option<&EndedStart> {
+        self.ended.get(token)
+    }
+
     /// The present start of a target, by the token of an earlier start whose flows it may hold.
     pub fn later_start(&self, token: Token) -> Option<TargetIndex> {
         self.later_than(self.ended.get(token)?)
@@ -340,7 +344,7 @@
             if let Some(record) = self.get(index) {
                 ended.push(record.target.id.clone());
             }
-            self.end(index, now);
+            self.end(index, EndCause::NotBack, now);
         }
         ended
     }
