Keep early targets until the replica covers their entries

Cause: a VM that starts reads the targets of the store at once, so that open flows go on, while its first copy may come from a peer that is up to 1.15 s behind. Targets that the copy did not contain counted as removed, also those whose entries were newer than the copy. The VM ended such a target after 0.4 s and reset its flows (target_gone), although it served. Ruled out: the removal of an entry between the early read and the copy, which the revision of the copy shows. Change: an early target counts as removed once the replica covers the revision of its entry and does not contain it. Result: early_target_that_an_older_copy_lacks_keeps_its_flows failed before (the target took no flows after 20 ms and was gone after 1 s), and passes; tests node, evacuation and replica_eras pass.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -8,12 +8,13 @@
 use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bambooseam_observe::LogLimit;
 use bambooseam_platform::document::Config;
 use bambooseam_platform::{Document, DocumentKind, PublishedContent};
-use bambooseam_replica::{ApplyOutcome, Change, Changes, Held, Replica};
+use bambooseam_replica::{ApplyOutcome, Change, Changes, Held, Key, Replica};
 use bambooseam_steer::{Steering, SteeringEvent, Target};
 use bambooseam_types::{EarlierStart, Moment, Revision, TargetId, ZoneId};
 use tokio::sync::watch;
@@ -69,8 +70,8 @@
     ready: watch::Sender<bool>,
     /// Whether targets are known, so that packets of open flows can be forwarded.
     forwarding: watch::Sender<bool>,
-    /// Targets applied before the replica was first complete.
-    early_targets: Vec<TargetId>,
+    /// Targets applied before the replica was first complete, and not confirmed since.
+    early_targets: Vec<EarlyTarget>,
     /// When the replica was last confirmed to be current.
     synced: watch::Sender<Option<Moment>>,
     /// Time of the last store outage, or of its end.
@@ -81,6 +82,15 @@
     is_stopping: bool,
 }
 
+/// A target that was read from the store before the replica was first complete.
+#[derive(Debug)]
+struct EarlyTarget {
+    id: TargetId,
+    key: Key,
+    /// Revision of the entry.
+    revision: Revision,
+}
+
 /// A node shared by the tasks of one thread. A borrow must not be held across an `await`.
 pub type SharedNode = Rc<RefCell<Node>>;
 
@@ -141,21 +151,17 @@
             self.era_begun = Some(now);
         }
         let mut removed = Vec::new();
-        let mut present = Vec::new();
         let mut zones = Vec::new();
         for change in newer {
             match DocumentKind::from_key(&change.key) {
                 Ok(DocumentKind::Config) => self.apply_config(&change, source),
                 Ok(DocumentKind::Target(id)) if change.value.is_none() => removed.push(id),
-                Ok(DocumentKind::Target(id)) => {
-                    self.apply_target(&id, &change, now, source);
-                    present.push(id);
-                }
+                Ok(DocumentKind::Target(id)) => self.apply_target(&id, &change, now, source),
                 Ok(DocumentKind::Evacuation(zone)) => zones.push((zone, change)),
                 Err(error) => INVALID_DOCUMENTS.report(error),
             }
         }
-        removed.extend(self.removed_early(present));
+        removed.extend(self.removed_early());
         self.remove(&removed, now, source);
         // Evacuations follow the targets of the same batch, so that the log shows their number.
         for (zone, change) in zones {
@@ -183,7 +189,11 @@
                 continue;
             };
             self.apply_target(&id, change, now, Source::Store);
-            self.early_targets.push(id);
+            self.early_targets.push(EarlyTarget {
+                id,
+                key: Arc::clone(&change.key),
+                revision: change.revision,
+            });
         }
         self.forwarding.send_replace(true);
     }
@@ -353,16 +363,21 @@
         self.config
     }
 
-    /// Returns the targets that were applied early but are not in the first complete read. These
-    /// targets were removed in the meantime.
-    fn removed_early(&mut self, mut present: Vec<TargetId>) -> Vec<TargetId> {
-        let mut early_targets = std::mem::take(&mut self.early_targets);
-        present.sort_unstable();
-        early_targets.sort_unstable();
+    /// Returns the targets that were applied early and have been removed since. An entry that is newer
+    /// than the replica, whose first copy may come from a peer that is behind the store, is kept until
+    /// the replica covers its revision.
+    fn removed_early(&mut self) -> Vec<TargetId> {
+        let replica = &self.replica;
+        let is_missing = |early: &EarlyTarget| replica.get(&early.key).is_none();
+        self.early_targets.retain(is_missing);
+        let covered = self
+            .early_targets
+            .extract_if(.., |early| replica.upto() >= Some(early.revision));
+        let mut removed: Vec<_> = covered.map(|early| early.id).collect();
         // The first read may have been started several times.
-        early_targets.dedup();
-        early_targets.retain(|id| present.binary_search(id).is_err());
-        early_targets
+        removed.sort_unstable();
+        removed.dedup();
+        removed
     }
 
     /// Records a transfer of `size` bytes from or to another machine, which may fill the link of this
--- a/tests/tests/node.rs
+++ b/tests/tests/node.rs
@@ -82,6 +82,45 @@
     assert!(!takes_flows(&node, 2));
 }
 
+/// A VM that starts reads an entry from the store that its first copy, from a peer, does not contain
+/// yet, and must not reset the flows of that target.
+#[test]
+fn early_target_that_an_older_copy_lacks_keeps_its_flows() {
+    let mut node = node();
+    let mut early = four_targets();
+    early.push(entry(5, 12));
+    node.apply_early(&early, at(10));
+    let peer: SocketAddr = "10.1.0.1:8166".parse().expect("an address");
+    let older = full_copy(9, four_targets());
+    assert!(node.apply(older, at(5), at(20), Source::Peer(peer)));
+    node.sweep(at(1_000));
+    assert!(takes_flows(&node, 5));
+    let change = Changes {
+        after: Some(Revision::from(9)),
+        ..full_copy(12, vec![entry(5, 12)])
+    };
+    assert!(node.apply(change, at(1_100), at(1_100), Source::Peer(peer)));
+    node.sweep(at(2_000));
+    assert!(takes_flows(&node, 5));
+}
+
+#[test]
+fn early_target_that_no_later_copy_contains_is_removed() {
+    let mut node = node();
+    let mut early = four_targets();
+    early.push(entry(5, 12));
+    node.apply_early(&early, at(10));
+    let peer: SocketAddr = "10.1.0.1:8166".parse().expect("an address");
+    let older = full_copy(9, four_targets());
+    assert!(node.apply(older, at(5), at(20), Source::Peer(peer)));
+    // The entry was removed between revisions 12 and 15.
+    let later = full_copy(15, four_targets());
+    assert!(node.apply(later, at(1_100), at(1_100), Source::Peer(peer)));
+    assert!(!takes_flows(&node, 5));
+    node.sweep(at(1_600));
+    assert!(node.steering().targets().find(&id(5)).is_none());
+}
+
 #[test]
 fn early_targets_are_ignored_once_a_copy_is_applied() {
     let mut node = node();
