Keep the flows of targets whose entries are removed until there is evidence

A VM took the removal of an entry for the end of its target: - of a leaving target at once, unless the VM had itself found the store unavailable in the last 2.5 s. Followers, and readers whose call ends just in time, had not, and planned stops go on for many seconds after the announcement; - of any other target after 0.4 s, unless it had just responded. Flows pause for longer; - of a lapsed target 2.5 s after the last failed call that the VM had noticed, not after the removal or the end of the outage, and also while no view arrived that could have shown the entry again.

Ruled out: that counting the removals of all services together, or passing on to peers when the store failed, would suffice. Neither shows a lapse of few entries that no VM noticed, which the new tests have.

Change: a removal alone ends no target. Each keeps its flows for 2.5 s, the time in which a living target publishes its entry again, counted anew from an outage; a view must have been received that would show it. Earlier, 0.4 s after the removal at the soonest, it ends when a flow has retransmitted twice without any response of the target since. It takes new flows as before: as a last resort, and none if it leaves. An outage before a VM has settled lets it settle anew. No message changes, and is_store_unavailable does not.

Tests replaced, as they demanded that a removal ends a target after 0.4 s, a leaving one at once, or without a view that shows that the entry is still missing: in steer target_whose_entry_is_removed_without_an_outage..., doubt_ends_with..., entry_published_again..., leaving_target_whose_entry_is_removed_has_ended, target_whose_entry_lapsed_during_an_outage... The earlier end by evidence is tested in steer_lapses.

--- a/crates/steer/src/ended_start.rs
+++ b/crates/steer/src/ended_start.rs
@@ -53,7 +53,7 @@
     /// The entry describes another start, or another service.
     #[display("replaced")]
     Replaced,
-    /// The entry was removed after the target had announced that it leaves.
+    /// The entry was removed after the target had announced that it leaves, and did not return in time.
     #[display("left")]
     Left,
     /// The entry was removed without an announcement, and did not return in time.
--- a/crates/steer/src/missing_entry.rs
+++ b/crates/steer/src/missing_entry.rs
@@ -2,33 +2,41 @@
 //!
 //! An entry is removed either because its target has ended or because the target could not renew
 //! the lease of its entry. During a store outage no target can renew, so the entries of many
-//! running targets lapse at the same time. Each target publishes its entry again within about two
-//! seconds after the store returns. Resetting the flows of these targets, or placing all new flows
-//! on the few targets that are left, would harm callers more than the outage itself. If an entry is
-//! removed without an outage, its target has ended, and a reset lets the callers retry. Such a
-//! target is kept for a short confirmation time only, in which a simultaneous lapse of many entries
-//! would become visible.
+//! running targets lapse at the same time, also of targets that have announced that they leave.
+//! Each target publishes its entry again within about two seconds after the store returns. Resetting
+//! the flows of these targets, or placing all new flows on the few targets that are left, would harm
+//! callers more than the outage itself. If an entry is removed without an outage, its target has
+//! probably ended, and a reset lets the callers retry. A VM cannot tell the two apart by its own
+//! calls: it may have made none during the outage, or one that ended just in time. A removal is
+//! therefore never sufficient to reset flows, and time counts only if the view is renewed meanwhile:
+//! a VM that receives no changes cannot learn that an entry is back.
 //!
 //! Packets are more reliable than entries: a target without an entry keeps its flows for as long as
-//! it responds. It takes no new flows while another target of the service is published.
+//! it responds. A target that is not heard of keeps them until it would have published a lapsed entry
+//! again, unless a caller's retransmissions show that it does not respond. Either takes no new flows
+//! while another target of the service is published.
 
 use std::time::Duration;
 
 use bambooseam_types::Moment;
 
 use crate::EntryStatus;
+use crate::load::Load;
 
-/// Time in which targets publish lapsed entries again: 2 s as specified by the platform, and half a
-/// second until the changes have reached this VM.
+/// Time in which targets publish lapsed entries again: 2 s as specified by the platform, and the time
+/// until the changes have reached this VM.
 pub const REREGISTRATION_TIME: Duration = Duration::from_millis(2_500);
 
-/// Time for which a target keeps its flows after its entry was removed without a known outage. If
-/// no target can reach the store, the entries lapse one after another during one heartbeat
+/// Time in which a published entry reaches this VM.
+pub const DELIVERY_TIME: Duration = Duration::from_millis(500);
+
+/// Time for which a target keeps its flows in any case after its entry was removed without a known
+/// outage. If no target can reach the store, the entries lapse one after another during one heartbeat
 /// interval. Within the confirmation time, which includes the pause between two reads of the
 /// store, a third of the entries has lapsed.
 pub const CONFIRMATION_TIME: Duration = Duration::from_millis(400);
 
-/// Time since the last response after which a target without an entry is treated as ended. After a
+/// Time since the last response for which a target without an entry is treated as running. After a
 /// crash, the entry is removed no earlier than after two missed heartbeats, which is 1.5 s with the
 /// users' heartbeat interval; the confirmation time follows.
 pub const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -66,12 +74,7 @@
 
     /// Status of a target after the removal of its entry.
     pub fn status_after_removal(&self, now: Moment, removal: RemovalCount) -> EntryStatus {
-        if let Some(until) = self.until
-            && self.is_recent(now)
-        {
-            return EntryStatus::Lapsed { until };
-        }
-        match removal.is_lapse() {
+        match self.is_recent(now) || removal.is_lapse() {
             true => EntryStatus::Lapsed {
                 until: now.after(REREGISTRATION_TIME),
             },
@@ -82,13 +85,22 @@
     }
 }
 
-/// Status of a target after its retention time; `None` if the target has ended.
-pub fn status_after_retention(now: Moment, last_response: Option<Moment>) -> Option<EntryStatus> {
-    let last_response =
-        last_response.filter(|last_response| now.since(*last_response) <= LIVENESS_TIMEOUT)?;
-    Some(EntryStatus::Unlisted {
-        until: last_response.after(LIVENESS_TIMEOUT),
-    })
+/// Status of a target without an entry once `status` no longer holds; `None` if the target has ended.
+pub fn status_after_retention(
+    status: EntryStatus,
+    load: &Load,
+    now: Moment,
+) -> Option<EntryStatus> {
+    let responding_until = load.last_response.map(|at| at.after(LIVENESS_TIMEOUT));
+    let returning_until = match status {
+        EntryStatus::Unconfirmed { until } if !load.stall.has_stalled(now) => {
+            Some(until.after(REREGISTRATION_TIME - CONFIRMATION_TIME))
+        }
+        _ => None,
+    };
+    let until = responding_until.max(returning_until);
+    let until = until.filter(|until| *until >= now)?;
+    Some(EntryStatus::Unlisted { until })
 }
 
 impl RemovalCount {
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -31,7 +31,7 @@
 use crate::evacuation::Evacuations;
 use crate::flows::Flows;
 use crate::isolation::Isolation;
-use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
+use crate::missing_entry::{DELIVERY_TIME, REREGISTRATION_TIME, StoreOutage};
 use crate::path::PathRecord;
 use crate::resumption::Resumption;
 use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
@@ -75,7 +75,7 @@
 pub struct Freshness {
     /// Latest time up to which this VM has received everything published.
     pub synced: Option<Moment>,
-    /// Value of `synced` after the first synchronisation.
+    /// Value of `synced` after the first synchronisation, or the end of a later store outage.
     pub first_synced: Option<Moment>,
 }
 
@@ -122,7 +122,14 @@
             .is_some_and(|synced| now.since(synced) <= MAX_VIEW_AGE)
     }
 
-    /// Whether entries that had lapsed before the first synchronisation would have been published
+    /// Whether an entry that was published half a second before `time` would have been received.
+    pub(crate) fn would_show_return(&self, time: Moment) -> bool {
+        self.synced
+            .is_some_and(|synced| synced >= time.before(DELIVERY_TIME))
+    }
+
+    /// Whether entries that had lapsed before the first synchronisation, or in an outage soon after it,
+    /// would have been published
     /// again and received by now.
     pub fn is_settled(&self) -> bool {
         let span = self.first_synced.zip(self.synced);
@@ -362,9 +369,9 @@
             return Decision::Reset(ResetCause::RouteRemoved);
         }
         let mut resolved = self.resolve(token, route);
-        if resolved.is_some_and(|index| self.targets.is_expired(index, now)) {
+        if resolved.is_some_and(|index| self.targets.is_expired(index, self.freshness, now)) {
             // The next sweep would expire the target too late: the caller is waiting now.
-            self.ended.extend(self.targets.expire(now));
+            self.ended.extend(self.targets.expire(self.freshness, now));
             let route = self.routes.as_ref().and_then(|r| r.find(frontend));
             resolved = self.resolve(token, route);
         }
@@ -391,6 +398,13 @@
             self.reset_stalled(header, now);
             return Decision::Reset(ResetCause::TargetStalled);
         }
+        if self.targets.is_expired(index, self.freshness, now) {
+            // The packet is the retransmission that shows that a target without an entry has ended.
+            self.ended.extend(self.targets.expire(self.freshness, now));
+            if self.targets.get(index).is_none() {
+                return self.handle_unknown_token(header, token, now);
+            }
+        }
         self.observe_speed(index, frontend, signals, now);
         self.observe(index, signals, now);
         let Some(record) = self.targets.get(index) else {
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -7,9 +7,8 @@
 
 use super::Steering;
 use super::signals::release;
-use crate::ended_start::EndCause;
 use crate::evacuation::Evacuations;
-use crate::missing_entry::RemovalCount;
+use crate::missing_entry::{REREGISTRATION_TIME, RemovalCount};
 use crate::target_speed::Outcome;
 use crate::target_table::{EntryStatus, TargetIndex};
 use crate::{Routes, SteeringEvent, Target};
@@ -147,10 +146,9 @@
         self.quiet_since = begun.after(time).min(now.after(MAX_TRANSFER_TIME));
     }
 
-    /// Applies the removals of one batch. Returns the new status of each target that is kept.
-    ///
-    /// A target that had announced that it is leaving has ended, unless the store was recently
-    /// unavailable. Any other target is kept for some time, because its entry may have lapsed.
+    /// Applies the removals of one batch. Returns the new status of each target. All targets are kept
+    /// for some time, also those that had announced that they leave, because the entries may have
+    /// lapsed.
     pub fn remove_targets(
         &mut self,
         ids: &[TargetId],
@@ -163,10 +161,6 @@
                 continue;
             };
             let (id, service) = (record.target.id.clone(), record.target.service.clone());
-            if record.target.is_leaving && !self.outage.is_recent(now) {
-                self.targets.end(index, EndCause::Left, now);
-                continue;
-            }
             let removal = self.count_removals(&service, &indexes);
             let status = self.outage.status_after_removal(now, removal);
             if let EntryStatus::Lapsed { until } = status {
@@ -197,6 +191,11 @@
     /// Records that the store is unavailable, or that it has just become available again.
     pub fn record_outage(&mut self, now: Moment) {
         self.outage.record_outage(now);
+        self.targets
+            .extend_retention(now.after(REREGISTRATION_TIME));
+        if !self.freshness.is_settled() {
+            self.freshness.first_synced = self.freshness.first_synced.map(|first| first.max(now));
+        }
     }
 
     /// Whether the store was unavailable to this VM lately, so that entries may have lapsed.
@@ -237,7 +236,7 @@
         let loads = remote.map(|record| (&record.target.zone, &record.load));
         events.extend(self.zones.update(loads, now));
         events.extend(self.update_isolation(now));
-        self.ended.extend(self.targets.expire(now));
+        self.ended.extend(self.targets.expire(self.freshness, now));
         events.extend(self.ended.drain(..).map(SteeringEvent::Ended));
         events
     }
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -11,7 +11,7 @@
 use crate::load::Load;
 use crate::missing_entry::status_after_retention;
 use crate::target_speed::TargetSpeed;
-use crate::{SteeringEvent, Target};
+use crate::{Freshness, SteeringEvent, Target};
 
 /// Index of a target in the table. An index is reused after its target has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
@@ -35,10 +35,12 @@
         /// Time at which the target is treated as ended unless its entry is published again.
         until: Moment,
     },
-    /// The entry was not published again in time, but packets show that the target still responds.
+    /// The entry was not published again at once, but packets show that the target still responds, or
+    /// do not show that it has ended.
     #[display("unlisted")]
     Unlisted {
-        /// Time at which the target is treated as ended unless it responds again.
+        /// Time at which the target is treated as ended unless it responds again, or its entry is
+        /// published again.
         until: Moment,
     },
     /// The store returned from an older copy with an entry that had been removed, and the target
@@ -117,6 +119,18 @@
         is_kept && self.may_accept()
     }
 
+    /// Whether the retention time of the target without an entry has passed, or its flows show that
+    /// waiting for the entry is of no use.
+    fn is_expired(&self, view: Freshness, now: Moment) -> bool {
+        let is_past = |until| until <= now && view.would_show_return(until);
+        match self.status {
+            EntryStatus::Unconfirmed { until } => until <= now,
+            EntryStatus::Lapsed { until } => is_past(until),
+            EntryStatus::Unlisted { until } => is_past(until) || self.load.stall.has_stalled(now),
+            EntryStatus::Published | EntryStatus::Unrenewed | EntryStatus::Unreadable => false,
+        }
+    }
+
     fn may_accept(&self) -> bool {
         !self.target.is_leaving && !self.is_shadowed
     }
@@ -161,6 +175,25 @@
         }
     }
 
+    /// Keeps all targets without an entry until a time or longer, because their entries could not be
+    /// published again before.
+    pub fn extend_retention(&mut self, time: Moment) {
+        self.for_each_mut(|record| {
+            record.status = match record.status {
+                EntryStatus::Unconfirmed { .. } => EntryStatus::Lapsed { until: time },
+                EntryStatus::Lapsed { until } => EntryStatus::Lapsed {
+                    until: until.max(time),
+                },
+                EntryStatus::Unlisted { until } => EntryStatus::Unlisted {
+                    until: until.max(time),
+                },
+                kept @ (EntryStatus::Published
+                | EntryStatus::Unrenewed
+                | EntryStatus::Unreadable) => kept,
+            };
+        });
+    }
+
     /// Removes a target and remembers its token as ended.
     pub fn end(&mut self, index: TargetIndex, cause: EndCause, now: Moment) {
         let Some(record) = self
@@ -320,31 +353,34 @@
         events
     }
 
-    /// Whether the retention time of a target without an entry has passed.
-    pub fn is_expired(&self, index: TargetIndex, now: Moment) -> bool {
-        let until = self.get(index).and_then(|record| record.status.until());
-        until.is_some_and(|until| until <= now)
+    /// Whether a target without an entry has to be looked at by [`expire`](Self::expire).
+    pub fn is_expired(&self, index: TargetIndex, view: Freshness, now: Moment) -> bool {
+        self.get(index)
+            .is_some_and(|record| record.is_expired(view, now))
     }
 
     /// Ends the targets whose retention time has passed and that do not respond. Returns the
     /// identifiers of the ended targets.
-    pub fn expire(&mut self, now: Moment) -> Vec<TargetId> {
-        let is_expired =
-            |record: &TargetRecord| record.status.until().is_some_and(|until| until <= now);
-        let expired = self.iter().filter(|(_, record)| is_expired(record));
-        let expired: Vec<_> = expired
-            .map(|(index, record)| (index, record.load.last_response))
-            .collect();
+    pub fn expire(&mut self, view: Freshness, now: Moment) -> Vec<TargetId> {
+        let expired = self
+            .iter()
+            .filter(|(_, record)| record.is_expired(view, now));
+        let expired: Vec<_> = expired.map(|(index, _)| index).collect();
         let mut ended = Vec::new();
-        for (index, last_response) in expired {
-            if let Some(status) = status_after_retention(now, last_response) {
-                self.set_status(index, status);
+        for index in expired {
+            let Some(record) = self.get_mut(index) else {
+                continue;
+            };
+            if let Some(status) = status_after_retention(record.status, &record.load, now) {
+                record.status = status;
                 continue;
             }
-            if let Some(record) = self.get(index) {
-                ended.push(record.target.id.clone());
-            }
-            self.end(index, EndCause::NotBack, now);
+            ended.push(record.target.id.clone());
+            let cause = match record.target.is_leaving {
+                true => EndCause::Left,
+                false => EndCause::NotBack,
+            };
+            self.end(index, cause, now);
         }
         ended
     }
