Reset flows of a stalled target on their own evidence only

The answers on one flow were lost for good; from its third retransmission on, the VM took the target for stalled and reset each packet with data to it for up to 2 s: also new requests in flows that had lost nothing, which the target would have answered. A response cleared the evidence, but the flow's next retransmission restored it with the count from before the response. A flow was also reset on the retransmissions of another one while its own acknowledgement still waited behind its copy to be read. Ruled out, by tests in virtual time that passed before the change: a steady queue of 0.8 s at the VM, pauses of the VM between its reads, and flows that were answered through another VM and returned. The other targets must have answered packets that were sent after the retransmission, and in one queue the acknowledgement comes before these answers. Change: - only a flow that retransmits data is reset; new data is forwarded, and its response ends the suspicion; - transmissions from before the target's last response, or from the time of a large transfer, are no evidence. The next one counts as the first; - other targets must have answered packets sent after the flow's own data; - one caller's retransmissions reset nothing where the other targets answer: a target that has stopped and a running one whose answers on one flow are lost look the same to the VM. In a remote zone of which no target answers they still count, but only if another caller's flow has stalled at another target.

--- a/crates/standin/src/site/cluster.rs
+++ b/crates/standin/src/site/cluster.rs
@@ -393,6 +393,17 @@
         }
     }
 
+    /// Adds another caller's host in a zone; `number` begins at 1 and is different for each.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its address can't be bound.
+    pub async fn add_caller(&self, zone: u8, number: u8) -> io::Result<Arc<CallerHost>> {
+        let address = self.address(201 + zone, number);
+        let zone = zone_name(zone);
+        CallerHost::start(address, DATAGRAM_PORT, &zone, &self.router, &self.counters).await
+    }
+
     fn address(&self, third: u8, last: u8) -> Ipv4Addr {
         Ipv4Addr::new(self.prefix[0], self.prefix[1], third, last)
     }
--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -251,12 +251,14 @@
             .is_some_and(|state| state.token == token)
     }
 
-    /// Updates the flow of a packet other than an opening packet.
+    /// Updates the flow of a packet other than an opening packet. Data that was sent before
+    /// `evidence_since` is no evidence against the target.
     pub fn record_packet(
         &mut self,
         header: &PacketHeader,
         (target, token): (TargetIndex, Token),
         timeout: Duration,
+        evidence_since: Moment,
         now: Moment,
     ) -> Signals {
         let mut signals = Signals::default();
@@ -288,7 +290,7 @@
                 signals.response_len = header.ack.wrapping_sub(state.acked);
                 signals.answered_request = state.request_since.take();
                 state.acked = header.ack;
-                signals.repeats = state.retransmissions.count();
+                signals.repeats = state.retransmissions.repeats();
                 state.retransmissions.record_progress();
                 signals.answered = state.busy_since.take();
                 signals.response_time = signals.answered.map(|sent| now.since(sent));
@@ -305,7 +307,7 @@
                 signals.begins_request = state.request_since.is_none();
                 state.request_since.get_or_insert(now);
                 state.retransmissions.record_data(now);
-            } else if state.retransmissions.record_repeated(now) {
+            } else if state.retransmissions.record_repeated(evidence_since, now) {
                 signals.retransmissions = Some(state.retransmissions);
             }
         }
--- a/crates/steer/src/path.rs
+++ b/crates/steer/src/path.rs
@@ -11,8 +11,8 @@
 /// Length of an interval.
 const INTERVAL: Duration = Duration::from_millis(100);
 
-/// Number of recorded intervals, which cover more than the 1.4 s for which callers retransmit
-/// before a lone caller's retransmissions count.
+/// Number of recorded intervals, which cover more than the 1.4 s after which callers retransmit a
+/// third time.
 const INTERVALS: usize = 24;
 
 /// Time in which an answer without a retransmission arrives: callers retransmit after 200 ms.
--- a/crates/steer/src/stall.rs
+++ b/crates/steer/src/stall.rs
@@ -8,9 +8,14 @@
 //! request is still in progress, so a caller that sends the same bytes a third time has received
 //! nothing twice.
 //!
-//! The retransmissions of one caller may be due to the path between target and caller. A target
-//! is stalled if two callers have retransmitted, or if a single caller has done so for 1.4 s and no
-//! other target shows the same symptom.
+//! The answers on a single flow may be lost for good while the target is running. Therefore only
+//! flows that have retransmitted themselves are reset, and only those transmissions count that were
+//! sent after the target's last response. New data is forwarded even to a target that is found
+//! stalled, and a response ends the suspicion.
+//!
+//! The retransmissions of one caller may be due to the path between target and caller, and look the
+//! same at a running target and at one that has stopped. A target is stalled if two callers have
+//! retransmitted.
 //!
 //! The path between this VM and the target may have failed as well, or the link of this VM may be
 //! full, so that packets are late or lost. The path works if other targets of the same zone have
@@ -39,8 +44,8 @@
 /// after the request, may precede a slow response, but the target would have acknowledged it.
 const STALLED_RETRANSMISSIONS: u32 = 2;
 
-/// Retransmissions of a single flow that suffice without another caller's; callers send the third
-/// one 1.4 s after the request.
+/// Retransmissions of a single flow that suffice if flows of other callers have stalled at other
+/// targets of a zone that is cut off; callers send the third one 1.4 s after the request.
 const LONE_RETRANSMISSIONS: u32 = 3;
 
 /// Time for which a retransmission is evidence; longer than the interval to the caller's next one,
@@ -50,11 +55,15 @@
 /// Retransmissions of the last data of one flow, without any progress of the flow in between.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Retransmissions {
-    /// When the data was first sent through this VM, and when it was last sent.
+    /// When the data was first sent through this VM since the target's last response, and when it was
+    /// last sent.
     span: Option<(Moment, Moment)>,
     /// When the first retransmission was sent.
     first_repeated: Option<Moment>,
+    /// Number of retransmissions since then.
     count: u32,
+    /// Number of all retransmissions.
+    repeats: u32,
 }
 
 /// Flows of one target whose callers have retransmitted data since the target's last response.
@@ -80,6 +89,8 @@
 pub struct StallEvidence {
     /// Callers that have retransmitted data.
     pub callers: u32,
+    /// Caller with the largest number of retransmissions of one flow.
+    pub caller: Ipv4Addr,
     /// Largest number of retransmissions of one flow.
     pub retransmissions: u32,
     /// When the first unacknowledged data was sent.
@@ -96,7 +107,7 @@
     pub is_answering: bool,
     /// Whether a packet to the target was retransmitted, or has no answer yet.
     pub is_suspected: bool,
-    /// Whether a flow of the target has stalled.
+    /// Whether a flow of another caller has stalled at the target.
     pub has_stalled: bool,
 }
 
@@ -113,8 +124,6 @@
 /// The other targets by zone.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Paths {
-    /// Number of targets of all zones that were suspected.
-    pub suspected: u32,
     /// Targets of the zone of this VM.
     pub local: PathState,
     /// Targets of the zone of the target in question.
@@ -124,7 +133,7 @@
 /// Whether the other targets show that the target, or its zone, has stalled, and not this VM.
 pub fn is_confirmed(evidence: &StallEvidence, paths: &Paths, is_local: bool) -> bool {
     if paths.same_zone.is_working() {
-        return evidence.callers > 1 || paths.suspected == 0;
+        return evidence.callers > 1;
     }
     let is_zone_stalled = paths.same_zone.answering == 0 && paths.same_zone.stalled > 0;
     !is_local && is_zone_stalled && paths.local.is_working()
@@ -152,9 +161,14 @@
         };
     }
 
-    /// Number of retransmissions that count.
-    pub fn count(&self) -> u32 {
-        self.count
+    /// Number of retransmissions.
+    pub fn repeats(&self) -> u32 {
+        self.repeats
+    }
+
+    /// When the data was first sent since the target's last response.
+    pub fn first_sent(&self) -> Option<Moment> {
+        self.span.map(|(first_sent, _)| first_sent)
     }
 
     /// Records that the flow made progress.
@@ -162,8 +176,14 @@
         *self = Self::default();
     }
 
-    /// Records data that was sent before. Returns whether the retransmission counts.
-    pub fn record_repeated(&mut self, now: Moment) -> bool {
+    /// Whether the data was retransmitted since the target's last response.
+    pub fn is_evidence(&self) -> bool {
+        self.count > 0
+    }
+
+    /// Records data that was sent before; only transmissions from `evidence_since` on are evidence.
+    /// Returns whether the retransmission counts.
+    pub fn record_repeated(&mut self, evidence_since: Moment, now: Moment) -> bool {
         let Some((first_sent, last_sent)) = self.span else {
             self.record_data(now);
             return false;
@@ -171,6 +191,15 @@
         if now.since(last_sent) < MIN_INTERVAL {
             return false;
         }
+        self.repeats += 1;
+        if first_sent < evidence_since {
+            *self = Self {
+                span: Some((now, now)),
+                repeats: self.repeats,
+                ..Self::default()
+            };
+            return true;
+        }
         self.span = Some((first_sent, now));
         self.first_repeated.get_or_insert(now);
         self.count += 1;
@@ -214,10 +243,13 @@
     /// enough.
     pub fn evidence(&self, now: Moment, quiet_since: Moment) -> Option<StallEvidence> {
         let recent = self.recent(now);
-        let recent = recent.filter(|flow| flow.first_sent >= quiet_since);
+        let recent =
+            recent.filter(|flow| flow.first_sent >= quiet_since && flow.retransmissions > 0);
+        let longest = recent.clone().max_by_key(|flow| flow.retransmissions)?;
         let evidence = StallEvidence {
             callers: recent.clone().count() as u32,
-            retransmissions: recent.clone().map(|f| f.retransmissions).max()?,
+            caller: longest.caller,
+            retransmissions: longest.retransmissions,
             since: recent.clone().map(|f| f.first_sent).min()?,
             repeated: recent
                 .filter(|f| f.retransmissions >= STALLED_RETRANSMISSIONS)
@@ -234,10 +266,11 @@
         self.recent(now).next().is_some()
     }
 
-    /// Whether a flow of the target has stalled, which is not sufficient evidence by itself.
-    pub fn has_stalled(&self, now: Moment) -> bool {
+    /// Whether a flow of another caller than `caller` has stalled, which is not sufficient evidence by
+    /// itself.
+    pub fn has_stalled_beside(&self, caller: Ipv4Addr, now: Moment) -> bool {
         self.recent(now)
-            .any(|flow| flow.retransmissions >= STALLED_RETRANSMISSIONS)
+            .any(|flow| flow.caller != caller && flow.retransmissions >= STALLED_RETRANSMISSIONS)
     }
 
     fn recent(&self, now: Moment) -> impl Iterator<Item = &StalledFlow> + Clone {
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -379,9 +379,10 @@
             // token, which the caller's next packets carry.
             return forward(record, None);
         }
-        let signals = self
-            .flows
-            .record_packet(header, (index, token), timeout, now);
+        let evidence_since = self.evidence_since(index);
+        let signals =
+            self.flows
+                .record_packet(header, (index, token), timeout, evidence_since, now);
         if signals.was_busy && !signals.is_busy {
             self.coordination.record_ended();
         }
--- a/crates/steer/src/steering/stalled.rs
+++ b/crates/steer/src/steering/stalled.rs
@@ -5,14 +5,21 @@
 use super::Steering;
 use super::signals::release;
 use crate::flows::Signals;
-use crate::stall::{Paths, StallEvidence, TargetHealth, is_confirmed};
+use crate::stall::{Paths, Retransmissions, StallEvidence, TargetHealth, is_confirmed};
 use crate::target_speed::Outcome;
 use crate::target_table::{TargetIndex, TargetRecord};
 use crate::{PacketHeader, SteeringEvent};
 
 impl Steering {
-    /// Records a retransmission, and returns whether the flow of a packet with data must be reset
-    /// because its target is stalled.
+    /// Earliest time from which data without an acknowledgement is evidence against a target: its last
+    /// response, or the end of a large transfer.
+    pub(super) fn evidence_since(&self, index: TargetIndex) -> Moment {
+        let response = self.targets.get(index).and_then(|r| r.load.last_response);
+        self.quiet_since.max(response.unwrap_or_default())
+    }
+
+    /// Records a retransmission, and returns whether its flow must be reset because the target is
+    /// stalled. New data is always forwarded: its answer shows that the target is running.
     pub(super) fn is_stalled(
         &mut self,
         header: &PacketHeader,
@@ -20,16 +27,16 @@
         signals: Signals,
         now: Moment,
     ) -> bool {
-        if let Some(retransmissions) = signals.retransmissions
-            && let Some(record) = self.targets.get_mut(index)
-        {
-            let caller = *header.flow.caller.ip();
-            record.load.stall.record(caller, retransmissions);
+        let Some(own) = signals.retransmissions else {
+            return false;
+        };
+        if let Some(record) = self.targets.get_mut(index) {
+            record.load.stall.record(*header.flow.caller.ip(), own);
         }
-        if header.len == 0 {
+        if !own.is_evidence() {
             return false;
         }
-        let Some(evidence) = self.stall_evidence(index, now) else {
+        let Some(evidence) = self.stall_evidence(index, own, now) else {
             return false;
         };
         self.report_stall(index, evidence, now);
@@ -56,23 +63,30 @@
         }
     }
 
-    /// Evidence that the flows of a target have stalled and that a retry would reach another target.
-    fn stall_evidence(&self, index: TargetIndex, now: Moment) -> Option<StallEvidence> {
+    /// Evidence that the flows of a target have stalled, among them the flow with these
+    /// `retransmissions`, and that a retry would reach another target.
+    fn stall_evidence(
+        &self,
+        index: TargetIndex,
+        retransmissions: Retransmissions,
+        now: Moment,
+    ) -> Option<StallEvidence> {
         let record = self.targets.get(index)?;
         let evidence = record.load.stall.evidence(now, self.quiet_since)?;
         let (own, zone) = (&self.settings.zone, &record.target.zone);
+        // An acknowledgement of the flow's data would have arrived before answers to later packets.
+        let repeated = evidence.repeated.max(retransmissions.first_sent()?);
         let mut paths = Paths::default();
         paths.local.is_prompt = self.paths.is_working(own, evidence.since, now);
         paths.same_zone.is_prompt = self.paths.is_working(zone, evidence.since, now);
         let others = self.targets.iter().filter(|(other, _)| *other != index);
         for (_, TargetRecord { target, load, .. }) in others {
             let health = TargetHealth {
-                is_answering: load.last_answered >= Some(evidence.repeated),
+                is_answering: load.last_answered >= Some(repeated),
                 is_suspected: load.stall.is_suspected(now)
                     || load.responsiveness.is_unresponsive(now),
-                has_stalled: load.stall.has_stalled(now),
+                has_stalled: load.stall.has_stalled_beside(evidence.caller, now),
             };
-            paths.suspected += u32::from(health.is_suspected);
             if target.zone == *own {
                 paths.local.add(health);
             }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod inputs;
 pub mod programs;
 pub mod site;
+pub mod stall;
 pub mod steering;
