Join the retention of targets with the evidence of stalled flows

Cause: the merge left a target without an entry to ask whether any of its flows has stalled, while resets on evidence only asked about other callers' flows. Change: Stall::has_stalled and has_stalled_beside share one search. A test of early targets waits as long as a target without an entry is kept now, and demands its end to the millisecond.

--- a/crates/steer/src/stall.rs
+++ b/crates/steer/src/stall.rs
@@ -266,11 +266,20 @@
         self.recent(now).next().is_some()
     }
 
+    /// Whether a flow of the target has stalled, which is not sufficient evidence by itself.
+    pub fn has_stalled(&self, now: Moment) -> bool {
+        self.stalled(now).next().is_some()
+    }
+
     /// Whether a flow of another caller than `caller` has stalled, which is not sufficient evidence by
     /// itself.
     pub fn has_stalled_beside(&self, caller: Ipv4Addr, now: Moment) -> bool {
+        self.stalled(now).any(|flow| flow.caller != caller)
+    }
+
+    fn stalled(&self, now: Moment) -> impl Iterator<Item = &StalledFlow> {
         self.recent(now)
-            .any(|flow| flow.caller != caller && flow.retransmissions >= STALLED_RETRANSMISSIONS)
+            .filter(|flow| flow.retransmissions >= STALLED_RETRANSMISSIONS)
     }
 
     fn recent(&self, now: Moment) -> impl Iterator<Item = &StalledFlow> + Clone {
--- a/tests/tests/node.rs
+++ b/tests/tests/node.rs
@@ -128,7 +128,16 @@
     let later = full_copy(15, four_targets());
     assert!(node.apply(later, at(1_100), at(1_100), Source::Peer(peer)));
     assert!(!takes_flows(&node, 5));
-    node.sweep(at(1_600));
+    node.sweep(at(1_500));
+    assert!(node.apply(
+        full_copy(15, four_targets()),
+        at(3_100),
+        at(3_100),
+        Source::Peer(peer)
+    ));
+    node.sweep(at(3_599));
+    assert!(node.steering().targets().find(&id(5)).is_some());
+    node.sweep(at(3_600));
     assert!(node.steering().targets().find(&id(5)).is_none());
 }
 
