Let entries lapse during planned work in the soak

The soak drew outages of the store and drains apart from each other, all of its feeds sent every 0.1 s, and targets left 6 s after their announcement, so that it did not find the flows that keeps. It is drawn after all else, so that plans without it are as before (lapses_are_added_to_the_plan_of_a_seed).

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -80,6 +80,10 @@
             "restarts",
             "Let targets start again under their identifiers at times",
         ))
+        .arg(flag(
+            "lapses",
+            "Let entries lapse in short outages of the store during planned work",
+        ))
         .arg(flag("plan", "Print the plan without running it"))
         .arg(flag("replay", "Run all kept regression seeds instead"))
         .arg(path(
@@ -102,6 +106,7 @@
         vms: number("vms").map_or(DEFAULT_SIZE.vms, |vms| vms as usize),
         has_restores: matches.get_flag("restores"),
         has_restarts: matches.get_flag("restarts"),
+        has_lapses: matches.get_flag("lapses"),
     };
     let first = number("seed").unwrap_or(1);
     let count = number("seeds").unwrap_or(1);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -45,6 +45,13 @@
 /// Time before the last faults by which all targets that have started again are registered.
 const RESTART_MARGIN: Duration = Duration::from_secs(2);
 
+/// Longest time from the announcement to the end of a target that drains while entries lapse, in
+/// milliseconds.
+const MAX_DRAIN_MS: u64 = 12_000;
+
+/// Time after the end of an outage within which targets have written their lapsed entries again.
+const REWRITE_TIME: Duration = Duration::from_secs(2);
+
 /// Time after the last fault burst at which every zone is readmitted.
 const READMISSION_PAUSE: Duration = Duration::from_millis(100);
 
@@ -59,6 +66,8 @@
     pub has_restores: bool,
     /// Whether targets start again under their identifier at times.
     pub has_restarts: bool,
+    /// Whether entries lapse in short outages of the store during planned work.
+    pub has_lapses: bool,
 }
 
 /// An action on the site from outside the programs.
@@ -97,6 +106,9 @@
     /// Makes the store unavailable to all VMs and writers while entries expire, or available again.
     #[display("store_away {_0}")]
     StoreUnavailable(bool),
+    /// Makes the store unavailable to writers only, while entries expire, or available again.
+    #[display("writers_away {_0}")]
+    WritersUnavailable(bool),
     /// Returns the store to a copy of this age, and makes it available to writers.
     #[display("store_returns copy_age_ms={}", _0.as_millis())]
     StoreReturns(Duration),
@@ -210,6 +222,9 @@
         if size.has_restarts {
             generator.add_restarts(last);
         }
+        if size.has_lapses {
+            generator.add_lapses(last);
+        }
         let mut plan = generator.plan;
         plan.events.sort_by_key(|(at, _)| *at);
         plan
@@ -403,6 +418,59 @@
         }
     }
 
+    /// Adds short outages of the store, in which some entries expire, while targets drain for long and
+    /// VMs are restarted in turn. Drawn after all else, so that the rest of a seed's plan is the same
+    /// without them.
+    fn add_lapses(&mut self, last: Duration) {
+        let mut vm = self.random.random_range(0..self.plan.size.vms);
+        let mut at = QUIET_START + self.random_time(0, 1_500);
+        loop {
+            let begin = at + self.random_time(300, 1_500);
+            let end = begin + self.random_time(800, 1_500);
+            if end + REWRITE_TIME > last {
+                return;
+            }
+            for _ in 0..2 {
+                let number = self.random.random_range(0..64);
+                let left = at + self.random_time(6_000, MAX_DRAIN_MS);
+                self.add_event(at, Event::Drain(number));
+                self.add_event(left, Event::Leave);
+            }
+            self.add_disturbance(None, begin, end);
+            let event = match self.random.random_bool(0.5) {
+                true => Event::StoreUnavailable,
+                false => Event::WritersUnavailable,
+            };
+            self.add_event(begin, event(true));
+            self.add_event(end, event(false));
+            if self.random.random_bool(0.3) {
+                let compacted = end + self.random_time(0, 500);
+                self.add_event(compacted, Event::Compact);
+            }
+            let started = begin + self.random_time(0, 3_000);
+            self.add_restart_before(vm, started);
+            vm = (vm + 1) % self.plan.size.vms;
+            at = end + self.random_time(2_000, 4_000);
+        }
+    }
+
+    /// Adds a planned restart of a VM that starts again at `at`, unless that process already has a
+    /// fault.
+    fn add_restart_before(&mut self, vm: usize, at: Duration) {
+        let Some(stopped) = at.checked_sub(GRACE_TIME) else {
+            return;
+        };
+        let is_busy = self.plan.disturbances.iter().any(|disturbance| {
+            disturbance.vm == Some(vm) && disturbance.from <= at && disturbance.to >= stopped
+        });
+        if is_busy || stopped < QUIET_START {
+            return;
+        }
+        self.add_disturbance(Some(vm), stopped, at);
+        self.add_event(stopped, Event::Stop(vm));
+        self.add_event(at, Event::Start(vm));
+    }
+
     fn add_kill_all(&mut self, at: Duration) {
         let until = at + self.random_time(200, 1_500);
         self.add_disturbance(None, at, until);
--- a/crates/soak/src/regressions.rs
+++ b/crates/soak/src/regressions.rs
@@ -26,6 +26,7 @@
         vms: 6,
         has_restores: false,
         has_restarts: false,
+        has_lapses: false,
     },
     cause: "a VM that started while entries were expired reset flows of targets unknown to it; \
             test steer::vm_that_starts_while_entries_come_back_resets_and_refuses_nothing",
@@ -37,4 +38,5 @@
     vms: 6,
     has_restores: false,
     has_restarts: false,
+    has_lapses: false,
 };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -35,6 +35,9 @@
 const FEEDS: u64 = 6;
 const ORDERS: u64 = 3;
 
+/// Number of feeds in each zone that pause for seconds, in plans with lapses.
+const PAUSING_FEEDS: u64 = 20;
+
 /// Timeout for the readiness of all VMs at the start.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -124,7 +127,10 @@
 
 impl Run<'_> {
     async fn drive(mut self, started_at: SystemTime) -> io::Result<Outcome> {
-        let traffic = Traffic::start(&self.site, self.orders, FEEDS, ORDERS, self.plan.seed);
+        let mut traffic = Traffic::start(&self.site, self.orders, FEEDS, ORDERS, self.plan.seed);
+        if self.plan.size.has_lapses {
+            traffic.add_pausing(&self.site, self.orders, PAUSING_FEEDS, self.plan.seed);
+        }
         let bar = progress(self.plan.size.length);
         let events = self.plan.events.clone();
         let mut events = events.into_iter().peekable();
@@ -184,6 +190,9 @@
                     vm.store_server.set_fault(fault);
                 }
             }
+            Event::WritersUnavailable(is_unavailable) => {
+                self.site.store.set_unavailable(is_unavailable);
+            }
             Event::StoreReturns(age) => self.site.restore_store(age),
             Event::WriteConfig => {
                 self.site.write_config();
--- a/crates/standin/src/site/traffic.rs
+++ b/crates/standin/src/site/traffic.rs
@@ -1,6 +1,7 @@
 //! Generated load: feeds, which keep a flow open, and orders, which open one flow each.
 
 use std::net::SocketAddrV4;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -19,6 +20,10 @@
 /// Maximum number of attempts of a request that may be repeated.
 const MAX_ATTEMPTS: u32 = 3;
 
+/// Pauses of callers between two requests, in milliseconds.
+const PAUSES: Range<u64> = 20..120;
+const LONG_PAUSES: Range<u64> = 2_000..8_000;
+
 /// Number of seeds reserved for the callers of one zone.
 const SEEDS_PER_ZONE: u64 = 1_000;
 
@@ -30,6 +35,8 @@
 enum CallerKind {
     /// Keeps a flow open for many requests, all of which may be repeated.
     Feed,
+    /// A feed that pauses for seconds between two requests.
+    PausingFeed,
     /// Opens a flow for each request; a request that may have run is not repeated.
     Order,
 }
@@ -77,6 +84,18 @@
         traffic
     }
 
+    /// Adds `count` callers of feeds in each zone of a site that pause for 2 to 8 s between two
+    /// requests.
+    pub fn add_pausing(&mut self, site: &Site, frontend: SocketAddrV4, count: u64, seed: u64) {
+        for (zone, host) in (0..).zip(&site.callers) {
+            let first = seed + SEEDS_PER_ZONE * zone + SEEDS_PER_ZONE / 2;
+            for number in first..first + count {
+                let kind = CallerKind::PausingFeed;
+                self.add(kind, host, frontend, number, &site.counters);
+            }
+        }
+    }
+
     /// Adds a caller.
     fn add(
         &mut self,
@@ -95,10 +114,17 @@
             flow: None,
         };
         let stop = self.stop.clone();
+        let pauses = match kind {
+            CallerKind::Feed | CallerKind::Order => PAUSES,
+            CallerKind::PausingFeed => LONG_PAUSES,
+        };
         self.tasks.spawn(async move {
             while !stop.is_cancelled() {
-                let pause = caller.random.random_range(20..120);
-                sleep(Duration::from_millis(pause)).await;
+                let pause = caller.random.random_range(pauses.clone());
+                let pause = sleep(Duration::from_millis(pause));
+                if stop.run_until_cancelled(pause).await.is_none() {
+                    break;
+                }
                 caller.run_request().await;
             }
             if let Some(flow) = caller.flow.take() {
@@ -129,7 +155,7 @@
         let number = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
         for attempt in 0..MAX_ATTEMPTS {
             let id = match self.kind {
-                CallerKind::Feed => format!("f{number}.{attempt}"),
+                CallerKind::Feed | CallerKind::PausingFeed => format!("f{number}.{attempt}"),
                 // All attempts of an order share its id, so that an order that runs twice is
                 // detected.
                 CallerKind::Order => format!("o{number}"),
@@ -138,7 +164,7 @@
                 Ok(()) => return Counters::increment(&self.counters.served),
                 // The flow did not open, so that the request did not run.
                 Err((_, false)) => {}
-                Err((_, true)) if self.kind == CallerKind::Feed => {}
+                Err((_, true)) if self.kind != CallerKind::Order => {}
                 Err((_, true)) => break,
             }
         }
@@ -159,7 +185,7 @@
         let answer = flow.request(id, work, bytes, REQUEST_TIMEOUT).await;
         answer.map_err(|error| (error, true))?;
         match self.kind {
-            CallerKind::Feed => self.flow = Some(flow),
+            CallerKind::Feed | CallerKind::PausingFeed => self.flow = Some(flow),
             CallerKind::Order => flow.close().await,
         }
         Ok(())
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -12,12 +12,13 @@
     vms: 4,
     has_restores: false,
     has_restarts: false,
+    has_lapses: false,
 };
 
 /// Seeds of the short runs, which run in parallel.
 const SEEDS: [u64; 3] = [1, 2, 3];
 
-/// Held by the runs with restores and with restarts, so that CI runs at most five sites at a time.
+/// Held by the runs with restores, with restarts and with lapses, so that CI runs at most five sites at a time.
 static EXTRA_RUN: Mutex<()> = Mutex::const_new(());
 
 #[test]
@@ -149,6 +150,48 @@
     }
 }
 
+#[test]
+fn lapses_are_added_to_the_plan_of_a_seed() {
+    let size = PlanSize {
+        has_lapses: true,
+        ..DEFAULT_SIZE
+    };
+    let mut restarts = 0;
+    for seed in 0..50 {
+        let plan = Plan::generate(seed, DEFAULT_SIZE);
+        let with_lapses = Plan::generate(seed, size);
+        let count = |plan: &Plan, is_kind: fn(&Event) -> bool| {
+            let events = plan.events.iter();
+            events.filter(|(_, event)| is_kind(event)).count()
+        };
+        let added = |is_kind| count(&with_lapses, is_kind) - count(&plan, is_kind);
+        let outages = added(|event| {
+            matches!(
+                event,
+                Event::StoreUnavailable(true) | Event::WritersUnavailable(true)
+            )
+        });
+        let ends = added(|event| {
+            matches!(
+                event,
+                Event::StoreUnavailable(false) | Event::WritersUnavailable(false)
+            )
+        });
+        assert!(outages > 0, "seed {seed}");
+        assert_eq!(outages, ends, "seed {seed}");
+        let drains = added(|event| matches!(event, Event::Drain(_)));
+        assert_eq!(drains, 2 * outages, "seed {seed}");
+        assert_eq!(drains, added(|event| matches!(event, Event::Leave)));
+        let stops = added(|event| matches!(event, Event::Stop(_)));
+        assert_eq!(stops, added(|event| matches!(event, Event::Start(_))));
+        restarts += stops;
+        let is_kept = |event: &(Duration, Event)| with_lapses.events.contains(event);
+        assert!(plan.events.iter().all(is_kept), "seed {seed}");
+        assert!(with_lapses.faults_end() + Duration::from_secs(12) < size.length);
+    }
+    assert!(restarts > 50, "{restarts}");
+}
+
 /// Runs a short plan with further events, of which one runs at a time.
 async fn check_extra_run(size: PlanSize) {
     let _permit = EXTRA_RUN.lock().await;
@@ -169,6 +212,15 @@
     check_extra_run(size).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn short_run_with_lapses_violates_no_invariant() {
+    let size = PlanSize {
+        has_lapses: true,
+        ..SHORT
+    };
+    check_extra_run(size).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn short_run_with_restores_violates_no_invariant() {
     let size = PlanSize {
