Count only the same data sent again as evidence of a stalled target

Cause: a caller of an upload repeats one packet after another if several were lost on their way, for example at a VM whose buffer was full. A running target acknowledges each, but the VM counted every packet with data that it had forwarded before, whichever bytes it carried. Two such uploads made the target stalled, and were reset. Change: a retransmission counts if it begins at the data that was repeated last, or before it. Later data shows that the target acknowledged what was repeated before, and is counted anew. Result: retransmissions_of_different_data_are_not_evidence failed before ("part 1 of 1" is reset after 401 ms) and passes. An upload to a target that has stopped is reset at its second retransmission, before and after (retransmissions_of_all_parts_of_an_upload_are_evidence).

--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -306,8 +306,11 @@
                 state.busy_since.get_or_insert(now);
                 signals.begins_request = state.request_since.is_none();
                 state.request_since.get_or_insert(now);
-                state.retransmissions.record_data(now);
-            } else if state.retransmissions.record_repeated(evidence_since, now) {
+                state.retransmissions.record_data(header.seq, now);
+            } else if state
+                .retransmissions
+                .record_repeated(header.seq, evidence_since, now)
+            {
                 signals.retransmissions = Some(state.retransmissions);
             }
         }
@@ -410,7 +413,7 @@
 }
 
 /// Whether a sequence number is after another; sequence numbers wrap around.
-fn is_after(number: u32, other: u32) -> bool {
+pub(crate) fn is_after(number: u32, other: u32) -> bool {
     let distance = number.wrapping_sub(other);
     distance != 0 && distance < 1 << 31
 }
--- a/crates/steer/src/stall.rs
+++ b/crates/steer/src/stall.rs
@@ -6,7 +6,8 @@
 //! response may reach the caller, and its acknowledgement another VM. The evidence are the callers'
 //! own retransmissions: a running target acknowledges data that it receives again, even while the
 //! request is still in progress, so a caller that sends the same bytes a third time has received
-//! nothing twice.
+//! nothing twice. Later bytes of an upload that are sent again show that the earlier ones were
+//! acknowledged.
 //!
 //! The answers on a single flow may be lost for good while the target is running. Therefore only
 //! flows that have retransmitted themselves are reset, and only those transmissions count that were
@@ -32,6 +33,8 @@
 
 use bambooseam_types::Moment;
 
+use crate::flows::is_after;
+
 /// Number of flows tracked for one target.
 const TRACKED_FLOWS: usize = 4;
 
@@ -58,6 +61,8 @@
     /// When the data was first sent through this VM since the target's last response, and when it was
     /// last sent.
     span: Option<(Moment, Moment)>,
+    /// Sequence number of the data that was last sent.
+    seq: u32,
     /// When the first retransmission was sent.
     first_repeated: Option<Moment>,
     /// Number of retransmissions since then.
@@ -153,12 +158,17 @@
 }
 
 impl Retransmissions {
-    /// Records data that was not sent before.
-    pub fn record_data(&mut self, now: Moment) {
-        *self = Self {
+    /// Records data from `seq` on that was not sent before.
+    pub fn record_data(&mut self, seq: u32, now: Moment) {
+        *self = Self::first(seq, now);
+    }
+
+    fn first(seq: u32, now: Moment) -> Self {
+        Self {
             span: Some((now, now)),
+            seq,
             ..Self::default()
-        };
+        }
     }
 
     /// Number of retransmissions.
@@ -181,25 +191,27 @@
         self.count > 0
     }
 
-    /// Records data that was sent before; only transmissions from `evidence_since` on are evidence.
-    /// Returns whether the retransmission counts.
-    pub fn record_repeated(&mut self, evidence_since: Moment, now: Moment) -> bool {
+    /// Records data from `seq` on that was sent before; only transmissions from `evidence_since` on
+    /// are evidence. Returns whether the retransmission counts.
+    pub fn record_repeated(&mut self, seq: u32, evidence_since: Moment, now: Moment) -> bool {
         let Some((first_sent, last_sent)) = self.span else {
-            self.record_data(now);
+            self.record_data(seq, now);
             return false;
         };
         if now.since(last_sent) < MIN_INTERVAL {
             return false;
         }
         self.repeats += 1;
-        if first_sent < evidence_since {
+        // A caller repeats the first data that was not acknowledged, so later data shows that the
+        // target has acknowledged what was repeated before.
+        if first_sent < evidence_since || is_after(seq, self.seq) {
             *self = Self {
-                span: Some((now, now)),
                 repeats: self.repeats,
-                ..Self::default()
+                ..Self::first(seq, now)
             };
             return true;
         }
+        self.seq = seq;
         self.span = Some((first_sent, now));
         self.first_repeated.get_or_insert(now);
         self.count += 1;
--- a/tests/tests/steer_stall_running.rs
+++ b/tests/tests/steer_stall_running.rs
@@ -178,3 +178,58 @@
         }
     }
 }
+
+// Of two uploads each packet was lost once: the target acknowledges each retransmission, and the
+// callers go on to the next packet.
+#[test]
+fn retransmissions_of_different_data_are_not_evidence() {
+    let (target_1, running) = (target(1), target(2));
+    let mut steering = steering([target_1.clone(), running.clone()]);
+    let part = |number, part: u32| {
+        let seq = 101 + 1_200 * part;
+        flow_packet(flow_of(number), target_1.token(), seq, 501, 1_200)
+    };
+    for index in 0..4 {
+        for number in [1, 2] {
+            steering.decide(&part(number, index), at(number.into()));
+        }
+    }
+    for index in 0..4 {
+        let time = 200 * (1 + u64::from(index));
+        for delay in (10..170).step_by(10) {
+            exchange(&mut steering, &running, at(time - 200 + delay));
+        }
+        for number in [1, 2] {
+            let decision = steering.decide(&part(number, index), at(time + u64::from(number)));
+            assert!(!is_stall_reset(decision), "part {index} of {number}");
+        }
+    }
+}
+
+// A target that has stopped acknowledges no part of an upload: all are sent again and again.
+#[test]
+fn retransmissions_of_all_parts_of_an_upload_are_evidence() {
+    let (stalled, running) = (target(1), target(2));
+    let mut steering = steering([stalled.clone(), running.clone()]);
+    let mut resets = Vec::new();
+    let mut next_exchange = 30;
+    for delay in TRANSMISSIONS {
+        while next_exchange + 30 < delay {
+            exchange(&mut steering, &running, at(next_exchange));
+            next_exchange += 10;
+        }
+        for number in [1, 2] {
+            for part in 0..4 {
+                let seq = 101 + 1_200 * part;
+                let packet = flow_packet(flow_of(number), stalled.token(), seq, 501, 1_200);
+                let time = delay + 10 * u64::from(number) + u64::from(part);
+                if !resets.contains(&number) && is_stall_reset(steering.decide(&packet, at(time))) {
+                    resets.push(number);
+                }
+            }
+        }
+        if delay == 600 {
+            assert_eq!(resets, [1, 2]);
+        }
+    }
+}
