Refuse entries with a multicast or broadcast address

Cause: an entry with such an address counted as that of a target. New flows were placed at 224.0.0.1, and those of a running target went there after another writer had written the entry under its key. An address other than 0.0.0.0 with a port was all that the parser asked for.

--- a/tests/tests/platform_documents.rs
+++ b/tests/tests/platform_documents.rs
@@ -113,6 +113,8 @@
         ("address", json!("10.0.0.1")),
         ("address", json!("10.0.0.1:0")),
         ("address", json!("0.0.0.0:80")),
+        ("address", json!("224.0.0.1:80")),
+        ("address", json!("255.255.255.255:80")),
         ("address", json!(null)),
         ("zone", json!(["a"])),
         ("capacity", json!("2")),
