Keep the flows of a target whose entry another writer contradicts

Cause: an entry under the key of a running target, for another service or at another address, ended the target at every VM that read it until its next heartbeat. The table took any entry with another token or service as a new start. With the same token and another address, packets of open flows went to that address. After the removal of an unreadable entry the target was kept for 0.4 s, less than a heartbeat, and a quiet flow was reset.

Ruled out: while an unreadable entry stood, whatever its shape (nested 100,000 deep, 1e400, ports out of range, 300 kB), nothing was reset.

Change: what a target can't change while it runs (service, address, a time of birth that was known) is no proof of its end. The known start keeps its flows and takes no new ones until it writes again; the start that the entry describes comes into force once the known one has not written for 2.5 s with the store at hand and has not responded for 1.5 s, or at once if only its service has a route and the known one has never responded. A VM that has known a start for less than 2.5 s uses the later entry and resolves the tokens of both. An entry that is removed while it is not the target's own leaves the target unconfirmed for 2.5 s.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -14,8 +14,8 @@
 use bambooseam_platform::document::Config;
 use bambooseam_platform::{Document, DocumentKind, PublishedContent};
 use bambooseam_replica::{ApplyOutcome, Change, Changes, Held, Replica};
-use bambooseam_steer::{Steering, SteeringEvent, Target};
-use bambooseam_types::{EarlierStart, Moment, Revision, TargetId, ZoneId};
+use bambooseam_steer::{EntryStatus, Steering, SteeringEvent, Target, TargetRecord};
+use bambooseam_types::{EarlierStart, Moment, Revision, TargetId, Token, ZoneId};
 use tokio::sync::watch;
 
 use crate::or_none::OrNone;
@@ -252,6 +252,7 @@
                 SteeringEvent::LimitChanged { .. } => &LIMIT_CHANGES,
                 SteeringEvent::Rejected { .. } => &REJECTIONS,
                 SteeringEvent::Ended(_)
+                | SteeringEvent::DisputeSettled(..)
                 | SteeringEvent::Unresponsive { .. }
                 | SteeringEvent::Recovered(_)
                 | SteeringEvent::Stalled { .. }
@@ -517,8 +518,9 @@
         let value = change.value.as_deref().unwrap_or_default();
         match DocumentKind::Target(id.clone()).parse(value) {
             Ok(Document::Target(target)) => {
-                self.log_target(&target, change.revision, source);
-                self.steering.put_target(target, now);
+                let former = self.record_of(id).map(|r| (r.token, r.target.is_leaving));
+                self.steering.put_target(target.clone(), now);
+                self.log_target(&target, former, change.revision, source);
                 if self.replica.is_unrenewed(&change.key) {
                     self.steering.hold_back_target(id);
                 }
@@ -534,18 +536,27 @@
         }
     }
 
-    /// Logs a target whose token or state changed. A change of only the warm-up time, which counts
-    /// down, is not logged.
-    fn log_target(&self, target: &Target, revision: Revision, source: Source) {
+    fn record_of(&self, id: &TargetId) -> Option<&TargetRecord> {
         let targets = self.steering.targets();
-        let record = targets.find(&target.id).and_then(|at| targets.get(at));
+        targets.get(targets.find(id)?)
+    }
+
+    /// Logs a target whose token or state changed; `former` is what it was before. A change of only
+    /// the warm-up time, which counts down, is not logged.
+    fn log_target(
+        &self,
+        target: &Target,
+        former: Option<(Token, bool)>,
+        revision: Revision,
+        source: Source,
+    ) {
         let token = target.token();
-        let is_unchanged = record.is_some_and(|record| {
-            record.token == token && record.target.is_leaving == target.is_leaving
-        });
-        if is_unchanged {
-            return;
-        }
+        let status = self.record_of(&target.id).map(|record| record.status);
+        let event = match status {
+            Some(EntryStatus::Disputed { .. }) => "event=entry_disputed",
+            _ if former == Some((token, target.is_leaving)) => return,
+            _ => "event=target_changed",
+        };
         let Some(suppressed) = TARGET_CHANGES.admit(std::time::Instant::now()) else {
             return;
         };
@@ -553,7 +564,7 @@
             true => "leaving",
             false => "live",
         };
-        let former = record.map(|record| record.token);
+        let former = former.map(|(former, _)| former);
         let former = OrNone(former.filter(|former| *former != token));
         let Target {
             id,
@@ -563,7 +574,7 @@
             ..
         } = target;
         log::info!(
-            "event=target_changed target={id} token={token} former={former} service={service} \
+            "{event} target={id} token={token} former={former} service={service} \
              zone={zone} address={address} state={state} revision={revision} source={source} \
              suppressed={suppressed}"
         );
--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -115,6 +115,9 @@
     /// A retransmission would exceed the limit on openings at a cold target.
     #[display("cold_limit")]
     ColdLimit,
+    /// A retransmission to a target whose entry was replaced by one that contradicts its known start.
+    #[display("entry_disputed")]
+    EntryDisputed,
     /// The packet is a reset, and no known target holds its flow.
     #[display("already_ended")]
     AlreadyEnded,
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -16,6 +16,9 @@
     /// The retention time of a target without an entry has passed.
     #[display("event=target_ended target={_0} cause=entry_not_back")]
     Ended(TargetId),
+    /// The entry of a target contradicted its known start, which has not written again.
+    #[display("event=dispute_settled target={_0} token={_1}")]
+    DisputeSettled(TargetId, Token),
     /// A target is unresponsive and takes no new flows for some time.
     #[display("event=target_silent target={target} flows={flows} silent_ms={}", elapsed.as_millis())]
     Unresponsive {
--- a/crates/steer/src/route.rs
+++ b/crates/steer/src/route.rs
@@ -85,6 +85,11 @@
         at.ok().map(|at| &self.sorted[at])
     }
 
+    /// Whether a service is among the shares of a route.
+    pub fn has_service(&self, service: &ServiceName) -> bool {
+        self.sorted.iter().any(|route| route.has_service(service))
+    }
+
     /// All routes, sorted by frontend.
     pub fn iter(&self) -> std::slice::Iter<'_, Route> {
         self.sorted.iter()
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -34,13 +34,14 @@
 use crate::missing_entry::{REREGISTRATION_TIME, StoreOutage};
 use crate::path::PathRecord;
 use crate::resumption::Resumption;
-use crate::target_table::{TargetIndex, TargetRecord, TargetTable};
+use crate::target_table::{EntryStatus, TargetIndex, TargetRecord, TargetTable};
 use crate::timing::ServiceTimings;
 use crate::unknown_token::UnknownTokens;
 use crate::zone::UnresponsiveZones;
 use crate::zone_load::{Group, ZoneLoad};
 use crate::{
     Decision, DropCause, Origin, PacketHeader, Placement, ResetCause, Route, Routes, SteeringEvent,
+    Target,
 };
 
 /// Largest age at which a view counts as current: the largest age of a replica that may be followed
@@ -240,6 +241,11 @@
         if record.load.is_cold(now) && !budgets.record_repeated(service, token, now) {
             return Some(Decision::Drop(DropCause::ColdLimit));
         }
+        if let EntryStatus::Disputed { .. } = record.status {
+            // The address may belong to a target of another service by now, while the target, if it
+            // runs, has answered the first transmission.
+            return Some(Decision::Drop(DropCause::EntryDisputed));
+        }
         let decision = forward(record, Some(Placement::Retransmitted));
         let recounted = self.flows.record_repeated_opening(&header.flow);
         if let Some(record) = recounted.and_then(|index| self.targets.get_mut(index)) {
@@ -368,6 +374,9 @@
             let route = self.routes.as_ref().and_then(|r| r.find(frontend));
             resolved = self.resolve(token, route);
         }
+        if let Some(rival) = self.rival(token, frontend) {
+            return forward_to_rival(rival);
+        }
         let Some(index) = resolved else {
             return self.handle_unknown_token(header, token, now);
         };
@@ -418,6 +427,25 @@
         Some(indexes.find(is_match).unwrap_or(first))
     }
 
+    /// Start with a token that contradicts the known start under its identifier. A known target with
+    /// this token takes precedence if it has responded, or belongs to the route.
+    fn rival(&self, token: Token, frontend: SocketAddrV4) -> Option<&Target> {
+        let any = self.targets.rival(token, |_| true)?;
+        let route = self.routes.as_ref().and_then(|r| r.find(frontend));
+        let is_match = |service: &_| route.is_some_and(|route| route.has_service(service));
+        let indexes = self.targets.with_token(token);
+        let records = indexes.filter_map(|index| self.targets.get(index));
+        let mut is_known = false;
+        for record in records {
+            if is_match(&record.target.service) || record.load.last_response.is_some() {
+                return None;
+            }
+            is_known = true;
+        }
+        let rival = self.targets.rival(token, is_match);
+        rival.or_else(|| (!is_known).then_some(any))
+    }
+
     /// Handles a packet whose token belongs to no known target.
     fn handle_unknown_token(
         &mut self,
@@ -456,3 +484,14 @@
         placement,
     }
 }
+
+/// Forwards a packet to a start that contradicts the known start under its identifier. Its response
+/// times and load belong to no known target.
+fn forward_to_rival(target: &Target) -> Decision {
+    Decision::Forward {
+        address: target.address,
+        label: target.label,
+        token: target.token(),
+        placement: None,
+    }
+}
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -9,7 +9,7 @@
 use super::signals::release;
 use crate::ended_start::EndCause;
 use crate::evacuation::Evacuations;
-use crate::missing_entry::RemovalCount;
+use crate::missing_entry::{REREGISTRATION_TIME, RemovalCount};
 use crate::target_speed::Outcome;
 use crate::target_table::{EntryStatus, TargetIndex};
 use crate::{Routes, SteeringEvent, Target};
@@ -52,7 +52,7 @@
 
     /// Adds or updates a target from its published entry.
     pub fn put_target(&mut self, target: Target, now: Moment) {
-        self.targets.put(target, now);
+        self.targets.put(target, self.routes.as_ref(), now);
     }
 
     /// Records that an entry no longer describes a valid target. The target keeps its flows and
@@ -66,9 +66,14 @@
     /// Records that the entry of a target comes from an older copy of the store, although it had
     /// been removed. The target keeps its flows, and takes new flows only as a last resort.
     pub fn hold_back_target(&mut self, id: &TargetId) {
-        if let Some(index) = self.targets.find(id) {
-            self.targets.set_status(index, EntryStatus::Unrenewed);
+        let Some(index) = self.targets.find(id) else {
+            return;
+        };
+        let record = self.targets.get(index);
+        if record.is_some_and(|record| record.status.is_foreign()) {
+            return;
         }
+        self.targets.set_status(index, EntryStatus::Unrenewed);
     }
 
     /// Accepts an entry that was held back.
@@ -163,6 +168,14 @@
                 continue;
             };
             let (id, service) = (record.target.id.clone(), record.target.service.clone());
+            if record.status.is_foreign() {
+                // The removed entry was not the target's own, which follows with its next heartbeat.
+                let until = now.after(REREGISTRATION_TIME);
+                let status = EntryStatus::Unconfirmed { until };
+                self.targets.set_status(index, status);
+                kept.push((id, status));
+                continue;
+            }
             if record.target.is_leaving && !self.outage.is_recent(now) {
                 self.targets.end(index, EndCause::Left, now);
                 continue;
@@ -226,7 +239,7 @@
         );
         let targets = &self.targets;
         self.unknown_tokens
-            .sweep(now, |token| targets.with_token(token).next().is_some());
+            .sweep(now, |token| targets.is_known(token));
         events.extend(self.sweep_admissions(now));
         events.extend(self.targets.update_responsiveness(now));
         events.extend(self.cold_budgets.update(&self.targets, &self.timings, now));
@@ -237,11 +250,27 @@
         let loads = remote.map(|record| (&record.target.zone, &record.load));
         events.extend(self.zones.update(loads, now));
         events.extend(self.update_isolation(now));
+        events.extend(self.settle_disputes(now));
         self.ended.extend(self.targets.expire(now));
         events.extend(self.ended.drain(..).map(SteeringEvent::Ended));
         events
     }
 
+    /// Settles the disputes about entries whose known start has not written again.
+    fn settle_disputes(&mut self, now: Moment) -> Vec<SteeringEvent> {
+        let Some(routes) = &self.routes else {
+            return Vec::new();
+        };
+        // Without the store no target can write its entry again.
+        let synced = self.freshness.synced;
+        let synced = synced.filter(|_| !self.outage.is_recent(now));
+        let settled = self.targets.settle_disputes(routes, synced, now);
+        let settled = settled.into_iter();
+        settled
+            .map(|target| SteeringEvent::DisputeSettled(target.id.clone(), target.token()))
+            .collect()
+    }
+
     /// Passes each time from a request to the first sign of its response to `report`, with the
     /// target's service, and clears the list.
     pub fn drain_response_times(&mut self, mut report: impl FnMut(&ServiceName, Duration)) {
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -4,14 +4,17 @@
 //! have the same token; the service of the packet's route then selects one of them. Within one
 //! service the target that started later takes no new flows while the earlier target exists.
 
+mod disputes;
+
 use bambooseam_types::{EarlierStart, Moment, ServiceName, TargetId, Token};
 use derive_more::Display;
 
+use self::disputes::Rivals;
 use crate::ended_start::{EndCause, EndedStart, EndedStarts};
 use crate::load::Load;
 use crate::missing_entry::status_after_retention;
 use crate::target_speed::TargetSpeed;
-use crate::{SteeringEvent, Target};
+use crate::{Routes, SteeringEvent, Target};
 
 /// Index of a target in the table. An index is reused after its target has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
@@ -48,6 +51,12 @@
     /// The entry was replaced by a document that does not describe a valid target.
     #[display("unreadable")]
     Unreadable,
+    /// The entry was replaced by one that contradicts the known start of the target.
+    #[display("disputed")]
+    Disputed {
+        /// When the entry was replaced.
+        since: Moment,
+    },
 }
 
 /// A target with its observed state.
@@ -59,6 +68,8 @@
     pub token: Token,
     /// State of the published entry.
     pub status: EntryStatus,
+    /// When this VM learned of this start of the target.
+    added: Moment,
     /// Load observed from packets.
     pub load: Load,
     /// Speed learned from response times.
@@ -77,6 +88,7 @@
     tokens: Vec<(Token, TargetIndex)>,
     services: Vec<(ServiceName, Vec<TargetIndex>)>,
     ended: EndedStarts,
+    rivals: Rivals,
 }
 
 impl TargetIndex {
@@ -93,9 +105,14 @@
             Self::Unconfirmed { until } | Self::Lapsed { until } | Self::Unlisted { until } => {
                 Some(until)
             }
-            Self::Published | Self::Unrenewed | Self::Unreadable => None,
+            Self::Published | Self::Unrenewed | Self::Unreadable | Self::Disputed { .. } => None,
         }
     }
+
+    /// Whether the present entry is that of another writer.
+    pub fn is_foreign(self) -> bool {
+        matches!(self, Self::Unreadable | Self::Disputed { .. })
+    }
 }
 
 impl TargetRecord {
@@ -123,13 +140,16 @@
 }
 
 impl TargetTable {
-    /// Adds or updates a target. A later start with the same identifier replaces the earlier start.
-    pub fn put(&mut self, target: Target, now: Moment) {
+    /// Adds or updates a target from its entry. A later start with the same identifier replaces the
+    /// earlier start, unless the entry contradicts that one.
+    pub fn put(&mut self, target: Target, routes: Option<&Routes>, now: Moment) {
         let token = target.token();
         if let Some(index) = self.find(&target.id) {
+            if self.dispute(index, &target, routes, now) {
+                return;
+            }
             if let Some(record) = self.get_mut(index)
                 && record.token == token
-                && record.target.service == target.service
             {
                 record.load.set_cold_time(now, target.cold_time);
                 record.status = EntryStatus::Published;
@@ -138,8 +158,7 @@
             }
             self.end(index, EndCause::Replaced, now);
         }
-        self.ended.remove(token);
-        self.add(target, token, now);
+        self.start(target, now);
     }
 
     /// Sets the entry status of a target.
@@ -258,6 +277,11 @@
         }
     }
 
+    /// Whether a token belongs to a start that has not ended.
+    pub fn is_known(&self, token: Token) -> bool {
+        self.with_token(token).next().is_some() || self.rival(token, |_| true).is_some()
+    }
+
     /// Whether a token belongs to a start of a target that has ended.
     pub fn is_ended(&self, token: Token) -> bool {
         self.ended.get(token).is_some()
@@ -349,7 +373,11 @@
         ended
     }
 
-    fn add(&mut self, target: Target, token: Token, now: Moment) {
+    /// Adds a start of a target that is not in the table.
+    fn start(&mut self, target: Target, now: Moment) {
+        let token = target.token();
+        self.ended.remove(token);
+        self.rivals.remove(&target);
         let index = self.free.pop().unwrap_or_else(|| {
             self.records.push(None);
             TargetIndex(self.records.len() as u32 - 1)
@@ -372,6 +400,7 @@
             target,
             token,
             status: EntryStatus::Published,
+            added: now,
             load,
             is_shadowed: false,
         });
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the workspace, one file per feature under `tests/`, and their helpers.
 
 pub mod inputs;
+pub mod odd_entries;
 pub mod programs;
 pub mod site;
 pub mod steering;
