Keep a flow at the target that its caller acknowledged first

Cause: a VM sends the copy of an opening packet to another target if two flows found the first one unresponsive. If the first one answers after all, the caller has two answers. The flow opens at the target that the caller acknowledges, but the caller repeats the token that it received last, so its next packets go to the other target, and nothing arrives at its own (FLOW (b)). The other target ignores or resets them: a VM sees retransmissions that a target which answers all other flows doesn't acknowledge. Found by reading and in virtual time. Change: the flow table keeps the other tokens with which this VM sent the opening packet. Once a packet inside the flow has shown a token, packets with one of the others are forwarded with that one, until the caller has repeated data twice: its first acknowledgement may have passed through another VM, and then the caller is right. Tokens that this VM did not give the opening packet are followed as before. Result: three of the first four tests in steer_two_answers failed before (packets at 230 ms were forwarded to the other target); all pass. The fifth, on the limit of two repetitions, was written with the change. Not covered: an opening packet and its copy that two VMs placed, if the caller acknowledges the target of this VM first.

--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -39,6 +39,9 @@
     pub target: TargetIndex,
     /// Token of the target.
     pub token: Token,
+    /// Other targets to which this VM sent the opening packet, and that the caller did not
+    /// acknowledge first.
+    unopened: [Option<Token>; 2],
     phase: Phase,
     /// Sequence number of the first byte that was not sent yet; while the flow is being opened,
     /// that of the opening packet.
@@ -165,6 +168,17 @@
         is_retransmission.then_some((state.target, state.token))
     }
 
+    /// Token of the target at which a flow is open, if `token` belongs to another target that was
+    /// sent its opening packet. If several targets answer, the flow opens at the one that the caller
+    /// acknowledges first, but the caller repeats the token that it received last. That first
+    /// acknowledgement may have passed through another VM, so the token is replaced only as long as
+    /// the target may still respond.
+    pub fn opened_token(&self, flow: &FlowId, token: Token) -> Option<Token> {
+        let state = self.table.get(flow)?;
+        let is_open = state.phase != Phase::Opening && !state.retransmissions.has_stalled();
+        (is_open && state.unopened.contains(&Some(token))).then_some(state.token)
+    }
+
     /// Whether packets of a flow that began at `since` or later show that a target was sent its
     /// opening packet.
     pub fn has_begun(&self, flow: &FlowId, since: Moment) -> bool {
@@ -228,7 +242,10 @@
         }
         signals.is_new = true;
         signals.is_busy = true;
+        let earlier = self.table.get(&header.flow);
+        let earlier = earlier.filter(|earlier| earlier.next_seq == header.seq);
         let state = FlowState {
+            unopened: earlier.map_or([None; 2], FlowState::opening_tokens),
             phase: Phase::Opening,
             busy_since: Some(now),
             is_counted: true,
@@ -267,7 +284,11 @@
                 return signals;
             }
             signals.is_new = true;
-            let state = FlowState::new(header, (target, token), timeout, now);
+            let earlier = self.table.get(&header.flow);
+            let state = FlowState {
+                unopened: earlier.map_or([None; 2], FlowState::opening_tokens),
+                ..FlowState::new(header, (target, token), timeout, now)
+            };
             let replaced = self.table.insert(header.flow, state);
             signals.replaced = replaced.map(|replaced| replaced.released(true));
         }
@@ -380,6 +401,7 @@
         Self {
             target,
             token,
+            unopened: [None; 2],
             phase: Phase::Open,
             next_seq: header.seq,
             acked: header.ack,
@@ -394,6 +416,14 @@
         }
     }
 
+    /// Tokens that the opening packet was sent with, if the flow is not open yet.
+    fn opening_tokens(&self) -> [Option<Token>; 2] {
+        match self.phase {
+            Phase::Opening => [Some(self.token), self.unopened[0]],
+            Phase::Open | Phase::Ended => [None; 2],
+        }
+    }
+
     /// Whether the flow counts as load of its target.
     fn is_load(&self) -> bool {
         self.busy_since.is_some() && self.is_counted
--- a/crates/steer/src/stall.rs
+++ b/crates/steer/src/stall.rs
@@ -176,6 +176,11 @@
         self.repeats
     }
 
+    /// Whether the data was retransmitted so often that a running target would have responded.
+    pub fn has_stalled(&self) -> bool {
+        self.repeats >= STALLED_RETRANSMISSIONS
+    }
+
     /// When the data was first sent since the target's last response.
     pub fn first_sent(&self) -> Option<Moment> {
         self.span.map(|(first_sent, _)| first_sent)
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -353,6 +353,8 @@
     /// Forwards a packet of an established flow to the target of its token.
     fn handle_established(&mut self, header: &PacketHeader, token: Token, now: Moment) -> Decision {
         let frontend = header.flow.frontend;
+        let opened = self.flows.opened_token(&header.flow, token);
+        let token = opened.unwrap_or(token);
         let route = self.routes.as_ref().and_then(|r| r.find(frontend));
         let timeout = route.map_or(DEFAULT_REQUEST_TIMEOUT, |route| route.timeout);
         if route.is_none()
