Let the soak call from three hosts in each zone

Cause: all callers of a zone had one address. VMs tell callers apart by their addresses, so the evidence of two callers, on which flows of a stalled target are reset, couldn't arise within a zone. Change: three hosts a zone with a third of the feeds and orders each; the load stays.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -31,9 +31,12 @@
 /// Number of addresses that the targets of a zone use in turn.
 const ADDRESS_COUNT: u8 = 40;
 
-/// Numbers of feeds and of callers of orders in each zone.
-const FEEDS: u64 = 6;
-const ORDERS: u64 = 3;
+/// Number of callers' hosts in each zone. VMs tell callers apart by their addresses.
+const CALLER_HOSTS: u8 = 3;
+
+/// Numbers of feeds and of callers of orders of each host.
+const FEEDS: u64 = 2;
+const ORDERS: u64 = 1;
 
 /// Timeout for the readiness of all VMs at the start.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -124,7 +127,14 @@
 
 impl Run<'_> {
     async fn drive(mut self, started_at: SystemTime) -> io::Result<Outcome> {
-        let traffic = Traffic::start(&self.site, self.orders, FEEDS, ORDERS, self.plan.seed);
+        let mut hosts = self.site.callers.clone();
+        for zone in 0..ZONES as u8 {
+            for number in 1..CALLER_HOSTS {
+                hosts.push(self.site.add_caller(zone, number).await?);
+            }
+        }
+        let (load, seed) = ((FEEDS, ORDERS), self.plan.seed);
+        let traffic = Traffic::start_at(&hosts, &self.site, self.orders, load, seed);
         let bar = progress(self.plan.size.length);
         let events = self.plan.events.clone();
         let mut events = events.into_iter().peekable();
--- a/crates/standin/src/site/traffic.rs
+++ b/crates/standin/src/site/traffic.rs
@@ -19,8 +19,8 @@
 /// Maximum number of attempts of a request that may be repeated.
 const MAX_ATTEMPTS: u32 = 3;
 
-/// Number of seeds reserved for the callers of one zone.
-const SEEDS_PER_ZONE: u64 = 1_000;
+/// Number of seeds reserved for the callers of one host.
+const SEEDS_PER_HOST: u64 = 1_000;
 
 /// Number of the next request; request numbers are unique in a process.
 static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
@@ -52,9 +52,20 @@
 
     /// Starts `feeds` callers of feeds and `orders` callers of orders in each zone of a site.
     pub fn start(site: &Site, frontend: SocketAddrV4, feeds: u64, orders: u64, seed: u64) -> Self {
+        Self::start_at(&site.callers, site, frontend, (feeds, orders), seed)
+    }
+
+    /// Starts `feeds` callers of feeds and `orders` callers of orders at each of `hosts`.
+    pub fn start_at(
+        hosts: &[Arc<CallerHost>],
+        site: &Site,
+        frontend: SocketAddrV4,
+        (feeds, orders): (u64, u64),
+        seed: u64,
+    ) -> Self {
         let mut traffic = Self::new();
-        for (zone, host) in (0..).zip(&site.callers) {
-            let seed = seed + SEEDS_PER_ZONE * zone;
+        for (number, host) in (0..).zip(hosts) {
+            let seed = seed + SEEDS_PER_HOST * number;
             for number in 0..feeds {
                 traffic.add(
                     CallerKind::Feed,
