--- a/crates/standin/src/site/traffic.rs
+++ b/crates/standin/src/site/traffic.rs
@@ -24,8 +24,8 @@
 const PAUSES: Range<u64> = 20..120;
 const LONG_PAUSES: Range<u64> = 2_000..8_000;
 
-/// Number of seeds reserved for the callers of one zone.
-const SEEDS_PER_ZONE: u64 = 1_000;
+/// Number of seeds reserved for the callers of one host.
+const SEEDS_PER_HOST: u64 = 1_000;
 
 /// Number of the next request; request numbers are unique in a process.
 static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
@@ -59,9 +59,20 @@
 
     /// Starts `feeds` callers of feeds and `orders` callers of orders in each zone of a site.
     pub fn start(site: &Site, frontend: SocketAddrV4, feeds: u64, orders: u64, seed: u64) -> Self {
+        Self::start_at(&site.callers, site, frontend, (feeds, orders), seed)
+    }
+
+    /// Starts `feeds` callers of feeds and `orders` callers of orders at each of `hosts`.
+    pub fn start_at(
+        hosts: &[Arc<CallerHost>],
+        site: &Site,
+        frontend: SocketAddrV4,
+        (feeds, orders): (u64, u64),
+        seed: u64,
+    ) -> Self {
         let mut traffic = Self::new();
-        for (zone, host) in (0..).zip(&site.callers) {
-            let seed = seed + SEEDS_PER_ZONE * zone;
+        for (number, host) in (0..).zip(hosts) {
+            let seed = seed + SEEDS_PER_HOST * number;
             for number in 0..feeds {
                 traffic.add(
                     CallerKind::Feed,
@@ -88,7 +99,7 @@
     /// requests.
     pub fn add_pausing(&mut self, site: &Site, frontend: SocketAddrV4, count: u64, seed: u64) {
         for (zone, host) in (0..).zip(&site.callers) {
-            let first = seed + SEEDS_PER_ZONE * zone + SEEDS_PER_ZONE / 2;
+            let first = seed + SEEDS_PER_HOST * zone + SEEDS_PER_HOST / 2;
             for number in first..first + count {
                 let kind = CallerKind::PausingFeed;
                 self.add(kind, host, frontend, number, &site.counters);
