Follow the store past large values of another writer

Cause: a response above 4 MiB counted as a lost connection, and the same watch, which can only grow, was repeated. Ruled out by the log of the VMs ("length limit exceeded"): a store that is slow or refuses calls.

The size of a transfer is what was received, as the documents no longer tell it.

The test of the replica is new with its function and was not run before.

--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -25,9 +25,6 @@
 /// is a tenth of the shortest time limit for a change (3 s).
 const BATCH_PAUSE: Duration = Duration::from_millis(300);
 
-/// Size of the store's responses in percent of the documents in them: Base64 and JSON.
-const STORE_SIZE_PERCENT: usize = 160;
-
 /// Minimum and maximum backoff after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
@@ -148,9 +145,10 @@
             Some(_) => answered_at(started, now, MAX_CALL_TIME),
             None => started,
         };
+        let received = self.store.take_received();
         let is_applied = {
             let mut node = self.node.borrow_mut();
-            node.record_transfer(changes.size() * STORE_SIZE_PERCENT / 100, now);
+            node.record_transfer(received, now);
             node.apply(changes, synced, now, Source::Store)
         };
         self.has_history = is_applied;
--- a/crates/replica/src/content.rs
+++ b/crates/replica/src/content.rs
@@ -27,8 +27,14 @@
     Presence,
 }
 
-/// Reads the age of documents.
+/// Reads documents as far as a replica needs to.
 pub trait Content {
+    /// Size in bytes of the largest document under `key` that can be used. The replica keeps larger
+    /// ones without their content.
+    fn max_bytes(&self, _key: &str) -> usize {
+        usize::MAX
+    }
+
     /// Age of the document under `key`; `None` if the document cannot be read.
     fn age(&self, key: &str, value: &[u8]) -> Option<ContentAge>;
 }
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -172,7 +172,8 @@
                 self.skip_to(changes.upto);
             }
         }
-        for change in changes.list.into_iter().chain(missing) {
+        for mut change in changes.list.into_iter().chain(missing) {
+            self.shed_content(&mut change);
             if self.is_applied(&change) {
                 continue;
             }
@@ -372,6 +373,14 @@
         missing
     }
 
+    /// Empties a document that is too large to be used. It still counts as written.
+    fn shed_content(&self, change: &mut Change) {
+        let size = change.value.as_ref().map_or(0, |value| value.len());
+        if size > self.content.max_bytes(&change.key) {
+            change.value = Some(Arc::default());
+        }
+    }
+
     /// Whether a change, or a newer change of the same key, was already applied.
     fn is_applied(&self, change: &Change) -> bool {
         if let Some(document) = self.get(&change.key) {
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -1,6 +1,7 @@
 //! The metadata store: operators and targets write to it, and VMs read it through a
 //! [`StoreServer`](super::StoreServer).
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -16,6 +17,8 @@
     changed: Arc<Notify>,
     is_unavailable: Arc<Mutex<bool>>,
     link: Arc<Mutex<Link>>,
+    /// Largest size of the values of a page in bytes; 0 if it is not limited.
+    page_bytes: Arc<AtomicUsize>,
 }
 
 /// Link between the store and all VMs.
@@ -65,6 +68,17 @@
         link.rate = Some(rate);
     }
 
+    /// Limits the values of a page to `bytes` in all; a page has at least one item.
+    pub fn limit_pages(&self, bytes: usize) {
+        self.page_bytes.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Largest size of the values of a page in bytes, if it is limited.
+    pub(super) fn page_bytes(&self) -> Option<usize> {
+        let bytes = self.page_bytes.load(Ordering::Relaxed);
+        (bytes > 0).then_some(bytes)
+    }
+
     /// Waits until the link has carried a response of `size` bytes, after those before it.
     pub(super) async fn carry(&self, size: usize) {
         let until = {
--- a/crates/standin/src/site/store_server.rs
+++ b/crates/standin/src/site/store_server.rs
@@ -180,8 +180,20 @@
 
     fn range(&self, query: &Query) -> Response<Full<Bytes>> {
         let history = self.store.lock();
-        let (page, has_more) =
+        let (mut page, mut has_more) =
             history.range(&query.text("prefix"), &query.text("after"), PAGE_ITEMS);
+        if let Some(limit) = self.store.page_bytes() {
+            let mut size = 0;
+            let is_beyond = |(_, item): &(_, &Item)| {
+                size += item.value.len();
+                size > limit
+            };
+            // The first item is returned whatever its size.
+            let end = page.iter().position(is_beyond).unwrap_or(page.len());
+            let end = end.max(1).min(page.len());
+            has_more |= end < page.len();
+            page.truncate(end);
+        }
         let items: Vec<Value> = page
             .into_iter()
             .map(|(key, item)| item_json(key, item))
--- a/tests/tests/replica.rs
+++ b/tests/tests/replica.rs
@@ -19,6 +19,20 @@
     }
 }
 
+/// Documents of which those with more than four bytes can't be used.
+#[derive(Debug, Clone, Copy)]
+struct Small;
+
+impl Content for Small {
+    fn max_bytes(&self, _: &str) -> usize {
+        4
+    }
+
+    fn age(&self, _: &str, _: &[u8]) -> Option<ContentAge> {
+        None
+    }
+}
+
 /// What a peer without eras holds.
 fn held(upto: Option<u64>) -> Held {
     Held {
@@ -90,6 +104,21 @@
     assert_eq!(revision_of(&replica, "a"), None);
 }
 
+#[test]
+fn documents_too_large_to_be_used_are_not_passed_on() {
+    let mut replica = Replica::new(Small);
+    replica.apply(full(3, vec![change("a", 1, Some("1234"))]));
+    let larger = changes(Some(3), 5, vec![change("a", 5, Some("12345"))]);
+    // The document still counts as written, by a writer that is not its owner.
+    let written = change("a", 5, Some(""));
+    assert_eq!(
+        replica.apply(larger),
+        ApplyOutcome::Newer(vec![written.clone()])
+    );
+    let copy = replica.changes_since(&held(None)).expect("a copy");
+    assert_eq!(copy.list, [written]);
+}
+
 #[test]
 fn older_full_copy_removes_nothing() {
     let mut replica = Replica::new(Unaged);
