Build no copy for a peer that no peer accepts

Cause: every replica held the values, and a seed builds the copy for a VM that starts several times over, about 4 MB for each MB of it, without a limit; the VM then refuses lists above 5 MiB. Ruled out: the read of the store, which had pages.

What is left without a limit is the copy itself: many documents of usable size could still make it large. Above 4 MiB, which is what a peer accepts without framing, a VM answers without changes, and the peer reads the store.

Tried and not kept: a test with 1,500 values of 8,000 bytes at once. The stand-in needs longer than 1.4 s for the answer to that watch, so the VM did not get it.

--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -50,6 +50,10 @@
 /// start at once.
 const SMALL_RESPONSE_BYTES: usize = 64 << 10;
 
+/// Maximum size in bytes of the changes returned to any requester; each requester refuses more, with
+/// their framing. It reads the store instead. The response is built in memory as a whole.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
+
 /// The peers known to this VM, shared by the tasks of one thread.
 pub type SharedPeers = Rc<RefCell<Peers>>;
 
@@ -99,8 +103,11 @@
                 .earlier_starts(BootClock.now()),
         };
         let changes = self.node.borrow().replica().changes_since(&request.held);
-        let changes = changes
-            .filter(|changes| request.may_be_large || changes.size() <= SMALL_RESPONSE_BYTES);
+        let max_bytes = match request.may_be_large {
+            true => MAX_RESPONSE_BYTES,
+            false => SMALL_RESPONSE_BYTES,
+        };
+        let changes = changes.filter(|changes| changes.size() <= max_bytes);
         let age = self.node.borrow().age(BootClock.now());
         SyncResponse {
             changes,
