Keep flows of a target that another entry shares label and start with

Cause: of several targets with one token, that of the route's service took a packet, and of several of those the one read last. An entry of another writer with the label and the start of a running target, under another id, so took the packets of its open flows, also for a service without a route once the flow's route named another service.

Change: a packet goes to the target that has its flow at this VM, else to the one that was known first among those of the route's service. Of two entries of one service that describe one start, the one known first takes new flows.

Limit: a VM that reads both entries at once can't tell them apart.

--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -251,6 +251,12 @@
             .is_some_and(|state| state.token == token)
     }
 
+    /// Target of the flow of a packet, if the flow is in the table with this token.
+    pub fn target_of(&self, header: &PacketHeader, token: Token) -> Option<TargetIndex> {
+        let state = self.table.get(&header.flow)?;
+        (state.token == token).then_some(state.target)
+    }
+
     /// Updates the flow of a packet other than an opening packet.
     pub fn record_packet(
         &mut self,
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -367,12 +367,12 @@
         {
             return Decision::Reset(ResetCause::RouteRemoved);
         }
-        let mut resolved = self.resolve(token, route);
+        let mut resolved = self.resolve(header, token, route);
         if resolved.is_some_and(|index| self.targets.is_expired(index, now)) {
             // The next sweep would expire the target too late: the caller is waiting now.
             self.ended.extend(self.targets.expire(now));
             let route = self.routes.as_ref().and_then(|r| r.find(frontend));
-            resolved = self.resolve(token, route);
+            resolved = self.resolve(header, token, route);
         }
         if let Some(rival) = self.rival(token, frontend) {
             return forward_to_rival(rival);
@@ -408,13 +408,25 @@
         forward(record, None)
     }
 
-    /// Target of a token; of several targets, the one whose service belongs to the route. A target
-    /// that has started again may hold flows with the token of its earlier start.
-    fn resolve(&self, token: Token, route: Option<&Route>) -> Option<TargetIndex> {
+    /// Target of a token; of several targets, the one that has the flow at this VM, or the first one
+    /// whose service belongs to the route. A target that has started again may hold flows with the
+    /// token of its earlier start.
+    fn resolve(
+        &self,
+        header: &PacketHeader,
+        token: Token,
+        route: Option<&Route>,
+    ) -> Option<TargetIndex> {
         let mut indexes = self.targets.with_token(token);
         let Some(first) = indexes.next() else {
             return self.targets.later_start(token);
         };
+        if indexes.clone().next().is_some()
+            && let Some(index) = self.flows.target_of(header, token)
+            && self.targets.with_token(token).any(|other| other == index)
+        {
+            return Some(index);
+        }
         let is_match = |index: &TargetIndex| {
             let record = self.targets.get(*index);
             record
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -2,7 +2,9 @@
 //!
 //! Every VM resolves a token to the same target without communication between VMs. Two targets can
 //! have the same token; the service of the packet's route then selects one of them. Within one
-//! service the target that started later takes no new flows while the earlier target exists.
+//! service the target that started later takes no new flows while the earlier target exists. Another
+//! writer may describe a start that is known under another identifier; the one that was known first
+//! then counts as the earlier target.
 
 mod disputes;
 
@@ -85,6 +87,7 @@
     /// Indexes that can be reused.
     free: Vec<TargetIndex>,
     ids: Vec<(TargetId, TargetIndex)>,
+    /// Sorted by token; of several targets with one token, the one that was known first is first.
     tokens: Vec<(Token, TargetIndex)>,
     services: Vec<(ServiceName, Vec<TargetIndex>)>,
     ended: EndedStarts,
@@ -220,8 +223,8 @@
         self.records.get_mut(index.0 as usize)?.as_mut()
     }
 
-    /// Indexes of the targets with a token; usually one.
-    pub fn with_token(&self, token: Token) -> impl Iterator<Item = TargetIndex> + '_ {
+    /// Indexes of the targets with a token, usually one; the one that was known first is first.
+    pub fn with_token(&self, token: Token) -> impl Iterator<Item = TargetIndex> + Clone + '_ {
         let start = self.tokens.partition_point(|(other, _)| *other < token);
         let same = self.tokens[start..].iter();
         same.take_while(move |(other, _)| *other == token)
@@ -384,7 +387,7 @@
         });
         let at = self.ids.partition_point(|(other, _)| *other < target.id);
         self.ids.insert(at, (target.id.clone(), index));
-        let at = self.tokens.partition_point(|(other, _)| *other < token);
+        let at = self.tokens.partition_point(|(other, _)| *other <= token);
         self.tokens.insert(at, (token, index));
         match self.find_service(&target.service) {
             Ok(at) => self.services[at].1.push(index),
@@ -410,16 +413,33 @@
     /// Updates which of the targets with the same token take new flows.
     fn update_shadowed(&mut self, token: Token) {
         let indexes: Vec<_> = self.with_token(token).collect();
-        for &index in &indexes {
-            let is_shadowed = indexes.iter().any(|&other| self.shadows(other, index));
+        for (at, &index) in indexes.iter().enumerate() {
+            let is_twin = |&other: &TargetIndex| self.is_same_start(other, index);
+            let is_shadowed = indexes[..at].iter().any(is_twin)
+                || indexes.iter().any(|&other| self.shadows(other, index));
             if let Some(record) = self.get_mut(index) {
                 record.is_shadowed = is_shadowed;
             }
         }
     }
 
+    /// Whether two entries of one service describe the same start under different identifiers, which
+    /// another writer has left. Packets of its flows go to the one that was known first.
+    fn is_same_start(&self, other: TargetIndex, index: TargetIndex) -> bool {
+        let (Some(other), Some(record)) = (self.get(other), self.get(index)) else {
+            return false;
+        };
+        let (other, target) = (&other.target, &record.target);
+        other.service == target.service
+            && other.label == target.label
+            && other.start == target.start
+    }
+
     /// Whether `other` belongs to the same service and started earlier.
     fn shadows(&self, other: TargetIndex, index: TargetIndex) -> bool {
+        if self.is_same_start(other, index) {
+            return false;
+        }
         let (Some(other), Some(record)) = (self.get(other), self.get(index)) else {
             return false;
         };
--- a/tests/tests/odd_entries.rs
+++ b/tests/tests/odd_entries.rs
@@ -416,3 +416,58 @@
         assert!(vm.places(900).contains(&address(1)), "{}", odd.name);
     }
 }
+
+/// An entry under another key has the same label and start as that of a running target, and thus the
+/// same token.
+#[test]
+fn entry_with_the_label_and_start_of_a_running_target_takes_none_of_its_flows() {
+    for id in ["a-00000001", "z-00000001"] {
+        for service in ["orders", "charts", "stocktake"] {
+            for has_flow in [true, false] {
+                let mut vm = Vm::running();
+                let port = match has_flow {
+                    true => vm.open_at(1, 1),
+                    false => 1,
+                };
+                let mut twin = own_entry("10.0.9.9:8080");
+                twin["service"] = json!(service);
+                let key = format!("servers/{id}");
+                vm.write(&key, twin.to_string().as_bytes());
+                let context = format!("{id} of {service}");
+                for _ in 0..10 {
+                    assert_forwarded(vm.decide(1, port), 1, &context);
+                    vm.write(KEY, &own());
+                    vm.pass(100);
+                }
+                let places = vm.places(600);
+                assert!(places.contains(&address(1)), "{context}: {places:?}");
+                vm.remove(&key);
+                for _ in 0..10 {
+                    assert_forwarded(vm.decide(1, port), 1, &context);
+                    vm.pass(100);
+                }
+            }
+        }
+    }
+}
+
+/// As above, and a new version of the configuration sends new flows to another service.
+#[test]
+fn entry_with_the_label_and_start_of_a_target_takes_no_flow_of_a_changed_route() {
+    for (has_flow, service) in [(true, "stocktake"), (true, "charts"), (false, "stocktake")] {
+        let mut vm = Vm::running();
+        let port = match has_flow {
+            true => vm.open_at(1, 1),
+            false => 1,
+        };
+        let changed = String::from_utf8(config()).expect("text");
+        let changed = changed.replace("\"service\":\"orders\"", "\"service\":\"charts\"");
+        let changed = changed.replace("\"config_version\":1", "\"config_version\":2");
+        vm.write("op/config", changed.as_bytes());
+        assert_forwarded(vm.decide(1, port), 1, "before the entry");
+        let mut twin = own_entry("10.0.9.9:8080");
+        twin["service"] = json!(service);
+        vm.write("servers/a-00000001", twin.to_string().as_bytes());
+        assert_forwarded(vm.decide(1, port), 1, "after the entry");
+    }
+}
