Let a view settle anew after a gap in its confirmations

Cause: a VM that starts waits 2.5 s for entries that lapsed before its first view, and anew after an outage that it noticed by a failed call. Change: a view that was not confirmed for more than 1.5 s before it has settled settles anew.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -43,6 +43,10 @@
 /// next call with its timeout, and the maximum backoff between the calls.
 const STORE_OUTAGE_TIME: Duration = Duration::from_millis(2_000);
 
+/// Longest time between two confirmations of the replica while the store answers: the largest age of
+/// a replica that may be followed (1.15 s), and the latency of calls.
+const MAX_CONFIRMATION_GAP: Duration = Duration::from_millis(1_500);
+
 /// Size of a transfer in bytes from which it may delay packets noticeably: 25 ms at 10 Mbit/s.
 const LARGE_TRANSFER_BYTES: usize = 32 << 10;
 
@@ -171,6 +175,7 @@
                 false => self.readmit(&zone, change.revision, age, now, source),
             }
         }
+        self.record_gap(synced);
         self.steering.record_sync(synced);
         self.synced.send_replace(Some(synced));
         self.forwarding.send_replace(true);
@@ -211,6 +216,16 @@
         }
     }
 
+    /// Lets the view settle anew if it was not confirmed for a while before `synced`: the store may have
+    /// been unavailable without a failed call of this VM.
+    fn record_gap(&mut self, synced: Moment) {
+        let freshness = self.steering.freshness();
+        let is_gap = |previous| synced.since(previous) > MAX_CONFIRMATION_GAP;
+        if !freshness.is_settled() && freshness.synced.is_some_and(is_gap) {
+            self.steering.restart_settling();
+        }
+    }
+
     /// Records that the store is unavailable, or that it answered again after an outage.
     pub fn record_outage(&mut self, now: Moment) {
         self.outage = Some(now);
--- a/tests/tests/node.rs
+++ b/tests/tests/node.rs
@@ -4,7 +4,7 @@
 
 use bambooseam_entry::{Node, Source};
 use bambooseam_replica::{Change, Changes};
-use bambooseam_steer::{Steering, SteeringSettings};
+use bambooseam_steer::{Decision, DropCause, ResetCause, Steering, SteeringSettings};
 use bambooseam_tests::steering::*;
 use bambooseam_types::{Revision, TargetId};
 
@@ -141,6 +141,27 @@
     assert!(node.steering().targets().find(&id(5)).is_none());
 }
 
+/// A VM that follows a peer learns of a short outage only from its view, which is not confirmed
+/// meanwhile. Targets whose entries lapsed before its first view publish them 2 s after the outage, and
+/// their flows must not be reset before that.
+#[test]
+fn gap_after_the_first_view_postpones_the_reset_of_unknown_tokens() {
+    let mut node = node();
+    let peer: SocketAddr = "10.1.0.1:8166".parse().expect("an address");
+    let confirm = |node: &mut Node, time| {
+        let copy = full_copy(9, vec![entry(1, 5)]);
+        assert!(node.apply(copy, at(time), at(time), Source::Peer(peer)));
+        let packet = flow_packet(flow(1, ORDERS), target(2).token(), 101, 501, 30);
+        node.steering_mut().decide(&packet, at(time))
+    };
+    let not_known_yet = Decision::Drop(DropCause::TokenNotKnownYet);
+    for time in [0, 300].into_iter().chain((2_800..5_300).step_by(100)) {
+        assert_eq!(confirm(&mut node, time), not_known_yet, "at {time}");
+    }
+    let unknown = Decision::Reset(ResetCause::UnknownToken);
+    assert_eq!(confirm(&mut node, 5_300), unknown);
+}
+
 #[test]
 fn early_targets_are_ignored_once_a_copy_is_applied() {
     let mut node = node();
