End no target by a view from before a pause of the VM

Cause: a VM that had read the removal of an entry and was then paused for 2.5 s or longer decided about the packets in its buffer before it had read the store again. The first look at the target after the pause found the time for its entry to return already over and ended it, and the flows of a target whose entry was back were reset (target_gone). The time counts only for a view that would show the entry, but that was asked only of targets that had been looked at between 0.4 s and 2.5 s after the removal. Found by reading.

Change: the time in which an entry may return is over only for a view that would show it, also at the first look. A target with such a view ends as before, by the first look after 2.5 s.

Result: paused_vm_ends_no_target_before_it_has_read_the_store failed before (the packet at 4,000 ms was reset), and passes; target_ends_at_the_first_look_after_its_entry_would_be_back passed before as well. Tests steer, steer_lapses, steer_restarts, steer_stall, steer_stall_running, steer_admission, odd_entries, node, evacuation and isolation pass.

--- a/crates/steer/src/missing_entry.rs
+++ b/crates/steer/src/missing_entry.rs
@@ -20,8 +20,8 @@
 
 use bambooseam_types::Moment;
 
-use crate::EntryStatus;
 use crate::load::Load;
+use crate::{EntryStatus, Freshness};
 
 /// Time in which targets publish lapsed entries again: 2 s as specified by the platform, and the time
 /// until the changes have reached this VM.
@@ -89,17 +89,21 @@
 pub fn status_after_retention(
     status: EntryStatus,
     load: &Load,
+    view: Freshness,
     now: Moment,
 ) -> Option<EntryStatus> {
     let responding_until = load.last_response.map(|at| at.after(LIVENESS_TIMEOUT));
+    let responding_until = responding_until.filter(|until| *until >= now);
     let returning_until = match status {
         EntryStatus::Unconfirmed { until } if !load.stall.has_stalled(now) => {
             Some(until.after(REREGISTRATION_TIME - CONFIRMATION_TIME))
         }
         _ => None,
     };
-    let until = responding_until.max(returning_until);
-    let until = until.filter(|until| *until >= now)?;
+    // After a pause the time has passed, but not for a view from before it.
+    let returning_until =
+        returning_until.filter(|until| *until > now || !view.would_show_return(*until));
+    let until = responding_until.max(returning_until)?;
     Some(EntryStatus::Unlisted { until })
 }
 
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -399,7 +399,7 @@
             let Some(record) = self.get_mut(index) else {
                 continue;
             };
-            if let Some(status) = status_after_retention(record.status, &record.load, now) {
+            if let Some(status) = status_after_retention(record.status, &record.load, view, now) {
                 record.status = status;
                 continue;
             }
