Reset no flow because another VM knows an earlier start of its target

Cause: VMs pass the earlier starts of restarted targets on to a VM that starts. If the entry of the present start had lapsed when that VM read the store, it knew the end of the earlier start and no later one, and reset packets with the earlier token at once (target_gone), although it waits 2.5 s for lapsed entries before it resets any other unknown token. The present start may hold these flows. Found by reading.

Change: a start whose end another VM found counts as ended only if this VM knows a present start of the target, which then can't hold its flows. Otherwise its token is handled as an unknown one. No message changes.

--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -473,7 +473,7 @@
         if header.flags.rst {
             return Decision::Drop(DropCause::AlreadyEnded);
         }
-        if self.targets.is_ended(token) {
+        if self.targets.is_gone(token) {
             return Decision::Reset(ResetCause::TargetGone);
         }
         match self.unknown_tokens.is_ended(token, now, self.freshness) {
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -324,6 +324,16 @@
         self.ended.get(token).is_some()
     }
 
+    /// Whether the flows with a token have ended: the target has no start that may hold them. If
+    /// another VM found the end of the token's start, a later start may have registered there, and its
+    /// entry may have lapsed since.
+    pub fn is_gone(&self, token: Token) -> bool {
+        let ended = self.ended.get(token);
+        ended.is_some_and(|start| {
+            start.cause != EndCause::Received || self.find(&start.id).is_some()
+        })
+    }
+
     /// The start of a target that has ended, by its token.
     pub(crate) fn ended_start(&self, token: Token) -> Option<&EndedStart> {
         self.ended.get(token)
--- a/tests/tests/steer_old_views.rs
+++ b/tests/tests/steer_old_views.rs
@@ -1,11 +1,14 @@
 //! Flows of running targets at a VM whose view is old, incomplete or has not been looked at for a
 //! while.
 
-use bambooseam_steer::{Decision, ResetCause, Steering};
+use std::time::Duration;
+
+use bambooseam_steer::{Decision, DropCause, ResetCause, Steering, Target};
 use bambooseam_tests::steering::*;
-use bambooseam_types::Token;
+use bambooseam_types::{EarlierStart, Incarnation, Token};
 
 const GONE: Decision = Decision::Reset(ResetCause::TargetGone);
+const NOT_KNOWN: Decision = Decision::Drop(DropCause::TokenNotKnownYet);
 
 /// Sends the data of flow `number` with `token`, and returns the decision.
 fn send(steering: &mut Steering, number: u16, token: Token, millis: u64) -> Decision {
@@ -40,3 +43,50 @@
     steering.record_sync(at(3_500));
     assert_eq!(send(&mut steering, 1, target(3).token(), 3_500), GONE);
 }
+
+/// Returns the first start of target 3, as another VM passes it on, and its second start.
+fn two_starts() -> (EarlierStart, Target) {
+    let later = Target {
+        start: Incarnation::from(5_000),
+        ..target(3)
+    };
+    let earlier = EarlierStart {
+        token: target(3).token(),
+        target: target(3).id,
+        service: target(3).service,
+        address: target(3).address,
+        elapsed: Duration::from_secs(1),
+    };
+    (earlier, later)
+}
+
+/// A VM starts while the entry of a target that has started again has lapsed. That the earlier start
+/// has ended says nothing about the present one, which may hold its flows.
+#[test]
+fn earlier_start_of_another_vm_resets_nothing_before_the_present_start_is_known() {
+    let (earlier, later) = two_starts();
+    let token = earlier.token;
+    let mut steering = steering([target(1)]);
+    steering.record_earlier_starts(vec![earlier], at(0));
+    for time in (0..2_000).step_by(200) {
+        steering.record_sync(at(time));
+        assert_eq!(send(&mut steering, 1, token, time), NOT_KNOWN, "at {time}");
+    }
+    steering.put_target(later.clone(), at(2_000));
+    let decision = send(&mut steering, 1, token, 2_010);
+    assert_eq!(decision.forwarded(), Some((later.address, later.token())));
+}
+
+/// If the present start does not write its entry either, the flows are reset as soon as those of any
+/// unknown token.
+#[test]
+fn earlier_start_of_another_vm_ends_with_the_time_for_entries_to_return() {
+    let (earlier, _) = two_starts();
+    let token = earlier.token;
+    let mut steering = steering([target(1)]);
+    steering.record_earlier_starts(vec![earlier], at(0));
+    assert_eq!(send(&mut steering, 1, token, 2_000), NOT_KNOWN);
+    steering.record_sync(at(2_500));
+    let decision = send(&mut steering, 1, token, 2_500);
+    assert!(matches!(decision, Decision::Reset(_)), "{decision:?}");
+}
