Reset no flow for a removed route by an old view

Cause: a VM reset the packets of flows on a frontend whose route a configuration had removed, however old its view was. A later configuration may have added the route again, and other VMs have opened flows on it, which then pass through this VM. An opening for a missing route has been rejected by a current view only.

Change: such flows are reset while the view is current; otherwise their packets are forwarded by their tokens, as those of flows on routes that the VM never knew.

Result: removal_of_a_route_resets_nothing_once_the_view_is_old failed before (reset at 2,501 ms), and passes; steer and moved_flows pass.

--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -370,9 +370,11 @@
         let token = opened.unwrap_or(token);
         let route = self.routes.as_ref().and_then(|r| r.find(frontend));
         let timeout = route.map_or(DEFAULT_REQUEST_TIMEOUT, |route| route.timeout);
+        // By a view that is not current, the route may have been added again.
         if route.is_none()
             && self.removed_frontends.binary_search(&frontend).is_ok()
             && !header.flags.rst
+            && self.freshness.is_current(now)
         {
             return Decision::Reset(ResetCause::RouteRemoved);
         }
--- a/tests/tests/steer_old_views.rs
+++ b/tests/tests/steer_old_views.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use bambooseam_steer::{Decision, DropCause, ResetCause, Steering, Target};
+use bambooseam_steer::{Decision, DropCause, ResetCause, Routes, Steering, Target};
 use bambooseam_tests::steering::*;
 use bambooseam_types::{EarlierStart, Incarnation, Token};
 
@@ -90,3 +90,16 @@
     let decision = send(&mut steering, 1, token, 2_500);
     assert!(matches!(decision, Decision::Reset(_)), "{decision:?}");
 }
+
+/// A route that was removed may have been added again since, and other VMs have opened flows on it.
+#[test]
+fn removal_of_a_route_resets_nothing_once_the_view_is_old() {
+    let mut steering = steering([target(1)]);
+    steering.set_routes(Routes::new(vec![route(CHARTS, "charts")], None));
+    let removed = Decision::Reset(ResetCause::RouteRemoved);
+    assert_eq!(send(&mut steering, 1, target(1).token(), 2_500), removed);
+    let decision = send(&mut steering, 2, target(1).token(), 2_501);
+    assert!(decision.forwarded().is_some(), "{decision:?}");
+    steering.record_sync(at(2_600));
+    assert_eq!(send(&mut steering, 2, target(1).token(), 2_700), removed);
+}
