Hold no flow at a target that has ended

Cause: a VM that sent the opening packet of a flow to one target and its copy to another one keeps the flow at the one whose token it saw first, also if the caller names the other one. It can take the wrong one if the caller's first acknowledgement passed through another VM. When that one ended, the VM reset the flow (target_gone), although the target that the caller names serves. Found by reading.

Change: the token is replaced only as long as the start that it is replaced with is known. If the VM had taken the right one, the flow has ended with it, and the target that receives the packet resets it.

--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -367,6 +367,7 @@
     fn handle_established(&mut self, header: &PacketHeader, token: Token, now: Moment) -> Decision {
         let frontend = header.flow.frontend;
         let opened = self.flows.opened_token(&header.flow, token);
+        let opened = opened.filter(|opened| self.targets.is_known(*opened));
         let token = opened.unwrap_or(token);
         let route = self.routes.as_ref().and_then(|r| r.find(frontend));
         let timeout = route.map_or(DEFAULT_REQUEST_TIMEOUT, |route| route.timeout);
--- a/tests/tests/steer_two_answers.rs
+++ b/tests/tests/steer_two_answers.rs
@@ -70,6 +70,18 @@
     }
 }
 
+// The caller is right, and the target that this VM takes for the flow's has left.
+#[test]
+fn flow_is_not_held_at_a_target_that_has_ended() {
+    let (mut steering, first, moved) = moved_opening();
+    assert_eq!(send(&mut steering, moved, (101, 0), 220), moved);
+    steering.remove_targets(&[target(2).id], at(300));
+    steering.sweep(at(700));
+    steering.record_sync(at(4_300));
+    steering.sweep(at(4_300));
+    assert_eq!(send(&mut steering, first, (101, 40), 4_310), first);
+}
+
 // A later flow from the same port may open at the target that lost the race.
 #[test]
 fn next_flow_of_the_port_is_not_bound() {
