--- a/tests/tests/platform_store.rs
+++ b/tests/tests/platform_store.rs
@@ -182,6 +182,20 @@
     );
 }
 
+#[tokio::test]
+async fn fields_after_a_value_of_any_size_are_read() {
+    // The limit of a string, less the fields before it, lies among these sizes.
+    for missing in (0..400).step_by(28) {
+        let value = "QUFB".repeat(((4 << 20) - missing) / 4);
+        let body = format!(
+            r#"{{"events":[{{"value":"{value}","key":"servers/x-1","revision":2}}],"current_rev":2}}"#
+        );
+        let mut store = store(Pace::default(), move |_| body.clone().into()).await;
+        let changes = watch(&mut store).await.expect("changes");
+        assert_eq!(changes.list, [change("servers/x-1", 2, Some(&[]))]);
+    }
+}
+
 #[tokio::test]
 async fn deeply_nested_fields_of_a_response_are_skipped() {
     let deep = format!("{}{}", "[{\"a\":".repeat(20_000), "0}]".repeat(20_000));
