End no target without an entry because packets wait at the VM

Cause: a VM whose queue of packets is long reads two copies of each request before the acknowledgement behind them. The resets of stalled flows ask whether other targets have answered meanwhile; the end of a target without an entry did not. If its entry alone had lapsed, two such copies ended a running target, and its flows were reset (target_gone). Found by reading.

Change: retransmissions end a target without an entry only if nothing is retransmitted to other listed targets of its zone, or if at least twice as many have answered since the first copy. Without other traffic they end it as before.

Not covered: the answers on one flow are lost for good while the entry of its target has lapsed, and all others answer; the other flows of that target are still reset if it has not responded to this VM for 1.5 s.

--- a/crates/steer/src/missing_entry.rs
+++ b/crates/steer/src/missing_entry.rs
@@ -13,8 +13,9 @@
 //!
 //! Packets are more reliable than entries: a target without an entry keeps its flows for as long as
 //! it responds. A target that is not heard of keeps them until it would have published a lapsed entry
-//! again, unless a caller's retransmissions show that it does not respond. Either takes no new flows
-//! while another target of the service is published.
+//! again, unless a caller's retransmissions show that it does not respond. They do not if other targets
+//! seem as silent, because packets may wait at this VM. Either takes no new flows while another target
+//! of the service is published.
 
 use std::time::Duration;
 
@@ -86,16 +87,18 @@
 }
 
 /// Status of a target without an entry once `status` no longer holds; `None` if the target has ended.
+/// `is_silent` tells whether retransmissions show that it does not respond.
 pub fn status_after_retention(
     status: EntryStatus,
     load: &Load,
+    is_silent: bool,
     view: Freshness,
     now: Moment,
 ) -> Option<EntryStatus> {
     let responding_until = load.last_response.map(|at| at.after(LIVENESS_TIMEOUT));
     let responding_until = responding_until.filter(|until| *until >= now);
     let returning_until = match status {
-        EntryStatus::Unconfirmed { until } if !load.stall.has_stalled(now) => {
+        EntryStatus::Unconfirmed { until } if !is_silent => {
             Some(until.after(REREGISTRATION_TIME - CONFIRMATION_TIME))
         }
         _ => None,
--- a/crates/steer/src/stall.rs
+++ b/crates/steer/src/stall.rs
@@ -283,9 +283,10 @@
         self.recent(now).next().is_some()
     }
 
-    /// Whether a flow of the target has stalled, which is not sufficient evidence by itself.
-    pub fn has_stalled(&self, now: Moment) -> bool {
-        self.stalled(now).next().is_some()
+    /// When data was first retransmitted in a flow that has stalled; `None` if none has. A stalled flow
+    /// is not sufficient evidence by itself.
+    pub fn stalled_since(&self, now: Moment) -> Option<Moment> {
+        self.stalled(now).map(|flow| flow.first_repeated).min()
     }
 
     /// Whether a flow of another caller than `caller` has stalled, which is not sufficient evidence by
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -136,14 +136,14 @@
         is_kept && self.may_accept()
     }
 
-    /// Whether the retention time of the target without an entry has passed, or its flows show that
-    /// waiting for the entry is of no use.
-    fn is_expired(&self, view: Freshness, now: Moment) -> bool {
+    /// Whether the retention time of the target without an entry has passed, or waiting for the entry
+    /// is of no use, because the target `is_silent`.
+    fn is_expired(&self, is_silent: bool, view: Freshness, now: Moment) -> bool {
         let is_past = |until| until <= now && view.would_show_return(until);
         match self.status {
             EntryStatus::Unconfirmed { until } => until <= now,
             EntryStatus::Lapsed { until } => is_past(until),
-            EntryStatus::Unlisted { until } => is_past(until) || self.load.stall.has_stalled(now),
+            EntryStatus::Unlisted { until } => is_past(until) || is_silent,
             EntryStatus::Published
             | EntryStatus::Unrenewed
             | EntryStatus::Unreadable
@@ -394,22 +394,49 @@
     /// Whether a target without an entry has to be looked at by [`expire`](Self::expire).
     pub fn is_expired(&self, index: TargetIndex, view: Freshness, now: Moment) -> bool {
         self.get(index)
-            .is_some_and(|record| record.is_expired(view, now))
+            .is_some_and(|record| record.is_expired(self.is_silent(record, now), view, now))
+    }
+
+    /// Whether retransmissions to a target without an entry show that it does not respond, rather than
+    /// that packets wait at this VM: most other targets of its zone have answered since, or nothing is
+    /// retransmitted to them.
+    fn is_silent(&self, record: &TargetRecord, now: Moment) -> bool {
+        if record.status.until().is_none() {
+            return false;
+        }
+        let Some(repeated) = record.load.stall.stalled_since(now) else {
+            return false;
+        };
+        let (mut answering, mut suspected) = (0, 0);
+        for (_, other) in self.iter() {
+            if other.target.zone != record.target.zone || other.status.until().is_some() {
+                continue;
+            }
+            if other.load.last_answered >= Some(repeated) {
+                answering += 1;
+            } else if other.load.stall.is_suspected(now) {
+                suspected += 1;
+            }
+        }
+        answering >= 2 * suspected
     }
 
     /// Ends the targets whose retention time has passed and that do not respond. Returns the
     /// identifiers of the ended targets.
     pub fn expire(&mut self, view: Freshness, now: Moment) -> Vec<TargetId> {
-        let expired = self
-            .iter()
-            .filter(|(_, record)| record.is_expired(view, now));
-        let expired: Vec<_> = expired.map(|(index, _)| index).collect();
+        let expired = self.iter().filter_map(|(index, record)| {
+            let is_silent = self.is_silent(record, now);
+            let is_expired = record.is_expired(is_silent, view, now);
+            is_expired.then_some((index, is_silent))
+        });
+        let expired: Vec<_> = expired.collect();
         let mut ended = Vec::new();
-        for index in expired {
+        for (index, is_silent) in expired {
             let Some(record) = self.get_mut(index) else {
                 continue;
             };
-            if let Some(status) = status_after_retention(record.status, &record.load, view, now) {
+            let (status, load) = (record.status, &record.load);
+            if let Some(status) = status_after_retention(status, load, is_silent, view, now) {
                 record.status = status;
                 continue;
             }
