--- a/crates/steer/src/missing_entry.rs
+++ b/crates/steer/src/missing_entry.rs
@@ -13,15 +13,16 @@
 //!
 //! Packets are more reliable than entries: a target without an entry keeps its flows for as long as
 //! it responds. A target that is not heard of keeps them until it would have published a lapsed entry
-//! again, unless a caller's retransmissions show that it does not respond. Either takes no new flows
-//! while another target of the service is published.
+//! again, unless a caller's retransmissions show that it does not respond. They do not if other targets
+//! seem as silent, because packets may wait at this VM. Either takes no new flows while another target
+//! of the service is published.
 
 use std::time::Duration;
 
 use bambooseam_types::Moment;
 
-use crate::EntryStatus;
 use crate::load::Load;
+use crate::{EntryStatus, Freshness};
 
 /// Time in which targets publish lapsed entries again: 2 s as specified by the platform, and the time
 /// until the changes have reached this VM.
@@ -86,20 +87,26 @@
 }
 
 /// Status of a target without an entry once `status` no longer holds; `None` if the target has ended.
+/// `is_silent` tells whether retransmissions show that it does not respond.
 pub fn status_after_retention(
     status: EntryStatus,
     load: &Load,
+    is_silent: bool,
+    view: Freshness,
     now: Moment,
 ) -> Option<EntryStatus> {
     let responding_until = load.last_response.map(|at| at.after(LIVENESS_TIMEOUT));
+    let responding_until = responding_until.filter(|until| *until >= now);
     let returning_until = match status {
-        EntryStatus::Unconfirmed { until } if !load.stall.has_stalled(now) => {
+        EntryStatus::Unconfirmed { until } if !is_silent => {
             Some(until.after(REREGISTRATION_TIME - CONFIRMATION_TIME))
         }
         _ => None,
     };
-    let until = responding_until.max(returning_until);
-    let until = until.filter(|until| *until >= now)?;
+    // After a pause the time has passed, but not for a view from before it.
+    let returning_until =
+        returning_until.filter(|until| *until > now || !view.would_show_return(*until));
+    let until = responding_until.max(returning_until)?;
     Some(EntryStatus::Unlisted { until })
 }
 
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -367,12 +367,15 @@
     fn handle_established(&mut self, header: &PacketHeader, token: Token, now: Moment) -> Decision {
         let frontend = header.flow.frontend;
         let opened = self.flows.opened_token(&header.flow, token);
+        let opened = opened.filter(|opened| self.targets.is_known(*opened));
         let token = opened.unwrap_or(token);
         let route = self.routes.as_ref().and_then(|r| r.find(frontend));
         let timeout = route.map_or(DEFAULT_REQUEST_TIMEOUT, |route| route.timeout);
+        // By a view that is not current, the route may have been added again.
         if route.is_none()
             && self.removed_frontends.binary_search(&frontend).is_ok()
             && !header.flags.rst
+            && self.freshness.is_current(now)
         {
             return Decision::Reset(ResetCause::RouteRemoved);
         }
@@ -485,7 +488,7 @@
         if header.flags.rst {
             return Decision::Drop(DropCause::AlreadyEnded);
         }
-        if self.targets.is_ended(token) {
+        if self.targets.is_gone(token) {
             return Decision::Reset(ResetCause::TargetGone);
         }
         match self.unknown_tokens.is_ended(token, now, self.freshness) {
