--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -76,7 +76,7 @@
 pub struct Freshness {
     /// Latest time up to which this VM has received everything published.
     pub synced: Option<Moment>,
-    /// Value of `synced` after the first synchronisation, or the end of a later store outage.
+    /// Value of `synced` after the first synchronisation, or after a later store outage.
     pub first_synced: Option<Moment>,
 }
 
@@ -130,8 +130,7 @@
     }
 
     /// Whether entries that had lapsed before the first synchronisation, or in an outage soon after it,
-    /// would have been published
-    /// again and received by now.
+    /// would have been published again and received by now.
     pub fn is_settled(&self) -> bool {
         let span = self.first_synced.zip(self.synced);
         span.is_some_and(|(first, synced)| synced >= first.after(REREGISTRATION_TIME))
