Replace the case of a frozen VM by resets beside one silent flow

Cause of the new case: a flow that has gone silent and a healthy flow whose response takes longer than 200 ms count as two callers that have retransmitted, so their target is found stalled and the healthy flow is reset while the target works on its request. Ruled out: loss on the healthy flow (its backend receives the request, and without the silent flow none is reset).

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,11 +3,11 @@
 
 mod backend;
 mod client;
-mod freeze;
 mod lost_starts;
 mod odd_entries;
 mod record;
 mod rotation;
+mod silent_flows;
 mod stray_copies;
 mod world;
 
@@ -38,9 +38,9 @@
     let outcome = runtime.block_on(async {
         let run = async {
             match case.as_str() {
-                "freeze" => freeze::run(program, path, has_trouble).await,
                 "lost-starts" => lost_starts::run(program, path, has_trouble).await,
                 "stray-copies" => stray_copies::run(program, path, has_trouble).await,
+                "silent-flows" => silent_flows::run(program, path, has_trouble).await,
                 "odd-entries" => odd_entries::run(program, path, has_trouble).await,
                 _ => Err(std::io::Error::other("unknown case")),
             }
