Read tokens that lead to a target whichever start they name

A token is a hash of the target's number and its start, so the token of an earlier start leads nowhere without the memory of a VM. Flows that open at a restarted target before its entry is read carry such a token, and once no VM is left that knew the earlier start, `unknown_token` took "known to nobody" for "ended".

A numbered token holds 26 bits of a hash of the target's number and 6 of its start. Both forms are read. A numbered token with another start than the present one leads to the target if its service belongs to the route; such packets count neither as load nor as evidence, as before. What a VM knows of the named start still goes first, so flows of targets that ended are reset at once. Nothing writes numbered tokens yet, so callers see no change: programs before this one reset them.

Ruled out by the logs of the test `flows_accepted_before_the_entry_is_read_survive_the_loss_of_all_vms`: a missing entry (the VMs that start read it 5 ms later), and flows that ended (the target answered them after its restart).

`target_changed` names both forms, and `ctl logs` links lines of either.

--- a/crates/ctl/src/logs/flow.rs
+++ b/crates/ctl/src/logs/flow.rs
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 
 use super::LogLine;
+use super::target::tokens_of;
 use crate::Outcome;
 use crate::report::Report;
 
@@ -142,8 +143,7 @@
         .collect();
     let mut targets = Vec::new();
     for line in lines.iter().filter(|line| line.event == "target_changed") {
-        let token = line.field("token");
-        let is_named = token.is_some_and(|token| tokens.contains(&token));
+        let is_named = tokens_of(line).any(|token| tokens.contains(&token));
         targets.extend(line.field("target").filter(|_| is_named));
     }
     let (from, to) = (
--- a/crates/ctl/src/logs/target.rs
+++ b/crates/ctl/src/logs/target.rs
@@ -32,8 +32,8 @@
     pub reason: String,
     /// Number of flows that the VM logged as placed on the target.
     pub placed: usize,
-    /// Token of the target in the VM's log.
-    token: Option<String>,
+    /// Tokens of the target in the VM's log, one for each form.
+    tokens: Vec<String>,
 }
 
 impl TargetReport {
@@ -57,12 +57,13 @@
                 status.since = line.at;
                 status.takes_flows = takes_flows;
                 status.reason = reason;
-                if let Some(token) = line.field("token") {
-                    status.token = Some(token.into());
+                if line.field("token").is_some() {
+                    status.tokens = tokens_of(line).map(str::to_owned).collect();
                 }
             } else if let Ok(index) = index
                 && matches!(line.event.as_str(), "flow_placed" | "flow_moved")
-                && line.field("token") == statuses[index].token.as_deref()
+                && let Some(token) = line.field("token")
+                && statuses[index].tokens.iter().any(|known| known == token)
             {
                 statuses[index].placed += 1;
             }
@@ -82,11 +83,18 @@
             takes_flows: false,
             reason: String::new(),
             placed: 0,
-            token: None,
+            tokens: Vec::new(),
         }
     }
 }
 
+/// Returns the tokens of the target that a line is about, one for each form.
+pub(super) fn tokens_of(line: &LogLine) -> impl Iterator<Item = &str> {
+    ["token", "numbered"]
+        .into_iter()
+        .filter_map(|name| line.field(name))
+}
+
 /// Returns whether the VM places new flows on the target after this line, and why; `None` if the
 /// line does not change the status.
 fn effect_of(line: &LogLine) -> Option<(bool, String)> {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -580,7 +580,7 @@
         revision: Revision,
         source: Source,
     ) {
-        let token = target.token();
+        let (token, numbered) = (target.token(), target.numbered_token());
         let status = self.record_of(&target.id).map(|record| record.status);
         let event = match status {
             Some(EntryStatus::Disputed { .. }) => "event=entry_disputed",
@@ -604,9 +604,9 @@
             ..
         } = target;
         log::info!(
-            "{event} target={id} token={token} former={former} service={service} \
-             zone={zone} address={address} state={state} revision={revision} source={source} \
-             suppressed={suppressed}"
+            "{event} target={id} token={token} numbered={numbered} former={former} \
+             service={service} zone={zone} address={address} state={state} revision={revision} \
+             source={source} suppressed={suppressed}"
         );
     }
 
--- a/crates/entry/src/packets.rs
+++ b/crates/entry/src/packets.rs
@@ -12,7 +12,7 @@
 use bambooseam_platform::packet::{
     LABEL_BYTES, MAX_DATAGRAM_BYTES, label_bytes, parse_header, reset, write_token,
 };
-use bambooseam_steer::{Decision, Origin, PacketHeader};
+use bambooseam_steer::{Decision, Origin, PacketHeader, Placement};
 use bambooseam_types::{Clock, Moment};
 use metrics::{Counter, counter};
 use socket2::SockRef;
@@ -286,14 +286,13 @@
     fn log_decision(&self, header: &PacketHeader, decision: &Decision, now: Moment) {
         let limit = match decision {
             Decision::Forward {
-                placement: None,
-                token,
+                placement: None, ..
+            }
+            | Decision::Hold => return,
+            Decision::Forward {
+                placement: Some(Placement::Continued),
                 ..
-            } => match header.token == Some(*token) {
-                true => return,
-                false => &CONTINUED,
-            },
-            Decision::Hold => return,
+            } => &CONTINUED,
             Decision::Forward { .. } => &PLACED,
             Decision::Reset(_) => &RESET,
             Decision::Drop(_) => &DROPPED,
@@ -303,6 +302,15 @@
         };
         let (flow, age, received) = (header.flow, self.view_age_ms(now), OrNone(header.token));
         match decision {
+            Decision::Forward {
+                address,
+                token,
+                placement: Some(Placement::Continued),
+                ..
+            } => log::info!(
+                "event=flow_continued flow={flow} target={address} token={token} \
+                 former={received} view_age_ms={age} suppressed={suppressed}"
+            ),
             Decision::Forward {
                 address,
                 token,
@@ -313,10 +321,6 @@
                  view_age_ms={age} suppressed={suppressed}",
                 header.ack
             ),
-            Decision::Forward { address, token, .. } => log::info!(
-                "event=flow_continued flow={flow} target={address} token={token} \
-                 former={received} view_age_ms={age} suppressed={suppressed}"
-            ),
             Decision::Reset(cause) => log::info!(
                 "event=flow_reset flow={flow} cause={cause} token={received} view_age_ms={age} \
                  {} suppressed={suppressed}",
@@ -329,7 +333,10 @@
                 "event=packet_dropped flow={flow} cause={cause} token={received} view_age_ms={age} \
                  suppressed={suppressed}"
             ),
-            Decision::Hold => {}
+            Decision::Forward {
+                placement: None, ..
+            }
+            | Decision::Hold => {}
         }
     }
 
--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -17,9 +17,9 @@
         /// Label of the target that the datagram is addressed to.
         label: TargetLabel,
         /// Token that the forwarded packet carries. It differs from that of the received packet if
-        /// the target has started again.
+        /// that named another start of the target, or another form is in force.
         token: Token,
-        /// How the flow was placed; `None` if the packet named its target.
+        /// How the target was found; `None` if the packet named its present start.
         placement: Option<Placement>,
     },
     /// The caller receives a reset: the flow cannot continue.
@@ -54,7 +54,7 @@
     pub decision: Decision,
 }
 
-/// How the target of an opening packet was selected.
+/// How the target of a packet was found that does not name the present start of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Placement {
     /// The first opening packet of a flow was placed.
@@ -66,6 +66,9 @@
     /// A retransmission was placed again: the first target has ended or is unresponsive.
     #[display("moved")]
     Moved,
+    /// A packet of an open flow names another start of the target.
+    #[display("continued")]
+    Continued,
 }
 
 /// Reason for a reset.
--- a/crates/steer/src/ended_start.rs
+++ b/crates/steer/src/ended_start.rs
@@ -65,18 +65,13 @@
 }
 
 impl EndedStart {
-    /// The start that `record` describes, which has ended.
-    pub fn new(record: TargetRecord, cause: EndCause, now: Moment) -> Self {
-        let TargetRecord {
-            target,
-            token,
-            load,
-            ..
-        } = record;
+    /// The start that `record` describes, which has ended, under one of its tokens.
+    pub fn new(record: &TargetRecord, token: Token, cause: EndCause, now: Moment) -> Self {
+        let TargetRecord { target, load, .. } = record;
         Self {
             token,
-            id: target.id,
-            service: target.service,
+            id: target.id.clone(),
+            service: target.service.clone(),
             address: target.address,
             ended: now,
             cause,
@@ -121,6 +116,17 @@
         Some(&self.list[self.find(token).ok()?])
     }
 
+    /// An ended start of the target that a numbered token names.
+    pub fn of_target(&self, token: Token) -> Option<&EndedStart> {
+        let range = token.same_target();
+        let at = self
+            .list
+            .partition_point(|start| start.token < *range.start());
+        self.list
+            .get(at)
+            .filter(|start| start.token <= *range.end())
+    }
+
     /// The starts that ended lately, sorted by token.
     pub fn recent(&self, now: Moment) -> impl Iterator<Item = &EndedStart> {
         let is_recent = move |start: &&EndedStart| now.since(start.ended) <= PASS_ON_TIME;
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -56,6 +56,6 @@
 pub use steering::{
     AdmissionStats, AnswerOutcome, Freshness, SpeedSummary, Steering, SteeringSettings,
 };
-pub use target::Target;
+pub use target::{Target, TokenForm};
 pub use target_table::{EntryStatus, TargetIndex, TargetRecord, TargetTable};
 pub use token_report::TokenReport;
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -41,7 +41,7 @@
 use crate::zone_load::{Group, ZoneLoad};
 use crate::{
     Decision, DropCause, Origin, PacketHeader, Placement, ResetCause, Route, Routes, SteeringEvent,
-    Target,
+    Target, TokenForm,
 };
 
 /// Largest age at which a view counts as current: the largest age of a replica that may be followed
@@ -84,6 +84,8 @@
 #[derive(Debug)]
 pub struct Steering {
     settings: SteeringSettings,
+    /// Form of the tokens that this VM writes.
+    token_form: TokenForm,
     routes: Option<Routes>,
     /// Frontends whose route was removed, sorted.
     removed_frontends: Vec<SocketAddrV4>,
@@ -143,6 +145,7 @@
         Self {
             flows: Flows::new(settings.flow_limit),
             settings,
+            token_form: TokenForm::default(),
             routes: None,
             removed_frontends: Vec::new(),
             targets: TargetTable::default(),
@@ -252,7 +255,7 @@
             // runs, has answered the first transmission.
             return Some(Decision::Drop(DropCause::EntryDisputed));
         }
-        let decision = forward(record, Some(Placement::Retransmitted));
+        let decision = forward(record, self.token_form, Some(Placement::Retransmitted));
         let recounted = self.flows.record_repeated_opening(&header.flow);
         if let Some(record) = recounted.and_then(|index| self.targets.get_mut(index)) {
             record.load.busy += 1;
@@ -352,7 +355,7 @@
             Some(_) => Placement::Moved,
             None => Placement::Placed,
         };
-        let decision = forward(record, Some(placement));
+        let decision = forward(record, self.token_form, Some(placement));
         let assigned = (index, record.token);
         let signals = self.flows.open(header, assigned, timeout, now);
         if earlier.is_some() {
@@ -365,10 +368,11 @@
     /// Forwards a packet of an established flow to the target of its token.
     fn handle_established(&mut self, header: &PacketHeader, token: Token, now: Moment) -> Decision {
         let frontend = header.flow.frontend;
+        let route = self.routes.as_ref().and_then(|r| r.find(frontend));
+        let token = self.start_token(header, token, route);
         let opened = self.flows.opened_token(&header.flow, token);
         let opened = opened.filter(|opened| self.targets.is_known(*opened));
         let token = opened.unwrap_or(token);
-        let route = self.routes.as_ref().and_then(|r| r.find(frontend));
         let timeout = route.map_or(DEFAULT_REQUEST_TIMEOUT, |route| route.timeout);
         // By a view that is not current, the route may have been added again.
         if route.is_none()
@@ -386,7 +390,7 @@
             resolved = self.resolve(header, token, route);
         }
         if let Some(rival) = self.rival(token, frontend) {
-            return forward_to_rival(rival);
+            return forward_to_rival(rival, self.token_form);
         }
         let Some(index) = resolved else {
             return self.handle_unknown_token(header, token, now);
@@ -397,7 +401,7 @@
             // The flow may have ended with an earlier start, so its packets are no load of the
             // target and no evidence about it. A target that holds the flow responds with the later
             // token, which the caller's next packets carry.
-            return forward(record, None);
+            return forward(record, self.token_form, Some(Placement::Continued));
         }
         let evidence_since = self.evidence_since(index);
         let signals =
@@ -424,12 +428,21 @@
         let Some(record) = self.targets.get(index) else {
             return Decision::Drop(DropCause::TokenNotKnownYet);
         };
-        forward(record, None)
+        forward(record, self.token_form, None)
+    }
+
+    /// Token of the start that a token names, in the form in which VMs name starts; the token itself if
+    /// it names no start that is known to run.
+    fn start_token(&self, header: &PacketHeader, token: Token, route: Option<&Route>) -> Token {
+        let named = self.resolve(header, token, route);
+        let record = named.and_then(|index| self.targets.get(index));
+        let record = record.filter(|record| record.has_token(token));
+        record.map_or(token, |record| record.token)
     }
 
     /// Target of a token; of several targets, the one that has the flow at this VM, or the first one
     /// whose service belongs to the route. A target that has started again may hold flows with the
-    /// token of its earlier start.
+    /// token of its earlier start, and this VM may know neither that start nor a later one.
     fn resolve(
         &self,
         header: &PacketHeader,
@@ -438,7 +451,8 @@
     ) -> Option<TargetIndex> {
         let mut indexes = self.targets.with_token(token);
         let Some(first) = indexes.next() else {
-            return self.targets.later_start(token);
+            let is_match = |service: &_| route.is_none_or(|route| route.has_service(service));
+            return self.targets.other_start(token, is_match);
         };
         if indexes.clone().next().is_some()
             && let Some(index) = self.flows.target_of(header, token)
@@ -506,23 +520,23 @@
     }
 }
 
-/// Forwards a packet to a target; `placement` tells how an opening packet was placed.
-fn forward(record: &TargetRecord, placement: Option<Placement>) -> Decision {
+/// Forwards a packet to a target; `placement` tells how the target was found.
+fn forward(record: &TargetRecord, form: TokenForm, placement: Option<Placement>) -> Decision {
     Decision::Forward {
         address: record.target.address,
         label: record.target.label,
-        token: record.token,
+        token: record.token_in(form),
         placement,
     }
 }
 
 /// Forwards a packet to a start that contradicts the known start under its identifier. Its response
 /// times and load belong to no known target.
-fn forward_to_rival(target: &Target) -> Decision {
+fn forward_to_rival(target: &Target, form: TokenForm) -> Decision {
     Decision::Forward {
         address: target.address,
         label: target.label,
-        token: target.token(),
+        token: target.token_in(form),
         placement: None,
     }
 }
--- a/crates/steer/src/steering/coordination.rs
+++ b/crates/steer/src/steering/coordination.rs
@@ -313,7 +313,7 @@
             return Decision::Drop(DropCause::ViewNotCurrent);
         };
         self.zone_load.grant(vm, &header.flow, record.token, now);
-        forward(record, Some(Placement::Placed))
+        forward(record, self.token_form, Some(Placement::Placed))
     }
 
     /// State and input of the selection of a target.
--- a/crates/steer/src/steering/update.rs
+++ b/crates/steer/src/steering/update.rs
@@ -11,7 +11,7 @@
 use crate::missing_entry::{REREGISTRATION_TIME, RemovalCount};
 use crate::target_speed::Outcome;
 use crate::target_table::{EntryStatus, TargetIndex};
-use crate::{Routes, SteeringEvent, Target};
+use crate::{Routes, SteeringEvent, Target, TokenForm};
 
 /// Idle time after which a flow may be removed if the configuration does not set one.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(15);
@@ -86,6 +86,16 @@
         }
     }
 
+    /// Sets the form of the tokens that this VM writes. Returns the form before.
+    pub fn set_token_form(&mut self, form: TokenForm) -> TokenForm {
+        std::mem::replace(&mut self.token_form, form)
+    }
+
+    /// Form of the tokens that this VM writes.
+    pub fn token_form(&self) -> TokenForm {
+        self.token_form
+    }
+
     /// The earlier starts of targets that ended lately, for other VMs.
     pub fn earlier_starts(&self, now: Moment) -> Vec<EarlierStart> {
         self.targets.earlier_starts(now)
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -1,13 +1,16 @@
 //! Table of known targets, indexed by identifier, token and service.
 //!
-//! Every VM resolves a token to the same target without communication between VMs. Two targets can
-//! have the same token; the service of the packet's route then selects one of them. Within one
+//! Every VM resolves a token to the same target without communication between VMs. A target has two
+//! tokens, that of its start and a numbered one (see [`Target`]). Two targets can have the same token; the service of the packet's route then selects one of them. Within one
 //! service the target that started later takes no new flows while the earlier target exists. Another
 //! writer may describe a start that is known under another identifier; the one that was known first
 //! then counts as the earlier target.
 
 mod disputes;
 
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
 use bambooseam_types::{EarlierStart, Moment, ServiceName, TargetId, Token};
 use derive_more::Display;
 
@@ -16,7 +19,7 @@
 use crate::load::Load;
 use crate::missing_entry::status_after_retention;
 use crate::target_speed::TargetSpeed;
-use crate::{Freshness, Routes, SteeringEvent, Target};
+use crate::{Freshness, Routes, SteeringEvent, Target, TokenForm};
 
 /// Index of a target in the table. An index is reused after its target has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
@@ -68,8 +71,10 @@
 pub struct TargetRecord {
     /// The target as published.
     pub target: Target,
-    /// Token of the target.
+    /// Token of the target's start.
     pub token: Token,
+    /// Numbered token of the target.
+    pub numbered: Token,
     /// State of the published entry.
     pub status: EntryStatus,
     /// When this VM learned of this start of the target.
@@ -89,8 +94,11 @@
     /// Indexes that can be reused.
     free: Vec<TargetIndex>,
     ids: Vec<(TargetId, TargetIndex)>,
-    /// Sorted by token; of several targets with one token, the one that was known first is first.
+    /// Sorted by the token of the start; of several targets with one token, the one that was known
+    /// first is first.
     tokens: Vec<(Token, TargetIndex)>,
+    /// Sorted in the same way by the numbered token.
+    numbered: Vec<(Token, TargetIndex)>,
     services: Vec<(ServiceName, Vec<TargetIndex>)>,
     ended: EndedStarts,
     rivals: Rivals,
@@ -121,6 +129,19 @@
 }
 
 impl TargetRecord {
+    /// Whether a token names this start of the target, in either form.
+    pub fn has_token(&self, token: Token) -> bool {
+        self.token == token || self.numbered == token
+    }
+
+    /// Token of the target as packets carry it.
+    pub fn token_in(&self, form: TokenForm) -> Token {
+        match form {
+            TokenForm::Start => self.token,
+            TokenForm::Numbered => self.numbered,
+        }
+    }
+
     /// Whether new flows may be placed at the target.
     pub fn is_open(&self) -> bool {
         let is_usable = matches!(
@@ -232,15 +253,19 @@
         self.free.push(index);
         self.ids.retain(|(_, other)| *other != index);
         self.tokens.retain(|(_, other)| *other != index);
+        self.numbered.retain(|(_, other)| *other != index);
         if let Ok(at) = self.find_service(&record.target.service) {
             self.services[at].1.retain(|other| *other != index);
             if self.services[at].1.is_empty() {
                 self.services.remove(at);
             }
         }
-        self.update_shadowed(record.token);
-        if self.with_token(record.token).next().is_none() {
-            self.ended.insert(EndedStart::new(record, cause, now));
+        for token in [record.token, record.numbered] {
+            self.update_shadowed(token);
+            if self.with_token(token).next().is_none() {
+                self.ended
+                    .insert(EndedStart::new(&record, token, cause, now));
+            }
         }
     }
 
@@ -260,12 +285,16 @@
         self.records.get_mut(index.0 as usize)?.as_mut()
     }
 
-    /// Indexes of the targets with a token, usually one; the one that was known first is first.
+    /// Indexes of the targets with a token in either form, usually one; of those with the same form,
+    /// the one that was known first is first.
     pub fn with_token(&self, token: Token) -> impl Iterator<Item = TargetIndex> + Clone + '_ {
-        let start = self.tokens.partition_point(|(other, _)| *other < token);
-        let same = self.tokens[start..].iter();
-        same.take_while(move |(other, _)| *other == token)
-            .map(|(_, index)| *index)
+        let numbered = within(&self.numbered, token..=token);
+        numbered.chain(within(&self.tokens, token..=token))
+    }
+
+    /// Indexes of the targets that a numbered token names, whichever of their starts it belongs to.
+    pub fn with_number(&self, token: Token) -> impl Iterator<Item = TargetIndex> + '_ {
+        within(&self.numbered, token.same_target())
     }
 
     /// All targets of a service.
@@ -331,24 +360,69 @@
     /// another VM found the end of the token's start, a later start may have registered there, and its
     /// entry may have lapsed since.
     pub fn is_gone(&self, token: Token) -> bool {
-        let ended = self.ended.get(token);
+        let ended = self.ended_start(token);
         ended.is_some_and(|start| {
             start.cause != EndCause::Received || self.find(&start.id).is_some()
         })
     }
 
-    /// The start of a target that has ended, by its token.
+    /// The start of a target that has ended, by its token. A numbered token also leads to another
+    /// start of its target if none is known that runs.
     pub(crate) fn ended_start(&self, token: Token) -> Option<&EndedStart> {
-        self.ended.get(token)
+        let named = self.ended.get(token);
+        named.or_else(|| match self.with_number(token).next() {
+            Some(_) => None,
+            None => self.ended.of_target(token),
+        })
     }
 
-    /// The present start of a target, by the token of an earlier start whose flows it may hold.
-    pub fn later_start(&self, token: Token) -> Option<TargetIndex> {
-        self.later_than(self.ended.get(token)?)
+    /// The present start of a target that may hold flows with the token of another start. What is known
+    /// of that start decides; without it, a numbered token leads to the target if `is_match` holds for
+    /// its service. Of several such targets, the one that started last is most likely to have started
+    /// again.
+    pub fn other_start(
+        &self,
+        token: Token,
+        is_match: impl Fn(&ServiceName) -> bool,
+    ) -> Option<TargetIndex> {
+        if let Some(ended) = self.ended.get(token) {
+            return self.later_than(ended);
+        }
+        let mut last = None;
+        for index in self.with_number(token) {
+            let Some(record) = self.get(index) else {
+                continue;
+            };
+            if is_match(&record.target.service) {
+                last = last.max(Some((record.target.start, index)));
+            }
+        }
+        last.map(|(_, index)| index)
     }
 
-    /// The earlier starts of targets that ended lately, sorted by token.
+    /// The earlier starts of targets that ended lately, sorted by token. Only tokens that do not lead
+    /// to the target by themselves are listed.
     pub fn earlier_starts(&self, now: Moment) -> Vec<EarlierStart> {
+        let mut earlier = self.all_earlier_starts(now);
+        earlier.retain(|start| self.with_number(start.token).next().is_none());
+        earlier
+    }
+
+    /// The same for VMs that do not read numbered tokens: those of earlier starts, and those of the
+    /// present starts, which these VMs take for earlier ones.
+    pub fn earlier_starts_in_full(&self, now: Moment) -> Vec<EarlierStart> {
+        let mut starts = self.all_earlier_starts(now);
+        starts.extend(self.iter().map(|(_, record)| EarlierStart {
+            token: record.numbered,
+            target: record.target.id.clone(),
+            service: record.target.service.clone(),
+            address: record.target.address,
+            elapsed: Duration::ZERO,
+        }));
+        starts
+    }
+
+    fn all_earlier_starts(&self, now: Moment) -> Vec<EarlierStart> {
         let recent = self.ended.recent(now);
         let earlier = recent.filter(|start| self.later_than(start).is_some());
         earlier.map(|start| start.to_peer(now)).collect()
@@ -455,8 +529,9 @@
 
     /// Adds a start of a target that is not in the table.
     fn start(&mut self, target: Target, now: Moment) {
-        let token = target.token();
+        let (token, numbered) = (target.token(), target.numbered_token());
         self.ended.remove(token);
+        self.ended.remove(numbered);
         self.rivals.remove(&target);
         let index = self.free.pop().unwrap_or_else(|| {
             self.records.push(None);
@@ -464,8 +539,10 @@
         });
         let at = self.ids.partition_point(|(other, _)| *other < target.id);
         self.ids.insert(at, (target.id.clone(), index));
-        let at = self.tokens.partition_point(|(other, _)| *other <= token);
-        self.tokens.insert(at, (token, index));
+        for (list, token) in [(&mut self.tokens, token), (&mut self.numbered, numbered)] {
+            let at = list.partition_point(|(other, _)| *other <= token);
+            list.insert(at, (token, index));
+        }
         match self.find_service(&target.service) {
             Ok(at) => self.services[at].1.push(index),
             Err(at) => {
@@ -479,27 +556,40 @@
             speed: TargetSpeed::new(target.capacity),
             target,
             token,
+            numbered,
             status: EntryStatus::Published,
             added: now,
             load,
             is_shadowed: false,
         });
         self.update_shadowed(token);
+        self.update_shadowed(numbered);
     }
 
-    /// Updates which of the targets with the same token take new flows.
+    /// Updates which of the targets with a token take new flows.
     fn update_shadowed(&mut self, token: Token) {
         let indexes: Vec<_> = self.with_token(token).collect();
-        for (at, &index) in indexes.iter().enumerate() {
-            let is_twin = |&other: &TargetIndex| self.is_same_start(other, index);
-            let is_shadowed = indexes[..at].iter().any(is_twin)
-                || indexes.iter().any(|&other| self.shadows(other, index));
+        for index in indexes {
+            let is_shadowed = self.is_shadowed(index);
             if let Some(record) = self.get_mut(index) {
                 record.is_shadowed = is_shadowed;
             }
         }
     }
 
+    /// Whether another target with one of the tokens of a target takes its new flows.
+    fn is_shadowed(&self, index: TargetIndex) -> bool {
+        let Some(record) = self.get(index) else {
+            return false;
+        };
+        [record.token, record.numbered].into_iter().any(|token| {
+            let mut others = self.with_token(token);
+            let mut earlier = others.clone().take_while(|other| *other != index);
+            earlier.any(|other| self.is_same_start(other, index))
+                || others.any(|other| self.shadows(other, index))
+        })
+    }
+
     /// Whether two entries of one service describe the same start under different identifiers, which
     /// another writer has left. Packets of its flows go to the one that was known first.
     fn is_same_start(&self, other: TargetIndex, index: TargetIndex) -> bool {
@@ -529,3 +619,15 @@
             .binary_search_by(|(other, _)| other.cmp(service))
     }
 }
+
+/// Targets whose token is in a range, from a list that is sorted by token.
+fn within(
+    list: &[(Token, TargetIndex)],
+    range: RangeInclusive<Token>,
+) -> impl Iterator<Item = TargetIndex> + Clone + '_ {
+    let start = list.partition_point(|(token, _)| token < range.start());
+    let tokens = list[start..].iter();
+    tokens
+        .take_while(move |(token, _)| token <= range.end())
+        .map(|(_, index)| *index)
+}
--- a/crates/steer/src/target_table/disputes.rs
+++ b/crates/steer/src/target_table/disputes.rs
@@ -39,7 +39,9 @@
 #[derive(Debug)]
 struct Rival {
     target: Target,
+    /// Token of its start.
     token: Token,
+    numbered: Token,
     /// When its entry was last read, or when it was last the known start.
     written: Moment,
 }
@@ -79,7 +81,7 @@
 impl Rivals {
     /// Adds a start, or moves it to the end of the list.
     fn insert(&mut self, target: Target, written: Moment) {
-        let token = target.token();
+        let (token, numbered) = (target.token(), target.numbered_token());
         self.remove(&target);
         if self.list.len() >= MAX_RIVALS {
             self.list.remove(0);
@@ -87,6 +89,7 @@
         self.list.push(Rival {
             target,
             token,
+            numbered,
             written,
         });
     }
@@ -204,7 +207,7 @@
         is_match: impl Fn(&ServiceName) -> bool,
     ) -> Option<&Target> {
         let rivals = self.rivals.list.iter().rev();
-        let mut rivals = rivals.filter(|rival| rival.token == token);
+        let mut rivals = rivals.filter(|rival| rival.token == token || rival.numbered == token);
         let rival = rivals.find(|rival| is_match(&rival.target.service))?;
         Some(&rival.target)
     }
--- a/crates/steer/src/token_report.rs
+++ b/crates/steer/src/token_report.rs
@@ -45,7 +45,10 @@
     /// What is known of the target that a token names.
     pub fn report_token(&self, token: Option<Token>, now: Moment) -> TokenReport {
         let targets = self.targets();
-        let start = token.and_then(|token| targets.with_token(token).next());
+        let start = token.and_then(|token| {
+            let mut named = targets.with_token(token).chain(targets.with_number(token));
+            named.next()
+        });
         let start = start.and_then(|index| targets.get(index));
         let ended = token.and_then(|token| targets.ended_start(token));
         let id = start.map(|record| &record.target.id);
--- a/crates/types/src/token.rs
+++ b/crates/types/src/token.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::{self, Display, Formatter};
 use std::num::{NonZeroU32, NonZeroU64};
+use std::ops::RangeInclusive;
 use std::str::FromStr;
 
 use crate::ParseIdError;
@@ -11,7 +12,12 @@
 /// Allowed text of a label.
 const LABEL_ALLOWED: &str = "1 to 16 hexadecimal digits, not all 0";
 
-/// Identifies one start of a target; both ends of a flow send the token in each packet.
+/// Number of low bits of a numbered token that tell the starts of one target apart. With 26 bits for the
+/// target, one pair of 4,600 targets collides in about 1 of 6 fleets.
+const START_BITS: u32 = 6;
+const START_MASK: u32 = (1 << START_BITS) - 1;
+
+/// Identifies a target or one start of it; both ends of a flow send the token in each packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Token(NonZeroU32);
 
@@ -30,6 +36,17 @@
         }
     }
 
+    /// Creates a numbered token: most of its bits name a target, the others one start of it.
+    pub const fn numbered(target_hash: u32, start_hash: u32) -> Self {
+        Self::from_hash(target_hash & !START_MASK | start_hash & START_MASK)
+    }
+
+    /// The numbered tokens of the same target, of all its starts.
+    pub const fn same_target(self) -> RangeInclusive<Self> {
+        let number = self.get();
+        Self::from_hash(number & !START_MASK)..=Self::from_hash(number | START_MASK)
+    }
+
     /// Creates a token from the number in a packet; `None` for 0.
     pub const fn from_wire(number: u32) -> Option<Self> {
         match NonZeroU32::new(number) {
--- a/tests/tests/ctl_logs.rs
+++ b/tests/tests/ctl_logs.rs
@@ -189,6 +189,27 @@
     assert_eq!(unknown.outcome(), Outcome::Unknown);
 }
 
+/// Lines of a flow carry the token that packets carry, lines of its target both forms.
+#[test]
+fn flows_with_a_numbered_token_are_linked_to_their_target() {
+    let changed = "event=target_changed target=i-01 token=9bde numbered=77a1 state=live";
+    let mut lines = vec![
+        line(10, "vm-a", changed),
+        line(
+            1_000,
+            "vm-a",
+            &format!("event=flow_placed flow={FLOW} token=77a1"),
+        ),
+    ];
+    let report = TargetReport::new(&lines, &"i-01".parse().expect("valid identifier"));
+    assert_eq!(report.statuses[0].placed, 1);
+    let removed = "event=target_removed target=i-01 outcome=ended";
+    lines.push(line(1_100, "vm-a", removed));
+    let context = FlowReport::new(&lines, flow()).context;
+    let events: Vec<_> = context.iter().map(|line| line.event.as_str()).collect();
+    assert_eq!(events, ["target_removed"]);
+}
+
 #[test]
 fn configurations_of_vms_are_compared() {
     let config = |at: u64, vm: &str, version: u64| {
