Write numbered tokens once no VM is left that does not read them

VMs say in their exchange whether they read numbered tokens, and when they last heard of a VM that does not. A program of an earlier version is sent the numbered tokens of all targets as earlier starts, which it follows already, so that it can be put back while flows carry them.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -53,6 +53,10 @@
         let cause = match result {
             Ok(Ok(response)) => {
                 self.peers.borrow_mut().record_call(address, now, true);
+                let support = response.token_support;
+                let mut node = self.node.borrow_mut();
+                node.record_token_support(support, started, now);
+                drop(node);
                 if self.peers.borrow().is_outside(address) {
                     let mut node = self.node.borrow_mut();
                     node.steering_mut().record_outside_answer(answered);
@@ -109,6 +113,7 @@
             may_be_large: true,
             is_starting: false,
             accepts_referral: true,
+            reads_numbered: true,
         };
         let client = match self.client.take() {
             Some((peer, client)) if peer == address => client,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod reload;
 pub mod starter;
 mod stop;
+mod token_support;
 
 pub use clock::BootClock;
 pub use node::{Node, Source};
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bambooseam_observe::LogLimit;
+use bambooseam_peer::replica::TokenSupport;
 use bambooseam_platform::document::Config;
 use bambooseam_platform::{Document, DocumentKind, PublishedContent};
 use bambooseam_replica::{ApplyOutcome, Change, Changes, Held, Key, Replica};
@@ -21,6 +22,7 @@
 
 use crate::or_none::OrNone;
 use crate::pause::PauseDetector;
+use crate::token_support::FleetSupport;
 
 /// Limits warnings about invalid documents, because any user of the store may write one.
 static INVALID_DOCUMENTS: LogLimit = LogLimit::new("documents_unreadable", 5);
@@ -83,6 +85,7 @@
     /// When this VM learned of the store's current era, if it keeps documents of an earlier one.
     era_begun: Option<Moment>,
     pauses: PauseDetector,
+    support: FleetSupport,
     is_stopping: bool,
 }
 
@@ -121,6 +124,7 @@
             outage: None,
             era_begun: None,
             pauses: PauseDetector::default(),
+            support: FleetSupport::default(),
             is_stopping: false,
         }
     }
@@ -216,6 +220,42 @@
         }
     }
 
+    /// Records that the settings name no other VM.
+    pub fn record_alone(&mut self, now: Moment) {
+        self.support.record_alone();
+        self.update_token_form(now);
+    }
+
+    /// Records a request of another VM, which reads numbered tokens or not.
+    pub fn record_token_request(&mut self, reads_numbered: bool, now: Moment) {
+        self.support.record_request(reads_numbered, now);
+        self.update_token_form(now);
+    }
+
+    /// Records what another VM, asked at `asked`, knows of the tokens that VMs read.
+    pub fn record_token_support(&mut self, support: TokenSupport, asked: Moment, now: Moment) {
+        self.support.record_response(support, asked, now);
+        self.update_token_form(now);
+    }
+
+    /// Returns what this VM knows of the tokens that VMs read.
+    pub fn token_support(&self, now: Moment) -> TokenSupport {
+        self.support.support(now)
+    }
+
+    fn update_token_form(&mut self, now: Moment) {
+        let form = self.support.form(now);
+        let before = self.steering.set_token_form(form);
+        if form == before {
+            return;
+        }
+        let older = self.support.support(now).older_age;
+        log::info!(
+            "event=token_form_changed form={form} before={before} older_vm_ms={}",
+            OrNone(older.map(|age| age.as_millis()))
+        );
+    }
+
     /// Lets the view settle anew if it was not confirmed for a while before `synced`: the store may have
     /// been unavailable without a failed call of this VM.
     fn record_gap(&mut self, synced: Moment) {
@@ -255,6 +295,7 @@
     /// Removes expired state, and logs the events found since the last call.
     pub fn sweep(&mut self, now: Moment) {
         self.record_turn(now);
+        self.update_token_form(now);
         self.release_unrenewed(now);
         self.steering.drain_response_times(|service, time| {
             let service = service.to_string();
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -12,10 +12,11 @@
 
 use bambooseam_observe::LogLimit;
 use bambooseam_peer::replica::{
-    PeerInfo, ReplicaClient, ReplicaService, SyncRequest, SyncResponse,
+    EARLIER_START_LIMIT, PeerInfo, ReplicaClient, ReplicaService, SyncRequest, SyncResponse,
 };
 use bambooseam_peer::{Meter, jitter};
-use bambooseam_types::{Clock, Moment};
+use bambooseam_types::{Clock, EarlierStart, Moment};
+use rand::Rng;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -75,6 +76,37 @@
 
 impl ReplicaService for ReplicaServer {
     async fn sync(&self, request: SyncRequest) -> SyncResponse {
+        self.node
+            .borrow_mut()
+            .record_token_request(request.reads_numbered, BootClock.now());
+        let response = self.answer(request).await;
+        let token_support = self.node.borrow().token_support(BootClock.now());
+        SyncResponse {
+            token_support,
+            ..response
+        }
+    }
+
+    fn record_sent(&self, size: usize) {
+        let mut node = self.node.borrow_mut();
+        node.record_transfer(size, BootClock.now());
+    }
+}
+
+impl ReplicaServer {
+    /// Creates a server for the documents of `node`.
+    pub fn new(node: SharedNode, peers: SharedPeers) -> Self {
+        let own = peers.borrow().own().clone();
+        Self {
+            node,
+            peers,
+            assignments: RefCell::new(CopyAssignments::new(own)),
+            followers: RefCell::default(),
+            replaced: watch::Sender::new(0),
+        }
+    }
+
+    async fn answer(&self, request: SyncRequest) -> SyncResponse {
         let now = BootClock.now();
         if let Some(requester) = &request.requester {
             self.peers.borrow_mut().record_requester(requester, now);
@@ -96,11 +128,7 @@
         // A follower receives earlier starts with its other calls as well.
         let earlier_starts = match is_waiting && !request.is_starting {
             true => Vec::new(),
-            false => self
-                .node
-                .borrow()
-                .steering()
-                .earlier_starts(BootClock.now()),
+            false => self.earlier_starts(&request),
         };
         let changes = self.node.borrow().replica().changes_since(&request.held);
         let max_bytes = match request.may_be_large {
@@ -119,23 +147,21 @@
         }
     }
 
-    fn record_sent(&self, size: usize) {
-        let mut node = self.node.borrow_mut();
-        node.record_transfer(size, BootClock.now());
-    }
-}
-
-impl ReplicaServer {
-    /// Creates a server for the documents of `node`.
-    pub fn new(node: SharedNode, peers: SharedPeers) -> Self {
-        let own = peers.borrow().own().clone();
-        Self {
-            node,
-            peers,
-            assignments: RefCell::new(CopyAssignments::new(own)),
-            followers: RefCell::default(),
-            replaced: watch::Sender::new(0),
+    /// Returns the earlier starts that a requester is told.
+    fn earlier_starts(&self, request: &SyncRequest) -> Vec<EarlierStart> {
+        let now = BootClock.now();
+        let node = self.node.borrow();
+        let targets = node.steering().targets();
+        if request.reads_numbered {
+            return targets.earlier_starts(now);
+        }
+        let mut starts = targets.earlier_starts_in_full(now);
+        if starts.len() > EARLIER_START_LIMIT as usize {
+            // A response holds only a part, so each begins at another one.
+            let first = rand::rng().random_range(0..starts.len());
+            starts.rotate_left(first);
         }
+        starts
     }
 
     /// Assigns a starting VM the source of its first copy. Returns `None` if that is this VM, which
@@ -265,6 +291,7 @@
         may_be_large: node.borrow().is_store_unavailable(BootClock.now()),
         is_starting: false,
         accepts_referral: true,
+        reads_numbered: true,
     };
     let call = async {
         let client = ReplicaClient::connect(address, meter).await?;
@@ -293,6 +320,7 @@
     if is_outside {
         node.steering_mut().record_outside_answer(called);
     }
+    node.record_token_support(response.token_support, called, now);
     node.record_transfer(response.size, now);
     node.record_earlier_starts(response.earlier_starts, now, Source::Peer(address));
     let Some(changes) = response.changes else {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -99,6 +99,9 @@
         zone: settings.vm.zone.clone(),
     };
     let peers = Rc::new(RefCell::new(Peers::new(own, &entry.seeds)));
+    if peers.borrow().is_empty() {
+        node.borrow_mut().record_alone(BootClock.now());
+    }
     let last_packet = LastPacket::default();
     let packets = Packets::bind(entry.listen, Rc::clone(&node)).await?;
     let link = packets.coordination();
@@ -251,6 +254,7 @@
         "followed": peers.borrow().followed(now).map(|peer| peer.to_string()),
         "peers": peers.borrow().len(),
         "targets": node.steering().targets().iter().count(),
+        "token_form": node.steering().token_form().to_string(),
         "flows": node.steering().flow_count(),
         "evacuated": evacuated,
         "zone_flows": zone_flows,
--- a/crates/entry/src/starter.rs
+++ b/crates/entry/src/starter.rs
@@ -11,7 +11,7 @@
 
 use bambooseam_peer::replica::{ReplicaClient, SyncRequest, SyncResponse};
 use bambooseam_peer::{Meter, PeerError, jitter};
-use bambooseam_types::Clock;
+use bambooseam_types::{Clock, Moment};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
@@ -84,7 +84,12 @@
     pub async fn run(&self) -> bool {
         let seeds = self.peers.borrow().seeds_to_ask();
         for seed in seeds.iter().cycle() {
-            match self.ask(*seed).await {
+            let asked = BootClock.now();
+            let answer = self.ask(*seed).await;
+            if let Ok(response) = &answer {
+                self.record_token_support(response, asked);
+            }
+            match answer {
                 Ok(response) if response.is_referral => return self.wait_for(response).await,
                 Ok(response) => return self.apply(response, *seed),
                 // The seed may not have started yet.
@@ -136,6 +141,7 @@
         let address = source.address;
         log::info!("event=first_copy_assigned peer={address}");
         self.peers.borrow_mut().record_gossiped(source);
+        let asked = BootClock.now();
         let mut copy = pin!(async {
             let client = ReplicaClient::connect(address, Arc::clone(&self.meter)).await?;
             self.request(&client, MAX_WAIT).await
@@ -152,7 +158,10 @@
                 continue;
             };
             return match result {
-                Ok(response) => self.apply(response, address),
+                Ok(response) => {
+                    self.record_token_support(&response, asked);
+                    self.apply(response, address)
+                }
                 Err(error) => {
                     let cause = error.to_string();
                     log::info!("event=first_copy_failed peer={address} cause={cause:?}");
@@ -175,10 +184,17 @@
             may_be_large: true,
             is_starting: true,
             accepts_referral: true,
+            reads_numbered: true,
         };
         client.sync(&request).await
     }
 
+    /// Records what a VM, asked at `asked`, knows of the tokens that VMs read.
+    fn record_token_support(&self, response: &SyncResponse, asked: Moment) {
+        let mut node = self.node.borrow_mut();
+        node.record_token_support(response.token_support, asked, BootClock.now());
+    }
+
     /// Applies a copy, unless it is older than copies that may be followed while the store answers.
     fn apply(&self, response: SyncResponse, address: SocketAddr) -> bool {
         let now = BootClock.now();
--- a/crates/peer/schema/replica.capnp
+++ b/crates/peer/schema/replica.capnp
@@ -73,6 +73,12 @@
   # Earlier starts of targets that ended lately; absent from responses that waited for a change,
   # unless the requester is starting.
   earlierStarts @4 :List(EarlierStart);
+  # Whether the responder reads numbered tokens.
+  readsNumbered @5 :Bool;
+  # Whether the responder has heard of a VM that does not, and the time since such a VM was last heard
+  # of, in milliseconds.
+  hasOlder @6 :Bool;
+  olderAgeMs @7 :UInt64;
 }
 
 interface Replica {
@@ -80,7 +86,8 @@
   # requester lacks nothing, the response waits for a change, at most `waitMs` milliseconds. A
   # requester that is not eager receives no large copy, since it expects one from another source.
   # Only a requester that accepts packed lists receives them. A requester that is starting asks where
-  # to get its first copy.
+  # to get its first copy. A requester that does not read numbered tokens is sent those of all
+  # targets as earlier starts.
   sync @0 (asker :Peer, copy :Copy, waitMs :UInt64, isEager :Bool, acceptsPacked :Bool,
-      isStarting :Bool) -> (news :News);
+      isStarting :Bool, readsNumbered :Bool) -> (news :News);
 }
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -21,7 +21,7 @@
 const PEER_LIMIT: u32 = 64;
 
 /// Most earlier starts in one response.
-const EARLIER_START_LIMIT: u32 = 512;
+pub const EARLIER_START_LIMIT: u32 = 512;
 
 /// A VM that serves its copy.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -48,6 +48,9 @@
     pub is_starting: bool,
     /// Whether the requester takes a referral; an earlier program would take it for a change.
     pub accepts_referral: bool,
+    /// Whether the requester reads numbered tokens. Others are sent those of all targets as earlier
+    /// starts.
+    pub reads_numbered: bool,
 }
 
 /// Response to a [`SyncRequest`].
@@ -61,12 +64,23 @@
     pub peers: Vec<PeerInfo>,
     /// Whether the responder sends the requester on to `peers`.
     pub is_referral: bool,
-    /// Earlier starts of targets that ended lately; only the first 512 are sent.
+    /// Earlier starts of targets that ended lately; only the first [`EARLIER_START_LIMIT`] are sent.
     pub earlier_starts: Vec<EarlierStart>,
+    /// What the responder knows of the tokens that VMs read.
+    pub token_support: TokenSupport,
     /// Size of a received response in bytes.
     pub size: usize,
 }
 
+/// What a VM tells others about the tokens that the VMs of the deployment read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TokenSupport {
+    /// Whether the VM itself reads numbered tokens.
+    pub reads_numbered: bool,
+    /// Time since a VM that does not was last heard of; `None` if the VM has heard of none.
+    pub older_age: Option<Duration>,
+}
+
 impl SyncResponse {
     /// Time at which the copy was last known to be current, for a response that was sent at `at` or
     /// later.
@@ -137,6 +151,7 @@
                 is_starting: params.get_is_starting(),
                 // Packed lists and referrals came with the same version.
                 accepts_referral: params.get_accepts_packed(),
+                reads_numbered: params.get_reads_numbered(),
             };
             (request, params.get_accepts_packed())
         };
@@ -176,6 +191,7 @@
         call.get().set_is_eager(request.may_be_large);
         call.get().set_accepts_packed(request.accepts_referral);
         call.get().set_is_starting(request.is_starting);
+        call.get().set_reads_numbered(request.reads_numbered);
         let results = call.send().promise.await?;
         let response = read_response(results.get()?.get_news()?)?;
         Ok(response)
@@ -259,6 +275,13 @@
 ) -> Result<(), capnp::Error> {
     builder.set_age_ms(millis(value.age));
     builder.set_is_referral(value.is_referral);
+    let TokenSupport {
+        reads_numbered,
+        older_age,
+    } = value.token_support;
+    builder.set_reads_numbered(reads_numbered);
+    builder.set_has_older(older_age.is_some());
+    builder.set_older_age_ms(older_age.map_or(0, millis));
     let count = PEER_LIMIT.min(value.peers.len() as u32);
     let mut peers = builder.reborrow().init_peers(count);
     for (index, peer) in (0..count).zip(&value.peers) {
@@ -295,6 +318,12 @@
         peers,
         is_referral: reader.get_is_referral(),
         earlier_starts,
+        token_support: TokenSupport {
+            reads_numbered: reader.get_reads_numbered(),
+            older_age: reader
+                .get_has_older()
+                .then(|| Duration::from_millis(reader.get_older_age_ms())),
+        },
         size: bytes(reader.total_size()?),
     })
 }
--- a/crates/standin/src/site/vm.rs
+++ b/crates/standin/src/site/vm.rs
@@ -66,6 +66,11 @@
         (self.address, ADMIN_PORT).into()
     }
 
+    /// Sets the program that the next start runs.
+    pub fn set_program(&mut self, program: PathBuf) {
+        self.program = program;
+    }
+
     /// Starts the program, with its output in the log file.
     ///
     /// # Errors
--- a/tests/tests/fleet_start.rs
+++ b/tests/tests/fleet_start.rs
@@ -384,6 +384,7 @@
         may_be_large: true,
         is_starting: false,
         accepts_referral,
+        reads_numbered: true,
     }
 }
 
--- a/tests/tests/peering.rs
+++ b/tests/tests/peering.rs
@@ -59,6 +59,7 @@
         may_be_large: true,
         is_starting: false,
         accepts_referral: true,
+        reads_numbered: true,
     }
 }
 
--- a/tests/tests/replica_wire.rs
+++ b/tests/tests/replica_wire.rs
@@ -118,6 +118,7 @@
         may_be_large: true,
         is_starting: true,
         accepts_referral: true,
+        reads_numbered: true,
     }
 }
 
