Take a numbered token for that of an ended start only if the flow shows it

Two starts of a target have the same numbered token once in 64 restarts. A VM that has seen a start end, and has not read the next entry yet, would have reset flows that another VM opened at the later start. And flows of an earlier start with the same bits would have counted as load and evidence.

The token of a start stays what VMs remember. A numbered token leads to a start through the flow's own record at this VM, then through the present start; what neither knows waits, like any unknown token, until a later entry would have been read. So flows that passed through this VM are still reset at once when their target has ended.

--- a/crates/entry/src/packets.rs
+++ b/crates/entry/src/packets.rs
@@ -324,10 +324,7 @@
             Decision::Reset(cause) => log::info!(
                 "event=flow_reset flow={flow} cause={cause} token={received} view_age_ms={age} \
                  {} suppressed={suppressed}",
-                self.node
-                    .borrow()
-                    .steering()
-                    .report_token(header.token, now)
+                self.node.borrow().steering().report_token(header, now)
             ),
             Decision::Drop(cause) => log::info!(
                 "event=packet_dropped flow={flow} cause={cause} token={received} view_age_ms={age} \
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -155,7 +155,7 @@
         if request.reads_numbered {
             return targets.earlier_starts(now);
         }
-        let mut starts = targets.earlier_starts_in_full(now);
+        let mut starts = targets.earlier_starts_in_both_forms(now);
         if starts.len() > EARLIER_START_LIMIT as usize {
             // A response holds only a part, so each begins at another one.
             let first = rand::rng().random_range(0..starts.len());
--- a/crates/steer/src/ended_start.rs
+++ b/crates/steer/src/ended_start.rs
@@ -35,6 +35,8 @@
 #[derive(Debug)]
 pub(crate) struct EndedStart {
     token: Token,
+    /// Numbered token of the start; `None` if another VM passed the start on.
+    pub numbered: Option<Token>,
     /// Identifier of the target; a later start may have the same one.
     pub id: TargetId,
     service: ServiceName,
@@ -65,13 +67,20 @@
 }
 
 impl EndedStart {
-    /// The start that `record` describes, which has ended, under one of its tokens.
-    pub fn new(record: &TargetRecord, token: Token, cause: EndCause, now: Moment) -> Self {
-        let TargetRecord { target, load, .. } = record;
+    /// The start that `record` describes, which has ended.
+    pub fn new(record: TargetRecord, cause: EndCause, now: Moment) -> Self {
+        let TargetRecord {
+            target,
+            token,
+            numbered,
+            load,
+            ..
+        } = record;
         Self {
             token,
-            id: target.id.clone(),
-            service: target.service.clone(),
+            numbered: Some(numbered),
+            id: target.id,
+            service: target.service,
             address: target.address,
             ended: now,
             cause,
@@ -83,6 +92,7 @@
     pub fn from_peer(start: EarlierStart, now: Moment) -> Self {
         Self {
             token: start.token,
+            numbered: None,
             id: start.target,
             service: start.service,
             address: start.address,
@@ -116,17 +126,6 @@
         Some(&self.list[self.find(token).ok()?])
     }
 
-    /// An ended start of the target that a numbered token names.
-    pub fn of_target(&self, token: Token) -> Option<&EndedStart> {
-        let range = token.same_target();
-        let at = self
-            .list
-            .partition_point(|start| start.token < *range.start());
-        self.list
-            .get(at)
-            .filter(|start| start.token <= *range.end())
-    }
-
     /// The starts that ended lately, sorted by token.
     pub fn recent(&self, now: Moment) -> impl Iterator<Item = &EndedStart> {
         let is_recent = move |start: &&EndedStart| now.since(start.ended) <= PASS_ON_TIME;
--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -261,6 +261,11 @@
         self.table.len() >= self.limit && !self.table.contains_key(&header.flow)
     }
 
+    /// Token of the flow's target, if the flow is in the table.
+    pub fn token_of(&self, flow: &FlowId) -> Option<Token> {
+        Some(self.table.get(flow)?.token)
+    }
+
     /// Whether the flow of a packet is in the table with this token.
     fn is_known(&self, header: &PacketHeader, token: Token) -> bool {
         self.table
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -368,11 +368,11 @@
     /// Forwards a packet of an established flow to the target of its token.
     fn handle_established(&mut self, header: &PacketHeader, token: Token, now: Moment) -> Decision {
         let frontend = header.flow.frontend;
-        let route = self.routes.as_ref().and_then(|r| r.find(frontend));
-        let token = self.start_token(header, token, route);
+        let token = self.start_token(header, token);
         let opened = self.flows.opened_token(&header.flow, token);
         let opened = opened.filter(|opened| self.targets.is_known(*opened));
         let token = opened.unwrap_or(token);
+        let route = self.routes.as_ref().and_then(|r| r.find(frontend));
         let timeout = route.map_or(DEFAULT_REQUEST_TIMEOUT, |route| route.timeout);
         // By a view that is not current, the route may have been added again.
         if route.is_none()
@@ -432,8 +432,15 @@
     }
 
     /// Token of the start that a token names, in the form in which VMs name starts; the token itself if
-    /// it names no start that is known to run.
-    fn start_token(&self, header: &PacketHeader, token: Token, route: Option<&Route>) -> Token {
+    /// that is not known. Two starts of a target may have the same numbered token, but a flow that has
+    /// passed through this VM names its start.
+    pub(crate) fn start_token(&self, header: &PacketHeader, token: Token) -> Token {
+        let start = self.flows.token_of(&header.flow);
+        if let Some(start) = start.filter(|start| self.targets.is_token_of(token, *start)) {
+            return start;
+        }
+        let routes = self.routes.as_ref();
+        let route = routes.and_then(|routes| routes.find(header.flow.frontend));
         let named = self.resolve(header, token, route);
         let record = named.and_then(|index| self.targets.get(index));
         let record = record.filter(|record| record.has_token(token));
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -260,12 +260,10 @@
                 self.services.remove(at);
             }
         }
-        for token in [record.token, record.numbered] {
-            self.update_shadowed(token);
-            if self.with_token(token).next().is_none() {
-                self.ended
-                    .insert(EndedStart::new(&record, token, cause, now));
-            }
+        self.update_shadowed(record.token);
+        self.update_shadowed(record.numbered);
+        if self.with_token(record.token).next().is_none() {
+            self.ended.insert(EndedStart::new(record, cause, now));
         }
     }
 
@@ -360,20 +358,26 @@
     /// another VM found the end of the token's start, a later start may have registered there, and its
     /// entry may have lapsed since.
     pub fn is_gone(&self, token: Token) -> bool {
-        let ended = self.ended_start(token);
+        let ended = self.ended.get(token);
         ended.is_some_and(|start| {
             start.cause != EndCause::Received || self.find(&start.id).is_some()
         })
     }
 
-    /// The start of a target that has ended, by its token. A numbered token also leads to another
-    /// start of its target if none is known that runs.
+    /// The start of a target that has ended, by the token of the start.
     pub(crate) fn ended_start(&self, token: Token) -> Option<&EndedStart> {
-        let named = self.ended.get(token);
-        named.or_else(|| match self.with_number(token).next() {
-            Some(_) => None,
-            None => self.ended.of_target(token),
-        })
+        self.ended.get(token)
+    }
+
+    /// Whether `token` is a token of the start whose own token is `start`, in either form.
+    pub fn is_token_of(&self, token: Token, start: Token) -> bool {
+        if token == start {
+            return true;
+        }
+        let mut records = self.with_token(start).filter_map(|index| self.get(index));
+        let ended = self.ended.get(start);
+        records.any(|record| record.token == start && record.numbered == token)
+            || ended.is_some_and(|ended| ended.numbered == Some(token))
     }
 
     /// The present start of a target that may hold flows with the token of another start. What is known
@@ -400,18 +404,25 @@
         last.map(|(_, index)| index)
     }
 
-    /// The earlier starts of targets that ended lately, sorted by token. Only tokens that do not lead
-    /// to the target by themselves are listed.
+    /// The earlier starts of targets that ended lately, sorted by token.
     pub fn earlier_starts(&self, now: Moment) -> Vec<EarlierStart> {
-        let mut earlier = self.all_earlier_starts(now);
-        earlier.retain(|start| self.with_number(start.token).next().is_none());
-        earlier
+        let recent = self.ended.recent(now);
+        let earlier = recent.filter(|start| self.later_than(start).is_some());
+        earlier.map(|start| start.to_peer(now)).collect()
     }
 
-    /// The same for VMs that do not read numbered tokens: those of earlier starts, and those of the
-    /// present starts, which these VMs take for earlier ones.
-    pub fn earlier_starts_in_full(&self, now: Moment) -> Vec<EarlierStart> {
-        let mut starts = self.all_earlier_starts(now);
+    /// The same for VMs that do not read numbered tokens, with the numbered tokens of all starts. Such
+    /// VMs take also those of the present starts for tokens of earlier ones.
+    pub fn earlier_starts_in_both_forms(&self, now: Moment) -> Vec<EarlierStart> {
+        let mut starts = self.earlier_starts(now);
+        for at in 0..starts.len() {
+            let ended = self.ended.get(starts[at].token);
+            if let Some(numbered) = ended.and_then(|ended| ended.numbered) {
+                let mut start = starts[at].clone();
+                start.token = numbered;
+                starts.push(start);
+            }
+        }
         starts.extend(self.iter().map(|(_, record)| EarlierStart {
             token: record.numbered,
             target: record.target.id.clone(),
@@ -422,12 +433,6 @@
         starts
     }
 
-    fn all_earlier_starts(&self, now: Moment) -> Vec<EarlierStart> {
-        let recent = self.ended.recent(now);
-        let earlier = recent.filter(|start| self.later_than(start).is_some());
-        earlier.map(|start| start.to_peer(now)).collect()
-    }
-
     /// Records an earlier start that another VM knows. Returns false if it is known here.
     pub fn record_earlier(&mut self, start: EarlierStart, now: Moment) -> bool {
         let is_present = self.with_token(start.token).next().is_some();
@@ -531,7 +536,6 @@
     fn start(&mut self, target: Target, now: Moment) {
         let (token, numbered) = (target.token(), target.numbered_token());
         self.ended.remove(token);
-        self.ended.remove(numbered);
         self.rivals.remove(&target);
         let index = self.free.pop().unwrap_or_else(|| {
             self.records.push(None);
--- a/crates/steer/src/token_report.rs
+++ b/crates/steer/src/token_report.rs
@@ -3,11 +3,11 @@
 use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
 
-use bambooseam_types::{Moment, TargetId, Token};
+use bambooseam_types::{Moment, TargetId};
 use derive_more::Display;
 
 use crate::ended_start::EndCause;
-use crate::{EntryStatus, Steering};
+use crate::{EntryStatus, PacketHeader, Steering};
 
 /// What this VM knows of the target that a token names.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,9 +42,10 @@
 }
 
 impl Steering {
-    /// What is known of the target that a token names.
-    pub fn report_token(&self, token: Option<Token>, now: Moment) -> TokenReport {
+    /// What is known of the target that a packet's token names.
+    pub fn report_token(&self, header: &PacketHeader, now: Moment) -> TokenReport {
         let targets = self.targets();
+        let token = header.token.map(|token| self.start_token(header, token));
         let start = token.and_then(|token| {
             let mut named = targets.with_token(token).chain(targets.with_number(token));
             named.next()
