Let requests show that a VM reads numbered tokens

A VM waited for its first answer before it wrote numbered tokens. Flows that opened meanwhile carried tokens of starts.

A request counts too, unless its sender has heard of a VM that does not read numbered tokens. When it heard of one still comes with answers only: a request may have been on its way for any time, and passing that on would renew it.

--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -113,7 +113,7 @@
             may_be_large: true,
             is_starting: false,
             accepts_referral: true,
-            reads_numbered: true,
+            token_reading: self.node.borrow().token_reading(BootClock.now()),
         };
         let client = match self.client.take() {
             Some((peer, client)) if peer == address => client,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bambooseam_observe::LogLimit;
-use bambooseam_peer::replica::TokenSupport;
+use bambooseam_peer::replica::{TokenReading, TokenSupport};
 use bambooseam_platform::document::Config;
 use bambooseam_platform::{Document, DocumentKind, PublishedContent};
 use bambooseam_replica::{ApplyOutcome, Change, Changes, Held, Key, Replica};
@@ -226,9 +226,9 @@
         self.update_token_form(now);
     }
 
-    /// Records a request of another VM, which reads numbered tokens or not.
-    pub fn record_token_request(&mut self, reads_numbered: bool, now: Moment) {
-        self.support.record_request(reads_numbered, now);
+    /// Records what a VM says in its request about the tokens that VMs read.
+    pub fn record_token_request(&mut self, reading: TokenReading, now: Moment) {
+        self.support.record_request(reading, now);
         self.update_token_form(now);
     }
 
@@ -238,7 +238,12 @@
         self.update_token_form(now);
     }
 
-    /// Returns what this VM knows of the tokens that VMs read.
+    /// Returns what this VM says in its requests about the tokens that VMs read.
+    pub fn token_reading(&self, now: Moment) -> TokenReading {
+        self.support.reading(now)
+    }
+
+    /// Returns what this VM answers about the tokens that VMs read.
     pub fn token_support(&self, now: Moment) -> TokenSupport {
         self.support.support(now)
     }
--- a/crates/entry/src/peering.rs
+++ b/crates/entry/src/peering.rs
@@ -78,7 +78,7 @@
     async fn sync(&self, request: SyncRequest) -> SyncResponse {
         self.node
             .borrow_mut()
-            .record_token_request(request.reads_numbered, BootClock.now());
+            .record_token_request(request.token_reading, BootClock.now());
         let response = self.answer(request).await;
         let token_support = self.node.borrow().token_support(BootClock.now());
         SyncResponse {
@@ -152,7 +152,7 @@
         let now = BootClock.now();
         let node = self.node.borrow();
         let targets = node.steering().targets();
-        if request.reads_numbered {
+        if request.token_reading.reads_numbered {
             return targets.earlier_starts(now);
         }
         let mut starts = targets.earlier_starts_in_both_forms(now);
@@ -291,7 +291,7 @@
         may_be_large: node.borrow().is_store_unavailable(BootClock.now()),
         is_starting: false,
         accepts_referral: true,
-        reads_numbered: true,
+        token_reading: node.borrow().token_reading(BootClock.now()),
     };
     let call = async {
         let client = ReplicaClient::connect(address, meter).await?;
--- a/crates/entry/src/starter.rs
+++ b/crates/entry/src/starter.rs
@@ -184,7 +184,7 @@
             may_be_large: true,
             is_starting: true,
             accepts_referral: true,
-            reads_numbered: true,
+            token_reading: self.node.borrow().token_reading(BootClock.now()),
         };
         client.sync(&request).await
     }
--- a/crates/entry/src/token_support.rs
+++ b/crates/entry/src/token_support.rs
@@ -11,7 +11,7 @@
 
 use std::time::Duration;
 
-use bambooseam_peer::replica::TokenSupport;
+use bambooseam_peer::replica::{TokenReading, TokenSupport};
 use bambooseam_steer::TokenForm;
 use bambooseam_types::Moment;
 
@@ -28,7 +28,7 @@
 pub(crate) struct FleetSupport {
     /// Since when this VM has waited for the first answer of a peer.
     waiting_since: Option<Moment>,
-    /// Whether a VM that reads numbered tokens has answered, or there are no other VMs.
+    /// Whether a VM that reads numbered tokens has been heard from, or there are no other VMs.
     is_heard: bool,
     /// When a VM that does not read numbered tokens was last heard of.
     older: Option<Moment>,
@@ -40,10 +40,15 @@
         self.is_heard = true;
     }
 
-    /// Records a request of another VM.
-    pub fn record_request(&mut self, reads_numbered: bool, now: Moment) {
-        if !reads_numbered {
-            self.older = Some(now);
+    /// Records what another VM says in its request. It does not tell when it heard of an older one,
+    /// because a request may have been on its way for any time; its answers tell.
+    pub fn record_request(&mut self, reading: TokenReading, now: Moment) {
+        match reading {
+            TokenReading {
+                reads_numbered: false,
+                ..
+            } => self.older = Some(now),
+            TokenReading { knows_older, .. } => self.is_heard |= !knows_older,
         }
     }
 
@@ -59,7 +64,15 @@
         self.older = self.older.max(older);
     }
 
-    /// What this VM tells others.
+    /// What this VM says in its requests.
+    pub fn reading(&self, now: Moment) -> TokenReading {
+        TokenReading {
+            reads_numbered: true,
+            knows_older: self.knows_older(now),
+        }
+    }
+
+    /// What this VM answers.
     pub fn support(&self, now: Moment) -> TokenSupport {
         TokenSupport {
             reads_numbered: true,
@@ -70,8 +83,7 @@
     /// The form of the tokens to write.
     pub fn form(&mut self, now: Moment) -> TokenForm {
         let since = *self.waiting_since.get_or_insert(now);
-        let is_older = |older| now.since(older) < OLDER_TIME;
-        if self.older.is_some_and(is_older) {
+        if self.knows_older(now) {
             return TokenForm::Start;
         }
         match self.is_heard || now.since(since) >= LONE_TIME {
@@ -79,4 +91,10 @@
             false => TokenForm::Start,
         }
     }
+
+    /// Whether a VM that does not read numbered tokens may still run.
+    fn knows_older(&self, now: Moment) -> bool {
+        self.older
+            .is_some_and(|older| now.since(older) < OLDER_TIME)
+    }
 }
--- a/crates/peer/schema/replica.capnp
+++ b/crates/peer/schema/replica.capnp
@@ -87,7 +87,7 @@
   # requester that is not eager receives no large copy, since it expects one from another source.
   # Only a requester that accepts packed lists receives them. A requester that is starting asks where
   # to get its first copy. A requester that does not read numbered tokens is sent those of all
-  # targets as earlier starts.
+  # targets as earlier starts. `knowsOlder` tells whether the requester has heard of such a VM lately.
   sync @0 (asker :Peer, copy :Copy, waitMs :UInt64, isEager :Bool, acceptsPacked :Bool,
-      isStarting :Bool, readsNumbered :Bool) -> (news :News);
+      isStarting :Bool, readsNumbered :Bool, knowsOlder :Bool) -> (news :News);
 }
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -48,9 +48,9 @@
     pub is_starting: bool,
     /// Whether the requester takes a referral; an earlier program would take it for a change.
     pub accepts_referral: bool,
-    /// Whether the requester reads numbered tokens. Others are sent those of all targets as earlier
-    /// starts.
-    pub reads_numbered: bool,
+    /// What the requester knows of the tokens that VMs read. One that does not read numbered tokens is
+    /// sent those of all targets as earlier starts.
+    pub token_reading: TokenReading,
 }
 
 /// Response to a [`SyncRequest`].
@@ -72,6 +72,15 @@
     pub size: usize,
 }
 
+/// What a requester says about the tokens that VMs read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TokenReading {
+    /// Whether the requester itself reads numbered tokens.
+    pub reads_numbered: bool,
+    /// Whether it has lately heard of a VM that does not.
+    pub knows_older: bool,
+}
+
 /// What a VM tells others about the tokens that the VMs of the deployment read.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TokenSupport {
@@ -151,7 +160,10 @@
                 is_starting: params.get_is_starting(),
                 // Packed lists and referrals came with the same version.
                 accepts_referral: params.get_accepts_packed(),
-                reads_numbered: params.get_reads_numbered(),
+                token_reading: TokenReading {
+                    reads_numbered: params.get_reads_numbered(),
+                    knows_older: params.get_knows_older(),
+                },
             };
             (request, params.get_accepts_packed())
         };
@@ -191,7 +203,9 @@
         call.get().set_is_eager(request.may_be_large);
         call.get().set_accepts_packed(request.accepts_referral);
         call.get().set_is_starting(request.is_starting);
-        call.get().set_reads_numbered(request.reads_numbered);
+        let reading = request.token_reading;
+        call.get().set_reads_numbered(reading.reads_numbered);
+        call.get().set_knows_older(reading.knows_older);
         let results = call.send().promise.await?;
         let response = read_response(results.get()?.get_news()?)?;
         Ok(response)
--- a/tests/tests/fleet_start.rs
+++ b/tests/tests/fleet_start.rs
@@ -14,7 +14,7 @@
 use bambooseam_entry::followers::{Admission, Followers, MAX_FOLLOWERS};
 use bambooseam_entry::peering::ReplicaServer;
 use bambooseam_entry::{Node, Peers};
-use bambooseam_peer::replica::{PeerInfo, ReplicaService, SyncRequest};
+use bambooseam_peer::replica::{PeerInfo, ReplicaService, SyncRequest, TokenReading};
 use bambooseam_replica::Held;
 use bambooseam_steer::{Steering, SteeringSettings};
 use bambooseam_tests::inputs;
@@ -384,7 +384,7 @@
         may_be_large: true,
         is_starting: false,
         accepts_referral,
-        reads_numbered: true,
+        token_reading: TokenReading::default(),
     }
 }
 
--- a/tests/tests/peering.rs
+++ b/tests/tests/peering.rs
@@ -8,7 +8,7 @@
 
 use bambooseam_entry::peering::ReplicaServer;
 use bambooseam_entry::{BootClock, Node, Peers, Source};
-use bambooseam_peer::replica::{PeerInfo, ReplicaService, SyncRequest};
+use bambooseam_peer::replica::{PeerInfo, ReplicaService, SyncRequest, TokenReading};
 use bambooseam_replica::{Change, Changes, Held};
 use bambooseam_tests::steering::steering;
 use bambooseam_types::{Clock, Revision};
@@ -59,7 +59,7 @@
         may_be_large: true,
         is_starting: false,
         accepts_referral: true,
-        reads_numbered: true,
+        token_reading: TokenReading::default(),
     }
 }
 
--- a/tests/tests/replica_wire.rs
+++ b/tests/tests/replica_wire.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use bambooseam_peer::replica::{
-    ReplicaClient, ReplicaService, SyncRequest, SyncResponse, serve_replica,
+    ReplicaClient, ReplicaService, SyncRequest, SyncResponse, TokenReading, TokenSupport,
+    serve_replica,
 };
 use bambooseam_peer::replica_capnp::replica;
 use bambooseam_peer::{Meter, connect};
@@ -25,6 +26,12 @@
 /// Number of targets of the large fleet.
 const TARGETS: u64 = 600;
 
+/// What the answers say about the tokens that VMs read.
+const SUPPORT: TokenSupport = TokenSupport {
+    reads_numbered: true,
+    older_age: Some(Duration::from_millis(7_300)),
+};
+
 /// A VM that answers each request alike and keeps the last request.
 struct FixedService {
     changes: Changes,
@@ -38,6 +45,7 @@
         SyncResponse {
             changes: Some(self.changes.clone()),
             earlier_starts: self.earlier_starts.clone(),
+            token_support: SUPPORT,
             ..SyncResponse::default()
         }
     }
@@ -118,7 +126,7 @@
         may_be_large: true,
         is_starting: true,
         accepts_referral: true,
-        reads_numbered: true,
+        token_reading: TokenReading::default(),
     }
 }
 
@@ -216,6 +224,7 @@
         );
         let seen = seen.borrow().clone().expect("a request");
         assert!(!seen.held.knows_gaps && !seen.is_starting);
+        assert_eq!(seen.token_reading, TokenReading::default());
     };
     LocalSet::new().run_until(run).await;
 }
@@ -228,12 +237,36 @@
         let response = client.sync(&request()).await.expect("an answer");
         assert!(!response.is_referral);
         assert_eq!(response.earlier_starts, []);
+        assert_eq!(response.token_support, TokenSupport::default());
         let changes = response.changes.expect("a copy");
         assert_eq!((changes.list.len(), changes.gap), (1, None));
     };
     LocalSet::new().run_until(run).await;
 }
 
+#[tokio::test]
+async fn tokens_that_vms_read_are_exchanged() {
+    let run = async {
+        let (address, seen) = serve(Changes::default()).await;
+        let client = client(address, &Arc::default()).await;
+        for knows_older in [false, true] {
+            let token_reading = TokenReading {
+                reads_numbered: true,
+                knows_older,
+            };
+            let request = SyncRequest {
+                token_reading,
+                ..request()
+            };
+            let response = client.sync(&request).await.expect("an answer");
+            assert_eq!(response.token_support, SUPPORT);
+            let seen = seen.borrow().clone().expect("a request");
+            assert_eq!(seen.token_reading, token_reading);
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 #[tokio::test]
 async fn earlier_starts_reach_the_requester() {
     let run = async {
--- a/tests/tests/token_support.rs
+++ b/tests/tests/token_support.rs
@@ -7,7 +7,9 @@
 
 use bambooseam_entry::peering::ReplicaServer;
 use bambooseam_entry::{Node, Peers};
-use bambooseam_peer::replica::{PeerInfo, ReplicaService, SyncRequest, SyncResponse, TokenSupport};
+use bambooseam_peer::replica::{
+    PeerInfo, ReplicaService, SyncRequest, SyncResponse, TokenReading, TokenSupport,
+};
 use bambooseam_replica::Held;
 use bambooseam_steer::TokenForm::{self, Numbered, Start};
 use bambooseam_tests::steering::*;
@@ -19,6 +21,12 @@
     older_age: None,
 };
 
+/// What a VM says in its requests that reads numbered tokens and knows of no other.
+const NEWER: TokenReading = TokenReading {
+    reads_numbered: true,
+    knows_older: false,
+};
+
 /// Returns what a VM answers that heard of an earlier version some seconds ago, or never.
 fn reads_numbered(older: Option<u64>) -> TokenSupport {
     TokenSupport {
@@ -48,6 +56,23 @@
     assert_eq!(node.steering().token_form(), Numbered);
 }
 
+/// The VM that starts first is called by others before it can reach any.
+#[test]
+fn request_of_another_vm_counts_unless_that_knows_of_an_earlier_version() {
+    let mut node = node();
+    let reading = TokenReading {
+        knows_older: true,
+        ..NEWER
+    };
+    node.record_token_request(reading, at(1));
+    assert_eq!(node.steering().token_form(), Start);
+    node.record_token_request(NEWER, at(2));
+    assert_eq!(node.steering().token_form(), Numbered);
+    node.record_token_support(OLDER, at(2), at(3));
+    assert!(node.token_reading(at(4)).knows_older);
+    assert!(!node.token_reading(at(60_003)).knows_older);
+}
+
 #[test]
 fn vm_without_other_vms_writes_numbered_tokens() {
     let mut alone = node();
@@ -65,11 +90,11 @@
         let mut node = node();
         node.record_token_support(reads_numbered(None), at(0), at(1));
         match is_request {
-            true => node.record_token_request(false, at(100)),
+            true => node.record_token_request(TokenReading::default(), at(100)),
             false => node.record_token_support(OLDER, at(0), at(100)),
         }
         assert_eq!(node.steering().token_form(), Start);
-        node.record_token_request(true, at(200));
+        node.record_token_request(NEWER, at(200));
         node.record_token_support(reads_numbered(None), at(200), at(201));
         assert_eq!(form(&mut node, 60_099), Start);
         assert_eq!(form(&mut node, 60_100), Numbered);
@@ -127,7 +152,10 @@
             may_be_large: true,
             is_starting: false,
             accepts_referral: true,
-            reads_numbered: !is_older,
+            token_reading: TokenReading {
+                reads_numbered: !is_older,
+                knows_older: false,
+            },
         };
         answers.push(server.sync(request).await);
     }
