Test more ways to lose the VMs that knew an earlier start

Two losses of all VMs in a row with a restart of the target in between, one VM alone that is back and is lost in turn, and a deployment of one VM. The upgrade test sends requests while a VM is away as well, and replaces the first VM twice, so that flows move from one build to the other in both directions.

--- a/tests/tests/entry_restarts.rs
+++ b/tests/tests/entry_restarts.rs
@@ -59,6 +59,8 @@
 struct RestartedSite {
     running: RunningSite,
     flows: Vec<CallerFlow>,
+    /// Number of flows opened so far.
+    opened: u8,
     /// Name of the present start.
     name: String,
 }
@@ -66,35 +68,67 @@
 impl RestartedSite {
     /// Starts three VMs in two zones. All of them have read the later entry when this returns.
     async fn start() -> Self {
-        let mut running = RunningSite::start(&[2, 1], 0).await;
+        Self::start_vms(&[2, 1]).await
+    }
+
+    /// The same with `vms[zone]` VMs in each zone.
+    async fn start_vms(vms: &[u8]) -> Self {
+        let mut running = RunningSite::start(vms, 0).await;
         let target = running.site.add_target("orders", 0, 1).await;
         running.targets.push(target.expect("a target"));
         wait_read(&running, &running.targets[0], 1).await;
-        let restarted = restart_cut_off(&mut running).await;
-        let caller = Arc::clone(&running.site.callers[0]);
-        let mut flows = Vec::new();
-        for number in 0..8 {
-            flows.push(open_flow(&caller, &running, number).await);
+        let mut site = Self {
+            running,
+            flows: Vec::new(),
+            opened: 0,
+            name: String::new(),
+        };
+        site.restart_target().await;
+        wait_read(&site.running, &site.running.targets[0], 2).await;
+        site
+    }
+
+    /// Restarts the target. New flows open at it before any VM has read its entry.
+    async fn restart_target(&mut self) {
+        let restarted = restart_cut_off(&mut self.running).await;
+        let caller = Arc::clone(&self.running.site.callers[0]);
+        self.flows.clear();
+        for _ in 0..8 {
+            self.opened += 1;
+            let flow = open_flow(&caller, &self.running, self.opened).await;
+            self.flows.push(flow);
         }
         restarted.reconnect();
-        wait_read(&running, &restarted, 2).await;
-        let name = restarted.name();
-        running.targets.push(restarted);
-        Self {
-            running,
-            flows,
-            name,
+        self.name = restarted.name();
+        self.running.targets.push(restarted);
+    }
+
+    /// Kills all VMs, and starts those of `started`.
+    async fn lose_all_vms(&mut self, started: &[usize]) {
+        for vm in &mut self.running.site.vms {
+            vm.kill().await;
         }
+        for &vm in started {
+            self.running.site.vms[vm].start().expect("the VM starts");
+        }
+        let site = &self.running.site;
+        // The routers notice only after a while that VMs are gone.
+        pause(1_500).await;
+        assert!(site.wait_ready(started.len(), WAIT_TIMEOUT).await);
     }
 
     /// Sends a second request in each flow; each must be answered by the same start.
-    async fn check(mut self) {
+    async fn check(&mut self) {
+        self.check_flows().await;
+        self.running.check();
+    }
+
+    async fn check_flows(&mut self) {
         for (number, flow) in self.flows.iter_mut().enumerate() {
-            let id = format!("{number}-second");
+            let id = format!("{}-{number}-second", self.opened);
             request(flow, &id).await.expect("a response");
             assert_eq!(flow.target(), Some(self.name.as_str()));
         }
-        self.running.check();
     }
 }
 
@@ -121,13 +155,40 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn flows_accepted_before_the_entry_is_read_survive_the_loss_of_all_vms() {
     let mut site = RestartedSite::start().await;
-    let vms = &mut site.running.site.vms;
-    for vm in vms.iter_mut() {
-        vm.kill().await;
-    }
-    let count = vms.len();
-    site.running.site.start_all().expect("VM processes start");
-    assert!(site.running.site.wait_ready(count, WAIT_TIMEOUT).await);
+    site.lose_all_vms(&[0, 1, 2]).await;
+    pause(SETTLE_MS).await;
+    site.check().await;
+}
+
+/// VMs that have just started must not fall back to tokens that lead nowhere without them.
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_accepted_before_the_entry_is_read_survive_two_losses_of_all_vms() {
+    let mut site = RestartedSite::start().await;
+    site.lose_all_vms(&[0, 1, 2]).await;
+    site.restart_target().await;
+    site.lose_all_vms(&[0, 1, 2]).await;
+    pause(SETTLE_MS).await;
+    site.check().await;
+}
+
+/// The VMs that are not back may be of any version.
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_accepted_before_the_entry_is_read_survive_at_the_only_vm_that_is_back() {
+    let mut site = RestartedSite::start().await;
+    site.lose_all_vms(&[2]).await;
+    pause(SETTLE_MS).await;
+    site.check_flows().await;
+    // It has heard of no other VM, and is lost in turn.
+    site.restart_target().await;
+    site.lose_all_vms(&[2]).await;
+    pause(SETTLE_MS).await;
+    site.check_flows().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_accepted_before_the_entry_is_read_survive_the_loss_of_a_lone_vm() {
+    let mut site = RestartedSite::start_vms(&[1]).await;
+    site.lose_all_vms(&[0]).await;
     pause(SETTLE_MS).await;
     site.check().await;
 }
--- a/tests/tests/entry_upgrade.rs
+++ b/tests/tests/entry_upgrade.rs
@@ -4,7 +4,7 @@
 //! by side; the fleet then waits a minute until it writes numbered tokens. Without it, the present
 //! build is replaced by itself.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -28,7 +28,7 @@
     std::env::var_os("BAMBOOSEAM_OLDER_PROGRAM").map(PathBuf::from)
 }
 
-/// Flows that send a request when they open and another one later.
+/// Flows that send a request when they open and others seconds later.
 struct IdleFlows {
     flows: Vec<CallerFlow>,
     round: usize,
@@ -51,12 +51,13 @@
         Self { flows, round }
     }
 
-    /// Sends the second request in each flow; each must be answered by the target that holds the flow.
-    async fn check(mut self) {
+    /// Sends another request in each flow; each must be answered by the target that holds the flow.
+    async fn check(&mut self, step: &str) {
         for (number, flow) in self.flows.iter_mut().enumerate() {
-            let id = format!("{}-{number}-second", self.round);
+            let id = format!("{}-{number}-{step}", self.round);
             let answer = flow.request(&id, Duration::ZERO, 10, REQUEST_TIMEOUT).await;
-            assert_eq!(answer, Ok(10), "flow {number} of round {}", self.round);
+            let round = self.round;
+            assert_eq!(answer, Ok(10), "flow {number} of round {round}, {step}");
         }
     }
 }
@@ -73,27 +74,32 @@
     idle
 }
 
-/// Replaces a VM by `program`, as for an upgrade.
-async fn replace_vm(running: &mut RunningSite, at: usize, program: PathBuf) {
+/// Replaces a VM by `program`, as for an upgrade. Flows that open at a restarted target before send a
+/// request through the other VMs while this one is away, and one after it has started and the time has
+/// passed in which it resets no unknown tokens.
+async fn replace_vm(running: &mut RunningSite, at: usize, program: PathBuf, round: usize) {
+    let mut idle = restart_target(running, round).await;
     let count = running.site.vms.len();
     let vm = &mut running.site.vms[at];
     vm.signal("TERM").await.expect("a signal");
     let status = vm.wait(WAIT_TIMEOUT).await;
     assert!(status.is_some_and(|status| status.success()), "{status:?}");
+    pause(1_200).await;
+    idle.check("away").await;
+    let vm = &mut running.site.vms[at];
     vm.set_program(program);
     vm.start().expect("the VM starts");
     assert!(running.site.wait_ready(count, WAIT_TIMEOUT).await);
+    pause(3_500).await;
+    idle.check("back").await;
 }
 
-/// Replaces all VMs by `program`. Flows that open before each replacement send their next request after
-/// it and after the time in which a VM that has started resets no unknown tokens.
-async fn replace_all(running: &mut RunningSite, program: PathBuf, rounds: &mut usize) {
-    for at in 0..running.site.vms.len() {
+/// Replaces all VMs by `program`, the first of them twice, so that its flows move from the one build to
+/// the other.
+async fn replace_all(running: &mut RunningSite, program: &Path, rounds: &mut usize) {
+    for at in [0, 0, 1, 2] {
         *rounds += 1;
-        let idle = restart_target(running, *rounds).await;
-        replace_vm(running, at, program.clone()).await;
-        pause(3_500).await;
-        idle.check().await;
+        replace_vm(running, at, program.into(), *rounds).await;
     }
 }
 
@@ -126,9 +132,9 @@
     let mut traffic = running.traffic(2, 2);
     traffic.add_pausing(&running.site, running.orders, 6, SEED);
     let mut rounds = 0;
-    replace_all(&mut running, present, &mut rounds).await;
+    replace_all(&mut running, &present, &mut rounds).await;
     wait_numbered(&running).await;
-    replace_all(&mut running, older, &mut rounds).await;
+    replace_all(&mut running, &older, &mut rounds).await;
     traffic.stop().await;
     let counters = &running.site.counters;
     println!(
