--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,4 +16,4 @@
 
 pub use outcome::{Outcome, Sample, Violation};
 pub use plan::{Event, Plan, PlanSize};
-pub use run::run;
+pub use run::{Programs, run};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bambooseam_soak::regressions::{DEFAULT_SIZE, REGRESSIONS};
-use bambooseam_soak::{Plan, PlanSize, chart, run};
+use bambooseam_soak::{Plan, PlanSize, Programs, chart, run};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 /// Maximum number of VMs of a run: one byte of an address numbers the VMs, zone by zone.
@@ -94,6 +94,10 @@
             "program",
             "Entry program; by default bambooseam-entry next to this program",
         ))
+        .arg(path(
+            "older",
+            "Earlier entry program, which VMs run at first and at every other start",
+        ))
 }
 
 /// Runs the plans that the command line selects.
@@ -152,11 +156,15 @@
         Some(program) => program.clone(),
         None => default_program()?,
     };
+    let programs = Programs {
+        program,
+        older: matches.get_one::<PathBuf>("older").cloned(),
+    };
     // The simulated services of a run end with its runtime.
     let runtime = tokio::runtime::Runtime::new()?;
     let outcome = runtime.block_on(async {
         tokio::select! {
-            outcome = run(plan, program) => outcome.map(Some),
+            outcome = run(plan, programs) => outcome.map(Some),
             // Without a handler, an interrupt would leave the entry programs running.
             _ = tokio::signal::ctrl_c() => Ok(None),
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -78,19 +78,41 @@
     outcome: Outcome,
     /// Latest configuration version of each VM since the start of its process.
     versions: Vec<Option<u64>>,
+    programs: Programs,
+    /// Whether the last start of each VM's process was that of the earlier program.
+    is_older: Vec<bool>,
     /// Violation counters of the previous sample.
     previous: Vec<(&'static str, u64)>,
 }
 
-/// Runs a plan with the entry program at `program`.
+/// Entry programs of a run.
+#[derive(Debug, Clone)]
+pub struct Programs {
+    /// The program that VMs run.
+    pub program: PathBuf,
+    /// An earlier program, which VMs run at every other start.
+    pub older: Option<PathBuf>,
+}
+
+impl From<PathBuf> for Programs {
+    fn from(program: PathBuf) -> Self {
+        Self {
+            program,
+            older: None,
+        }
+    }
+}
+
+/// Runs a plan with an entry program, or with two builds of it side by side.
 ///
 /// # Errors
 ///
 /// Returns an error if the site can't be started or an event can't be applied.
-pub async fn run(plan: &Plan, program: PathBuf) -> io::Result<Outcome> {
+pub async fn run(plan: &Plan, programs: impl Into<Programs>) -> io::Result<Outcome> {
+    let programs = programs.into();
     let vms = (0..ZONES).map(|zone| (plan.size.vms + ZONES - 1 - zone) / ZONES);
     let site_plan = SitePlan {
-        program,
+        program: programs.older.as_ref().unwrap_or(&programs.program).clone(),
         vms: vms.map(|count| count as u8).collect(),
     };
     let mut site = Site::new(&site_plan).await?;
@@ -122,6 +144,8 @@
         checks: JoinSet::new(),
         outcome: Outcome::default(),
         versions: vec![None; plan.size.vms],
+        is_older: vec![programs.older.is_some(); plan.size.vms],
+        programs,
         previous: Vec::new(),
         site,
     };
@@ -167,6 +191,19 @@
         Ok(self.finish(started_at))
     }
 
+    /// Sets the program of the next start of a VM, if two builds run side by side.
+    fn swap_program(&mut self, vm: usize) {
+        let Some(older) = &self.programs.older else {
+            return;
+        };
+        self.is_older[vm] = !self.is_older[vm];
+        let program = match self.is_older[vm] {
+            true => older,
+            false => &self.programs.program,
+        };
+        self.site.vms[vm].set_program(program.clone());
+    }
+
     async fn apply_event(&mut self, event: Event) -> io::Result<()> {
         match event {
             Event::Kill(vm) => {
@@ -176,6 +213,7 @@
             Event::Start(vm) => {
                 self.site.vms[vm].kill().await;
                 self.versions[vm] = None;
+                self.swap_program(vm);
                 self.site.vms[vm].start()?;
                 self.expected[vm] = true;
             }
