--- a/crates/steer/benches/steering.rs
+++ b/crates/steer/benches/steering.rs
@@ -1,5 +1,5 @@
-//! Time of one decision: for an opening packet, a known token, an unknown token and a frontend
-//! without a route.
+//! Time of one decision: for an opening packet, a known token, the token of another start, an unknown
+//! token and a frontend without a route.
 
 use std::hint::black_box;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -7,7 +7,7 @@
 
 use bambooseam_steer::{
     FlowId, LOWEST_PRIORITY, PacketFlags, PacketHeader, Route, Routes, Share, Steering,
-    SteeringSettings, Target,
+    SteeringSettings, Target, TokenForm,
 };
 use bambooseam_types::{Incarnation, Moment, TargetLabel, Token};
 use criterion::Criterion;
@@ -67,6 +67,7 @@
         steering.put_target(target(number, per_service), Moment::from_millis(0));
     }
     steering.record_sync(Moment::from_millis(1));
+    steering.set_token_form(TokenForm::Numbered);
     steering
 }
 
@@ -114,6 +115,14 @@
                 steering.decide(black_box(&packet), now)
             });
         });
+        criterion.bench_function(&format!("other_start_{targets}"), |bencher| {
+            let other = Target {
+                start: Incarnation::from(7),
+                ..target(1, TARGETS_PER_SERVICE)
+            };
+            let packet = header(FLOWS + 1, frontend(0), Some(other.numbered_token()));
+            bencher.iter(|| steering.decide(black_box(&packet), now));
+        });
         criterion.bench_function(&format!("unknown_token_{targets}"), |bencher| {
             let packet = header(1, frontend(0), Some(Token::from_hash(7)));
             bencher.iter(|| steering.decide(black_box(&packet), now));
