--- a/crates/steer/src/flows.rs
+++ b/crates/steer/src/flows.rs
@@ -168,15 +168,9 @@
         is_retransmission.then_some((state.target, state.token))
     }
 
-    /// Token of the target at which a flow is open, if `token` belongs to another target that was
-    /// sent its opening packet. If several targets answer, the flow opens at the one that the caller
-    /// acknowledges first, but the caller repeats the token that it received last. That first
-    /// acknowledgement may have passed through another VM, so the token is replaced only as long as
-    /// the target may still respond.
-    pub fn opened_token(&self, flow: &FlowId, token: Token) -> Option<Token> {
-        let state = self.table.get(flow)?;
-        let is_open = state.phase != Phase::Opening && !state.retransmissions.has_stalled();
-        (is_open && state.unopened.contains(&Some(token))).then_some(state.token)
+    /// State of a flow, if the flow is in the table.
+    pub fn get(&self, flow: &FlowId) -> Option<&FlowState> {
+        self.table.get(flow)
     }
 
     /// Whether packets of a flow that began at `since` or later show that a target was sent its
@@ -261,11 +255,6 @@
         self.table.len() >= self.limit && !self.table.contains_key(&header.flow)
     }
 
-    /// Token of the flow's target, if the flow is in the table.
-    pub fn token_of(&self, flow: &FlowId) -> Option<Token> {
-        Some(self.table.get(flow)?.token)
-    }
-
     /// Whether the flow of a packet is in the table with this token.
     fn is_known(&self, header: &PacketHeader, token: Token) -> bool {
         self.table
@@ -427,6 +416,16 @@
         }
     }
 
+    /// Token of the target at which the flow is open, if `token` belongs to another target that was
+    /// sent its opening packet. If several targets answer, the flow opens at the one that the caller
+    /// acknowledges first, but the caller repeats the token that it received last. That first
+    /// acknowledgement may have passed through another VM, so the token is replaced only as long as
+    /// the target may still respond.
+    pub fn opened_token(&self, token: Token) -> Option<Token> {
+        let is_open = self.phase != Phase::Opening && !self.retransmissions.has_stalled();
+        (is_open && self.unopened.contains(&Some(token))).then_some(self.token)
+    }
+
     /// Tokens that the opening packet was sent with, if the flow is not open yet.
     fn opening_tokens(&self) -> [Option<Token>; 2] {
         match self.phase {
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -29,7 +29,7 @@
 use self::speed::Speeds;
 use crate::cold_budget::{ColdBudgets, ColdPolicy};
 use crate::evacuation::Evacuations;
-use crate::flows::Flows;
+use crate::flows::{FlowState, Flows};
 use crate::isolation::Isolation;
 use crate::missing_entry::{DELIVERY_TIME, REREGISTRATION_TIME, StoreOutage};
 use crate::path::PathRecord;
@@ -368,8 +368,9 @@
     /// Forwards a packet of an established flow to the target of its token.
     fn handle_established(&mut self, header: &PacketHeader, token: Token, now: Moment) -> Decision {
         let frontend = header.flow.frontend;
-        let token = self.start_token(header, token);
-        let opened = self.flows.opened_token(&header.flow, token);
+        let flow = self.flows.get(&header.flow);
+        let token = self.start_token(header, flow, token);
+        let opened = flow.and_then(|flow| flow.opened_token(token));
         let opened = opened.filter(|opened| self.targets.is_known(*opened));
         let token = opened.unwrap_or(token);
         let route = self.routes.as_ref().and_then(|r| r.find(frontend));
@@ -431,13 +432,19 @@
         forward(record, self.token_form, None)
     }
 
+    /// Token of the start that a packet names with `token`.
+    pub(crate) fn named_start(&self, header: &PacketHeader, token: Token) -> Token {
+        self.start_token(header, self.flows.get(&header.flow), token)
+    }
+
     /// Token of the start that a token names, in the form in which VMs name starts; the token itself if
-    /// that is not known. Two starts of a target may have the same numbered token, but a flow that has
-    /// passed through this VM names its start.
-    pub(crate) fn start_token(&self, header: &PacketHeader, token: Token) -> Token {
-        let start = self.flows.token_of(&header.flow);
-        if let Some(start) = start.filter(|start| self.targets.is_token_of(token, *start)) {
-            return start;
+    /// that is not known. Two starts of a target may have the same numbered token, but the state of a
+    /// flow that has passed through this VM names its start.
+    fn start_token(&self, header: &PacketHeader, flow: Option<&FlowState>, token: Token) -> Token {
+        if let Some(flow) = flow
+            && self.targets.is_token_of(token, flow.target, flow.token)
+        {
+            return flow.token;
         }
         let routes = self.routes.as_ref();
         let route = routes.and_then(|routes| routes.find(header.flow.frontend));
--- a/crates/steer/src/target_table.rs
+++ b/crates/steer/src/target_table.rs
@@ -369,15 +369,19 @@
         self.ended.get(token)
     }
 
-    /// Whether `token` is a token of the start whose own token is `start`, in either form.
-    pub fn is_token_of(&self, token: Token, start: Token) -> bool {
+    /// Whether `token` is a token, in either form, of the start whose own token is `start`. It runs at
+    /// `index`, or has ended.
+    pub fn is_token_of(&self, token: Token, index: TargetIndex, start: Token) -> bool {
         if token == start {
             return true;
         }
-        let mut records = self.with_token(start).filter_map(|index| self.get(index));
-        let ended = self.ended.get(start);
-        records.any(|record| record.token == start && record.numbered == token)
-            || ended.is_some_and(|ended| ended.numbered == Some(token))
+        match self.get(index).filter(|record| record.token == start) {
+            Some(record) => record.numbered == token,
+            None => {
+                let ended = self.ended.get(start);
+                ended.is_some_and(|ended| ended.numbered == Some(token))
+            }
+        }
     }
 
     /// The present start of a target that may hold flows with the token of another start. What is known
--- a/crates/steer/src/token_report.rs
+++ b/crates/steer/src/token_report.rs
@@ -45,7 +45,7 @@
     /// What is known of the target that a packet's token names.
     pub fn report_token(&self, header: &PacketHeader, now: Moment) -> TokenReport {
         let targets = self.targets();
-        let token = header.token.map(|token| self.start_token(header, token));
+        let token = header.token.map(|token| self.named_start(header, token));
         let start = token.and_then(|token| {
             let mut named = targets.with_token(token).chain(targets.with_number(token));
             named.next()
