--- a/tests/tests/zone_load.rs
+++ b/tests/tests/zone_load.rs
@@ -326,6 +326,18 @@
     assert!(steering.take_released(at(201)).is_empty());
 }
 
+/// VMs may write different forms while a fleet is upgraded.
+#[test]
+fn answer_names_its_target_by_either_token() {
+    for (number, token) in [(1, target(1).token()), (2, target(1).numbered_token())] {
+        let mut steering = asking([target(1), target(2)]);
+        let question = ask(&mut steering, number, 0);
+        steering.apply_answer(address(0), question, Answer::Place(token), at(1));
+        let placed = token_of(released(&mut steering, number, 1));
+        assert_eq!(placed, target(1).token());
+    }
+}
+
 #[test]
 fn answer_of_another_vm_or_about_another_question_is_ignored() {
     let mut steering = asking([target(1), target(2)]);
