--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -53,10 +53,9 @@
         let cause = match result {
             Ok(Ok(response)) => {
                 self.peers.borrow_mut().record_call(address, now, true);
-                let support = response.token_support;
-                let mut node = self.node.borrow_mut();
-                node.record_token_support(support, started, now);
-                drop(node);
+                self.node
+                    .borrow_mut()
+                    .record_token_support(response.token_support, started, now);
                 if self.peers.borrow().is_outside(address) {
                     let mut node = self.node.borrow_mut();
                     node.steering_mut().record_outside_answer(answered);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -85,7 +85,7 @@
     /// When this VM learned of the store's current era, if it keeps documents of an earlier one.
     era_begun: Option<Moment>,
     pauses: PauseDetector,
-    support: FleetSupport,
+    fleet: FleetSupport,
     is_stopping: bool,
 }
 
@@ -124,7 +124,7 @@
             outage: None,
             era_begun: None,
             pauses: PauseDetector::default(),
-            support: FleetSupport::default(),
+            fleet: FleetSupport::default(),
             is_stopping: false,
         }
     }
@@ -222,39 +222,39 @@
 
     /// Records that the settings name no other VM.
     pub fn record_alone(&mut self, now: Moment) {
-        self.support.record_alone();
+        self.fleet.record_alone();
         self.update_token_form(now);
     }
 
     /// Records what a VM says in its request about the tokens that VMs read.
     pub fn record_token_request(&mut self, reading: TokenReading, now: Moment) {
-        self.support.record_request(reading, now);
+        self.fleet.record_request(reading, now);
         self.update_token_form(now);
     }
 
     /// Records what another VM, asked at `asked`, knows of the tokens that VMs read.
     pub fn record_token_support(&mut self, support: TokenSupport, asked: Moment, now: Moment) {
-        self.support.record_response(support, asked, now);
+        self.fleet.record_response(support, asked, now);
         self.update_token_form(now);
     }
 
     /// Returns what this VM says in its requests about the tokens that VMs read.
     pub fn token_reading(&self, now: Moment) -> TokenReading {
-        self.support.reading(now)
+        self.fleet.reading(now)
     }
 
     /// Returns what this VM answers about the tokens that VMs read.
     pub fn token_support(&self, now: Moment) -> TokenSupport {
-        self.support.support(now)
+        self.fleet.support(now)
     }
 
     fn update_token_form(&mut self, now: Moment) {
-        let form = self.support.form(now);
+        let form = self.fleet.form(now);
         let before = self.steering.set_token_form(form);
         if form == before {
             return;
         }
-        let older = self.support.support(now).older_age;
+        let older = self.fleet.support(now).older_age;
         log::info!(
             "event=token_form_changed form={form} before={before} older_vm_ms={}",
             OrNone(older.map(|age| age.as_millis()))
--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -66,7 +66,8 @@
     /// A retransmission was placed again: the first target has ended or is unresponsive.
     #[display("moved")]
     Moved,
-    /// A packet of an open flow names another start of the target.
+    /// A packet of an open flow names another start of the target, or another target that was sent the
+    /// flow's opening packet.
     #[display("continued")]
     Continued,
 }
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -429,7 +429,8 @@
         let Some(record) = self.targets.get(index) else {
             return Decision::Drop(DropCause::TokenNotKnownYet);
         };
-        forward(record, self.token_form, None)
+        let placement = opened.map(|_| Placement::Continued);
+        forward(record, self.token_form, placement)
     }
 
     /// Token of the start that a packet names with `token`.
--- a/tests/tests/steer_two_answers.rs
+++ b/tests/tests/steer_two_answers.rs
@@ -1,14 +1,20 @@
 //! Flows whose opening packet was answered by two targets: they stay at the target that the caller
 //! acknowledged first, although the caller repeats the token that it received last.
 
-use bambooseam_steer::{Decision, Placement, Steering};
+use bambooseam_steer::{Decision, Placement, Steering, TokenForm};
 use bambooseam_tests::steering::*;
 use bambooseam_types::Token;
 
 /// Returns steering that has sent the opening packet of flow 1 to one target and its copy to
 /// another one, and the tokens of both.
 fn moved_opening() -> (Steering, Token, Token) {
+    moved_opening_in(TokenForm::Start)
+}
+
+/// The same with tokens of a form.
+fn moved_opening_in(form: TokenForm) -> (Steering, Token, Token) {
     let mut steering = steering([target(1)]);
+    steering.set_token_form(form);
     let first = token_of(steering.decide(&opening_packet(flow(1, ORDERS), 0), at(0)));
     steering.decide(&opening_packet(flow(2, ORDERS), 0), at(0));
     steering.put_target(target(2), at(100));
@@ -45,6 +51,26 @@
     }
 }
 
+// Guards against a flow that moves unseen: the log names packets whose token was replaced.
+#[test]
+fn packets_whose_token_is_replaced_are_marked() {
+    for form in [TokenForm::Start, TokenForm::Numbered] {
+        let (mut steering, first, moved) = moved_opening_in(form);
+        send(&mut steering, first, (101, 0), 220);
+        for (token, expected) in [(moved, Some(Placement::Continued)), (first, None)] {
+            let packet = flow_packet(flow(1, ORDERS), token, 101, 501, 40);
+            let decision = steering.decide(&packet, at(230));
+            let Decision::Forward {
+                token, placement, ..
+            } = decision
+            else {
+                panic!("{decision:?}");
+            };
+            assert_eq!((token, placement), (first, expected));
+        }
+    }
+}
+
 // Other VMs have placed copies as well: a token that this VM did not select is the caller's choice.
 #[test]
 fn token_of_a_copy_placed_by_another_vm_is_followed() {
