--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -371,7 +371,7 @@
         let flow = self.flows.get(&header.flow);
         let token = self.start_token(header, flow, token);
         let opened = flow.and_then(|flow| flow.opened_token(token));
-        let opened = opened.filter(|opened| self.targets.is_known(*opened));
+        let opened = opened.filter(|opened| *opened != token && self.targets.is_known(*opened));
         let token = opened.unwrap_or(token);
         let route = self.routes.as_ref().and_then(|r| r.find(frontend));
         let timeout = route.map_or(DEFAULT_REQUEST_TIMEOUT, |route| route.timeout);
