--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -457,7 +457,7 @@
 
     /// Target of a token; of several targets, the one that has the flow at this VM, or the first one
     /// whose service belongs to the route. A target that has started again may hold flows with the
-    /// token of its earlier start, and this VM may know neither that start nor a later one.
+    /// token of another start, which this VM need not know.
     fn resolve(
         &self,
         header: &PacketHeader,
