--- a/crates/steer/src/ended_start.rs
+++ b/crates/steer/src/ended_start.rs
@@ -6,8 +6,9 @@
 //! token of the earlier start, and no VM can tell them from flows that ended with it. The target knows
 //! which flows it holds: their packets are forwarded to it, and it resets the others itself.
 //!
-//! A VM that starts after such a target reads only the entry of the present start. Other VMs therefore
-//! pass on the earlier starts of targets for a while.
+//! A VM that starts after such a target reads only the entry of the present start. A numbered token
+//! leads there without the earlier start. For the tokens of starts, which VMs write while some of them
+//! do not read numbered ones, other VMs pass on the earlier starts of targets for a while.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
--- a/crates/steer/src/unknown_token.rs
+++ b/crates/steer/src/unknown_token.rs
@@ -9,8 +9,9 @@
 //! A VM whose first view is recent cannot tell whether the store was unavailable before. Entries
 //! that lapsed meanwhile may not have been published again yet, so the VM waits for these as well.
 //!
-//! A target that has started again may hold flows with a token of which only the VMs know that were
-//! running before. They pass it on (see `ended_start`), well before this VM resets unknown tokens.
+//! A target that has started again may hold flows with the token of its earlier start. A numbered token
+//! leads to it all the same. The token of a start is known only to the VMs that were running before,
+//! which pass it on (see `ended_start`) well before this VM resets unknown tokens.
 
 use std::time::Duration;
 
