--- a/tests/tests/steer_numbered.rs
+++ b/tests/tests/steer_numbered.rs
@@ -31,6 +31,18 @@
     steering.sweep(at(millis));
 }
 
+/// Checks that packets with `token` wait until the view has settled, and are reset then.
+fn check_unknown(steering: &mut Steering, token: Token) {
+    for millis in (0..2_500).step_by(100) {
+        sync(steering, millis);
+        let decision = decide(steering, token, millis);
+        assert_eq!(decision, Decision::Drop(DropCause::TokenNotKnownYet));
+    }
+    sync(steering, 2_500);
+    let decision = decide(steering, token, 2_500);
+    assert_eq!(decision, Decision::Reset(ResetCause::UnknownToken));
+}
+
 /// Returns two targets whose numbered tokens differ only in the bits of the start, if at all.
 fn colliding() -> [Target; 2] {
     let mut seen: Vec<(Token, u64)> = Vec::new();
@@ -128,14 +140,7 @@
 fn token_of_a_target_without_an_entry_is_reset_once_the_view_has_settled() {
     let mut steering = numbered([target(2)]);
     let token = target(1).numbered_token();
-    for millis in (0..2_500).step_by(100) {
-        sync(&mut steering, millis);
-        let decision = decide(&mut steering, token, millis);
-        assert_eq!(decision, Decision::Drop(DropCause::TokenNotKnownYet));
-    }
-    sync(&mut steering, 2_500);
-    let decision = decide(&mut steering, token, 2_500);
-    assert_eq!(decision, Decision::Reset(ResetCause::UnknownToken));
+    check_unknown(&mut steering, token);
     // The entry comes late.
     steering.put_target(started(1, 7_000), at(2_600));
     let decision = decide(&mut steering, token, 2_700);
@@ -152,14 +157,7 @@
         ..started(1, 5_000)
     };
     let mut steering = numbered([reassigned, target(2)]);
-    for millis in (0..2_500).step_by(100) {
-        sync(&mut steering, millis);
-        let decision = decide(&mut steering, token, millis);
-        assert_eq!(decision, Decision::Drop(DropCause::TokenNotKnownYet));
-    }
-    sync(&mut steering, 2_500);
-    let decision = decide(&mut steering, token, 2_500);
-    assert_eq!(decision, Decision::Reset(ResetCause::UnknownToken));
+    check_unknown(&mut steering, token);
     let elsewhere = Target {
         address: target(9).address,
         ..started(1, 5_000)
