--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays the case "late-answer"; claim.txt says what is checked. Exits with 1 if the rule was broken, 0 if it
+# Plays the case "route-moved"; claim.txt says what is checked. Exits with 1 if the rule was broken, 0 if it
 # held, and 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/release/bambooseam-entry target/release/bambooseam-review-3; do
@@ -8,4 +8,4 @@
         exit 2
     fi
 done
-exec target/release/bambooseam-review-3 late-answer review/12/record.txt
+exec target/release/bambooseam-review-3 route-moved review/12/record.txt
