Show that VMs give up an evacuation that the store has lost

Cause: after the store has returned from an older copy, each VM keeps an evacuation that the copy lacks for 10 s, as it keeps entries of targets.

--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -7,6 +7,7 @@
 mod backend;
 mod bed;
 mod client;
+mod evacuation_lost;
 mod record;
 mod route_moved;
 mod router;
@@ -52,6 +53,7 @@
 
 async fn play(case: &str, record: &Record, has_trouble: bool) -> Outcome {
     match case {
+        "evacuation-lost" => evacuation_lost::run(record, has_trouble).await,
         "route-moved" => route_moved::run(record, has_trouble).await,
         _ => Err(format!("no case {case:?}").into()),
     }
